--- /dev/null
+++ b/crates/benchlink/src/facts.rs
@@ -0,0 +1,163 @@
+//! The settings of the first message, and what the decisions are handed of them.
+
+use corkspan::interface::*;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Facts {
+    fleet_size: usize,
+    locality: usize,
+    pub classes: Vec<Class>,
+    pub zones: Vec<String>,
+    pub skus: Vec<String>,
+    #[serde(default)]
+    pub tenants: Vec<serde_json::Value>,
+    discovery: String,
+    family_info: Family,
+    limits: Limits,
+    rules: Rules,
+    penalties: Penalties,
+    load_report: LoadReport,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Class {
+    effect: String,
+    dedup_scope: Option<String>,
+    on_time_us: u64,
+    memory_span_us: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Family {
+    admit_cores: f64,
+    accepts_memory: f64,
+    ack: String,
+    class_calm: Vec<f64>,
+    needs_kind: Vec<i64>,
+    class_most: Vec<usize>,
+    priority_by_class: Vec<u8>,
+    spread_by: Vec<String>,
+    young_limit: f64,
+    kind_cores: Vec<f64>,
+    kind_memory: Vec<f64>,
+    #[serde(default)]
+    share_cores: Vec<f64>,
+    #[serde(default)]
+    makes_room: bool,
+    view: bool,
+    counts: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Limits {
+    max_attempts: usize,
+    probes: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Rules {
+    #[serde(default)]
+    ask_every_us: u64,
+    cold_us: u64,
+    fall_us: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Penalties {
+    #[serde(default)]
+    cross_zone: f64,
+    #[serde(default)]
+    fleet: f64,
+}
+
+#[derive(Deserialize)]
+struct LoadReport {
+    fields: Vec<String>,
+}
+
+/// Microseconds as whole tenths of a millisecond, never more than was given.
+pub fn tenths(us: u64) -> Tenths {
+    us / 100
+}
+
+impl Facts {
+    pub fn cluster(&self) -> Result<Cluster, String> {
+        let family = &self.family_info;
+        if family.kind_cores.len() != self.skus.len() || family.kind_memory.len() != self.skus.len() {
+            return Err("family-info.kind-cores and kind-memory must have an entry for each of skus".into());
+        }
+        if self.locality >= self.zones.len() {
+            return Err("locality names none of zones".into());
+        }
+        Ok(Cluster {
+            hall: HallId(self.locality),
+            schedulers: self.fleet_size,
+            kinds: std::iter::zip(&family.kind_cores, &family.kind_memory)
+                .map(|(&cores, &memory)| Amount { cores, memory })
+                .collect(),
+            tracks: (0..self.classes.len()).map(|index| self.track(index)).collect::<Result<_, _>>()?,
+            accounts: (0..self.tenants.len())
+                .map(|index| Account { share_cores: family.share_cores.get(index).copied() })
+                .collect(),
+            accepts: Amount { cores: family.admit_cores, memory: family.accepts_memory },
+            shots: self.limits.max_attempts,
+            placed_runs: family.ack == "running",
+            shows_room: family.view,
+            reports_use: family.counts == "used"
+                && ["x0", "x1"].iter().all(|name| self.load_report.fields.iter().any(|field| field == name)),
+            makes_room: family.makes_room,
+            may_probe: self.limits.probes,
+            ask_list: (self.discovery == "on_request").then(|| tenths(self.rules.ask_every_us)),
+            cold: Cold {
+                lasts: tenths(self.rules.cold_us),
+                window: tenths(self.rules.fall_us),
+                offers: family.young_limit,
+            },
+            other_hall_price: self.penalties.cross_zone,
+            machine_price: self.penalties.fleet,
+        })
+    }
+
+    fn track(&self, index: usize) -> Result<Track, String> {
+        let (class, family) = (&self.classes[index], &self.family_info);
+        let lacks = |part: &str| format!("{part} has no entry for class {index}");
+        let repeat = match class.effect.as_str() {
+            "pure" => Repeat::Idempotent,
+            "side_effect" => Repeat::Unrepeatable,
+            "token" => Repeat::Deduplicated {
+                group: match class.dedup_scope.as_deref() {
+                    Some("all") => Group::All,
+                    Some("zone") => Group::Hall,
+                    Some("cell") => Group::Cell,
+                    other => return Err(format!("dedup-scope of class {index} can't be {other:?}")),
+                },
+                window: tenths(class.memory_span_us.ok_or_else(|| lacks("memory-span-us"))?),
+            },
+            other => return Err(format!("effect of class {index} can't be `{other}`")),
+        };
+        let most = *family.class_most.get(index).ok_or_else(|| lacks("class-most"))?;
+        let spread = match family.spread_by.get(index).ok_or_else(|| lacks("spread-by"))?.as_str() {
+            "silent" => None,
+            "machine" => Some((Place::Machine, most)),
+            "cell" => Some((Place::Cell, most)),
+            "zone" => Some((Place::Hall, most)),
+            other => return Err(format!("spread-by of class {index} can't be `{other}`")),
+        };
+        let kind = *family.needs_kind.get(index).ok_or_else(|| lacks("needs-kind"))?;
+        Ok(Track {
+            repeat,
+            contract_time: tenths(class.on_time_us),
+            calm: *family.class_calm.get(index).ok_or_else(|| lacks("class-calm"))?,
+            priority: *family.priority_by_class.get(index).ok_or_else(|| lacks("priority-by-class"))?,
+            kind: usize::try_from(kind).ok().map(KindId),
+            spread,
+        })
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,258 @@
+//! What the decisions are handed and what they hand back: plain values, free of any wire.
+
+/// A moment or a length of time in whole tenths of a millisecond. Callers round moments down and
+/// allowances down, so that "earlier than" here is never later than in the caller's finer time.
+pub type Tenths = u64;
+
+macro_rules! id {
+    ($($(#[$doc:meta])* $name:ident($of:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $of);
+    )*};
+}
+
+id! {
+    /// One placing of an allocation; a returning allocation gets a new one.
+    AllocationId(u64);
+    /// The same at every scheduler, also after the machine's process restarts.
+    MachineId(u32);
+    /// The allocations of a service have one track, one shape and one program.
+    ServiceId(u32);
+    TrackId(usize);
+    AccountId(usize);
+    KindId(usize);
+    HallId(usize);
+    /// A small group of related machines.
+    CellId(u64);
+}
+
+/// Cores and memory, asked, used or offered.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Amount {
+    pub cores: f64,
+    pub memory: f64,
+}
+
+/// Who drops the repeats of a deduplicated allocation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Hall,
+    Cell,
+}
+
+/// What a second run of an allocation would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Idempotent,
+    /// The machines of `group` drop repeats for `window` from the first send that may have run.
+    Deduplicated {
+        group: Group,
+        window: Tenths,
+    },
+    Unrepeatable,
+}
+
+/// In which place the number of a service's allocations is limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    Machine,
+    Cell,
+    Hall,
+}
+
+#[derive(Clone, Debug)]
+pub struct Track {
+    pub repeat: Repeat,
+    pub contract_time: Tenths,
+    /// Served in full while the cores are busy up to this share.
+    pub calm: f64,
+    pub priority: u8,
+    pub kind: Option<KindId>,
+    pub spread: Option<(Place, usize)>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// Cores asked at a time, over all schedulers, that lie within the account's share.
+    pub share_cores: Option<f64>,
+}
+
+/// Offers that a just started machine bears.
+#[derive(Clone, Debug)]
+pub struct Cold {
+    pub lasts: Tenths,
+    pub window: Tenths,
+    /// Always borne within a window, from all schedulers together.
+    pub offers: f64,
+}
+
+/// What is read at start.
+#[derive(Clone, Debug)]
+pub struct Cluster {
+    pub hall: HallId,
+    /// How many schedulers share the machines.
+    pub schedulers: usize,
+    pub kinds: Vec<Amount>,
+    pub tracks: Vec<Track>,
+    pub accounts: Vec<Account>,
+    /// Machines accept until the asks reach this multiple of their size.
+    pub accepts: Amount,
+    pub shots: usize,
+    /// Placed is answered when the allocation runs, not when it is accepted.
+    pub placed_runs: bool,
+    /// The list tells the room that nobody has asked for.
+    pub shows_room: bool,
+    /// Reports tell what is not in use, rather than what is not asked for.
+    pub reports_use: bool,
+    /// Machines push out lower priorities for higher ones.
+    pub makes_room: bool,
+    pub may_probe: bool,
+    /// Whether the list must be asked for, and how long it may go unasked.
+    pub ask_list: Option<Tenths>,
+    pub cold: Cold,
+    /// Part of the result that running in another hall costs.
+    pub other_hall_price: f64,
+    /// Part of the result that machines held beyond need cost.
+    pub machine_price: f64,
+}
+
+/// What one shot has come to. Only some of it proves that the allocation never ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Pending,
+    NeverRan,
+    MayHaveRun,
+}
+
+#[derive(Clone, Debug)]
+pub struct Shot {
+    pub machine: MachineId,
+    pub sent: Tenths,
+    pub fate: Fate,
+}
+
+/// An allocation in the caller's hands.
+#[derive(Clone, Debug)]
+pub struct Allocation {
+    pub id: AllocationId,
+    pub service: ServiceId,
+    pub track: TrackId,
+    pub account: AccountId,
+    pub asks: Amount,
+    pub taken: Tenths,
+    pub abandon: Tenths,
+    pub shots: Vec<Shot>,
+}
+
+/// Where to send an allocation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    Send { machine: MachineId, time_out: Tenths },
+    NotYet,
+    Shed,
+    Scrap,
+}
+
+/// Why a machine refused or ended an allocation, where it says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    NoCores,
+    NoMemory,
+    QueueFull,
+    NotHere,
+    Evicted,
+    PushedOut,
+    SentAway,
+}
+
+/// What a machine reports of itself: room not in use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    pub unused: Amount,
+    /// Offers and starts that wait, where told.
+    pub waiting: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Ended,
+    Error,
+    Refused,
+    TimedOut,
+    Unconnected,
+    Reset,
+    Cancelled,
+    NotSent,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// Accepted or running, as [`Cluster::placed_runs`] says.
+    Placed,
+    Returned {
+        ending: Ending,
+        reason: Option<Reason>,
+        over: bool,
+        report: Option<Report>,
+    },
+}
+
+/// What to do after an outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum After {
+    Rest,
+    PlaceAgain,
+    Shed,
+    Scrap,
+}
+
+/// How long to wait before asking again, and what to set going meanwhile.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wait {
+    pub time: Tenths,
+    /// Allocations answered with "not yet" are worth another call now.
+    pub ask_again: bool,
+    pub watch_list: bool,
+    pub probes: Vec<MachineId>,
+    pub moves: Vec<AllocationId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    Runs,
+    Cores(f64),
+    Memory(f64),
+    Served(f64),
+    MachineMemory(f64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Serving,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of machines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Entry {
+    pub machine: MachineId,
+    pub kind: KindId,
+    pub hall: HallId,
+    pub cell: CellId,
+    pub state: State,
+    /// When its process last started; none means long ago.
+    pub started: Option<Tenths>,
+    /// Room that nobody has asked for, where the list tells it.
+    pub unasked: Option<Amount>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Changes,
+    Whole,
+    /// The last list of an earlier life.
+    Remembered,
+}
