--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,6 +24,8 @@
 /// From this long after its send an allocation's use is taken to be in a machine's reports.
 const REPORT_LAG: Tenths = SECOND;
 /// A report older than this says less of a machine than the average does.
+/// Likewise for the room that the list tells.
+const LIST_LAG: Tenths = 2 * SECOND;
 const REPORT_STALE: Tenths = 12 * SECOND;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
 const KEPT: usize = 6;
@@ -103,6 +105,8 @@
     records: BTreeMap<ServiceId, VecDeque<Record>>,
     /// Use by asked unit over all records: what is expected of one whose use is not known yet.
     usual: [Mean; 2],
+    /// Likewise use at any time, of the running.
+    present: [Mean; 2],
     /// Time from offer to running without [0] and with [1] the program in place.
     start_time: [Mean; 2],
     born: Tenths,
@@ -134,6 +138,7 @@
             guests: BTreeMap::new(),
             records: BTreeMap::new(),
             usual: Default::default(),
+            present: Default::default(),
             start_time: Default::default(),
             born: now,
             watch_fails: 0,
@@ -171,7 +176,11 @@
         let average = self.average_use();
         let weighed: Vec<Weighed> = scan
             .into_iter()
-            .map(|machine| self.weigh(now, machine, allocation, average, !open.contains(&machine)))
+            .map(|machine| {
+                let size = self.size(machine).unwrap_or_default();
+                let fits = self.fits(self.asked(now, &self.machines[&machine], size), allocation.asks, size);
+                self.weigh(now, machine, allocation, average, !fits || !open.contains(&machine))
+            })
             .collect();
         let machine = self.choose(&weighed);
         self.send(now, machine, allocation)
@@ -314,10 +323,12 @@
                 guest.present.get_or_insert(expected).cores = cores;
                 guest.highest.cores = guest.highest.cores.max(cores);
                 guest.cores.push(cores);
+                self.present[0].add(cores / guest.asks.cores);
             }
             Note::Memory(memory) => {
                 guest.present.get_or_insert(expected).memory = memory;
                 guest.highest.memory = guest.highest.memory.max(memory);
+                self.present[1].add(memory / guest.asks.memory);
             }
             _ => {}
         }
@@ -392,7 +403,7 @@
             return false;
         }
         self.cold_bears(now, machine, entry)
-            && self.room_asked(now, machine, size, allocation.asks)
+            && (!self.cluster.shows_room || self.fits(self.asked(now, machine, size), allocation.asks, size))
             && self.spread_holds(id, entry, allocation)
     }
 
@@ -413,15 +424,22 @@
         recent < part
     }
 
-    /// Whether the ask fits the accept limit by the listed room, which is late: what we sent since then comes off.
-    fn room_asked(&self, now: Tenths, machine: &Machine, size: Amount, asks: Amount) -> bool {
-        let Some((_, unasked)) = machine.unasked.filter(|_| self.cluster.shows_room) else { return true };
-        let mut asked = plus(size, unasked, -1.0);
-        for guest in machine.guests.iter().filter_map(|guest| self.guests.get(guest)) {
-            if guest.sent + 2 * SECOND > now {
-                asked = plus(asked, guest.asks, 1.0);
+    /// What all schedulers' allocations on a machine ask for. The listed room is late: what we sent since then
+    /// counts on top. Where no room is listed, others' asks are guessed from what they use.
+    fn asked(&self, now: Tenths, machine: &Machine, size: Amount) -> Amount {
+        let guests = machine.guests.iter().filter_map(|guest| self.guests.get(guest));
+        let (listed, since) = match machine.unasked.filter(|_| self.cluster.shows_room) {
+            Some((_, unasked)) => (plus(size, unasked, -1.0), now.saturating_sub(LIST_LAG)),
+            None => {
+                let base = machine.base.map_or(Amount::default(), |(_, base)| base);
+                let usual = Amount { cores: self.present[0].or(1.0), memory: self.present[1].or(1.0) };
+                (Amount { cores: base.cores / usual.cores, memory: base.memory / usual.memory }, 0)
             }
-        }
+        };
+        guests.filter(|guest| guest.sent >= since).fold(listed, |sum, guest| plus(sum, guest.asks, 1.0))
+    }
+
+    fn fits(&self, asked: Amount, asks: Amount, size: Amount) -> bool {
         asked.cores + asks.cores <= size.cores * self.cluster.accepts.cores
             && asked.memory + asks.memory <= size.memory * self.cluster.accepts.memory
     }
@@ -478,12 +496,13 @@
     /// that all schedulers share without speaking.
     fn open_machines(&self, now: Tenths) -> Vec<MachineId> {
         let mut order = Vec::new();
-        let mut need = Amount::default();
+        let (mut need, mut asked) = (Amount::default(), Amount::default());
         for (&id, machine) in &self.machines {
             let Some(size) = self.size(id) else { continue };
             let serving = machine.entry.is_some_and(|entry| entry.state == State::Serving);
             let used = self.present_use(now, machine);
             need = plus(need, used.unwrap_or(self.own_use(machine)), 1.0);
+            asked = plus(asked, self.asked(now, machine, size), 1.0);
             if serving && machine.shunned <= now {
                 let share = used.map_or(0.0, |used| (used.cores / size.cores).max(used.memory / size.memory));
                 let idle = machine.guests.is_empty() && share < 0.1;
@@ -491,6 +510,8 @@
             }
         }
         order.sort_by_key(|&(idle, id, _)| (idle, id));
+        let limit = self.cluster.accepts;
+        need = most(need, Amount { cores: asked.cores / limit.cores, memory: asked.memory / limit.memory });
         let mut room = Amount::default();
         let mut open = Vec::new();
         for (_, id, size) in order {
