--- a/src/rules.rs
+++ b/src/rules.rs
@@ -78,7 +78,8 @@
     load: f64,
     risk: f64,
     rise: f64,
-    held_back: bool,
+    /// 0: to be used first; held-back machines come last.
+    rank: u8,
 }
 
 /// A decaying mean, brought up to date when it is added to.
@@ -179,7 +180,13 @@
             .map(|machine| {
                 let size = self.size(machine).unwrap_or_default();
                 let fits = self.fits(self.asked(now, &self.machines[&machine], size), allocation.asks, size);
-                self.weigh(now, machine, allocation, average, !fits || !open.contains(&machine))
+                let near = self.machines[&machine].entry.is_some_and(|entry| entry.hall == self.cluster.hall);
+                let rank = match fits && open.contains(&machine) {
+                    true if near || self.cluster.other_hall_price == 0.0 => 0,
+                    true => 1,
+                    false => 2,
+                };
+                self.weigh(now, machine, allocation, average, rank)
             })
             .collect();
         let machine = self.choose(&weighed);
@@ -534,14 +541,7 @@
     }
 
     /// Risk of overload with and without the allocation by draws, and W Max with its expected start use.
-    fn weigh(
-        &mut self,
-        now: Tenths,
-        id: MachineId,
-        new: &Allocation,
-        average: Amount,
-        held_back: bool,
-    ) -> Weighed {
+    fn weigh(&mut self, now: Tenths, id: MachineId, new: &Allocation, average: Amount, rank: u8) -> Weighed {
         let size = self.size(id).unwrap_or_default();
         let machine = &self.machines[&id];
         let fresh = machine.base.filter(|&(at, _)| at + REPORT_STALE > now).map(|(_, base)| base);
@@ -587,7 +587,7 @@
             load: (load.cores / size.cores).max(load.memory / size.memory),
             risk: with as f64 / DRAWS as f64,
             rise: (with as f64 - without as f64) / DRAWS as f64,
-            held_back,
+            rank,
         }
     }
 
@@ -612,11 +612,9 @@
     /// Lowest W Max among those under theta and not held back; else among the held back under theta; else
     /// the smallest rise in risk. Near ties at random, so that schedulers with one view don't herd.
     fn choose(&mut self, weighed: &[Weighed]) -> MachineId {
-        let safe = |held: bool| weighed.iter().filter(move |w| w.risk <= THETA && w.held_back == held);
-        let mut group: Vec<&Weighed> = safe(false).collect();
-        if group.is_empty() {
-            group = safe(true).collect();
-        }
+        let safe = || weighed.iter().filter(|w| w.risk <= THETA);
+        let rank = safe().map(|w| w.rank).min();
+        let mut group: Vec<&Weighed> = safe().filter(|w| Some(w.rank) == rank).collect();
         if group.is_empty() {
             let least = weighed.iter().map(|w| w.rise).fold(f64::INFINITY, f64::min);
             group = weighed.iter().filter(|w| w.rise <= least).collect();
