--- a/src/rules.rs
+++ b/src/rules.rs
@@ -546,6 +546,13 @@
         let machine = &self.machines[&id];
         let fresh = machine.base.filter(|&(at, _)| at + REPORT_STALE > now).map(|(_, base)| base);
         let base = fresh.unwrap_or(by(average, size));
+        // What the other schedulers have sent there since is in no report yet: as much as we did, each.
+        let young = machine.guests.iter().filter_map(|guest| self.guests.get(guest));
+        let young = young.filter(|guest| guest.sent + REPORT_LAG > now);
+        let others = self.cluster.schedulers.saturating_sub(1) as f64;
+        let unseen =
+            young.fold(Amount::default(), |sum, guest| plus(sum, by(guest.asks, self.usual_use()), others));
+        let base = plus(base, unseen, 1.0);
         let mut pools: Vec<(Vec<Amount>, Amount)> = Vec::new();
         for guest in machine.guests.iter().filter_map(|guest| self.guests.get(guest)) {
             let highest = Amount {
