Hold allocations off machines over the line when none is under theta

Past 0.92 of memory, or of the calm share of cores by 0.25, it is left out; nothing bearable means not yet.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,6 +17,10 @@
 /// f for memory, below the size since machines slow down before they evict; f for cores is the track's calm.
 const F_MEMORY: f64 = 0.9;
 const TIE: f64 = 0.02;
+/// Share of memory that a machine is filled to when none is under theta: beyond, all slow down, then some
+/// are evicted. Cores may pass the calm share by some: crowded ones serve worse, but serve.
+const LIMIT: f64 = 0.92;
+const FADE: f64 = 0.25;
 /// Load share that present need should fill on the machines not held back.
 const FILL: f64 = 0.8;
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
@@ -76,6 +80,8 @@
 struct Weighed {
     machine: MachineId,
     load: f64,
+    /// Whether it can bear the allocation by present use, draws aside.
+    bears: bool,
     risk: f64,
     rise: f64,
     /// 0: to be used first; held-back machines come last.
@@ -169,9 +175,7 @@
         }
         scan.retain(|&machine| self.admits(now, machine, allocation));
         if scan.is_empty() {
-            let at = (now + ASK_AGAIN).min(allocation.abandon - MARGIN);
-            self.ask_at = Some(self.ask_at.map_or(at, |other| other.min(at)));
-            return Placement::NotYet;
+            return self.not_yet(now, allocation);
         }
         let open = self.open_machines(now);
         let average = self.average_use();
@@ -189,8 +193,16 @@
                 self.weigh(now, machine, allocation, average, rank)
             })
             .collect();
-        let machine = self.choose(&weighed);
-        self.send(now, machine, allocation)
+        match self.choose(&weighed) {
+            Some(machine) => self.send(now, machine, allocation),
+            None => self.not_yet(now, allocation),
+        }
+    }
+
+    fn not_yet(&mut self, now: Tenths, allocation: &Allocation) -> Placement {
+        let at = (now + ASK_AGAIN).min(allocation.abandon - MARGIN);
+        self.ask_at = Some(self.ask_at.map_or(at, |other| other.min(at)));
+        Placement::NotYet
     }
 
     /// What to do after this outcome of the allocation's last shot.
@@ -592,6 +604,8 @@
         Weighed {
             machine: id,
             load: (load.cores / size.cores).max(load.memory / size.memory),
+            bears: load.memory <= size.memory * LIMIT
+                && load.cores <= size.cores * (self.cluster.tracks[new.track.0].calm + FADE),
             risk: with as f64 / DRAWS as f64,
             rise: (with as f64 - without as f64) / DRAWS as f64,
             rank,
@@ -618,17 +632,22 @@
 
     /// Lowest W Max among those under theta and not held back; else among the held back under theta; else
     /// the smallest rise in risk. Near ties at random, so that schedulers with one view don't herd.
-    fn choose(&mut self, weighed: &[Weighed]) -> MachineId {
+    fn choose(&mut self, weighed: &[Weighed]) -> Option<MachineId> {
         let safe = || weighed.iter().filter(|w| w.risk <= THETA);
         let rank = safe().map(|w| w.rank).min();
         let mut group: Vec<&Weighed> = safe().filter(|w| Some(w.rank) == rank).collect();
         if group.is_empty() {
-            let least = weighed.iter().map(|w| w.rise).fold(f64::INFINITY, f64::min);
-            group = weighed.iter().filter(|w| w.rise <= least).collect();
+            // A machine that is over the line already rises by nothing: unless left out it would draw all to it.
+            let bearable = || weighed.iter().filter(|w| w.bears);
+            let least = bearable().map(|w| w.rise).fold(f64::INFINITY, f64::min);
+            group = bearable().filter(|w| w.rise <= least + TIE).collect();
+        }
+        if group.is_empty() {
+            return None;
         }
         let lowest = group.iter().map(|w| w.load).fold(f64::INFINITY, f64::min);
         group.retain(|w| w.load <= lowest * (1.0 + TIE));
-        group[self.rng.random_range(0..group.len())].machine
+        Some(group[self.rng.random_range(0..group.len())].machine)
     }
 
     fn send(&mut self, now: Tenths, machine: MachineId, allocation: &Allocation) -> Placement {
