--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -266,7 +266,7 @@
                 return Err(message.wrong(format!("node {} has an unknown flavor or site", entry.machine.0)));
             }
         }
-        self.scheduler.listed(now, scope, entries);
+        self.scheduler.listed(scope, entries);
         Ok(())
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -34,6 +34,49 @@
     pub memory: f64,
 }
 
+impl Amount {
+    pub const ONE: Amount = Amount { cores: 1.0, memory: 1.0 };
+
+    pub fn most(self, other: Amount) -> Amount {
+        Amount { cores: self.cores.max(other.cores), memory: self.memory.max(other.memory) }
+    }
+
+    pub fn within(self, limit: Amount) -> bool {
+        self.cores <= limit.cores && self.memory <= limit.memory
+    }
+
+    /// The larger of the two shares.
+    pub fn share_of(self, size: Amount) -> f64 {
+        (self.cores / size.cores).max(self.memory / size.memory)
+    }
+}
+
+macro_rules! each {
+    ($($operator:ident $call:ident $sign:tt;)*) => {$(
+        impl std::ops::$operator for Amount {
+            type Output = Amount;
+            fn $call(self, other: Amount) -> Amount {
+                Amount { cores: self.cores $sign other.cores, memory: self.memory $sign other.memory }
+            }
+        }
+    )*};
+}
+
+each! { Add add +; Sub sub -; Mul mul *; Div div /; }
+
+impl std::ops::Mul<f64> for Amount {
+    type Output = Amount;
+    fn mul(self, times: f64) -> Amount {
+        Amount { cores: self.cores * times, memory: self.memory * times }
+    }
+}
+
+impl std::iter::Sum for Amount {
+    fn sum<I: Iterator<Item = Amount>>(all: I) -> Amount {
+        all.fold(Amount::default(), |sum, each| sum + each)
+    }
+}
+
 /// Who drops the repeats of a deduplicated allocation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod interface;
 pub mod rules;
+mod state;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 //! The caller keeps the allocations in hand and the timers, and decides nothing.
 
 use crate::interface::*;
+use crate::state::{Guest, Machine, Mean, Record};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -33,49 +34,23 @@
 const REPORT_STALE: Tenths = 12 * SECOND;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
 const KEPT: usize = 6;
+const KEEP: f64 = 0.95;
+/// A machine of which less is in use, and nothing by us, counts as empty.
+const IDLE: f64 = 0.1;
+/// Between two looks for allocations to move.
+const LOOK: Tenths = SECOND / 4;
+/// So many times the usual ask is large.
+const LARGE: f64 = 4.0;
+/// How long a machine is kept free for a large allocation while others leave it.
+const PROMISE: Tenths = 2 * SECOND;
+/// Share of memory past which some are moved away, if a machine under the second share could take them.
+const OVER: f64 = 0.95;
+const SPARE: f64 = 0.8;
 /// Left before the abandon time, so that the answer itself is not late.
 const MARGIN: Tenths = 40;
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 
-/// What an ended allocation of a service came to use, by asked unit, and how long it ran.
-#[derive(Clone, Copy)]
-struct Record {
-    peak: Amount,
-    life: Tenths,
-}
-
-/// An allocation of ours on a machine, from the shot on until the machine has answered for it.
-struct Guest {
-    machine: MachineId,
-    service: ServiceId,
-    asks: Amount,
-    sent: Tenths,
-    placed: bool,
-    runs: bool,
-    had_program: bool,
-    present: Option<Amount>,
-    highest: Amount,
-    cores: Vec<f64>,
-}
-
-#[derive(Default)]
-struct Machine {
-    entry: Option<Entry>,
-    /// Use by others: what was reported, less our own part of it.
-    base: Option<(Tenths, Amount)>,
-    unasked: Option<(Tenths, Amount)>,
-    guests: Vec<AllocationId>,
-    kept: VecDeque<ServiceId>,
-    offers: VecDeque<Tenths>,
-    /// Shots in a row that it left without an answer, and until when it is left alone for that.
-    silent: u32,
-    shunned: Tenths,
-    /// Until when an ask of at least this much is not offered again, after a refusal.
-    full: Option<(Tenths, Amount)>,
-    probed: Tenths,
-}
-
 /// A machine weighed for one allocation.
 struct Weighed {
     machine: MachineId,
@@ -88,27 +63,12 @@
     rank: u8,
 }
 
-/// A decaying mean, brought up to date when it is added to.
-#[derive(Default, Clone, Copy)]
-struct Mean {
-    sum: f64,
-    weight: f64,
-}
-
-impl Mean {
-    fn add(&mut self, value: f64) {
-        (self.sum, self.weight) = (self.sum * 0.95 + value, self.weight * 0.95 + 1.0);
-    }
-    fn or(&self, default: f64) -> f64 {
-        if self.weight > 0.0 { self.sum / self.weight } else { default }
-    }
-}
-
 pub struct Scheduler {
     cluster: Cluster,
     rng: Pcg64Mcg,
     machines: BTreeMap<MachineId, Machine>,
-    guests: BTreeMap<AllocationId, Guest>,
+    /// Where each allocation of ours is.
+    at: BTreeMap<AllocationId, MachineId>,
     records: BTreeMap<ServiceId, VecDeque<Record>>,
     /// Use by asked unit over all records: what is expected of one whose use is not known yet.
     usual: [Mean; 2],
@@ -121,18 +81,11 @@
     watch_fails: u32,
     /// When the allocations answered with "not yet" are to be looked at again.
     ask_at: Option<Tenths>,
-}
-
-fn most(a: Amount, b: Amount) -> Amount {
-    Amount { cores: a.cores.max(b.cores), memory: a.memory.max(b.memory) }
-}
-
-fn plus(a: Amount, b: Amount, times: f64) -> Amount {
-    Amount { cores: a.cores + b.cores * times, memory: a.memory + b.memory * times }
-}
-
-fn by(a: Amount, b: Amount) -> Amount {
-    Amount { cores: a.cores * b.cores, memory: a.memory * b.memory }
+    /// A large allocation that fits nowhere, though the room that it needs may be there in pieces.
+    starved: Option<Allocation>,
+    look_at: Tenths,
+    /// Cores asked by the allocations taken.
+    usual_ask: Mean,
 }
 
 impl Scheduler {
@@ -142,7 +95,7 @@
             cluster,
             rng: Pcg64Mcg::seed_from_u64(seed),
             machines: BTreeMap::new(),
-            guests: BTreeMap::new(),
+            at: BTreeMap::new(),
             records: BTreeMap::new(),
             usual: Default::default(),
             present: Default::default(),
@@ -150,6 +103,9 @@
             born: now,
             watch_fails: 0,
             ask_at: None,
+            starved: None,
+            look_at: now,
+            usual_ask: Mean::default(),
         }
     }
 
@@ -158,6 +114,9 @@
         if now + MARGIN >= allocation.abandon || allocation.shots.len() >= self.cluster.shots {
             return self.give_up(allocation);
         }
+        if allocation.shots.is_empty() && allocation.taken == now {
+            self.usual_ask.add(allocation.asks.cores, KEEP);
+        }
         let bound = allocation.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
         let mut scan: Vec<MachineId> = self.machines.keys().copied().collect();
         if let Some(shot) = bound {
@@ -174,26 +133,19 @@
             }
         }
         scan.retain(|&machine| self.admits(now, machine, allocation));
-        if scan.is_empty() {
-            return self.not_yet(now, allocation);
-        }
-        let open = self.open_machines(now);
-        let average = self.average_use();
-        let weighed: Vec<Weighed> = scan
-            .into_iter()
-            .map(|machine| {
-                let size = self.size(machine).unwrap_or_default();
-                let fits = self.fits(self.asked(now, &self.machines[&machine], size), allocation.asks, size);
-                let near = self.machines[&machine].entry.is_some_and(|entry| entry.hall == self.cluster.hall);
-                let rank = match fits && open.contains(&machine) {
-                    true if near || self.cluster.other_hall_price == 0.0 => 0,
-                    true => 1,
-                    false => 2,
-                };
-                self.weigh(now, machine, allocation, average, rank)
-            })
-            .collect();
-        match self.choose(&weighed) {
+        let promised = scan
+            .iter()
+            .copied()
+            .find(|id| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id));
+        let chosen = promised.or_else(|| {
+            let (open, average) = (self.open_machines(now, FILL), self.average_use());
+            let weighed: Vec<Weighed> = scan
+                .into_iter()
+                .map(|machine| self.weigh(now, machine, allocation, average, &open))
+                .collect();
+            self.choose(&weighed)
+        });
+        match chosen {
             Some(machine) => self.send(now, machine, allocation),
             None => self.not_yet(now, allocation),
         }
@@ -202,6 +154,11 @@
     fn not_yet(&mut self, now: Tenths, allocation: &Allocation) -> Placement {
         let at = (now + ASK_AGAIN).min(allocation.abandon - MARGIN);
         self.ask_at = Some(self.ask_at.map_or(at, |other| other.min(at)));
+        if self.large(allocation)
+            && !self.machines.values().any(|machine| machine.promised.is_some_and(|(until, _)| until > now))
+        {
+            self.starved = Some(allocation.clone());
+        }
         Placement::NotYet
     }
 
@@ -210,7 +167,7 @@
         let Some(machine) = allocation.shots.get(shot).map(|shot| shot.machine) else { return After::Rest };
         let Outcome::Returned { ending, reason, over, report } = outcome else {
             self.machines.entry(machine).or_default().silent = 0;
-            if let Some(guest) = self.guests.get_mut(&allocation.id) {
+            if let Some(guest) = self.guest(allocation.id) {
                 guest.placed = true;
             }
             if self.cluster.placed_runs {
@@ -218,7 +175,7 @@
             }
             return After::Rest;
         };
-        let was_placed = self.guests.get(&allocation.id).is_some_and(|guest| guest.placed);
+        let was_placed = self.guest(allocation.id).is_some_and(|guest| guest.placed);
         self.leave(now, allocation.id, ending == Ending::Ended);
         if let Some(report) = report {
             self.reported(now, machine, report);
@@ -282,11 +239,87 @@
                 }
             }
         }
+        if self.look_at <= now {
+            self.look_at = now + LOOK;
+            wait.moves = self.moves(now);
+        }
+        wait.time = wait.time.min(self.look_at - now);
         wait
     }
 
+    /// Far larger than the usual, so that room for it comes in pieces.
+    fn large(&self, allocation: &Allocation) -> bool {
+        allocation.asks.cores > LARGE * self.usual_ask.or(f64::INFINITY)
+    }
+
+    /// Ours on a machine that may be moved, the least urgent first: such as run and are not large themselves,
+    /// and may start again.
+    fn movable(&self, machine: &Machine) -> Vec<(AllocationId, Amount)> {
+        let guests = machine.guests.iter().filter(|(_, guest)| {
+            let track = &self.cluster.tracks[guest.track.0];
+            let small = guest.asks.cores <= LARGE * self.usual_ask.or(0.0);
+            guest.placed && guest.runs && !guest.moved && small && track.repeat != Repeat::Unrepeatable
+        });
+        guests.map(|(&id, guest)| (id, guest.asks)).collect()
+    }
+
+    /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we.
+    fn moves(&mut self, now: Tenths) -> Vec<AllocationId> {
+        let mut moves = self.make_room(now);
+        let open = self.open_machines(now, FILL * 0.9);
+        let spare = open.iter().any(|id| {
+            self.size(*id)
+                .is_some_and(|size| self.present_use(now, &self.machines[id]).share_of(size) < SPARE)
+        });
+        for (&id, machine) in &self.machines {
+            let Some(size) = self.size(id).filter(|_| spare && moves.len() < 4) else { continue };
+            let mut over =
+                (self.present_use(now, machine).memory - size.memory * OVER) / self.cluster.schedulers as f64;
+            for (guest, asks) in self.movable(machine).into_iter().take(4) {
+                if over > 0.0 {
+                    moves.push(guest);
+                    over -= asks.memory * self.usual_use().memory;
+                }
+            }
+        }
+        for id in &moves {
+            if let Some(guest) = self.guest(*id) {
+                guest.moved = true;
+            }
+        }
+        moves
+    }
+
+    /// Clears the machine on which the fewest moves make a large allocation fit, and promises it the room.
+    fn make_room(&mut self, now: Tenths) -> Vec<AllocationId> {
+        let Some(starved) = self.starved.take() else { return Vec::new() };
+        let mut best: Option<(MachineId, Vec<AllocationId>)> = None;
+        for (&id, machine) in &self.machines {
+            let Some(size) = self.size(id).filter(|_| machine.serving() && machine.shunned <= now) else {
+                continue;
+            };
+            let mut asked = self.asked(now, machine) + starved.asks;
+            let mut used = self.present_use(now, machine) + starved.asks * self.usual_use();
+            let mut cleared = Vec::new();
+            for (guest, asks) in self.movable(machine) {
+                if asked.within(size * self.cluster.accepts) && used.within(size * LIMIT) {
+                    break;
+                }
+                (asked, used) = (asked - asks, used - self.use_of(&machine.guests[&guest]));
+                cleared.push(guest);
+            }
+            let fits = asked.within(size * self.cluster.accepts) && used.within(size * LIMIT);
+            if fits && best.as_ref().is_none_or(|(_, fewest)| cleared.len() < fewest.len()) {
+                best = Some((id, cleared));
+            }
+        }
+        let Some((id, cleared)) = best else { return Vec::new() };
+        self.machines.entry(id).or_default().promised = Some((now + PROMISE, starved.id));
+        cleared
+    }
+
     /// The list of machines, or what has changed in it.
-    pub fn listed(&mut self, now: Tenths, scope: Scope, entries: &[Entry]) {
+    pub fn listed(&mut self, scope: Scope, entries: &[Entry]) {
         if scope == Scope::Whole {
             for machine in self.machines.values_mut() {
                 if let Some(entry) = machine.entry.as_mut() {
@@ -305,9 +338,9 @@
                 *machine = Machine { guests: std::mem::take(&mut machine.guests), ..Machine::default() };
             }
             machine.entry = Some(entry);
-            if let Some(unasked) = entry.unasked {
-                machine.unasked = Some((now, unasked));
-            }
+            let size = self.cluster.kinds.get(entry.kind.0);
+            machine.listed =
+                size.zip(entry.unasked).filter(|_| self.cluster.shows_room).map(|(&size, free)| size - free);
         }
     }
 
@@ -323,7 +356,7 @@
     /// An allocation that already runs has passed into our care.
     pub fn taken_over(&mut self, now: Tenths, allocation: &Allocation, machine: MachineId) {
         self.arrive(now, allocation, machine);
-        if let Some(guest) = self.guests.get_mut(&allocation.id) {
+        if let Some(guest) = self.guest(allocation.id) {
             (guest.placed, guest.runs) = (true, true);
             guest.sent = now.saturating_sub(REPORT_LAG);
         }
@@ -331,23 +364,24 @@
 
     pub fn noted(&mut self, now: Tenths, id: AllocationId, note: Note) {
         let usual = self.usual_use();
-        let Some(guest) = self.guests.get_mut(&id) else { return };
-        let expected = by(guest.asks, usual);
+        let machine = self.at.get(&id).and_then(|machine| self.machines.get_mut(machine));
+        let Some(guest) = machine.and_then(|machine| machine.guests.get_mut(&id)) else { return };
+        let expected = guest.asks * usual;
         match note {
             Note::Runs if !guest.runs => {
                 guest.runs = true;
-                self.start_time[usize::from(guest.had_program)].add((now - guest.sent) as f64);
+                self.start_time[usize::from(guest.had_program)].add((now - guest.sent) as f64, KEEP);
             }
             Note::Cores(cores) => {
                 guest.present.get_or_insert(expected).cores = cores;
                 guest.highest.cores = guest.highest.cores.max(cores);
                 guest.cores.push(cores);
-                self.present[0].add(cores / guest.asks.cores);
+                self.present[0].add(cores / guest.asks.cores, KEEP);
             }
             Note::Memory(memory) => {
                 guest.present.get_or_insert(expected).memory = memory;
                 guest.highest.memory = guest.highest.memory.max(memory);
-                self.present[1].add(memory / guest.asks.memory);
+                self.present[1].add(memory / guest.asks.memory, KEEP);
             }
             _ => {}
         }
@@ -364,15 +398,16 @@
 
     fn reported(&mut self, now: Tenths, id: MachineId, report: Report) {
         let Some(size) = self.size(id) else { return };
-        let mut base = plus(size, report.unused, -1.0);
-        for guest in self.machines[&id].guests.iter().filter_map(|guest| self.guests.get(guest)) {
-            // One too young to be in the report would be taken off a sum that never held it.
-            if guest.runs && guest.sent + REPORT_LAG <= now {
-                base = plus(base, guest.present.unwrap_or(by(guest.asks, self.usual_use())), -1.0);
-            }
-        }
-        let machine = self.machines.entry(id).or_default();
-        machine.base = Some((now, most(base, Amount::default())));
+        // One too young to be in the report would be taken off a sum that never held it.
+        let old = |guest: &&Guest| guest.runs && guest.sent + REPORT_LAG <= now;
+        let own: Amount =
+            self.machines[&id].guests.values().filter(old).map(|guest| self.use_of(guest)).sum();
+        let base = (size - report.unused - own).most(Amount::default());
+        self.machines.entry(id).or_default().base = Some((now, base));
+    }
+
+    fn guest(&mut self, id: AllocationId) -> Option<&mut Guest> {
+        self.machines.get_mut(self.at.get(&id)?)?.guests.get_mut(&id)
     }
 
     /// The smallest promise that holds: a shed reply only where no shot may have run or a repeat is harmless.
@@ -414,16 +449,14 @@
         if machine.shunned > now {
             return false;
         }
-        if let Some((until, asks)) = machine.full
-            && until > now
-            && allocation.asks.cores >= asks.cores
-            && allocation.asks.memory >= asks.memory
-        {
+        if machine.full.is_some_and(|(until, asks)| until > now && asks.within(allocation.asks)) {
             return false;
         }
-        self.cold_bears(now, machine, entry)
-            && (!self.cluster.shows_room || self.fits(self.asked(now, machine, size), allocation.asks, size))
-            && self.spread_holds(id, entry, allocation)
+        let room = match machine.promised.filter(|&(until, _)| until > now) {
+            Some((_, to)) => to == allocation.id && !machine.guests.values().any(|guest| guest.moved),
+            None => !self.cluster.shows_room || self.fits(now, machine, size, allocation.asks),
+        };
+        room && self.cold_bears(now, machine, entry) && self.spread_holds(id, entry, allocation)
     }
 
     /// A just started machine falls over under too many offers. Nothing is known of those of other schedulers,
@@ -445,36 +478,27 @@
 
     /// What all schedulers' allocations on a machine ask for. The listed room is late: what we sent since then
     /// counts on top. Where no room is listed, others' asks are guessed from what they use.
-    fn asked(&self, now: Tenths, machine: &Machine, size: Amount) -> Amount {
-        let guests = machine.guests.iter().filter_map(|guest| self.guests.get(guest));
-        let (listed, since) = match machine.unasked.filter(|_| self.cluster.shows_room) {
-            Some((_, unasked)) => (plus(size, unasked, -1.0), now.saturating_sub(LIST_LAG)),
-            None => {
-                let base = machine.base.map_or(Amount::default(), |(_, base)| base);
-                let usual = Amount { cores: self.present[0].or(1.0), memory: self.present[1].or(1.0) };
-                (Amount { cores: base.cores / usual.cores, memory: base.memory / usual.memory }, 0)
-            }
-        };
-        guests.filter(|guest| guest.sent >= since).fold(listed, |sum, guest| plus(sum, guest.asks, 1.0))
+    fn asked(&self, now: Tenths, machine: &Machine) -> Amount {
+        let base = machine.base.map_or(Amount::default(), |(_, base)| base);
+        let present = Amount { cores: self.present[0].or(1.0), memory: self.present[1].or(1.0) };
+        let since = machine.listed.map_or(0, |_| now.saturating_sub(LIST_LAG));
+        let young = machine.guests.values().filter(|guest| guest.sent >= since);
+        machine.listed.unwrap_or(base / present) + young.map(|guest| guest.asks).sum()
     }
 
-    fn fits(&self, asked: Amount, asks: Amount, size: Amount) -> bool {
-        asked.cores + asks.cores <= size.cores * self.cluster.accepts.cores
-            && asked.memory + asks.memory <= size.memory * self.cluster.accepts.memory
+    fn fits(&self, now: Tenths, machine: &Machine, size: Amount, asks: Amount) -> bool {
+        (self.asked(now, machine) + asks).within(size * self.cluster.accepts)
     }
 
     fn spread_holds(&self, id: MachineId, entry: Entry, allocation: &Allocation) -> bool {
         let Some((place, most)) = self.cluster.tracks[allocation.track.0].spread else { return true };
-        let there = self.guests.values().filter(|guest| {
-            let other = self.machines.get(&guest.machine).and_then(|machine| machine.entry);
-            guest.service == allocation.service
-                && match place {
-                    Place::Machine => guest.machine == id,
-                    Place::Cell => other.is_none_or(|other| other.cell == entry.cell),
-                    Place::Hall => other.is_none_or(|other| other.hall == entry.hall),
-                }
-        });
-        there.count() < most
+        let same = |(other, machine): &(&MachineId, &Machine)| match place {
+            Place::Machine => **other == id,
+            Place::Cell => machine.entry.is_none_or(|other| other.cell == entry.cell),
+            Place::Hall => machine.entry.is_none_or(|other| other.hall == entry.hall),
+        };
+        let there = self.machines.iter().filter(same).flat_map(|(_, machine)| machine.guests.values());
+        there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
     /// Use by asked unit that is expected where none is known; the whole ask before any record.
@@ -482,65 +506,54 @@
         Amount { cores: self.usual[0].or(1.0), memory: self.usual[1].or(1.0) }
     }
 
-    /// What our own guests use there now, by their last notes or as usual.
-    fn own_use(&self, machine: &Machine) -> Amount {
-        machine
-            .guests
-            .iter()
-            .filter_map(|guest| self.guests.get(guest))
-            .fold(Amount::default(), |sum, guest| {
-                plus(sum, guest.present.unwrap_or(by(guest.asks, self.usual_use())), 1.0)
-            })
+    /// What a guest of ours uses now, by its last notes or as usual.
+    fn use_of(&self, guest: &Guest) -> Amount {
+        guest.present.unwrap_or(guest.asks * self.usual_use())
     }
 
-    /// Present use of a machine; none where nothing lately told.
-    fn present_use(&self, now: Tenths, machine: &Machine) -> Option<Amount> {
-        let (at, base) = machine.base?;
-        (at + REPORT_STALE > now).then(|| plus(base, self.own_use(machine), 1.0))
+    /// Present use of a machine; only our own part of it where nothing lately told of the rest.
+    fn present_use(&self, now: Tenths, machine: &Machine) -> Amount {
+        let base = machine
+            .base
+            .filter(|&(at, _)| at + REPORT_STALE > now)
+            .map_or(Amount::default(), |(_, base)| base);
+        base + machine.guests.values().map(|guest| self.use_of(guest)).sum()
     }
 
     /// Mean use by others as a share of size, over the machines that reported.
     fn average_use(&self) -> Amount {
-        let mut sum = (Amount::default(), 0.0);
-        for (&id, machine) in &self.machines {
-            if let (Some((_, base)), Some(size)) = (machine.base, self.size(id)) {
-                let share = Amount { cores: base.cores / size.cores, memory: base.memory / size.memory };
-                sum = (plus(sum.0, share, 1.0), sum.1 + 1.0);
-            }
-        }
-        if sum.1 == 0.0 { Amount::default() } else { plus(Amount::default(), sum.0, 1.0 / sum.1) }
+        let shares: Vec<Amount> = self
+            .machines
+            .iter()
+            .filter_map(|(&id, machine)| Some(machine.base?.1 / self.size(id)?))
+            .collect();
+        shares.iter().copied().sum::<Amount>() * (1.0 / shares.len().max(1) as f64)
     }
 
     /// The machines not held back: as many as present need fills, those in use first, then by id, an order
     /// that all schedulers share without speaking.
-    fn open_machines(&self, now: Tenths) -> Vec<MachineId> {
+    fn open_machines(&self, now: Tenths, fill: f64) -> Vec<MachineId> {
         let mut order = Vec::new();
         let (mut need, mut asked) = (Amount::default(), Amount::default());
         for (&id, machine) in &self.machines {
             let Some(size) = self.size(id) else { continue };
-            let serving = machine.entry.is_some_and(|entry| entry.state == State::Serving);
             let used = self.present_use(now, machine);
-            need = plus(need, used.unwrap_or(self.own_use(machine)), 1.0);
-            asked = plus(asked, self.asked(now, machine, size), 1.0);
-            if serving && machine.shunned <= now {
-                let share = used.map_or(0.0, |used| (used.cores / size.cores).max(used.memory / size.memory));
-                let idle = machine.guests.is_empty() && share < 0.1;
+            need = need + used;
+            asked = asked + self.asked(now, machine);
+            if machine.serving() && machine.shunned <= now {
+                let idle = machine.guests.is_empty() && used.share_of(size) < IDLE;
                 order.push((idle, id, size));
             }
         }
         order.sort_by_key(|&(idle, id, _)| (idle, id));
-        let limit = self.cluster.accepts;
-        need = most(need, Amount { cores: asked.cores / limit.cores, memory: asked.memory / limit.memory });
+        need = need.most(asked / self.cluster.accepts);
         let mut room = Amount::default();
-        let mut open = Vec::new();
-        for (_, id, size) in order {
-            if room.cores * FILL >= need.cores && room.memory * FILL >= need.memory && !open.is_empty() {
-                break;
-            }
-            room = plus(room, size, 1.0);
-            open.push(id);
-        }
-        open
+        let enough = order.iter().position(|&(_, _, size)| {
+            room = room + size;
+            need.within(room * fill)
+        });
+        order.truncate(enough.map_or(order.len(), |last| last + 1));
+        order.into_iter().map(|(_, id, _)| id).collect()
     }
 
     /// The records that fit a guest of this age and highest use by asked unit.
@@ -553,83 +566,69 @@
     }
 
     /// Risk of overload with and without the allocation by draws, and W Max with its expected start use.
-    fn weigh(&mut self, now: Tenths, id: MachineId, new: &Allocation, average: Amount, rank: u8) -> Weighed {
+    fn weigh(
+        &mut self,
+        now: Tenths,
+        id: MachineId,
+        new: &Allocation,
+        average: Amount,
+        open: &[MachineId],
+    ) -> Weighed {
         let size = self.size(id).unwrap_or_default();
+        let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let fresh = machine.base.filter(|&(at, _)| at + REPORT_STALE > now).map(|(_, base)| base);
-        let base = fresh.unwrap_or(by(average, size));
+        let known = machine.base.filter(|&(at, _)| at + REPORT_STALE > now).map(|(_, base)| base);
         // What the other schedulers have sent there since is in no report yet: as much as we did, each.
-        let young = machine.guests.iter().filter_map(|guest| self.guests.get(guest));
-        let young = young.filter(|guest| guest.sent + REPORT_LAG > now);
-        let others = self.cluster.schedulers.saturating_sub(1) as f64;
-        let unseen =
-            young.fold(Amount::default(), |sum, guest| plus(sum, by(guest.asks, self.usual_use()), others));
-        let base = plus(base, unseen, 1.0);
+        let young = machine.guests.values().filter(|guest| guest.sent + REPORT_LAG > now);
+        let unseen = young.map(|guest| guest.asks * self.usual_use()).sum::<Amount>();
+        let base =
+            known.unwrap_or(average * size) + unseen * self.cluster.schedulers.saturating_sub(1) as f64;
         let mut pools: Vec<(Vec<Amount>, Amount)> = Vec::new();
-        for guest in machine.guests.iter().filter_map(|guest| self.guests.get(guest)) {
-            let highest = Amount {
-                cores: guest.highest.cores / guest.asks.cores,
-                memory: guest.highest.memory / guest.asks.memory,
-            };
+        for guest in machine.guests.values() {
+            let highest = guest.highest / guest.asks;
             let mut pool = self.fitting(guest.service, now - guest.sent, highest);
             if pool.is_empty() {
                 // No record reaches what it uses: its own highest use, or its ask while nothing is known.
-                pool.push(if guest.present.is_some() { highest } else { Amount { cores: 1.0, memory: 1.0 } });
+                pool.push(guest.present.map_or(Amount::ONE, |_| highest));
             }
             pools.push((pool, guest.asks));
         }
         let mut pool = self.fitting(new.service, 0, Amount::default());
         if pool.is_empty() {
-            pool.push(Amount { cores: 1.0, memory: 1.0 });
+            pool.push(Amount::ONE);
         }
-        let line = Amount {
-            cores: size.cores * self.cluster.tracks[new.track.0].calm,
-            memory: size.memory * F_MEMORY,
-        };
-        let over = |sum: Amount| sum.cores > line.cores || sum.memory > line.memory;
+        let line = size * Amount { cores: track.calm, memory: F_MEMORY };
         let (mut without, mut with) = (0, 0);
         for _ in 0..DRAWS {
             let mut sum = base;
             for (pool, asks) in &pools {
-                sum = plus(sum, by(*asks, pool[self.rng.random_range(0..pool.len())]), 1.0);
+                sum = sum + *asks * pool[self.rng.random_range(0..pool.len())];
             }
-            without += usize::from(over(sum));
-            sum = plus(sum, by(new.asks, pool[self.rng.random_range(0..pool.len())]), 1.0);
-            with += usize::from(over(sum));
-        }
-        let machine = &self.machines[&id];
-        let used = plus(base, self.own_use(machine), 1.0);
-        let start = plus(by(new.asks, self.usual_use()), self.start_use(machine, new), 1.0);
-        let load = plus(used, start, 1.0);
+            without += usize::from(!sum.within(line));
+            sum = sum + new.asks * pool[self.rng.random_range(0..pool.len())];
+            with += usize::from(!sum.within(line));
+        }
+        // The start takes far more where the machine must load the program first: as many cores as get it done
+        // within the contract time.
+        let time =
+            self.start_time[usize::from(machine.has_program(new.service))].or(self.start_time[1].or(0.0));
+        let start = Amount { cores: time / track.contract_time.max(1) as f64, memory: 0.0 };
+        let own: Amount = machine.guests.values().map(|guest| self.use_of(guest)).sum();
+        let load = base + own + new.asks * self.usual_use() + start;
+        let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Weighed {
             machine: id,
-            load: (load.cores / size.cores).max(load.memory / size.memory),
-            bears: load.memory <= size.memory * LIMIT
-                && load.cores <= size.cores * (self.cluster.tracks[new.track.0].calm + FADE),
+            load: load.share_of(size),
+            bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
             risk: with as f64 / DRAWS as f64,
             rise: (with as f64 - without as f64) / DRAWS as f64,
-            rank,
+            rank: match open.contains(&id) && self.fits(now, machine, size, new.asks) {
+                true => u8::from(!near && self.cluster.other_hall_price > 0.0),
+                false => 2,
+            },
         }
     }
 
-    /// Cores that the start itself takes if it is to be done within the contract time: far more where the
-    /// machine must load the program first.
-    fn start_use(&self, machine: &Machine, new: &Allocation) -> Amount {
-        let has = self.has_program(machine, new.service);
-        let time = self.start_time[usize::from(has)].or(self.start_time[1].or(0.0));
-        let contract = self.cluster.tracks[new.track.0].contract_time.max(1);
-        Amount { cores: time / contract as f64, memory: 0.0 }
-    }
-
-    fn has_program(&self, machine: &Machine, service: ServiceId) -> bool {
-        machine.kept.contains(&service)
-            || machine
-                .guests
-                .iter()
-                .filter_map(|guest| self.guests.get(guest))
-                .any(|guest| guest.service == service)
-    }
-
     /// Lowest W Max among those under theta and not held back; else among the held back under theta; else
     /// the smallest rise in risk. Near ties at random, so that schedulers with one view don't herd.
     fn choose(&mut self, weighed: &[Weighed]) -> Option<MachineId> {
@@ -666,30 +665,35 @@
     }
 
     fn arrive(&mut self, now: Tenths, allocation: &Allocation, machine: MachineId) {
+        self.at.insert(allocation.id, machine);
         let at = self.machines.entry(machine).or_default();
-        at.guests.push(allocation.id);
-        let had_program = self.has_program(&self.machines[&machine], allocation.service)
-            && self.machines[&machine].guests.len() > 1;
         let guest = Guest {
-            machine,
             service: allocation.service,
+            track: allocation.track,
             asks: allocation.asks,
             sent: now,
             placed: false,
             runs: false,
-            had_program,
+            had_program: at.has_program(allocation.service),
+            moved: false,
             present: None,
             highest: Amount::default(),
             cores: Vec::new(),
         };
-        self.guests.insert(allocation.id, guest);
+        at.guests.insert(allocation.id, guest);
+        if at.promised.is_some_and(|(_, to)| to == allocation.id) {
+            at.promised = None;
+        }
     }
 
     /// The machine has answered for a guest: it is gone from there. An ended one leaves a record.
     fn leave(&mut self, now: Tenths, id: AllocationId, ended: bool) {
-        let Some(mut guest) = self.guests.remove(&id) else { return };
-        let machine = self.machines.entry(guest.machine).or_default();
-        machine.guests.retain(|&other| other != id);
+        let machine = self.at.remove(&id).and_then(|machine| self.machines.get_mut(&machine));
+        let Some((machine, mut guest)) =
+            machine.and_then(|machine| machine.guests.remove(&id).map(|guest| (machine, guest)))
+        else {
+            return;
+        };
         if guest.runs {
             machine.kept.retain(|&service| service != guest.service);
             machine.kept.push_back(guest.service);
@@ -704,8 +708,8 @@
         let cores = guest.cores[(guest.cores.len() * 9).div_ceil(10) - 1] / guest.asks.cores;
         let memory = guest.highest.memory / guest.asks.memory;
         let life = now - guest.sent;
-        self.usual[0].add(cores);
-        self.usual[1].add(memory);
+        self.usual[0].add(cores, KEEP);
+        self.usual[1].add(memory, KEEP);
         let records = self.records.entry(guest.service).or_default();
         records.push_back(Record { peak: Amount { cores, memory }, life });
         if records.len() > RECORDS {
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,77 @@
+//! What the decisions keep in mind: plain state, by which `rules` alone decides.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What an ended allocation of a service came to use, by asked unit, and how long it ran.
+#[derive(Clone, Copy)]
+pub struct Record {
+    pub peak: Amount,
+    pub life: Tenths,
+}
+
+/// An allocation of ours on a machine, from the shot on until the machine has answered for it.
+pub struct Guest {
+    pub service: ServiceId,
+    pub track: TrackId,
+    pub asks: Amount,
+    pub sent: Tenths,
+    pub placed: bool,
+    pub runs: bool,
+    /// Whether the machine was thought to hold the program when it was sent.
+    pub had_program: bool,
+    pub moved: bool,
+    pub present: Option<Amount>,
+    pub highest: Amount,
+    /// Noted uses of cores, for the percentile.
+    pub cores: Vec<f64>,
+}
+
+#[derive(Default)]
+pub struct Machine {
+    pub entry: Option<Entry>,
+    /// Use by others: what was reported, less our own part of it.
+    pub base: Option<(Tenths, Amount)>,
+    /// What the list tells that all have asked for there.
+    pub listed: Option<Amount>,
+    pub guests: BTreeMap<AllocationId, Guest>,
+    /// Programs kept after our last allocation of the service there.
+    pub kept: VecDeque<ServiceId>,
+    /// Our offers within the last cold window.
+    pub offers: VecDeque<Tenths>,
+    /// Shots in a row that it left without an answer, and until when it is left alone for that.
+    pub silent: u32,
+    pub shunned: Tenths,
+    /// Until when an ask of at least this much is not offered again, after a refusal.
+    pub full: Option<(Tenths, Amount)>,
+    /// Kept free until then for an allocation that fits nowhere.
+    pub promised: Option<(Tenths, AllocationId)>,
+    pub probed: Tenths,
+}
+
+impl Machine {
+    pub fn serving(&self) -> bool {
+        self.entry.is_some_and(|entry| entry.state == State::Serving)
+    }
+
+    pub fn has_program(&self, service: ServiceId) -> bool {
+        self.kept.contains(&service) || self.guests.values().any(|guest| guest.service == service)
+    }
+}
+
+/// A mean in which what came earlier decays by `keep` with each value.
+#[derive(Default, Clone, Copy)]
+pub struct Mean {
+    sum: f64,
+    weight: f64,
+}
+
+impl Mean {
+    pub fn add(&mut self, value: f64, keep: f64) {
+        (self.sum, self.weight) = (self.sum * keep + value, self.weight * keep + 1.0);
+    }
+
+    pub fn or(&self, default: f64) -> f64 {
+        if self.weight > 0.0 { self.sum / self.weight } else { default }
+    }
+}
