--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,6 +46,8 @@
 /// Share of memory past which some are moved away, if a machine under the second share could take them.
 const OVER: f64 = 0.95;
 const SPARE: f64 = 0.8;
+/// So many times the usual answer time without one is silence.
+const PATIENCE: f64 = 8.0;
 /// Left before the abandon time, so that the answer itself is not late.
 const MARGIN: Tenths = 40;
 /// Between two looks at an allocation that no machine could take.
@@ -76,6 +78,8 @@
     present: [Mean; 2],
     /// Time from offer to running without [0] and with [1] the program in place.
     start_time: [Mean; 2],
+    /// Time from offer to the placed answer.
+    answer_time: Mean,
     born: Tenths,
     watch_at: Option<Tenths>,
     watch_fails: u32,
@@ -84,6 +88,8 @@
     /// A large allocation that fits nowhere, though the room that it needs may be there in pieces.
     starved: Option<Allocation>,
     look_at: Tenths,
+    /// When an ask last found no machine to bear it.
+    crowded: Option<(Tenths, TrackId, Amount)>,
     /// Cores asked by the allocations taken.
     usual_ask: Mean,
 }
@@ -100,11 +106,13 @@
             usual: Default::default(),
             present: Default::default(),
             start_time: Default::default(),
+            answer_time: Mean::default(),
             born: now,
             watch_fails: 0,
             ask_at: None,
             starved: None,
             look_at: now,
+            crowded: None,
             usual_ask: Mean::default(),
         }
     }
@@ -132,6 +140,12 @@
                 }
             }
         }
+        // Nothing has changed since one of the same track that asked for no more found no place.
+        if self.crowded.is_some_and(|(at, track, asks)| {
+            at == now && track == allocation.track && asks.within(allocation.asks)
+        }) {
+            return self.not_yet(now, allocation);
+        }
         scan.retain(|&machine| self.admits(now, machine, allocation));
         let promised = scan
             .iter()
@@ -169,6 +183,8 @@
             self.machines.entry(machine).or_default().silent = 0;
             if let Some(guest) = self.guest(allocation.id) {
                 guest.placed = true;
+                let time = (now - guest.sent) as f64;
+                self.answer_time.add(time, KEEP);
             }
             if self.cluster.placed_runs {
                 self.noted(now, allocation.id, Note::Runs);
@@ -658,9 +674,15 @@
             at.offers.pop_front();
         }
         let left = allocation.abandon - MARGIN / 2 - now;
+        let track = &self.cluster.tracks[allocation.track.0];
+        // Giving up on a shot that waits in a queue leaves a copy behind and binds what may not run twice. So
+        // only a machine far slower than all usually are counts as silent, and only for what may run again.
+        let patience = (self.answer_time.or(left as f64) * PATIENCE) as Tenths;
         let last = allocation.shots.len() + 1 >= self.cluster.shots;
-        let repeat = self.cluster.tracks[allocation.track.0].repeat;
-        let time_out = if last || repeat == Repeat::Unrepeatable { left } else { left.min(3 * SECOND) };
+        let time_out = match track.repeat {
+            Repeat::Idempotent if !last => left.min(patience.max(2 * track.contract_time)),
+            _ => left,
+        };
         Placement::Send { machine, time_out }
     }
 
