--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,8 +59,8 @@
     load: f64,
     /// Whether it can bear the allocation by present use, draws aside.
     bears: bool,
-    risk: f64,
-    rise: f64,
+    base: Amount,
+    line: Amount,
     /// 0: to be used first; held-back machines come last.
     rank: u8,
 }
@@ -153,11 +153,13 @@
             .find(|id| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id));
         let chosen = promised.or_else(|| {
             let (open, average) = (self.open_machines(now, FILL), self.average_use());
-            let weighed: Vec<Weighed> = scan
-                .into_iter()
-                .map(|machine| self.weigh(now, machine, allocation, average, &open))
-                .collect();
-            self.choose(&weighed)
+            let weighed: Vec<Weighed> =
+                scan.into_iter().map(|id| self.weigh(now, id, allocation, average, &open)).collect();
+            if weighed.iter().any(|w| w.bears) {
+                return self.choose(now, weighed, allocation);
+            }
+            self.crowded = Some((now, allocation.track, allocation.asks));
+            None
         });
         match chosen {
             Some(machine) => self.send(now, machine, allocation),
@@ -217,7 +219,7 @@
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Reset => {
                 // A machine that leaves shots unanswered, whatever the cause: dead, cut off or standing still.
                 at.silent += 1;
-                at.shunned = now + (SECOND / 2 << at.silent.min(5));
+                at.shunned = now + ((SECOND / 2) << at.silent.min(5));
             }
         }
         if over {
@@ -581,9 +583,9 @@
         fits.map(|record| record.peak).collect()
     }
 
-    /// Risk of overload with and without the allocation by draws, and W Max with its expected start use.
+    /// W Max with the allocation's expected start use, before any draw.
     fn weigh(
-        &mut self,
+        &self,
         now: Tenths,
         id: MachineId,
         new: &Allocation,
@@ -599,8 +601,38 @@
         let unseen = young.map(|guest| guest.asks * self.usual_use()).sum::<Amount>();
         let base =
             known.unwrap_or(average * size) + unseen * self.cluster.schedulers.saturating_sub(1) as f64;
+        // A start takes far more where the machine must load the program first: as many cores as get it done
+        // within the contract time.
+        let start = |has: bool, track: &Track| Amount {
+            cores: self.start_time[usize::from(has)].or(self.start_time[1].or(0.0))
+                / track.contract_time.max(1) as f64,
+            memory: 0.0,
+        };
+        let own = machine.guests.values().map(|guest| match guest.runs {
+            true => self.use_of(guest),
+            false => self.use_of(guest) + start(guest.had_program, &self.cluster.tracks[guest.track.0]),
+        });
+        let load =
+            base + own.sum() + new.asks * self.usual_use() + start(machine.has_program(new.service), track);
+        let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
+        Weighed {
+            machine: id,
+            base,
+            line: size * Amount { cores: track.calm, memory: F_MEMORY },
+            load: load.share_of(size),
+            bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
+            rank: match open.contains(&id) && self.fits(now, machine, size, new.asks) {
+                true => u8::from(!near && self.cluster.other_hall_price > 0.0),
+                false => 2,
+            },
+        }
+    }
+
+    /// Shares of draws that cross the line, with and without the allocation: the base, and for the new one and
+    /// each guest of ours a peak from the records that fit it.
+    fn risk(&mut self, now: Tenths, weighed: &Weighed, new: &Allocation) -> (f64, f64) {
         let mut pools: Vec<(Vec<Amount>, Amount)> = Vec::new();
-        for guest in machine.guests.values() {
+        for guest in self.machines[&weighed.machine].guests.values() {
             let highest = guest.highest / guest.asks;
             let mut pool = self.fitting(guest.service, now - guest.sent, highest);
             if pool.is_empty() {
@@ -613,56 +645,45 @@
         if pool.is_empty() {
             pool.push(Amount::ONE);
         }
-        let line = size * Amount { cores: track.calm, memory: F_MEMORY };
-        let (mut without, mut with) = (0, 0);
+        let (mut with, mut without) = (0, 0);
         for _ in 0..DRAWS {
-            let mut sum = base;
+            let mut sum = weighed.base;
             for (pool, asks) in &pools {
                 sum = sum + *asks * pool[self.rng.random_range(0..pool.len())];
             }
-            without += usize::from(!sum.within(line));
+            without += usize::from(!sum.within(weighed.line));
             sum = sum + new.asks * pool[self.rng.random_range(0..pool.len())];
-            with += usize::from(!sum.within(line));
-        }
-        // The start takes far more where the machine must load the program first: as many cores as get it done
-        // within the contract time.
-        let time =
-            self.start_time[usize::from(machine.has_program(new.service))].or(self.start_time[1].or(0.0));
-        let start = Amount { cores: time / track.contract_time.max(1) as f64, memory: 0.0 };
-        let own: Amount = machine.guests.values().map(|guest| self.use_of(guest)).sum();
-        let load = base + own + new.asks * self.usual_use() + start;
-        let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
-        Weighed {
-            machine: id,
-            load: load.share_of(size),
-            bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            risk: with as f64 / DRAWS as f64,
-            rise: (with as f64 - without as f64) / DRAWS as f64,
-            rank: match open.contains(&id) && self.fits(now, machine, size, new.asks) {
-                true => u8::from(!near && self.cluster.other_hall_price > 0.0),
-                false => 2,
-            },
+            with += usize::from(!sum.within(weighed.line));
         }
+        (with as f64 / DRAWS as f64, without as f64 / DRAWS as f64)
     }
 
     /// Lowest W Max among those under theta and not held back; else among the held back under theta; else
     /// the smallest rise in risk. Near ties at random, so that schedulers with one view don't herd.
-    fn choose(&mut self, weighed: &[Weighed]) -> Option<MachineId> {
-        let safe = || weighed.iter().filter(|w| w.risk <= THETA);
-        let rank = safe().map(|w| w.rank).min();
-        let mut group: Vec<&Weighed> = safe().filter(|w| Some(w.rank) == rank).collect();
-        if group.is_empty() {
-            // A machine that is over the line already rises by nothing: unless left out it would draw all to it.
-            let bearable = || weighed.iter().filter(|w| w.bears);
-            let least = bearable().map(|w| w.rise).fold(f64::INFINITY, f64::min);
-            group = bearable().filter(|w| w.rise <= least + TIE).collect();
+    fn choose(&mut self, now: Tenths, mut weighed: Vec<Weighed>, new: &Allocation) -> Option<MachineId> {
+        weighed.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.load.total_cmp(&b.load)));
+        let mut group: Vec<&Weighed> = Vec::new();
+        let mut rises = Vec::new();
+        for w in &weighed {
+            // Drawn from the lowest load up: no later one can win any more.
+            if group.first().is_some_and(|first| w.rank > first.rank || w.load > first.load * (1.0 + TIE)) {
+                break;
+            }
+            let (with, without) = self.risk(now, w, new);
+            rises.push(with - without);
+            if with <= THETA {
+                group.push(w);
+            }
         }
         if group.is_empty() {
-            return None;
+            // A machine that is over the line already rises by nothing: unless left out it would draw all to it.
+            let bearable = || std::iter::zip(&weighed, &rises).filter(|(w, _)| w.bears);
+            let least = bearable().map(|(_, rise)| *rise).fold(f64::INFINITY, f64::min);
+            group = bearable().filter(|(_, rise)| **rise <= least + TIE).map(|(w, _)| w).collect();
+            let lowest = group.iter().map(|w| w.load).fold(f64::INFINITY, f64::min);
+            group.retain(|w| w.load <= lowest * (1.0 + TIE));
         }
-        let lowest = group.iter().map(|w| w.load).fold(f64::INFINITY, f64::min);
-        group.retain(|w| w.load <= lowest * (1.0 + TIE));
-        Some(group[self.rng.random_range(0..group.len())].machine)
+        (!group.is_empty()).then(|| group[self.rng.random_range(0..group.len())].machine)
     }
 
     fn send(&mut self, now: Tenths, machine: MachineId, allocation: &Allocation) -> Placement {
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,338 @@
+//! One story for each failure met, told against a fake host.
+
+mod host;
+
+use corkspan::interface::*;
+use host::*;
+use test_case::test_case;
+
+const SMALL: Amount = Amount { cores: 2.0, memory: 4.0 };
+const WINDOW: Tenths = 2 * SECOND;
+
+fn deduplicated(group: Group) -> Repeat {
+    Repeat::Deduplicated { group, window: WINDOW }
+}
+
+#[test_case(Repeat::Idempotent, Placement::Shed)]
+#[test_case(Repeat::Unrepeatable, Placement::Shed)]
+fn one_that_no_machine_takes_is_answered_before_its_abandon_time(repeat: Repeat, last: Placement) {
+    let mut host = Host::new(cluster(track(repeat)), 1, 0);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    assert_eq!(host.place(&mut allocation), Placement::NotYet);
+    let answer = loop {
+        let wait = host.scheduler.wait(host.now);
+        if wait.ask_again {
+            match host.place(&mut allocation) {
+                Placement::NotYet => continue,
+                answer => break answer,
+            }
+        }
+        host.now += wait.time;
+        assert!(host.now < allocation.abandon, "slept through the abandon time");
+    };
+    assert_eq!(answer, last);
+}
+
+#[test]
+fn a_shot_is_never_waited_for_past_the_abandon_time() {
+    let mut host = Host::new(cluster(track(Repeat::Unrepeatable)), 1, 1);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    let Placement::Send { time_out, .. } = host.place(&mut allocation) else { panic!("not sent") };
+    assert!(host.now + time_out <= allocation.abandon);
+}
+
+#[test_case(Repeat::Idempotent, Ending::TimedOut, true; "an idempotent one may run again")]
+#[test_case(Repeat::Unrepeatable, Ending::TimedOut, false; "an unrepeatable one may not")]
+#[test_case(Repeat::Unrepeatable, Ending::Error, false; "nor after an error")]
+#[test_case(Repeat::Unrepeatable, Ending::Refused, true; "but after a refusal it never ran")]
+#[test_case(Repeat::Unrepeatable, Ending::Unconnected, true; "nor where no connection stood")]
+fn a_shot_that_may_have_run_binds(repeat: Repeat, ending: Ending, again: bool) {
+    let mut host = Host::new(cluster(track(repeat)), 1, 4);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    host.place(&mut allocation);
+    assert_eq!(host.returned(&mut allocation, ending, None), After::PlaceAgain);
+    match host.place(&mut allocation) {
+        Placement::Send { .. } => assert!(again),
+        answer => assert_eq!((answer, again), (Placement::Scrap, false)),
+    }
+}
+
+#[test_case(Group::All, |_, _| true, Placement::Shed)]
+#[test_case(Group::Hall, |a, b| a % 2 == b % 2, Placement::Scrap)]
+#[test_case(Group::Cell, |a, b| a / 2 == b / 2, Placement::Scrap)]
+fn a_deduplicated_one_stays_in_its_group_and_window(
+    group: Group,
+    same: fn(u32, u32) -> bool,
+    late: Placement,
+) {
+    for seed in 0..8 {
+        let mut host = Host::new(cluster(track(deduplicated(group))), seed, 8);
+        let mut allocation = host.ask(1, 1.0, 1.0);
+        let first = host.sent_to(&mut allocation).expect("sent");
+        host.now += SECOND / 2;
+        host.returned(&mut allocation, Ending::TimedOut, None);
+        let second = host.sent_to(&mut allocation).expect("sent again");
+        assert!(same(first, second) && first != second);
+        host.now += WINDOW;
+        host.returned(&mut allocation, Ending::TimedOut, None);
+        assert_eq!(host.place(&mut allocation), late);
+    }
+}
+
+#[test_case(Scope::Changes, State::Draining; "told that it drains")]
+#[test_case(Scope::Changes, State::Gone; "told that it is gone")]
+#[test_case(Scope::Whole, State::Serving; "left out of a whole list")]
+fn nothing_new_goes_to_a_machine_told_to_leave(scope: Scope, state: State) {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    host.reports(0, 0.0, 0.0);
+    host.reports(1, 20.0, 20.0);
+    let leaving = Entry { state, ..entry(0) };
+    let entries = if scope == Scope::Whole { vec![entry(1)] } else { vec![leaving] };
+    host.scheduler.listed(scope, &entries);
+    for _ in 0..5 {
+        let mut allocation = host.ask(1, 1.0, 1.0);
+        assert_eq!(host.sent_to(&mut allocation), Some(1));
+    }
+}
+
+#[test_case(1, 6; "alone")]
+#[test_case(3, 2; "one of three")]
+fn a_just_started_machine_gets_our_part_of_what_it_bears(schedulers: usize, part: usize) {
+    let mut host = Host::new(Cluster { schedulers, ..cluster(track(Repeat::Idempotent)) }, 1, 1);
+    host.now += 20 * SECOND;
+    // The same id under a new process: all that was known of the old one is void.
+    host.scheduler.listed(Scope::Changes, &[Entry { started: Some(host.now), ..entry(0) }]);
+    for window in 0..2 {
+        let sent = (0..20).filter(|_| {
+            let mut allocation = host.ask(1, 0.1, 0.1);
+            host.sent_to(&mut allocation).is_some()
+        });
+        assert_eq!(sent.count(), part, "window {window}");
+        host.now += SECOND + SECOND / 50;
+    }
+}
+
+#[test]
+fn after_a_restart_of_ours_a_cold_machine_may_have_had_its_part() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 1);
+    host.scheduler.listed(Scope::Changes, &[Entry { started: Some(host.now - SECOND), ..entry(0) }]);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    assert_eq!(host.place(&mut allocation), Placement::NotYet);
+    host.now += SECOND;
+    assert_eq!(host.sent_to(&mut allocation), Some(0));
+}
+
+#[test_case(Place::Machine, 8)]
+#[test_case(Place::Cell, 4)]
+#[test_case(Place::Hall, 2)]
+fn a_service_is_spread_as_its_track_asks(place: Place, places: usize) {
+    let spread = Track { spread: Some((place, 2)), ..track(Repeat::Idempotent) };
+    let mut host = Host::new(cluster(spread), 1, 8);
+    let sent = (0..40).filter(|_| {
+        let mut allocation = host.ask(1, 0.1, 0.1);
+        host.sent_to(&mut allocation).is_some()
+    });
+    assert_eq!(sent.count(), 2 * places);
+}
+
+#[test]
+fn a_young_allocation_is_not_taken_off_a_report_that_never_held_it() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    host.reports(0, 10.0, 10.0);
+    host.reports(1, 14.0, 10.0);
+    let mut first = host.ask(1, 8.0, 4.0);
+    assert_eq!(host.sent_to(&mut first), Some(0));
+    host.seated(&first);
+    host.note(&first, first.asks);
+    host.reports(0, 10.0, 10.0);
+    let mut second = host.ask(1, 1.0, 1.0);
+    assert_eq!(host.sent_to(&mut second), Some(1), "10 reported and 8 unseen are more than 14");
+}
+
+#[test]
+fn an_old_allocation_is_not_counted_on_top_of_a_report_that_holds_it() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    let asks = Amount { cores: 8.0, memory: 4.0 };
+    host.runs(1, asks, asks, 0, 5 * SECOND);
+    host.reports(0, 10.0, 10.0);
+    host.reports(1, 14.0, 10.0);
+    let mut allocation = host.ask(2, 1.0, 1.0);
+    assert_eq!(host.sent_to(&mut allocation), Some(0), "10 in all against 14");
+}
+
+#[test_case(0.25, Some(0); "with calm records the emptier machine is safe")]
+#[test_case(1.0, Some(1); "with records of full use it is not")]
+#[test_case(0.0, Some(1); "without records its ask is drawn")]
+fn records_decide_where_room_looks_the_same(share: f64, expected: Option<u32>) {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    if share > 0.0 {
+        host.has_records(7, share);
+    }
+    // Machine 0 is the emptier by present use, but memory for the whole ask is only on machine 1.
+    host.reports(0, 34.0, 60.0);
+    host.reports(1, 10.0, 62.0);
+    let mut allocation = host.ask(7, 10.0, 10.0);
+    allocation.asks.memory = 24.0;
+    host.reports(0, 10.0, 70.0);
+    host.reports(1, 29.0, 62.0);
+    assert_eq!(host.sent_to(&mut allocation), expected);
+}
+
+#[test]
+fn a_record_below_what_a_guest_uses_already_is_not_drawn_for_it() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    host.has_records(7, 0.25);
+    // All of it runs at its full ask now: calm records would leave 32 of its 40 cores out.
+    let asks = Amount { cores: 40.0, memory: 8.0 };
+    host.runs(7, asks, asks, 0, 5 * SECOND);
+    host.reports(0, 40.0, 10.0);
+    host.reports(1, 39.0, 80.0);
+    let mut allocation = host.ask(7, 0.5, 8.0);
+    assert_eq!(host.sent_to(&mut allocation), Some(1));
+}
+
+#[test]
+fn one_over_the_line_already_does_not_draw_all_to_it() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    host.reports(0, 20.0, 99.0);
+    host.reports(1, 20.0, 85.0);
+    for _ in 0..2 {
+        let mut allocation = host.ask(1, 1.0, 3.0);
+        assert_eq!(host.sent_to(&mut allocation), Some(1), "the other rises by nothing, being over");
+    }
+    let mut third = host.ask(1, 1.0, 3.0);
+    assert_eq!(host.place(&mut third), Placement::NotYet, "neither can bear it");
+}
+
+#[test]
+fn near_ties_break_at_random() {
+    let chosen: std::collections::BTreeSet<_> = (0..20)
+        .map(|seed| {
+            let mut host = Host::new(cluster(track(Repeat::Idempotent)), seed, 2);
+            host.reports(0, 20.0, 60.0);
+            host.reports(1, 20.0, 60.5);
+            let mut allocation = host.ask(1, 1.0, 1.0);
+            host.sent_to(&mut allocation)
+        })
+        .collect();
+    assert_eq!(chosen.len(), 2);
+}
+
+#[test]
+fn machines_beyond_need_are_held_back_until_the_others_would_be_over() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 6);
+    host.reports(0, 20.0, 50.0);
+    for id in 1..6 {
+        host.reports(id, 0.0, 0.0);
+    }
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    assert_eq!(host.sent_to(&mut allocation), Some(0), "the emptier five are not needed");
+    let mut too_large = host.ask(1, 10.0, 60.0);
+    assert!(host.sent_to(&mut too_large).is_some_and(|machine| machine > 0));
+}
+
+#[test]
+fn a_machine_that_never_reported_counts_as_the_average() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 3);
+    host.reports(0, 30.0, 80.0);
+    host.reports(1, 30.0, 20.0);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    // 0.5 of the memory and 0.75 of the cores on average, the same share as on machine 1 and less than on 0.
+    assert_ne!(host.sent_to(&mut allocation), Some(0));
+}
+
+#[test]
+fn a_machine_that_leaves_a_shot_unanswered_is_left_alone_for_a_while() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    host.reports(0, 0.0, 0.0);
+    host.reports(1, 30.0, 30.0);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    let first = host.sent_to(&mut allocation);
+    host.returned(&mut allocation, Ending::TimedOut, None);
+    assert_ne!(host.sent_to(&mut allocation), first);
+}
+
+#[test]
+fn a_refused_ask_is_not_offered_again_at_once_but_a_smaller_one_is() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 1);
+    let mut allocation = host.ask(1, 2.0, 4.0);
+    host.place(&mut allocation);
+    host.returned(&mut allocation, Ending::Refused, Some(Reason::NoMemory));
+    assert_eq!(host.place(&mut allocation), Placement::NotYet);
+    let mut smaller = host.ask(1, 1.0, 2.0);
+    assert_eq!(host.sent_to(&mut smaller), Some(0));
+}
+
+#[test]
+fn the_listed_room_is_late_so_what_was_sent_since_counts() {
+    let listed = Cluster { shows_room: true, ..cluster(track(Repeat::Idempotent)) };
+    let mut host = Host::new(listed, 1, 1);
+    let unasked = Some(Amount { cores: 40.0, memory: -40.0 });
+    host.scheduler.listed(Scope::Changes, &[Entry { unasked, ..entry(0) }]);
+    let sent = (0..5).filter(|_| {
+        let mut allocation = host.ask(1, 1.0, 4.0);
+        host.sent_to(&mut allocation).is_some()
+    });
+    assert_eq!(sent.count(), 2, "10 of memory were left below the limit");
+}
+
+#[test]
+fn a_watch_that_fails_is_asked_for_again_and_not_all_the_time() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 1);
+    assert!(host.scheduler.wait(host.now).watch_list, "at start");
+    let mut calls = 0;
+    host.scheduler.list_failed(host.now);
+    let until = host.now + 20 * SECOND;
+    while host.now < until {
+        let wait = host.scheduler.wait(host.now);
+        if wait.watch_list {
+            calls += 1;
+            host.scheduler.list_failed(host.now);
+        }
+        host.now += wait.time;
+    }
+    assert!((4..=20).contains(&calls), "{calls} calls in 20 s");
+}
+
+#[test]
+fn a_machine_short_of_memory_is_relieved_while_another_has_room() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    for _ in 0..30 {
+        let mut taken = host.ask(1, 2.0, 4.0);
+        host.place(&mut taken);
+    }
+    let asks = SMALL;
+    let mut host = Host { now: host.now, ..host };
+    host.runs(1, asks, Amount { cores: 1.0, memory: 4.0 }, 0, 5 * SECOND);
+    host.runs(1, asks, Amount { cores: 1.0, memory: 4.0 }, 1, 5 * SECOND);
+    host.now += 10 * SECOND;
+    host.reports(0, 10.0, 30.0);
+    host.reports(1, 10.0, 99.0);
+    let moves = host.scheduler.wait(host.now).moves;
+    assert!(!moves.is_empty());
+}
+
+#[test]
+fn room_for_a_large_one_is_made_where_it_lies_in_pieces() {
+    let listed = Cluster { shows_room: true, ..cluster(track(Repeat::Idempotent)) };
+    let mut host = Host::new(listed, 1, 1);
+    let unasked = Some(Amount { cores: 20.0, memory: 10.0 });
+    for _ in 0..30 {
+        let mut usual = host.ask(1, 2.0, 200.0);
+        assert_eq!(host.place(&mut usual), Placement::NotYet);
+    }
+    let mut guests: Vec<Allocation> =
+        (0..5).map(|_| host.runs(1, Amount { cores: 2.0, memory: 15.0 }, SMALL, 0, 5 * SECOND)).collect();
+    host.reports(0, 10.0, 30.0);
+    host.scheduler.listed(Scope::Changes, &[Entry { unasked, ..entry(0) }]);
+    let mut large = host.ask(2, 12.0, 70.0);
+    assert_eq!(host.place(&mut large), Placement::NotYet);
+    let moves = host.scheduler.wait(host.now).moves;
+    assert_eq!(moves.len(), 1, "one is enough");
+    let mut other = host.ask(1, 0.5, 0.5);
+    assert_eq!(host.place(&mut other), Placement::NotYet, "the room is promised");
+    for guest in guests.iter_mut().filter(|guest| moves.contains(&guest.id)) {
+        host.returned(guest, Ending::Cancelled, None);
+    }
+    assert_eq!(host.sent_to(&mut large), Some(0));
+}
