--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -132,10 +132,10 @@
             "pure" => Repeat::Idempotent,
             "side_effect" => Repeat::Unrepeatable,
             "token" => Repeat::Deduplicated {
-                group: match class.dedup_scope.as_deref() {
-                    Some("all") => Group::All,
-                    Some("zone") => Group::Hall,
-                    Some("cell") => Group::Cell,
+                within: match class.dedup_scope.as_deref() {
+                    Some("all") => None,
+                    Some("zone") => Some(Place::Hall),
+                    Some("cell") => Some(Place::Cell),
                     other => return Err(format!("dedup-scope of class {index} can't be {other:?}")),
                 },
                 window: tenths(class.memory_span_us.ok_or_else(|| lacks("memory-span-us"))?),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -77,27 +77,20 @@
     }
 }
 
-/// Who drops the repeats of a deduplicated allocation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Group {
-    All,
-    Hall,
-    Cell,
-}
-
 /// What a second run of an allocation would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
     Idempotent,
-    /// The machines of `group` drop repeats for `window` from the first send that may have run.
+    /// The machines of one such place, or all where none is named, drop repeats for `window` from the first
+    /// send that may have run.
     Deduplicated {
-        group: Group,
+        within: Option<Place>,
         window: Tenths,
     },
     Unrepeatable,
 }
 
-/// In which place the number of a service's allocations is limited.
+/// A place in which repeats are dropped, or a service's allocations limited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
     Machine,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -135,8 +135,8 @@
                 Repeat::Deduplicated { window, .. } if now + MARGIN >= shot.sent + window => {
                     return self.give_up(allocation);
                 }
-                Repeat::Deduplicated { group, .. } => {
-                    scan.retain(|&machine| self.same_group(machine, shot.machine, group))
+                Repeat::Deduplicated { within, .. } => {
+                    scan.retain(|&machine| within.is_none_or(|place| self.same(place, machine, shot.machine)))
                 }
             }
         }
@@ -231,22 +231,11 @@
     /// How long to wait before asking again, and what to set going meanwhile.
     pub fn wait(&mut self, now: Tenths) -> Wait {
         let mut wait = Wait { time: SECOND, ..Wait::default() };
-        if let Some(at) = self.watch_at {
-            if at <= now {
-                self.watch_at = None;
-                wait.watch_list = true;
-            } else {
-                wait.time = wait.time.min(at - now);
-            }
-        }
-        if let Some(at) = self.ask_at {
-            if at <= now {
-                self.ask_at = None;
-                wait.ask_again = true;
-            } else {
-                wait.time = wait.time.min(at - now);
-            }
-        }
+        let mut due = |at: &mut Option<Tenths>| {
+            wait.time = at.map_or(wait.time, |at| wait.time.min(at.saturating_sub(now)));
+            at.take_if(|at| *at <= now).is_some()
+        };
+        (wait.watch_list, wait.ask_again) = (due(&mut self.watch_at), due(&mut self.ask_at));
         if self.cluster.may_probe {
             for (&id, machine) in &mut self.machines {
                 let heard = machine.base.map_or(0, |(at, _)| at).max(machine.probed);
@@ -348,6 +337,7 @@
         if scope != Scope::Remembered {
             self.watch_fails = 0;
         }
+        self.crowded = None;
         for &entry in entries {
             let machine = self.machines.entry(entry.machine).or_default();
             let restarted = machine.entry.is_some_and(|old| old.started != entry.started);
@@ -422,6 +412,7 @@
             self.machines[&id].guests.values().filter(old).map(|guest| self.use_of(guest)).sum();
         let base = (size - report.unused - own).most(Amount::default());
         self.machines.entry(id).or_default().base = Some((now, base));
+        self.crowded = None;
     }
 
     fn guest(&mut self, id: AllocationId) -> Option<&mut Guest> {
@@ -432,22 +423,20 @@
     fn give_up(&self, allocation: &Allocation) -> Placement {
         let unproven = allocation.shots.iter().any(|shot| shot.fate != Fate::NeverRan);
         match self.cluster.tracks[allocation.track.0].repeat {
-            Repeat::Unrepeatable | Repeat::Deduplicated { group: Group::Hall | Group::Cell, .. }
-                if unproven =>
-            {
+            Repeat::Unrepeatable | Repeat::Deduplicated { within: Some(_), .. } if unproven => {
                 Placement::Scrap
             }
             _ => Placement::Shed,
         }
     }
 
-    fn same_group(&self, a: MachineId, b: MachineId, group: Group) -> bool {
+    fn same(&self, place: Place, a: MachineId, b: MachineId) -> bool {
         let entry = |id| self.machines.get(&id).and_then(|machine: &Machine| machine.entry);
-        let (Some(a), Some(b)) = (entry(a), entry(b)) else { return a == b };
-        match group {
-            Group::All => true,
-            Group::Hall => a.hall == b.hall,
-            Group::Cell => a.cell == b.cell,
+        let Some((one, other)) = entry(a).zip(entry(b)) else { return a == b };
+        match place {
+            Place::Machine => a == b,
+            Place::Cell => one.cell == other.cell,
+            Place::Hall => one.hall == other.hall,
         }
     }
 
@@ -474,7 +463,7 @@
             Some((_, to)) => to == allocation.id && !machine.guests.values().any(|guest| guest.moved),
             None => !self.cluster.shows_room || self.fits(now, machine, size, allocation.asks),
         };
-        room && self.cold_bears(now, machine, entry) && self.spread_holds(id, entry, allocation)
+        room && self.cold_bears(now, machine, entry) && self.spread_holds(id, allocation)
     }
 
     /// A just started machine falls over under too many offers. Nothing is known of those of other schedulers,
@@ -508,14 +497,10 @@
         (self.asked(now, machine) + asks).within(size * self.cluster.accepts)
     }
 
-    fn spread_holds(&self, id: MachineId, entry: Entry, allocation: &Allocation) -> bool {
+    fn spread_holds(&self, id: MachineId, allocation: &Allocation) -> bool {
         let Some((place, most)) = self.cluster.tracks[allocation.track.0].spread else { return true };
-        let same = |(other, machine): &(&MachineId, &Machine)| match place {
-            Place::Machine => **other == id,
-            Place::Cell => machine.entry.is_none_or(|other| other.cell == entry.cell),
-            Place::Hall => machine.entry.is_none_or(|other| other.hall == entry.hall),
-        };
-        let there = self.machines.iter().filter(same).flat_map(|(_, machine)| machine.guests.values());
+        let near = self.machines.iter().filter(|(other, _)| self.same(place, id, **other));
+        let there = near.flat_map(|(_, machine)| machine.guests.values());
         there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
@@ -710,19 +695,7 @@
     fn arrive(&mut self, now: Tenths, allocation: &Allocation, machine: MachineId) {
         self.at.insert(allocation.id, machine);
         let at = self.machines.entry(machine).or_default();
-        let guest = Guest {
-            service: allocation.service,
-            track: allocation.track,
-            asks: allocation.asks,
-            sent: now,
-            placed: false,
-            runs: false,
-            had_program: at.has_program(allocation.service),
-            moved: false,
-            present: None,
-            highest: Amount::default(),
-            cores: Vec::new(),
-        };
+        let guest = Guest::new(allocation, now, at.has_program(allocation.service));
         at.guests.insert(allocation.id, guest);
         if at.promised.is_some_and(|(_, to)| to == allocation.id) {
             at.promised = None;
@@ -731,6 +704,7 @@
 
     /// The machine has answered for a guest: it is gone from there. An ended one leaves a record.
     fn leave(&mut self, now: Tenths, id: AllocationId, ended: bool) {
+        self.crowded = None;
         let machine = self.at.remove(&id).and_then(|machine| self.machines.get_mut(&machine));
         let Some((machine, mut guest)) =
             machine.and_then(|machine| machine.guests.remove(&id).map(|guest| (machine, guest)))
@@ -738,11 +712,7 @@
             return;
         };
         if guest.runs {
-            machine.kept.retain(|&service| service != guest.service);
-            machine.kept.push_back(guest.service);
-            if machine.kept.len() > KEPT {
-                machine.kept.pop_front();
-            }
+            machine.keep(guest.service, KEPT);
         }
         if !ended || guest.cores.is_empty() || guest.highest.memory <= 0.0 {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,24 @@
     pub cores: Vec<f64>,
 }
 
+impl Guest {
+    pub fn new(allocation: &Allocation, sent: Tenths, had_program: bool) -> Self {
+        Guest {
+            service: allocation.service,
+            track: allocation.track,
+            asks: allocation.asks,
+            sent,
+            placed: false,
+            runs: false,
+            had_program,
+            moved: false,
+            present: None,
+            highest: Amount::default(),
+            cores: Vec::new(),
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Machine {
     pub entry: Option<Entry>,
@@ -54,6 +72,15 @@
         self.entry.is_some_and(|entry| entry.state == State::Serving)
     }
 
+    /// Notes a program as the last one kept, of so many at the most.
+    pub fn keep(&mut self, service: ServiceId, most: usize) {
+        self.kept.retain(|&other| other != service);
+        self.kept.push_back(service);
+        if self.kept.len() > most {
+            self.kept.pop_front();
+        }
+    }
+
     pub fn has_program(&self, service: ServiceId) -> bool {
         self.kept.contains(&service) || self.guests.values().any(|guest| guest.service == service)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -9,8 +9,8 @@
 const SMALL: Amount = Amount { cores: 2.0, memory: 4.0 };
 const WINDOW: Tenths = 2 * SECOND;
 
-fn deduplicated(group: Group) -> Repeat {
-    Repeat::Deduplicated { group, window: WINDOW }
+fn deduplicated(within: Option<Place>) -> Repeat {
+    Repeat::Deduplicated { within, window: WINDOW }
 }
 
 #[test_case(Repeat::Idempotent, Placement::Shed)]
@@ -57,16 +57,16 @@
     }
 }
 
-#[test_case(Group::All, |_, _| true, Placement::Shed)]
-#[test_case(Group::Hall, |a, b| a % 2 == b % 2, Placement::Scrap)]
-#[test_case(Group::Cell, |a, b| a / 2 == b / 2, Placement::Scrap)]
+#[test_case(None, |_, _| true, Placement::Shed)]
+#[test_case(Some(Place::Hall), |a, b| a % 2 == b % 2, Placement::Scrap)]
+#[test_case(Some(Place::Cell), |a, b| a / 2 == b / 2, Placement::Scrap)]
 fn a_deduplicated_one_stays_in_its_group_and_window(
-    group: Group,
+    within: Option<Place>,
     same: fn(u32, u32) -> bool,
     late: Placement,
 ) {
     for seed in 0..8 {
-        let mut host = Host::new(cluster(track(deduplicated(group))), seed, 8);
+        let mut host = Host::new(cluster(track(deduplicated(within))), seed, 8);
         let mut allocation = host.ask(1, 1.0, 1.0);
         let first = host.sent_to(&mut allocation).expect("sent");
         host.now += SECOND / 2;
@@ -138,15 +138,15 @@
 #[test]
 fn a_young_allocation_is_not_taken_off_a_report_that_never_held_it() {
     let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
-    host.reports(0, 10.0, 10.0);
-    host.reports(1, 14.0, 10.0);
+    host.reports(0, 16.0, 10.0);
+    host.reports(1, 20.0, 10.0);
     let mut first = host.ask(1, 8.0, 4.0);
     assert_eq!(host.sent_to(&mut first), Some(0));
     host.seated(&first);
     host.note(&first, first.asks);
-    host.reports(0, 10.0, 10.0);
+    host.reports(0, 16.0, 10.0);
     let mut second = host.ask(1, 1.0, 1.0);
-    assert_eq!(host.sent_to(&mut second), Some(1), "10 reported and 8 unseen are more than 14");
+    assert_eq!(host.sent_to(&mut second), Some(1), "16 reported and 8 unseen are more than 20");
 }
 
 #[test]
@@ -298,11 +298,10 @@
 fn a_machine_short_of_memory_is_relieved_while_another_has_room() {
     let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
     for _ in 0..30 {
-        let mut taken = host.ask(1, 2.0, 4.0);
-        host.place(&mut taken);
+        let mut usual = host.ask(1, 2.0, 200.0);
+        assert_eq!(host.place(&mut usual), Placement::NotYet);
     }
     let asks = SMALL;
-    let mut host = Host { now: host.now, ..host };
     host.runs(1, asks, Amount { cores: 1.0, memory: 4.0 }, 0, 5 * SECOND);
     host.runs(1, asks, Amount { cores: 1.0, memory: 4.0 }, 1, 5 * SECOND);
     host.now += 10 * SECOND;
@@ -323,7 +322,7 @@
     }
     let mut guests: Vec<Allocation> =
         (0..5).map(|_| host.runs(1, Amount { cores: 2.0, memory: 15.0 }, SMALL, 0, 5 * SECOND)).collect();
-    host.reports(0, 10.0, 30.0);
+    host.reports(0, 10.0, 20.0);
     host.scheduler.listed(Scope::Changes, &[Entry { unasked, ..entry(0) }]);
     let mut large = host.ask(2, 12.0, 70.0);
     assert_eq!(host.place(&mut large), Placement::NotYet);
