--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,7 @@
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
 /// From this long after its send an allocation's use is taken to be in a machine's reports.
-const REPORT_LAG: Tenths = SECOND;
+const REPORT_LAG: Tenths = SECOND * 3 / 2;
 /// A report older than this says less of a machine than the average does.
 /// Likewise for the room that the list tells.
 const LIST_LAG: Tenths = 2 * SECOND;
@@ -490,7 +490,11 @@
         let present = Amount { cores: self.present[0].or(1.0), memory: self.present[1].or(1.0) };
         let since = machine.listed.map_or(0, |_| now.saturating_sub(LIST_LAG));
         let young = machine.guests.values().filter(|guest| guest.sent >= since);
-        machine.listed.unwrap_or(base / present) + young.map(|guest| guest.asks).sum()
+        let sent: Amount = young.map(|guest| guest.asks).sum();
+        match machine.listed {
+            Some(listed) => listed + sent * self.cluster.schedulers as f64,
+            None => base / present + sent,
+        }
     }
 
     fn fits(&self, now: Tenths, machine: &Machine, size: Amount, asks: Amount) -> bool {
