--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,6 +46,8 @@
 /// Share of memory past which some are moved away, if a machine under the second share could take them.
 const OVER: f64 = 0.95;
 const SPARE: f64 = 0.8;
+/// Part of the usual fill at which a machine must still be beyond need to be cleared.
+const CALM: f64 = 0.85;
 /// So many times the usual answer time without one is silence.
 const PATIENCE: f64 = 8.0;
 /// Left before the abandon time, so that the answer itself is not late.
@@ -273,7 +275,7 @@
     /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we.
     fn moves(&mut self, now: Tenths) -> Vec<AllocationId> {
         let mut moves = self.make_room(now);
-        let open = self.open_machines(now, FILL * 0.9);
+        let open = self.open_machines(now, FILL * CALM);
         let spare = open.iter().any(|id| {
             self.size(*id)
                 .is_some_and(|size| self.present_use(now, &self.machines[id]).share_of(size) < SPARE)
@@ -282,8 +284,14 @@
             let Some(size) = self.size(id).filter(|_| spare && moves.len() < 4) else { continue };
             let mut over =
                 (self.present_use(now, machine).memory - size.memory * OVER) / self.cluster.schedulers as f64;
-            for (guest, asks) in self.movable(machine).into_iter().take(4) {
-                if over > 0.0 {
+            let movable = self.movable(machine);
+            // Worth its price only where all of ours can go, and where the need is well below the rest.
+            let leave = self.cluster.machine_price > 0.0
+                && !open.contains(&id)
+                && machine.promised.is_none()
+                && movable.len() == machine.guests.len();
+            for (guest, asks) in movable.into_iter().take(4) {
+                if over > 0.0 || leave {
                     moves.push(guest);
                     over -= asks.memory * self.usual_use().memory;
                 }
@@ -490,11 +498,15 @@
         let present = Amount { cores: self.present[0].or(1.0), memory: self.present[1].or(1.0) };
         let since = machine.listed.map_or(0, |_| now.saturating_sub(LIST_LAG));
         let young = machine.guests.values().filter(|guest| guest.sent >= since);
-        let sent: Amount = young.map(|guest| guest.asks).sum();
-        match machine.listed {
-            Some(listed) => listed + sent * self.cluster.schedulers as f64,
-            None => base / present + sent,
-        }
+        let lag = machine.listed.map_or(REPORT_LAG, |_| LIST_LAG);
+        let own: Amount = young.map(|guest| guest.asks).sum();
+        machine.listed.unwrap_or(base / present) + own + self.unseen(now, machine, lag)
+    }
+
+    /// Asks that the other schedulers have sent there since, in no report or list yet: as much as we did, each.
+    fn unseen(&self, now: Tenths, machine: &Machine, lag: Tenths) -> Amount {
+        let young = machine.guests.values().filter(|guest| guest.sent + lag > now);
+        young.map(|guest| guest.asks).sum::<Amount>() * self.cluster.schedulers.saturating_sub(1) as f64
     }
 
     fn fits(&self, now: Tenths, machine: &Machine, size: Amount, asks: Amount) -> bool {
@@ -524,7 +536,8 @@
             .base
             .filter(|&(at, _)| at + REPORT_STALE > now)
             .map_or(Amount::default(), |(_, base)| base);
-        base + machine.guests.values().map(|guest| self.use_of(guest)).sum()
+        let own: Amount = machine.guests.values().map(|guest| self.use_of(guest)).sum();
+        base + own + self.unseen(now, machine, REPORT_LAG) * self.usual_use()
     }
 
     /// Mean use by others as a share of size, over the machines that reported.
@@ -585,11 +598,7 @@
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
         let known = machine.base.filter(|&(at, _)| at + REPORT_STALE > now).map(|(_, base)| base);
-        // What the other schedulers have sent there since is in no report yet: as much as we did, each.
-        let young = machine.guests.values().filter(|guest| guest.sent + REPORT_LAG > now);
-        let unseen = young.map(|guest| guest.asks * self.usual_use()).sum::<Amount>();
-        let base =
-            known.unwrap_or(average * size) + unseen * self.cluster.schedulers.saturating_sub(1) as f64;
+        let base = known.unwrap_or(average * size) + self.unseen(now, machine, REPORT_LAG) * self.usual_use();
         // A start takes far more where the machine must load the program first: as many cores as get it done
         // within the contract time.
         let start = |has: bool, track: &Track| Amount {
