--- a/src/rules.rs
+++ b/src/rules.rs
@@ -208,7 +208,7 @@
                 let rest = match reason {
                     Some(Reason::QueueFull) => SECOND / 5,
                     Some(Reason::NotHere) => 2 * SECOND,
-                    _ => SECOND,
+                    _ => 2 * SECOND,
                 };
                 let asks = if matches!(reason, Some(Reason::NoCores | Reason::NoMemory)) {
                     allocation.asks
