--- a/src/rules.rs
+++ b/src/rules.rs
@@ -612,6 +612,10 @@
         });
         let load =
             base + own.sum() + new.asks * self.usual_use() + start(machine.has_program(new.service), track);
+        // A machine starts few at a time: behind those that ours wait for, the contract time would pass. Then all
+        // machines share the starts, held back or not.
+        let starting = machine.guests.values().filter(|guest| !guest.runs).count() as f64;
+        let queues = starting * self.start_time[1].or(0.0) > track.contract_time as f64;
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Weighed {
             machine: id,
@@ -619,7 +623,7 @@
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match open.contains(&id) && self.fits(now, machine, size, new.asks) {
+            rank: match open.contains(&id) && !queues && self.fits(now, machine, size, new.asks) {
                 true => u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => 2,
             },
