--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 //! The caller keeps the allocations in hand and the timers, and decides nothing.
 
 use crate::interface::*;
-use crate::state::{Guest, Machine, Mean, Record};
+use crate::state::{Guest, Learnt, Machine, Record};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
@@ -28,12 +28,13 @@
 const RECORDS: usize = 48;
 /// From this long after its send an allocation's use is taken to be in a machine's reports.
 const REPORT_LAG: Tenths = SECOND * 3 / 2;
-/// A report older than this says less of a machine than the average does.
 /// Likewise for the room that the list tells.
 const LIST_LAG: Tenths = 2 * SECOND;
+/// A report older than this says less of a machine than the average does.
 const REPORT_STALE: Tenths = 12 * SECOND;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
 const KEPT: usize = 6;
+/// Weight that a learnt mean keeps with each new value.
 const KEEP: f64 = 0.95;
 /// A machine of which less is in use, and nothing by us, counts as empty.
 const IDLE: f64 = 0.1;
@@ -52,6 +53,10 @@
 const PATIENCE: f64 = 8.0;
 /// Left before the abandon time, so that the answer itself is not late.
 const MARGIN: Tenths = 40;
+/// How long a machine that refused is not offered as much again.
+const REFUSED: Tenths = 2 * SECOND;
+/// Silence of a machine after which it is probed, where that is allowed.
+const UNHEARD: Tenths = 2 * SECOND;
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 
@@ -74,14 +79,7 @@
     /// Where each allocation of ours is.
     at: BTreeMap<AllocationId, MachineId>,
     records: BTreeMap<ServiceId, VecDeque<Record>>,
-    /// Use by asked unit over all records: what is expected of one whose use is not known yet.
-    usual: [Mean; 2],
-    /// Likewise use at any time, of the running.
-    present: [Mean; 2],
-    /// Time from offer to running without [0] and with [1] the program in place.
-    start_time: [Mean; 2],
-    /// Time from offer to the placed answer.
-    answer_time: Mean,
+    learnt: Learnt,
     born: Tenths,
     watch_at: Option<Tenths>,
     watch_fails: u32,
@@ -92,8 +90,6 @@
     look_at: Tenths,
     /// When an ask last found no machine to bear it.
     crowded: Option<(Tenths, TrackId, Amount)>,
-    /// Cores asked by the allocations taken.
-    usual_ask: Mean,
 }
 
 impl Scheduler {
@@ -105,17 +101,13 @@
             machines: BTreeMap::new(),
             at: BTreeMap::new(),
             records: BTreeMap::new(),
-            usual: Default::default(),
-            present: Default::default(),
-            start_time: Default::default(),
-            answer_time: Mean::default(),
+            learnt: Learnt::default(),
             born: now,
             watch_fails: 0,
             ask_at: None,
             starved: None,
             look_at: now,
             crowded: None,
-            usual_ask: Mean::default(),
         }
     }
 
@@ -125,7 +117,7 @@
             return self.give_up(allocation);
         }
         if allocation.shots.is_empty() && allocation.taken == now {
-            self.usual_ask.add(allocation.asks.cores, KEEP);
+            self.learnt.ask.add(allocation.asks.cores, KEEP);
         }
         let bound = allocation.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
         let mut scan: Vec<MachineId> = self.machines.keys().copied().collect();
@@ -149,14 +141,12 @@
             return self.not_yet(now, allocation);
         }
         scan.retain(|&machine| self.admits(now, machine, allocation));
-        let promised = scan
-            .iter()
-            .copied()
-            .find(|id| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id));
+        let mine = |id: &&MachineId| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id);
+        let promised = scan.iter().find(mine).copied();
         let chosen = promised.or_else(|| {
-            let (open, average) = (self.open_machines(now, FILL), self.average_use());
+            let seen = (self.average_use(), self.open_machines(now, FILL));
             let weighed: Vec<Weighed> =
-                scan.into_iter().map(|id| self.weigh(now, id, allocation, average, &open)).collect();
+                scan.into_iter().map(|id| self.weigh(now, id, allocation, &seen)).collect();
             if weighed.iter().any(|w| w.bears) {
                 return self.choose(now, weighed, allocation);
             }
@@ -187,8 +177,8 @@
             self.machines.entry(machine).or_default().silent = 0;
             if let Some(guest) = self.guest(allocation.id) {
                 guest.placed = true;
-                let time = (now - guest.sent) as f64;
-                self.answer_time.add(time, KEEP);
+                let time = now - guest.sent;
+                self.learnt.answer_time.add(time as f64, KEEP);
             }
             if self.cluster.placed_runs {
                 self.noted(now, allocation.id, Note::Runs);
@@ -197,37 +187,28 @@
         };
         let was_placed = self.guest(allocation.id).is_some_and(|guest| guest.placed);
         self.leave(now, allocation.id, ending == Ending::Ended);
-        if let Some(report) = report {
-            self.reported(now, machine, report);
-        }
+        self.reported(now, machine, report);
         let at = self.machines.entry(machine).or_default();
         match ending {
             Ending::Ended | Ending::Cancelled | Ending::NotSent => {}
             Ending::Refused => {
                 at.silent = 0;
-                let rest = match reason {
-                    Some(Reason::QueueFull) => SECOND / 5,
-                    Some(Reason::NotHere) => 2 * SECOND,
-                    _ => 2 * SECOND,
-                };
-                let asks = if matches!(reason, Some(Reason::NoCores | Reason::NoMemory)) {
-                    allocation.asks
-                } else {
-                    Amount::default()
+                // Room comes back only as allocations end; a line of offers is short again soon.
+                let (rest, asks) = match reason {
+                    Some(Reason::QueueFull) => (REFUSED / 10, Amount::default()),
+                    Some(Reason::NoCores | Reason::NoMemory) => (REFUSED, allocation.asks),
+                    _ => (REFUSED, Amount::default()),
                 };
                 at.full = Some((now + rest, asks));
             }
             Ending::Reset if was_placed && reason.is_some() => {}
             Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Reset => {
-                // A machine that leaves shots unanswered, whatever the cause: dead, cut off or standing still.
+                // A machine that leaves shots unanswered, whatever the cause: dead, cut off, standing still.
                 at.silent += 1;
                 at.shunned = now + ((SECOND / 2) << at.silent.min(5));
             }
         }
-        if over {
-            return After::Rest;
-        }
-        After::PlaceAgain
+        if over { After::Rest } else { After::PlaceAgain }
     }
 
     /// How long to wait before asking again, and what to set going meanwhile.
@@ -241,8 +222,7 @@
         if self.cluster.may_probe {
             for (&id, machine) in &mut self.machines {
                 let heard = machine.base.map_or(0, |(at, _)| at).max(machine.probed);
-                let serving = machine.entry.is_some_and(|entry| entry.state == State::Serving);
-                if serving && heard + 2 * SECOND <= now {
+                if machine.serving() && heard + UNHEARD <= now {
                     machine.probed = now;
                     wait.probes.push(id);
                 }
@@ -258,32 +238,32 @@
 
     /// Far larger than the usual, so that room for it comes in pieces.
     fn large(&self, allocation: &Allocation) -> bool {
-        allocation.asks.cores > LARGE * self.usual_ask.or(f64::INFINITY)
+        allocation.asks.cores > LARGE * self.learnt.ask.or(f64::INFINITY)
     }
 
-    /// Ours on a machine that may be moved, the least urgent first: such as run and are not large themselves,
-    /// and may start again.
+    /// Ours there that may be moved, low priorities first: such as run, are not large and may start again.
     fn movable(&self, machine: &Machine) -> Vec<(AllocationId, Amount)> {
-        let guests = machine.guests.iter().filter(|(_, guest)| {
-            let track = &self.cluster.tracks[guest.track.0];
-            let small = guest.asks.cores <= LARGE * self.usual_ask.or(0.0);
-            guest.placed && guest.runs && !guest.moved && small && track.repeat != Repeat::Unrepeatable
-        });
-        guests.map(|(&id, guest)| (id, guest.asks)).collect()
+        let track = |guest: &Guest| &self.cluster.tracks[guest.track.0];
+        let may = |guest: &Guest| {
+            let small = guest.asks.cores <= LARGE * self.learnt.ask.or(0.0);
+            guest.placed && guest.runs && !guest.moved && small && track(guest).repeat != Repeat::Unrepeatable
+        };
+        let mut guests: Vec<_> = machine.guests.iter().filter(|(_, guest)| may(guest)).collect();
+        guests.sort_by_key(|(_, guest)| track(guest).priority);
+        guests.into_iter().map(|(&id, guest)| (id, guest.asks)).collect()
     }
 
-    /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we.
+    /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we, and
+    /// off machines beyond need, which a few long-lived allocations would hold for long.
     fn moves(&mut self, now: Tenths) -> Vec<AllocationId> {
         let mut moves = self.make_room(now);
         let open = self.open_machines(now, FILL * CALM);
-        let spare = open.iter().any(|id| {
-            self.size(*id)
-                .is_some_and(|size| self.present_use(now, &self.machines[id]).share_of(size) < SPARE)
-        });
+        let load = |id: &MachineId| Some(self.present_use(now, &self.machines[id]).share_of(self.size(*id)?));
+        let spare = open.iter().filter_map(load).any(|load| load < SPARE);
         for (&id, machine) in &self.machines {
             let Some(size) = self.size(id).filter(|_| spare && moves.len() < 4) else { continue };
-            let mut over =
-                (self.present_use(now, machine).memory - size.memory * OVER) / self.cluster.schedulers as f64;
+            let over = self.present_use(now, machine).memory - size.memory * OVER;
+            let mut over = over / self.cluster.schedulers as f64;
             let movable = self.movable(machine);
             // Worth its price only where all of ours can go, and where the need is well below the rest.
             let leave = self.cluster.machine_price > 0.0
@@ -348,15 +328,14 @@
         self.crowded = None;
         for &entry in entries {
             let machine = self.machines.entry(entry.machine).or_default();
-            let restarted = machine.entry.is_some_and(|old| old.started != entry.started);
-            if restarted {
-                // Another process under the same id: nothing learnt of the last one holds.
-                *machine = Machine { guests: std::mem::take(&mut machine.guests), ..Machine::default() };
+            if machine.entry.is_some_and(|old| old.started != entry.started) {
+                // Another process under the same id: of what was learnt only our own shots still count.
+                let Machine { guests, offers, .. } = std::mem::take(machine);
+                *machine = Machine { guests, offers, ..Machine::default() };
             }
             machine.entry = Some(entry);
-            let size = self.cluster.kinds.get(entry.kind.0);
-            machine.listed =
-                size.zip(entry.unasked).filter(|_| self.cluster.shows_room).map(|(&size, free)| size - free);
+            let size = self.cluster.kinds.get(entry.kind.0).filter(|_| self.cluster.shows_room);
+            machine.listed = size.zip(entry.unasked).map(|(&size, unasked)| size - unasked);
         }
     }
 
@@ -386,18 +365,18 @@
         match note {
             Note::Runs if !guest.runs => {
                 guest.runs = true;
-                self.start_time[usize::from(guest.had_program)].add((now - guest.sent) as f64, KEEP);
+                self.learnt.start_time[usize::from(guest.had_program)].add((now - guest.sent) as f64, KEEP);
             }
             Note::Cores(cores) => {
                 guest.present.get_or_insert(expected).cores = cores;
                 guest.highest.cores = guest.highest.cores.max(cores);
                 guest.cores.push(cores);
-                self.present[0].add(cores / guest.asks.cores, KEEP);
+                self.learnt.present.cores.add(cores / guest.asks.cores, KEEP);
             }
             Note::Memory(memory) => {
                 guest.present.get_or_insert(expected).memory = memory;
                 guest.highest.memory = guest.highest.memory.max(memory);
-                self.present[1].add(memory / guest.asks.memory, KEEP);
+                self.learnt.present.memory.add(memory / guest.asks.memory, KEEP);
             }
             _ => {}
         }
@@ -407,13 +386,11 @@
         if ending == Ending::Ended {
             self.machines.entry(machine).or_default().silent = 0;
         }
-        if let Some(report) = report {
-            self.reported(now, machine, report);
-        }
+        self.reported(now, machine, report);
     }
 
-    fn reported(&mut self, now: Tenths, id: MachineId, report: Report) {
-        let Some(size) = self.size(id) else { return };
+    fn reported(&mut self, now: Tenths, id: MachineId, report: Option<Report>) {
+        let Some((size, report)) = self.size(id).zip(report) else { return };
         // One too young to be in the report would be taken off a sum that never held it.
         let old = |guest: &&Guest| guest.runs && guest.sent + REPORT_LAG <= now;
         let own: Amount =
@@ -458,13 +435,9 @@
         let machine = &self.machines[&id];
         let track = &self.cluster.tracks[allocation.track.0];
         let (Some(entry), Some(size)) = (machine.entry, self.size(id)) else { return false };
-        if entry.state != State::Serving || track.kind.is_some_and(|kind| kind != entry.kind) {
-            return false;
-        }
-        if machine.shunned > now {
-            return false;
-        }
-        if machine.full.is_some_and(|(until, asks)| until > now && asks.within(allocation.asks)) {
+        let full = machine.full.is_some_and(|(until, asks)| until > now && asks.within(allocation.asks));
+        let wrong = track.kind.is_some_and(|kind| kind != entry.kind);
+        if !machine.serving() || machine.shunned > now || full || wrong {
             return false;
         }
         let room = match machine.promised.filter(|&(until, _)| until > now) {
@@ -474,8 +447,8 @@
         room && self.cold_bears(now, machine, entry) && self.spread_holds(id, allocation)
     }
 
-    /// A just started machine falls over under too many offers. Nothing is known of those of other schedulers,
-    /// so each keeps to its part of what is always borne, in any window.
+    /// A just started machine falls over under too many offers. Those of other schedulers are not known, so
+    /// each keeps to its part of what is always borne, in any window.
     fn cold_bears(&self, now: Tenths, machine: &Machine, entry: Entry) -> bool {
         let cold = &self.cluster.cold;
         let Some(started) = entry.started else { return true };
@@ -491,19 +464,22 @@
         recent < part
     }
 
-    /// What all schedulers' allocations on a machine ask for. The listed room is late: what we sent since then
+    /// What all schedulers' allocations on a machine ask for. The listed room is late: what was sent since
     /// counts on top. Where no room is listed, others' asks are guessed from what they use.
     fn asked(&self, now: Tenths, machine: &Machine) -> Amount {
-        let base = machine.base.map_or(Amount::default(), |(_, base)| base);
-        let present = Amount { cores: self.present[0].or(1.0), memory: self.present[1].or(1.0) };
-        let since = machine.listed.map_or(0, |_| now.saturating_sub(LIST_LAG));
-        let young = machine.guests.values().filter(|guest| guest.sent >= since);
-        let lag = machine.listed.map_or(REPORT_LAG, |_| LIST_LAG);
-        let own: Amount = young.map(|guest| guest.asks).sum();
-        machine.listed.unwrap_or(base / present) + own + self.unseen(now, machine, lag)
+        let present = self.learnt.present.or_one();
+        let (lag, since) =
+            machine.listed.map_or((REPORT_LAG, 0), |_| (LIST_LAG, now.saturating_sub(LIST_LAG)));
+        let own: Amount =
+            machine.guests.values().filter(|guest| guest.sent >= since).map(|guest| guest.asks).sum();
+        // Where nothing was ever told, as at start, the others are taken to have asked for as much as we did.
+        let told = machine.listed.or(machine.base.map(|(_, base)| base / present));
+        told.map_or(own * (self.cluster.schedulers as f64), |told| {
+            told + own + self.unseen(now, machine, lag)
+        })
     }
 
-    /// Asks that the other schedulers have sent there since, in no report or list yet: as much as we did, each.
+    /// What the other schedulers sent there that no report or list holds yet: as much as we did, each.
     fn unseen(&self, now: Tenths, machine: &Machine, lag: Tenths) -> Amount {
         let young = machine.guests.values().filter(|guest| guest.sent + lag > now);
         young.map(|guest| guest.asks).sum::<Amount>() * self.cluster.schedulers.saturating_sub(1) as f64
@@ -522,7 +498,7 @@
 
     /// Use by asked unit that is expected where none is known; the whole ask before any record.
     fn usual_use(&self) -> Amount {
-        Amount { cores: self.usual[0].or(1.0), memory: self.usual[1].or(1.0) }
+        self.learnt.usual.or_one()
     }
 
     /// What a guest of ours uses now, by its last notes or as usual.
@@ -532,21 +508,16 @@
 
     /// Present use of a machine; only our own part of it where nothing lately told of the rest.
     fn present_use(&self, now: Tenths, machine: &Machine) -> Amount {
-        let base = machine
-            .base
-            .filter(|&(at, _)| at + REPORT_STALE > now)
-            .map_or(Amount::default(), |(_, base)| base);
         let own: Amount = machine.guests.values().map(|guest| self.use_of(guest)).sum();
-        base + own + self.unseen(now, machine, REPORT_LAG) * self.usual_use()
+        machine.told(now, REPORT_STALE).unwrap_or_default()
+            + own
+            + self.unseen(now, machine, REPORT_LAG) * self.usual_use()
     }
 
     /// Mean use by others as a share of size, over the machines that reported.
     fn average_use(&self) -> Amount {
-        let shares: Vec<Amount> = self
-            .machines
-            .iter()
-            .filter_map(|(&id, machine)| Some(machine.base?.1 / self.size(id)?))
-            .collect();
+        let share = |(&id, machine): (&MachineId, &Machine)| Some(machine.base?.1 / self.size(id)?);
+        let shares: Vec<Amount> = self.machines.iter().filter_map(share).collect();
         shares.iter().copied().sum::<Amount>() * (1.0 / shares.len().max(1) as f64)
     }
 
@@ -579,9 +550,7 @@
     /// The records that fit a guest of this age and highest use by asked unit.
     fn fitting(&self, service: ServiceId, age: Tenths, highest: Amount) -> Vec<Amount> {
         let records = self.records.get(&service).into_iter().flatten();
-        let fits = records.filter(|record| {
-            record.life >= age && record.peak.cores >= highest.cores && record.peak.memory >= highest.memory
-        });
+        let fits = records.filter(|record| record.life >= age && highest.within(record.peak));
         fits.map(|record| record.peak).collect()
     }
 
@@ -591,18 +560,18 @@
         now: Tenths,
         id: MachineId,
         new: &Allocation,
-        average: Amount,
-        open: &[MachineId],
+        seen: &(Amount, Vec<MachineId>),
     ) -> Weighed {
+        let (average, open) = (seen.0, &seen.1);
         let size = self.size(id).unwrap_or_default();
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let known = machine.base.filter(|&(at, _)| at + REPORT_STALE > now).map(|(_, base)| base);
-        let base = known.unwrap_or(average * size) + self.unseen(now, machine, REPORT_LAG) * self.usual_use();
+        let told = machine.told(now, REPORT_STALE).unwrap_or(average * size);
+        let base = told + self.unseen(now, machine, REPORT_LAG) * self.usual_use();
         // A start takes far more where the machine must load the program first: as many cores as get it done
         // within the contract time.
         let start = |has: bool, track: &Track| Amount {
-            cores: self.start_time[usize::from(has)].or(self.start_time[1].or(0.0))
+            cores: self.learnt.start_time[usize::from(has)].or(self.learnt.start_time[1].or(0.0))
                 / track.contract_time.max(1) as f64,
             memory: 0.0,
         };
@@ -612,10 +581,10 @@
         });
         let load =
             base + own.sum() + new.asks * self.usual_use() + start(machine.has_program(new.service), track);
-        // A machine starts few at a time: behind those that ours wait for, the contract time would pass. Then all
+        // A machine starts few at a time: behind ours that wait there the contract time would pass. Then all
         // machines share the starts, held back or not.
         let starting = machine.guests.values().filter(|guest| !guest.runs).count() as f64;
-        let queues = starting * self.start_time[1].or(0.0) > track.contract_time as f64;
+        let queues = starting * self.learnt.start_time[1].or(0.0) > track.contract_time as f64;
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Weighed {
             machine: id,
@@ -630,8 +599,8 @@
         }
     }
 
-    /// Shares of draws that cross the line, with and without the allocation: the base, and for the new one and
-    /// each guest of ours a peak from the records that fit it.
+    /// Shares of draws that cross the line, with and without the allocation: the base, and for the new one
+    /// and each guest of ours a peak from the records that fit it.
     fn risk(&mut self, now: Tenths, weighed: &Weighed, new: &Allocation) -> (f64, f64) {
         let mut pools: Vec<(Vec<Amount>, Amount)> = Vec::new();
         for guest in self.machines[&weighed.machine].guests.values() {
@@ -678,7 +647,7 @@
             }
         }
         if group.is_empty() {
-            // A machine that is over the line already rises by nothing: unless left out it would draw all to it.
+            // A machine over the line already rises by nothing: unless left out it would draw all to it.
             let bearable = || std::iter::zip(&weighed, &rises).filter(|(w, _)| w.bears);
             let least = bearable().map(|(_, rise)| *rise).fold(f64::INFINITY, f64::min);
             group = bearable().filter(|(_, rise)| **rise <= least + TIE).map(|(w, _)| w).collect();
@@ -693,14 +662,12 @@
         let cold = &self.cluster.cold;
         let at = self.machines.entry(machine).or_default();
         at.offers.push_back(now);
-        while at.offers.front().is_some_and(|&first| first + cold.window + MARGIN < now) {
-            at.offers.pop_front();
-        }
+        at.offers.retain(|&sent| sent + cold.window + MARGIN >= now);
         let left = allocation.abandon - MARGIN / 2 - now;
         let track = &self.cluster.tracks[allocation.track.0];
         // Giving up on a shot that waits in a queue leaves a copy behind and binds what may not run twice. So
         // only a machine far slower than all usually are counts as silent, and only for what may run again.
-        let patience = (self.answer_time.or(left as f64) * PATIENCE) as Tenths;
+        let patience = (self.learnt.answer_time.or(left as f64) * PATIENCE) as Tenths;
         let last = allocation.shots.len() + 1 >= self.cluster.shots;
         let time_out = match track.repeat {
             Repeat::Idempotent if !last => left.min(patience.max(2 * track.contract_time)),
@@ -738,8 +705,8 @@
         let cores = guest.cores[(guest.cores.len() * 9).div_ceil(10) - 1] / guest.asks.cores;
         let memory = guest.highest.memory / guest.asks.memory;
         let life = now - guest.sent;
-        self.usual[0].add(cores, KEEP);
-        self.usual[1].add(memory, KEEP);
+        self.learnt.usual.cores.add(cores, KEEP);
+        self.learnt.usual.memory.add(memory, KEEP);
         let records = self.records.entry(guest.service).or_default();
         records.push_back(Record { peak: Amount { cores, memory }, life });
         if records.len() > RECORDS {
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,11 @@
         self.entry.is_some_and(|entry| entry.state == State::Serving)
     }
 
+    /// Use by others, if told within so long.
+    pub fn told(&self, now: Tenths, within: Tenths) -> Option<Amount> {
+        self.base.filter(|&(at, _)| at + within > now).map(|(_, base)| base)
+    }
+
     /// Notes a program as the last one kept, of so many at the most.
     pub fn keep(&mut self, service: ServiceId, most: usize) {
         self.kept.retain(|&other| other != service);
@@ -102,3 +107,31 @@
         if self.weight > 0.0 { self.sum / self.weight } else { default }
     }
 }
+
+/// A mean of cores and one of memory.
+#[derive(Default, Clone, Copy)]
+pub struct Means {
+    pub cores: Mean,
+    pub memory: Mean,
+}
+
+impl Means {
+    pub fn or_one(&self) -> Amount {
+        Amount { cores: self.cores.or(1.0), memory: self.memory.or(1.0) }
+    }
+}
+
+/// What is learnt over all machines.
+#[derive(Default)]
+pub struct Learnt {
+    /// Use by asked unit over all records: what is expected of one whose use is not known yet.
+    pub usual: Means,
+    /// Likewise use at any time, of the running.
+    pub present: Means,
+    /// Time from offer to running without [0] and with [1] the program in place.
+    pub start_time: [Mean; 2],
+    /// Time from offer to the placed answer.
+    pub answer_time: Mean,
+    /// Cores asked by the allocations taken.
+    pub ask: Mean,
+}
