--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 /// A report older than this says less of a machine than the average does.
 const REPORT_STALE: Tenths = 12 * SECOND;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
-const KEPT: usize = 6;
+const KEPT: usize = 10;
 /// Weight that a learnt mean keeps with each new value.
 const KEEP: f64 = 0.95;
 /// A machine of which less is in use, and nothing by us, counts as empty.
