--- a/src/rules.rs
+++ b/src/rules.rs
@@ -79,7 +79,7 @@
     starved: Option<Allocation>,
     look_at: Tenths,
     /// When an ask last found no machine to bear it.
-    crowded: Option<(Tenths, TrackId, Amount)>,
+    crowded: Option<(Tenths, TrackId, Option<AccountId>, Amount)>,
 }
 
 impl Scheduler {
@@ -125,8 +125,9 @@
             }
         }
         // Nothing has changed since one of the same track that asked for no more found no place.
-        if self.crowded.is_some_and(|(at, track, asks)| {
-            at == now && track == allocation.track && asks.within(allocation.asks)
+        if self.crowded.is_some_and(|(at, track, account, asks)| {
+            let alike = track == allocation.track && account.is_none_or(|own| own == allocation.account);
+            at == now && alike && asks.within(allocation.asks)
         }) {
             return self.not_yet(now, allocation);
         }
@@ -137,13 +138,15 @@
             let seen = (self.average_use(), self.open_machines(now, FILL));
             let mut weighed: Vec<Weighed> =
                 scan.into_iter().map(|id| self.weigh(now, id, allocation, &seen)).collect();
-            if weighed.iter().any(|w| w.bears) {
-                let beyond = self.beyond_share(allocation);
-                weighed.iter_mut().for_each(|w| w.bears &= !beyond);
-                return self.choose(now, weighed, allocation);
+            let bears = weighed.iter().any(|w| w.bears);
+            let beyond = bears && self.beyond_share(allocation);
+            weighed.iter_mut().for_each(|w| w.bears &= !beyond);
+            let chosen = bears.then(|| self.choose(now, weighed, allocation)).flatten();
+            if chosen.is_none() {
+                let account = beyond.then_some(allocation.account);
+                self.crowded = Some((now, allocation.track, account, allocation.asks));
             }
-            self.crowded = Some((now, allocation.track, allocation.asks));
-            None
+            chosen
         });
         match chosen {
             Some(machine) => self.send(now, machine, allocation),
