--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -46,8 +46,6 @@
     kind_memory: Vec<f64>,
     #[serde(default)]
     share_cores: Vec<f64>,
-    #[serde(default)]
-    makes_room: bool,
     view: bool,
     counts: String,
 }
@@ -112,7 +110,6 @@
             shows_room: family.view,
             reports_use: family.counts == "used"
                 && ["x0", "x1"].iter().all(|name| self.load_report.fields.iter().any(|field| field == name)),
-            makes_room: family.makes_room,
             may_probe: self.limits.probes,
             ask_list: (self.discovery == "on_request").then(|| tenths(self.rules.ask_every_us)),
             cold: Cold {
--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -287,16 +287,15 @@
 
 /// The load report, where one is attached that tells both kinds of room.
 fn report(message: &Message) -> Result<Option<Report>, Fault> {
-    let (mut cores, mut memory, mut waiting) = (None, None, None);
+    let (mut cores, mut memory) = (None, None);
     for pair in message.get_or("metrics", String::new())?.split(',').filter(|pair| !pair.is_empty()) {
         let value = pair.split_once(':').and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
         match value.filter(|(_, value)| value.is_finite()) {
             Some(("x0", value)) => cores = Some(value),
             Some(("x1", value)) => memory = Some(value),
-            Some(("pending", value)) => waiting = Some(value),
             Some(_) => {}
             None => return Err(message.unreadable("metrics", pair)),
         }
     }
-    Ok(cores.zip(memory).map(|(cores, memory)| Report { unused: Amount { cores, memory }, waiting }))
+    Ok(cores.zip(memory).map(|(cores, memory)| Report { unused: Amount { cores, memory } }))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,8 +142,6 @@
     pub shows_room: bool,
     /// Reports tell what is not in use, rather than what is not asked for.
     pub reports_use: bool,
-    /// Machines push out lower priorities for higher ones.
-    pub makes_room: bool,
     pub may_probe: bool,
     /// Whether the list must be asked for, and how long it may go unasked.
     pub ask_list: Option<Tenths>,
@@ -207,8 +205,6 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Report {
     pub unused: Amount,
-    /// Offers and starts that wait, where told.
-    pub waiting: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -22,7 +22,6 @@
         placed_runs: true,
         shows_room: false,
         reports_use: true,
-        makes_room: false,
         may_probe: false,
         ask_list: Some(10 * SECOND),
         cold: Cold { lasts: 10 * SECOND, window: SECOND, offers: 6.0 },
@@ -125,7 +124,7 @@
     /// A machine reports so much in use.
     pub fn reports(&mut self, machine: u32, cores: f64, memory: f64) {
         let unused = SIZE - Amount { cores, memory };
-        let report = Report { unused, waiting: None };
+        let report = Report { unused };
         self.scheduler.probed(self.now, MachineId(machine), Ending::Ended, Some(report));
     }
 
