See all machines through one view that holds for two schedulers and for three hundred

Cause: each scheduler of hundreds hears of a machine now and then, so need was counted from its own part only (few machines open, 61% of offers turned away), its young shots counted times the schedulers on one machine, each of all moved one, and each probed all machines. Starts took 1 to 3 s: a service's program was on few of the machines. Now: use by others from the listed room or the average, a report losing weight with age; unseen load spread over all machines; moves by chance; cold offers by scheduler number; each service scans its machines in a shared order.

--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -7,6 +7,7 @@
 #[serde(rename_all = "kebab-case")]
 pub struct Facts {
     fleet_size: usize,
+    me: usize,
     locality: usize,
     pub classes: Vec<Class>,
     pub zones: Vec<String>,
@@ -96,6 +97,7 @@
         }
         Ok(Cluster {
             hall: HallId(self.locality),
+            number: self.me,
             schedulers: self.fleet_size,
             kinds: std::iter::zip(&family.kind_cores, &family.kind_memory)
                 .map(|(&cores, &memory)| Amount { cores, memory })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -17,8 +17,8 @@
     AllocationId(u64);
     /// The same at every scheduler, also after the machine's process restarts.
     MachineId(u32);
-    /// The allocations of a service have one track, one shape and one program.
-    ServiceId(u32);
+    /// The allocations of a service have one track, one shape and one program. The same at every scheduler.
+    ServiceId(u64);
     TrackId(usize);
     AccountId(usize);
     KindId(usize);
@@ -128,7 +128,8 @@
 #[derive(Clone, Debug)]
 pub struct Cluster {
     pub hall: HallId,
-    /// How many schedulers share the machines.
+    /// Our number among the schedulers that share the machines, from 0, and how many there are.
+    pub number: usize,
     pub schedulers: usize,
     pub kinds: Vec<Amount>,
     pub tracks: Vec<Track>,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,10 +6,10 @@
 //! The caller keeps the allocations in hand and the timers, and decides nothing.
 
 use crate::interface::*;
-use crate::state::{Guest, Learnt, Machine, Record, Weighed};
+use crate::state::{Guest, Learnt, Machine, Record, View, Weighed};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const SECOND: Tenths = 10_000;
 /// The paper's figures for the share of draws that may cross the line and for the number of draws.
@@ -30,8 +30,12 @@
 const REPORT_LAG: Tenths = SECOND * 3 / 2;
 /// Likewise for the room that the list tells.
 const LIST_LAG: Tenths = 2 * SECOND;
-/// A report older than this says less of a machine than the average does.
-const REPORT_STALE: Tenths = 12 * SECOND;
+/// In this time a report loses half its weight against what is expected of the machine without it.
+const REPORT_HALF: f64 = 4.0 * SECOND as f64;
+/// How long the view over all machines serves before it is taken anew.
+const VIEW: Tenths = SECOND / 20;
+/// So many open machines of a service's order are scanned first, so that they hold its program.
+const SCAN: usize = 4;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
 const KEPT: usize = 10;
 /// Weight that a learnt mean keeps with each new value.
@@ -62,6 +66,9 @@
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 
+/// Weight in the average of what we guess from our own, against one of a fresh report.
+const FAINT: f64 = 0.1;
+
 pub struct Scheduler {
     cluster: Cluster,
     rng: Pcg64Mcg,
@@ -78,6 +85,7 @@
     /// A large allocation that fits nowhere, though the room that it needs may be there in pieces.
     starved: Option<Allocation>,
     look_at: Tenths,
+    view: View,
     /// When an ask last found no machine to bear it.
     crowded: Option<(Tenths, TrackId, Option<AccountId>, Amount)>,
 }
@@ -97,6 +105,7 @@
             ask_at: None,
             starved: None,
             look_at: now,
+            view: View::default(),
             crowded: None,
         }
     }
@@ -135,9 +144,12 @@
         let mine = |id: &&MachineId| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id);
         let promised = scan.iter().find(mine).copied();
         let chosen = promised.or_else(|| {
-            let seen = (self.average_use(), self.open_machines(now, FILL));
+            self.look(now);
+            scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
             let mut weighed: Vec<Weighed> =
-                scan.into_iter().map(|id| self.weigh(now, id, allocation, &seen)).collect();
+                scan.into_iter().map(|id| self.weigh(now, id, allocation)).collect();
+            let first = weighed.iter_mut().filter(|w| w.rank == 1).take(SCAN);
+            first.for_each(|w| w.rank = 0);
             let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
             weighed.iter_mut().for_each(|w| w.bears &= !beyond);
@@ -217,7 +229,7 @@
         if self.cluster.may_probe {
             for (&id, machine) in &mut self.machines {
                 let heard = machine.base.map_or(0, |(at, _)| at).max(machine.probed);
-                if machine.serving() && heard + UNHEARD <= now {
+                if machine.serving() && heard + UNHEARD * self.cluster.schedulers as Tenths <= now {
                     machine.probed = now;
                     wait.probes.push(id);
                 }
@@ -249,26 +261,27 @@
     }
 
     /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we, and
-    /// off machines beyond need, which a few long-lived allocations would hold for long.
+    /// off machines beyond need, which a few long-lived allocations would hold for long. All schedulers see the
+    /// same machine: each of ours goes with the chance that as many as must go do so in all.
     fn moves(&mut self, now: Tenths) -> Vec<AllocationId> {
+        self.look(now);
         let mut moves = self.make_room(now);
         let open = self.open_machines(now, FILL * CALM);
-        let load = |id: &MachineId| Some(self.present_use(now, &self.machines[id]).share_of(self.size(*id)?));
+        let load = |id: &MachineId| Some(self.present_use(now, *id).share_of(self.size(*id)?));
         let spare = open.iter().filter_map(load).any(|load| load < SPARE);
         for (&id, machine) in &self.machines {
             let Some(size) = self.size(id).filter(|_| spare && moves.len() < 4) else { continue };
-            let over = self.present_use(now, machine).memory - size.memory * OVER;
-            let mut over = over / self.cluster.schedulers as f64;
+            let used = self.present_use(now, id).memory;
+            let part = (used - size.memory * OVER) / used;
             let movable = self.movable(machine);
             // Worth its price only where all of ours can go, and where the need is well below the rest.
             let leave = self.cluster.machine_price > 0.0
                 && !open.contains(&id)
                 && machine.promised.is_none()
                 && movable.len() == machine.guests.len();
-            for (guest, asks) in movable.into_iter().take(4) {
-                if over > 0.0 || leave {
+            for (guest, _) in movable.into_iter().take(4) {
+                if leave || (part > 0.0 && self.rng.random::<f64>() < part) {
                     moves.push(guest);
-                    over -= asks.memory * self.usual_use().memory;
                 }
             }
         }
@@ -288,8 +301,8 @@
             let Some(size) = self.size(id).filter(|_| machine.serving() && machine.shunned <= now) else {
                 continue;
             };
-            let mut asked = self.asked(now, machine) + starved.asks;
-            let mut used = self.present_use(now, machine) + starved.asks * self.usual_use();
+            let mut asked = self.asked(now, id) + starved.asks;
+            let mut used = self.present_use(now, id) + starved.asks * self.usual_use();
             let mut cleared = Vec::new();
             for (guest, asks) in self.movable(machine) {
                 if asked.within(size * self.cluster.accepts) && used.within(size * LIMIT) {
@@ -437,14 +450,15 @@
         }
         let room = match machine.promised.filter(|&(until, _)| until > now) {
             Some((_, to)) => to == allocation.id && !machine.guests.values().any(|guest| guest.moved),
-            None => !self.cluster.shows_room || self.fits(now, machine, size, allocation.asks),
+            None => !self.cluster.shows_room || self.fits(now, id, size, allocation.asks),
         };
-        room && self.cold_bears(now, machine, entry) && self.spread_holds(id, allocation)
+        room && self.cold_bears(now, id, entry) && self.spread_holds(id, allocation)
     }
 
     /// A just started machine falls over under too many offers. Those of other schedulers are not known, so
-    /// each keeps to its part of what is always borne, in any window.
-    fn cold_bears(&self, now: Tenths, machine: &Machine, entry: Entry) -> bool {
+    /// each keeps to its part of what is always borne, in any window. What is left over after whole parts goes
+    /// to as many schedulers, by the machine's id, so that the sum is borne however many there are.
+    fn cold_bears(&self, now: Tenths, id: MachineId, entry: Entry) -> bool {
         let cold = &self.cluster.cold;
         let Some(started) = entry.started else { return true };
         if now > started + cold.lasts + MARGIN {
@@ -454,34 +468,38 @@
         if now < self.born + cold.window && started < self.born {
             return false;
         }
-        let part = (cold.offers / self.cluster.schedulers.max(1) as f64) as usize;
-        let recent = machine.offers.iter().filter(|&&at| at + cold.window + MARGIN >= now).count();
+        let (offers, schedulers) = (cold.offers as usize, self.cluster.schedulers.max(1));
+        let place = (mix(u64::from(id.0)) as usize % schedulers + self.cluster.number) % schedulers;
+        let part = offers / schedulers + usize::from(place < offers % schedulers);
+        let recent = self.machines[&id].offers.iter().filter(|&&at| at + cold.window + MARGIN >= now).count();
         recent < part
     }
 
+    /// Where a machine stands in the order of a service, the same at every scheduler: larger ones earlier in
+    /// proportion, and hardly changed when a machine comes or goes.
+    fn turn(&self, service: ServiceId, id: MachineId) -> u64 {
+        let chance = (mix(service.0 ^ mix(u64::from(id.0))) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        (-chance.ln() / self.size(id).map_or(1.0, |size| size.cores) * 1e12) as u64
+    }
+
     /// What all schedulers' allocations on a machine ask for. The listed room is late: what was sent since
     /// counts on top. Where no room is listed, others' asks are guessed from what they use.
-    fn asked(&self, now: Tenths, machine: &Machine) -> Amount {
-        let present = self.learnt.present.or_one();
-        let (lag, since) =
-            machine.listed.map_or((REPORT_LAG, 0), |_| (LIST_LAG, now.saturating_sub(LIST_LAG)));
-        let own: Amount =
-            machine.guests.values().filter(|guest| guest.sent >= since).map(|guest| guest.asks).sum();
-        // Where nothing was ever told, as at start, the others are taken to have asked for as much as we did.
-        let told = machine.listed.or(machine.base.map(|(_, base)| base / present));
-        told.map_or(own * (self.cluster.schedulers as f64), |told| {
-            told + own + self.unseen(now, machine, lag)
-        })
+    fn asked(&self, now: Tenths, id: MachineId) -> Amount {
+        let machine = &self.machines[&id];
+        let since = machine.listed.map_or(0, |_| now.saturating_sub(LIST_LAG));
+        let own = machine.guests.values().filter(|guest| guest.sent >= since).map(|guest| guest.asks);
+        let others = || self.others(now, id) / self.learnt.present.or_one();
+        machine.listed.unwrap_or_else(others) + own.sum() + self.unseen(id)
     }
 
-    /// What the other schedulers sent there that no report or list holds yet: as much as we did, each.
-    fn unseen(&self, now: Tenths, machine: &Machine, lag: Tenths) -> Amount {
-        let young = machine.guests.values().filter(|guest| guest.sent + lag > now);
-        young.map(|guest| guest.asks).sum::<Amount>() * self.cluster.schedulers.saturating_sub(1) as f64
+    /// What the other schedulers sent there that no report or list holds yet: as much as we did, each, spread
+    /// over all machines as they are large.
+    fn unseen(&self, id: MachineId) -> Amount {
+        self.size(id).unwrap_or_default() * self.view.unseen
     }
 
-    fn fits(&self, now: Tenths, machine: &Machine, size: Amount, asks: Amount) -> bool {
-        (self.asked(now, machine) + asks).within(size * self.cluster.accepts)
+    fn fits(&self, now: Tenths, id: MachineId, size: Amount, asks: Amount) -> bool {
+        (self.asked(now, id) + asks).within(size * self.cluster.accepts)
     }
 
     fn spread_holds(&self, id: MachineId, allocation: &Allocation) -> bool {
@@ -511,31 +529,64 @@
         guest.present.unwrap_or(guest.asks * self.usual_use())
     }
 
-    /// Present use of a machine; only our own part of it where nothing lately told of the rest.
-    fn present_use(&self, now: Tenths, machine: &Machine) -> Amount {
-        let own: Amount = machine.guests.values().map(|guest| self.use_of(guest)).sum();
-        machine.told(now, REPORT_STALE).unwrap_or_default()
-            + own
-            + self.unseen(now, machine, REPORT_LAG) * self.usual_use()
+    /// Present use of a machine by others: what it last reported, more and more what the list leads to expect or,
+    /// where that tells no room, the average. With many schedulers each hears of a machine only now and then.
+    fn others(&self, now: Tenths, id: MachineId) -> Amount {
+        let machine = &self.machines[&id];
+        let size = self.size(id).unwrap_or_default();
+        let old = machine.guests.values().filter(|guest| guest.sent + LIST_LAG <= now);
+        let listed = machine.listed.filter(|_| self.learnt.present.cores.or(0.0) > 0.0);
+        let expected = listed.map_or(self.view.average * size, |asked| {
+            let others = asked - old.map(|guest| guest.asks).sum();
+            others.most(Amount::default()) * self.learnt.present.or_one()
+        });
+        machine.base.map_or(expected, |(at, base)| expected + (base - expected) * weight(now - at))
+    }
+
+    fn present_use(&self, now: Tenths, id: MachineId) -> Amount {
+        let own: Amount = self.machines[&id].guests.values().map(|guest| self.use_of(guest)).sum();
+        self.others(now, id) + own + self.unseen(id) * self.usual_use()
     }
 
-    /// Mean use by others as a share of size, over the machines that reported.
-    fn average_use(&self) -> Amount {
-        let share = |(&id, machine): (&MachineId, &Machine)| Some(machine.base?.1 / self.size(id)?);
-        let shares: Vec<Amount> = self.machines.iter().filter_map(share).collect();
-        shares.iter().copied().sum::<Amount>() * (1.0 / shares.len().max(1) as f64)
+    /// The view over all machines, taken anew when it is old: mean use by others as a share of size, what others
+    /// are taken to have sent lately, and the machines that are open.
+    fn look(&mut self, now: Tenths) {
+        if self.view.taken.is_some_and(|taken| taken + VIEW > now) {
+            return;
+        }
+        let (mut all, mut own, mut young) = (Amount::default(), Amount::default(), Amount::default());
+        let (mut reported, mut weights) = (Amount::default(), 0.0);
+        for (&id, machine) in &self.machines {
+            let Some(size) = self.size(id).filter(|_| machine.serving()) else { continue };
+            all = all + size;
+            for guest in machine.guests.values() {
+                own = own + self.use_of(guest);
+                young = young + if guest.sent + REPORT_LAG > now { guest.asks } else { Amount::default() };
+            }
+            if let Some((at, base)) = machine.base {
+                (reported, weights) = (reported + base / size * weight(now - at), weights + weight(now - at));
+            }
+        }
+        let others = self.cluster.schedulers.saturating_sub(1) as f64;
+        let all = all.most(Amount::ONE);
+        // Where hardly anything was told, as at start, each of the others is taken to use as much as we do.
+        let guess = own / all * others;
+        self.view.average = (reported + guess * FAINT) * (1.0 / (weights + FAINT));
+        self.view.unseen = young / all * others;
+        self.view.taken = Some(now);
+        self.view.open = self.open_machines(now, FILL);
     }
 
     /// The machines not held back: as many as present need fills, those in use first, then by id, an order
     /// that all schedulers share without speaking.
-    fn open_machines(&self, now: Tenths, fill: f64) -> Vec<MachineId> {
+    fn open_machines(&self, now: Tenths, fill: f64) -> BTreeSet<MachineId> {
         let mut order = Vec::new();
         let (mut need, mut asked) = (Amount::default(), Amount::default());
         for (&id, machine) in &self.machines {
             let Some(size) = self.size(id) else { continue };
-            let used = self.present_use(now, machine);
+            let used = self.present_use(now, id);
             need = need + used;
-            asked = asked + self.asked(now, machine);
+            asked = asked + self.asked(now, id);
             if machine.serving() && machine.shunned <= now {
                 let idle = machine.guests.is_empty() && used.share_of(size) < IDLE;
                 order.push((idle, id, size));
@@ -560,19 +611,11 @@
     }
 
     /// W Max with the allocation's expected start use, before any draw.
-    fn weigh(
-        &self,
-        now: Tenths,
-        id: MachineId,
-        new: &Allocation,
-        seen: &(Amount, Vec<MachineId>),
-    ) -> Weighed {
-        let (average, open) = (seen.0, &seen.1);
+    fn weigh(&self, now: Tenths, id: MachineId, new: &Allocation) -> Weighed {
         let size = self.size(id).unwrap_or_default();
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let told = machine.told(now, REPORT_STALE).unwrap_or(average * size);
-        let base = told + self.unseen(now, machine, REPORT_LAG) * self.usual_use();
+        let base = self.others(now, id) + self.unseen(id) * self.usual_use();
         // A start takes far more where the machine must load the program first: as many cores as get it done
         // within the contract time.
         let start = |has: bool, track: &Track| Amount {
@@ -597,9 +640,9 @@
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match open.contains(&id) && !queues && self.fits(now, machine, size, new.asks) {
-                true => u8::from(!near && self.cluster.other_hall_price > 0.0),
-                false => 2,
+            rank: match self.view.open.contains(&id) && !queues && self.fits(now, id, size, new.asks) {
+                true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
+                false => 3,
             },
         }
     }
@@ -719,3 +762,16 @@
         }
     }
 }
+
+/// What is left of a report's weight at this age.
+fn weight(age: Tenths) -> f64 {
+    (-(age as f64) / REPORT_HALF).exp2()
+}
+
+/// Scatters an id, alike at every scheduler (the last steps of splitmix64).
+fn mix(id: u64) -> u64 {
+    let id = id.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let id = (id ^ (id >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let id = (id ^ (id >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    id ^ (id >> 31)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the decisions keep in mind: plain state, by which `rules` alone decides.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What an ended allocation of a service came to use, by asked unit, and how long it ran.
 #[derive(Clone, Copy)]
@@ -74,11 +74,6 @@
         self.entry.is_some_and(|entry| entry.state == State::Serving)
     }
 
-    /// Use by others, if told within so long.
-    pub fn told(&self, now: Tenths, within: Tenths) -> Option<Amount> {
-        self.base.filter(|&(at, _)| at + within > now).map(|(_, base)| base)
-    }
-
     /// Notes a program as the last one kept, of so many at the most.
     pub fn keep(&mut self, service: ServiceId, most: usize) {
         self.kept.retain(|&other| other != service);
@@ -138,6 +133,18 @@
     pub ask: Mean,
 }
 
+/// What holds over all machines.
+#[derive(Default)]
+pub struct View {
+    pub taken: Option<Tenths>,
+    /// Use by others as a share of size, in the mean.
+    pub average: Amount,
+    /// What others asked for lately and nothing tells yet, as a share of size.
+    pub unseen: Amount,
+    /// The machines not held back.
+    pub open: BTreeSet<MachineId>,
+}
+
 /// A machine weighed for one allocation.
 pub struct Weighed {
     pub machine: MachineId,
