--- a/src/rules.rs
+++ b/src/rules.rs
@@ -148,7 +148,7 @@
             scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
             let mut weighed: Vec<Weighed> =
                 scan.into_iter().map(|id| self.weigh(now, id, allocation)).collect();
-            let first = weighed.iter_mut().filter(|w| w.rank == 1).take(SCAN);
+            let first = weighed.iter_mut().filter(|w| w.rank <= 2).take(SCAN);
             first.for_each(|w| w.rank = 0);
             let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
