--- a/src/rules.rs
+++ b/src/rules.rs
@@ -148,7 +148,9 @@
             scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
             let mut weighed: Vec<Weighed> =
                 scan.into_iter().map(|id| self.weigh(now, id, allocation)).collect();
-            let first = weighed.iter_mut().filter(|w| w.rank <= 2).take(SCAN);
+            let known = weighed.iter().filter(|w| self.machines[&w.machine].has_program(allocation.service));
+            let unknown = SCAN.saturating_sub(known.count());
+            let first = weighed.iter_mut().filter(|w| w.rank <= 2).take(if unknown > 0 { SCAN } else { 0 });
             first.for_each(|w| w.rank = 0);
             let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
