--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,7 +31,7 @@
 /// Likewise for the room that the list tells.
 const LIST_LAG: Tenths = 2 * SECOND;
 /// In this time a report loses half its weight against what is expected of the machine without it.
-const REPORT_HALF: f64 = 4.0 * SECOND as f64;
+const REPORT_HALF: f64 = 16.0 * SECOND as f64;
 /// How long the view over all machines serves before it is taken anew.
 const VIEW: Tenths = SECOND / 20;
 /// So many open machines of a service's order are scanned first, so that they hold its program.
@@ -148,9 +148,7 @@
             scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
             let mut weighed: Vec<Weighed> =
                 scan.into_iter().map(|id| self.weigh(now, id, allocation)).collect();
-            let known = weighed.iter().filter(|w| self.machines[&w.machine].has_program(allocation.service));
-            let unknown = SCAN.saturating_sub(known.count());
-            let first = weighed.iter_mut().filter(|w| w.rank <= 2).take(if unknown > 0 { SCAN } else { 0 });
+            let first = weighed.iter_mut().filter(|w| w.rank <= 2).take(SCAN);
             first.for_each(|w| w.rank = 0);
             let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
