--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,7 +31,7 @@
 /// Likewise for the room that the list tells.
 const LIST_LAG: Tenths = 2 * SECOND;
 /// In this time a report loses half its weight against what is expected of the machine without it.
-const REPORT_HALF: f64 = 16.0 * SECOND as f64;
+const REPORT_HALF: f64 = 4.0 * SECOND as f64;
 /// How long the view over all machines serves before it is taken anew.
 const VIEW: Tenths = SECOND / 20;
 /// So many open machines of a service's order are scanned first, so that they hold its program.
@@ -63,6 +63,8 @@
 const REFUSED: Tenths = 2 * SECOND;
 /// Silence of a machine after which it is probed, where that is allowed.
 const UNHEARD: Tenths = 2 * SECOND;
+/// So many for each allocation taken.
+const PROBES: f64 = 1.0;
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 
@@ -86,6 +88,8 @@
     starved: Option<Allocation>,
     look_at: Tenths,
     view: View,
+    /// Probes that may be sent: what they cost, in price and in the machines' time, stays in step with what is placed.
+    probes: f64,
     /// When an ask last found no machine to bear it.
     crowded: Option<(Tenths, TrackId, Option<AccountId>, Amount)>,
 }
@@ -106,6 +110,7 @@
             starved: None,
             look_at: now,
             view: View::default(),
+            probes: 0.0,
             crowded: None,
         }
     }
@@ -117,6 +122,7 @@
         }
         if allocation.shots.is_empty() && allocation.taken == now {
             self.learnt.ask.add(allocation.asks.cores, KEEP);
+            self.probes = (self.probes + PROBES).min(self.machines.len() as f64);
         }
         let bound = allocation.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
         let mut scan: Vec<MachineId> = self.machines.keys().copied().collect();
@@ -227,12 +233,14 @@
         };
         (wait.watch_list, wait.ask_again) = (due(&mut self.watch_at), due(&mut self.ask_at));
         if self.cluster.may_probe {
-            for (&id, machine) in &mut self.machines {
-                let heard = machine.base.map_or(0, |(at, _)| at).max(machine.probed);
-                if machine.serving() && heard + UNHEARD * self.cluster.schedulers as Tenths <= now {
-                    machine.probed = now;
-                    wait.probes.push(id);
-                }
+            let heard = |machine: &Machine| machine.base.map_or(0, |(at, _)| at).max(machine.probed);
+            let mut unheard: Vec<_> = self.machines.iter_mut().filter(|(_, m)| m.serving()).collect();
+            unheard.retain(|(_, machine)| heard(machine) + UNHEARD <= now);
+            unheard.sort_by_key(|(_, machine)| heard(machine));
+            for (&id, machine) in unheard.into_iter().take(self.probes as usize) {
+                machine.probed = now;
+                self.probes -= 1.0;
+                wait.probes.push(id);
             }
         }
         if self.look_at <= now {
