--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,7 +65,7 @@
 const UNHEARD: Tenths = 2 * SECOND;
 /// A machine that serves one of ours at less than this serves poorly; each look moves so many of ours away.
 const POOR: f64 = 0.4;
-const RESCUE: f64 = 0.15;
+const RESCUE: f64 = 0.0;
 /// So many for each allocation taken.
 const PROBES: f64 = 1.0;
 /// Between two looks at an allocation that no machine could take.
