--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,6 +63,9 @@
 const REFUSED: Tenths = 2 * SECOND;
 /// Silence of a machine after which it is probed, where that is allowed.
 const UNHEARD: Tenths = 2 * SECOND;
+/// A machine that serves one of ours at less than this serves poorly; each look moves so many of ours away.
+const POOR: f64 = 0.15;
+const RESCUE: f64 = 0.15;
 /// So many for each allocation taken.
 const PROBES: f64 = 1.0;
 /// Between two looks at an allocation that no machine could take.
@@ -287,6 +290,7 @@
                 && !open.contains(&id)
                 && machine.promised.is_none()
                 && movable.len() == machine.guests.len();
+            let part = if machine.serves_poorly(now, POOR) { part.max(RESCUE) } else { part };
             for (guest, _) in movable.into_iter().take(4) {
                 if leave || (part > 0.0 && self.rng.random::<f64>() < part) {
                     moves.push(guest);
@@ -375,8 +379,13 @@
 
     pub fn noted(&mut self, now: Tenths, id: AllocationId, note: Note) {
         let usual = self.usual_use();
-        let machine = self.at.get(&id).and_then(|machine| self.machines.get_mut(machine));
-        let Some(guest) = machine.and_then(|machine| machine.guests.get_mut(&id)) else { return };
+        let Some(machine) = self.at.get(&id).and_then(|machine| self.machines.get_mut(machine)) else {
+            return;
+        };
+        if let Note::Served(share) = note {
+            machine.served = Some((now, share));
+        }
+        let Some(guest) = machine.guests.get_mut(&id) else { return };
         let expected = guest.asks * usual;
         match note {
             Note::Runs if !guest.runs => {
@@ -595,7 +604,7 @@
             let used = self.present_use(now, id);
             need = need + used;
             asked = asked + self.asked(now, id);
-            if machine.serving() && machine.shunned <= now {
+            if machine.serving() && machine.shunned <= now && !machine.serves_poorly(now, POOR) {
                 let idle = machine.guests.is_empty() && used.share_of(size) < IDLE;
                 order.push((idle, id, size));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,8 @@
     /// Kept free until then for an allocation that fits nowhere.
     pub promised: Option<(Tenths, AllocationId)>,
     pub probed: Tenths,
+    /// When and how well the worst served of ours there was last said to be served.
+    pub served: Option<(Tenths, f64)>,
 }
 
 impl Machine {
@@ -74,6 +76,10 @@
         self.entry.is_some_and(|entry| entry.state == State::Serving)
     }
 
+    pub fn serves_poorly(&self, now: Tenths, under: f64) -> bool {
+        self.served.is_some_and(|(at, share)| share < under && at + 20_000 > now)
+    }
+
     /// Notes a program as the last one kept, of so many at the most.
     pub fn keep(&mut self, service: ServiceId, most: usize) {
         self.kept.retain(|&other| other != service);
