--- a/src/state.rs
+++ b/src/state.rs
@@ -67,8 +67,9 @@
     /// Kept free until then for an allocation that fits nowhere.
     pub promised: Option<(Tenths, AllocationId)>,
     pub probed: Tenths,
-    /// When and how well the worst served of ours there was last said to be served.
-    pub served: Option<(Tenths, f64)>,
+    /// Whether a probe is under way, and whether the last took far longer than usual.
+    pub awaited: bool,
+    pub slow: bool,
 }
 
 impl Machine {
@@ -76,8 +77,9 @@
         self.entry.is_some_and(|entry| entry.state == State::Serving)
     }
 
-    pub fn serves_poorly(&self, now: Tenths, under: f64) -> bool {
-        self.served.is_some_and(|(at, share)| share < under && at + 20_000 > now)
+    /// When it last told of itself, or was asked to.
+    pub fn heard(&self) -> Tenths {
+        self.base.map_or(0, |(at, _)| at).max(self.probed)
     }
 
     /// Notes a program as the last one kept, of so many at the most.
@@ -135,6 +137,8 @@
     pub start_time: [Mean; 2],
     /// Time from offer to the placed answer.
     pub answer_time: Mean,
+    /// Time from probe to answer.
+    pub probe_time: Mean,
     /// Cores asked by the allocations taken.
     pub ask: Mean,
 }
