--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,11 +64,7 @@
 /// Silence of a machine after which it is probed, where that is allowed.
 const UNHEARD: Tenths = 2 * SECOND;
 /// So many for each allocation taken.
-const PROBES: f64 = 2.0;
-/// Kept back for those asked before a place is taken.
-const SPARED: f64 = 4.0;
-/// So many times the usual probe time tells a slow machine.
-const SLOW: f64 = 4.0;
+const PROBES: f64 = 1.0;
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 
@@ -92,7 +88,6 @@
     starved: Option<Allocation>,
     look_at: Tenths,
     view: View,
-    to_probe: Vec<MachineId>,
     /// Probes that may be sent: what they cost, in price and in the machines' time, stays in step with what is placed.
     probes: f64,
     /// When an ask last found no machine to bear it.
@@ -115,7 +110,6 @@
             starved: None,
             look_at: now,
             view: View::default(),
-            to_probe: Vec::new(),
             probes: 0.0,
             crowded: None,
         }
@@ -165,11 +159,7 @@
             let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
             weighed.iter_mut().for_each(|w| w.bears &= !beyond);
-            let first: Vec<MachineId> = weighed.iter().filter(|w| w.rank == 0).map(|w| w.machine).collect();
             let chosen = bears.then(|| self.choose(now, weighed, allocation)).flatten();
-            if chosen.is_some_and(|machine| self.ask_first(now, machine, first, allocation)) {
-                return None;
-            }
             if chosen.is_none() {
                 let account = beyond.then_some(allocation.account);
                 self.crowded = Some((now, allocation.track, account, allocation.asks));
@@ -182,31 +172,6 @@
         }
     }
 
-    /// Whether to wait for word from the machines that come first before one is sent there: so long unheard of,
-    /// it may be dead, slow or full by now. Only once, and for a small part of the contract time.
-    fn ask_first(&mut self, now: Tenths, chosen: MachineId, first: Vec<MachineId>, new: &Allocation) -> bool {
-        let patience = self.cluster.tracks[new.track.0].contract_time / 8;
-        if !self.cluster.may_probe || now >= new.taken + patience || !new.shots.is_empty() {
-            return false;
-        }
-        let unheard = |id: &MachineId| self.machines[id].heard() + UNHEARD <= now;
-        if !unheard(&chosen) {
-            return self.machines[&chosen].probed + patience > now && self.machines[&chosen].awaited;
-        }
-        let mut ask: Vec<MachineId> = first.into_iter().filter(|id| *id != chosen && unheard(id)).collect();
-        ask.push(chosen);
-        if (ask.len() as f64) > self.probes {
-            return false;
-        }
-        self.probes -= ask.len() as f64;
-        for id in &ask {
-            let machine = self.machines.entry(*id).or_default();
-            (machine.probed, machine.awaited) = (now, true);
-        }
-        self.to_probe.extend(ask);
-        true
-    }
-
     fn not_yet(&mut self, now: Tenths, allocation: &Allocation) -> Placement {
         let at = (now + ASK_AGAIN).min(allocation.abandon - MARGIN);
         self.ask_at = Some(self.ask_at.map_or(at, |other| other.min(at)));
@@ -268,12 +233,12 @@
         };
         (wait.watch_list, wait.ask_again) = (due(&mut self.watch_at), due(&mut self.ask_at));
         if self.cluster.may_probe {
-            wait.probes = std::mem::take(&mut self.to_probe);
+            let heard = |machine: &Machine| machine.base.map_or(0, |(at, _)| at).max(machine.probed);
             let mut unheard: Vec<_> = self.machines.iter_mut().filter(|(_, m)| m.serving()).collect();
-            unheard.retain(|(_, machine)| machine.heard() + UNHEARD <= now);
-            unheard.sort_by_key(|(_, machine)| machine.heard());
-            for (&id, machine) in unheard.into_iter().take((self.probes - SPARED).max(0.0) as usize) {
-                (machine.probed, machine.awaited) = (now, true);
+            unheard.retain(|(_, machine)| heard(machine) + UNHEARD <= now);
+            unheard.sort_by_key(|(_, machine)| heard(machine));
+            for (&id, machine) in unheard.into_iter().take(self.probes as usize) {
+                machine.probed = now;
                 self.probes -= 1.0;
                 wait.probes.push(id);
             }
@@ -434,18 +399,9 @@
     }
 
     pub fn probed(&mut self, now: Tenths, machine: MachineId, ending: Ending, report: Option<Report>) {
-        let at = self.machines.entry(machine).or_default();
-        at.awaited = false;
-        let took = (now - at.probed) as f64;
         if ending == Ending::Ended {
-            at.silent = 0;
-            at.slow = took > self.learnt.probe_time.or(f64::INFINITY) * SLOW;
-            self.learnt.probe_time.add(took, KEEP);
-        } else {
-            at.shunned = now + ((SECOND / 2) << at.silent.min(5));
+            self.machines.entry(machine).or_default().silent = 0;
         }
-        self.crowded = None;
-        self.ask_at = Some(now);
         self.reported(now, machine, report);
     }
 
@@ -692,11 +648,7 @@
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match self.view.open.contains(&id)
-                && !queues
-                && !machine.slow
-                && self.fits(now, id, size, new.asks)
-            {
+            rank: match self.view.open.contains(&id) && !queues && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => 3,
             },
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,9 +67,6 @@
     /// Kept free until then for an allocation that fits nowhere.
     pub promised: Option<(Tenths, AllocationId)>,
     pub probed: Tenths,
-    /// Whether a probe is under way, and whether the last took far longer than usual.
-    pub awaited: bool,
-    pub slow: bool,
 }
 
 impl Machine {
@@ -77,11 +74,6 @@
         self.entry.is_some_and(|entry| entry.state == State::Serving)
     }
 
-    /// When it last told of itself, or was asked to.
-    pub fn heard(&self) -> Tenths {
-        self.base.map_or(0, |(at, _)| at).max(self.probed)
-    }
-
     /// Notes a program as the last one kept, of so many at the most.
     pub fn keep(&mut self, service: ServiceId, most: usize) {
         self.kept.retain(|&other| other != service);
@@ -137,8 +129,6 @@
     pub start_time: [Mean; 2],
     /// Time from offer to the placed answer.
     pub answer_time: Mean,
-    /// Time from probe to answer.
-    pub probe_time: Mean,
     /// Cores asked by the allocations taken.
     pub ask: Mean,
 }
