--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,7 +23,7 @@
 const LIMIT: f64 = 0.92;
 const FADE: f64 = 0.25;
 /// Load share that present need should fill on the machines not held back.
-const FILL: f64 = 0.8;
+const FILL: f64 = 0.5;
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
 /// From this long after its send an allocation's use is taken to be in a machine's reports.
