--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,7 +23,9 @@
 const LIMIT: f64 = 0.92;
 const FADE: f64 = 0.25;
 /// Load share that present need should fill on the machines not held back.
-const FILL: f64 = 0.5;
+const FILL: f64 = 0.9;
+/// Of the standard error of a count, taken on top of need.
+const DOUBT: f64 = 2.0;
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
 /// From this long after its send an allocation's use is taken to be in a machine's reports.
@@ -601,7 +603,10 @@
             }
         }
         order.sort_by_key(|&(idle, id, _)| (idle, id));
-        need = need.most(asked / self.cluster.accepts);
+        // What one of many schedulers knows of need is chance: the fewer it holds, the more may differ from what
+        // the others see, and a machine that only some hold back costs as much as one that none does.
+        let known = self.at.len() as f64 + 1.0;
+        need = need.most(asked / self.cluster.accepts) * (1.0 + DOUBT / known.sqrt());
         let mut room = Amount::default();
         let enough = order.iter().position(|&(_, _, size)| {
             room = room + size;
