--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,7 +25,7 @@
 /// Load share that present need should fill on the machines not held back.
 const FILL: f64 = 0.9;
 /// Of the standard error of a count, taken on top of need.
-const DOUBT: f64 = 2.0;
+const DOUBT: f64 = 3.0;
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
 /// From this long after its send an allocation's use is taken to be in a machine's reports.
