--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 /// Likewise for the room that the list tells.
 const LIST_LAG: Tenths = 2 * SECOND;
 /// In this time a report loses half its weight against what is expected of the machine without it.
-const REPORT_HALF: f64 = 4.0 * SECOND as f64;
+const REPORT_HALF: f64 = 16.0 * SECOND as f64;
 /// How long the view over all machines serves before it is taken anew.
 const VIEW: Tenths = SECOND / 20;
 /// So many open machines of a service's order are scanned first, so that they hold its program.
