--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,8 @@
 /// are evicted. Cores may pass the calm share by some: crowded ones serve worse, but serve.
 const LIMIT: f64 = 0.92;
 const FADE: f64 = 0.25;
+/// Part of others' use that yields to a track of more than the lowest priority.
+const YIELDS: f64 = 0.5;
 /// Load share that present need should fill on the machines not held back.
 const FILL: f64 = 0.9;
 /// Of the standard error of a count, taken on top of need.
@@ -33,7 +35,7 @@
 /// Likewise for the room that the list tells.
 const LIST_LAG: Tenths = 2 * SECOND;
 /// In this time a report loses half its weight against what is expected of the machine without it.
-const REPORT_HALF: f64 = 16.0 * SECOND as f64;
+const REPORT_HALF: f64 = 4.0 * SECOND as f64;
 /// How long the view over all machines serves before it is taken anew.
 const VIEW: Tenths = SECOND / 20;
 /// So many open machines of a service's order are scanned first, so that they hold its program.
@@ -642,6 +644,9 @@
         });
         let load =
             base + own.sum() + new.asks * self.usual_use() + start(machine.has_program(new.service), track);
+        // What a machine is short of it takes from the lowest priority first.
+        let above = self.cluster.tracks.iter().any(|other| other.priority < track.priority);
+        let yields = if above { YIELDS } else { 0.0 };
         // A machine starts few at a time: behind ours that wait there the contract time would pass. Then all
         // machines share the starts, held back or not.
         let starting = machine.guests.values().filter(|guest| !guest.runs).count() as f64;
@@ -652,7 +657,7 @@
             base,
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
-            bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
+            bears: (load - base * yields).within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
             rank: match self.view.open.contains(&id) && !queues && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => 3,
