--- a/src/interface.rs
+++ b/src/interface.rs
@@ -141,16 +141,12 @@
     pub placed_runs: bool,
     /// The list tells the room that nobody has asked for.
     pub shows_room: bool,
-    /// Reports tell what is not in use, rather than what is not asked for.
-    pub reports_use: bool,
     pub may_probe: bool,
     /// Whether the list must be asked for, and how long it may go unasked.
     pub ask_list: Option<Tenths>,
     pub cold: Cold,
     /// Part of the result that running in another hall costs.
     pub other_hall_price: f64,
-    /// Part of the result that machines held beyond need cost.
-    pub machine_price: f64,
 }
 
 /// What one shot has come to. Only some of it proves that the allocation never ran.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 //! The caller keeps the allocations in hand and the timers, and decides nothing.
 
 use crate::interface::*;
-use crate::state::{Guest, Learnt, Machine, Record, View, Weighed};
+use crate::state::{Guest, Learnt, Machine, Record, View, Weighed, mix};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -22,18 +22,14 @@
 /// are evicted. Cores may pass the calm share by some: crowded ones serve worse, but serve.
 const LIMIT: f64 = 0.92;
 const FADE: f64 = 0.25;
-/// Part of others' use that yields to a track of more than the lowest priority.
-const YIELDS: f64 = 0.5;
 /// Load share that present need should fill on the machines not held back.
 const FILL: f64 = 0.9;
 /// Of the standard error of a count, taken on top of need.
 const DOUBT: f64 = 3.0;
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
-/// From this long after its send an allocation's use is taken to be in a machine's reports.
-const REPORT_LAG: Tenths = SECOND * 3 / 2;
-/// Likewise for the room that the list tells.
-const LIST_LAG: Tenths = 2 * SECOND;
+/// From this long after its send an allocation is taken to be in reports and in the room that the list tells.
+const LAG: Tenths = 2 * SECOND;
 /// In this time a report loses half its weight against what is expected of the machine without it.
 const REPORT_HALF: f64 = 4.0 * SECOND as f64;
 /// How long the view over all machines serves before it is taken anew.
@@ -44,8 +40,6 @@
 const KEPT: usize = 10;
 /// Weight that a learnt mean keeps with each new value.
 const KEEP: f64 = 0.95;
-/// A machine of which less is in use, and nothing by us, counts as empty.
-const IDLE: f64 = 0.1;
 /// Between two looks for allocations to move.
 const LOOK: Tenths = SECOND / 4;
 /// So many times the usual ask is large.
@@ -57,21 +51,17 @@
 /// Share of memory past which some are moved away, if a machine under the second share could take them.
 const OVER: f64 = 0.95;
 const SPARE: f64 = 0.8;
-/// Part of the usual fill at which a machine must still be beyond need to be cleared.
-const CALM: f64 = 0.85;
 /// So many times the usual answer time without one is silence.
 const PATIENCE: f64 = 8.0;
 /// Left before the abandon time, so that the answer itself is not late.
 const MARGIN: Tenths = 40;
 /// How long a machine that refused is not offered as much again.
 const REFUSED: Tenths = 2 * SECOND;
-/// Silence of a machine after which it is probed, where that is allowed.
+/// Silence of a machine after which it is probed, where that is allowed; and probes for each allocation taken.
 const UNHEARD: Tenths = 2 * SECOND;
-/// So many for each allocation taken.
 const PROBES: f64 = 1.0;
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
-
 /// Weight in the average of what we guess from our own, against one of a fresh report.
 const FAINT: f64 = 0.1;
 
@@ -179,7 +169,7 @@
     fn not_yet(&mut self, now: Tenths, allocation: &Allocation) -> Placement {
         let at = (now + ASK_AGAIN).min(allocation.abandon - MARGIN);
         self.ask_at = Some(self.ask_at.map_or(at, |other| other.min(at)));
-        if self.large(allocation)
+        if self.large(allocation.asks)
             && !self.machines.values().any(|machine| machine.promised.is_some_and(|(until, _)| until > now))
         {
             self.starved = Some(allocation.clone());
@@ -238,14 +228,14 @@
         (wait.watch_list, wait.ask_again) = (due(&mut self.watch_at), due(&mut self.ask_at));
         if self.cluster.may_probe {
             let heard = |machine: &Machine| machine.base.map_or(0, |(at, _)| at).max(machine.probed);
-            let mut unheard: Vec<_> = self.machines.iter_mut().filter(|(_, m)| m.serving()).collect();
-            unheard.retain(|(_, machine)| heard(machine) + UNHEARD <= now);
-            unheard.sort_by_key(|(_, machine)| heard(machine));
-            for (&id, machine) in unheard.into_iter().take(self.probes as usize) {
-                machine.probed = now;
-                self.probes -= 1.0;
-                wait.probes.push(id);
-            }
+            let unheard = |machine: &Machine| machine.serving() && heard(machine) + UNHEARD <= now;
+            let mut probes: Vec<_> =
+                self.machines.iter_mut().filter(|(_, machine)| unheard(machine)).collect();
+            probes.sort_by_key(|(_, machine)| heard(machine));
+            probes.truncate(self.probes as usize);
+            self.probes -= probes.len() as f64;
+            probes.iter_mut().for_each(|(_, machine)| machine.probed = now);
+            wait.probes = probes.into_iter().map(|(&id, _)| id).collect();
         }
         if self.look_at <= now {
             self.look_at = now + LOOK;
@@ -256,45 +246,35 @@
     }
 
     /// Far larger than the usual, so that room for it comes in pieces.
-    fn large(&self, allocation: &Allocation) -> bool {
-        allocation.asks.cores > LARGE * self.learnt.ask.or(f64::INFINITY)
+    fn large(&self, asks: Amount) -> bool {
+        asks.cores > LARGE * self.learnt.ask.or(f64::INFINITY)
     }
 
     /// Ours there that may be moved, low priorities first: such as run, are not large and may start again.
-    fn movable(&self, machine: &Machine) -> Vec<(AllocationId, Amount)> {
+    fn movable(&self, machine: &Machine) -> Vec<AllocationId> {
         let track = |guest: &Guest| &self.cluster.tracks[guest.track.0];
         let may = |guest: &Guest| {
-            let small = guest.asks.cores <= LARGE * self.learnt.ask.or(0.0);
-            guest.placed && guest.runs && !guest.moved && small && track(guest).repeat != Repeat::Unrepeatable
+            let again = track(guest).repeat != Repeat::Unrepeatable;
+            guest.placed && guest.runs && !guest.moved && again && !self.large(guest.asks)
         };
         let mut guests: Vec<_> = machine.guests.iter().filter(|(_, guest)| may(guest)).collect();
         guests.sort_by_key(|(_, guest)| track(guest).priority);
-        guests.into_iter().map(|(&id, guest)| (id, guest.asks)).collect()
+        guests.into_iter().map(|(&id, _)| id).collect()
     }
 
-    /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we, and
-    /// off machines beyond need, which a few long-lived allocations would hold for long. All schedulers see the
-    /// same machine: each of ours goes with the chance that as many as must go do so in all.
+    /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we. All
+    /// schedulers see the same machine: each of ours goes by the chance that makes as many as must go in all.
     fn moves(&mut self, now: Tenths) -> Vec<AllocationId> {
         self.look(now);
         let mut moves = self.make_room(now);
-        let open = self.open_machines(now, FILL * CALM);
         let load = |id: &MachineId| Some(self.present_use(now, *id).share_of(self.size(*id)?));
-        let spare = open.iter().filter_map(load).any(|load| load < SPARE);
-        for (&id, machine) in &self.machines {
-            let Some(size) = self.size(id).filter(|_| spare && moves.len() < 4) else { continue };
-            let used = self.present_use(now, id).memory;
-            let part = (used - size.memory * OVER) / used;
-            let movable = self.movable(machine);
-            // Worth its price only where all of ours can go, and where the need is well below the rest.
-            let leave = self.cluster.machine_price > 9.0
-                && !open.contains(&id)
-                && machine.promised.is_none()
-                && movable.len() == machine.guests.len();
-            for (guest, _) in movable.into_iter().take(4) {
-                if leave || (part > 0.0 && self.rng.random::<f64>() < part) {
-                    moves.push(guest);
-                }
+        let spare = self.view.open.iter().filter_map(load).any(|load| load < SPARE);
+        for (&id, machine) in self.machines.iter().filter(|_| spare) {
+            let (used, size) = (self.present_use(now, id).memory, self.size(id).unwrap_or_default().memory);
+            let part = 1.0 - size * OVER / used;
+            if used > 0.0 && part > 0.0 && moves.len() < 4 {
+                let movable = self.movable(machine).into_iter();
+                moves.extend(movable.filter(|_| self.rng.random::<f64>() < part));
             }
         }
         for id in &moves {
@@ -314,17 +294,19 @@
                 continue;
             };
             let mut asked = self.asked(now, id) + starved.asks;
-            let mut used = self.present_use(now, id) + starved.asks * self.usual_use();
-            let mut cleared = Vec::new();
-            for (guest, asks) in self.movable(machine) {
-                if asked.within(size * self.cluster.accepts) && used.within(size * LIMIT) {
-                    break;
-                }
-                (asked, used) = (asked - asks, used - self.use_of(&machine.guests[&guest]));
-                cleared.push(guest);
+            let mut used = self.present_use(now, id) + starved.asks * self.learnt.usual.or_one();
+            let fits = |asked: Amount, used: Amount| {
+                asked.within(size * self.cluster.accepts) && used.within(size * LIMIT)
+            };
+            let (mut cleared, mut movable) = (Vec::new(), self.movable(machine).into_iter());
+            while !fits(asked, used)
+                && let Some(id) = movable.next()
+            {
+                let guest = &machine.guests[&id];
+                (asked, used) = (asked - guest.asks, used - self.use_of(guest));
+                cleared.push(id);
             }
-            let fits = asked.within(size * self.cluster.accepts) && used.within(size * LIMIT);
-            if fits && best.as_ref().is_none_or(|(_, fewest)| cleared.len() < fewest.len()) {
+            if fits(asked, used) && best.as_ref().is_none_or(|(_, fewest)| cleared.len() < fewest.len()) {
                 best = Some((id, cleared));
             }
         }
@@ -373,12 +355,12 @@
         self.arrive(now, allocation, machine);
         if let Some(guest) = self.guest(allocation.id) {
             (guest.placed, guest.runs) = (true, true);
-            guest.sent = now.saturating_sub(REPORT_LAG);
+            guest.sent = now.saturating_sub(LAG);
         }
     }
 
     pub fn noted(&mut self, now: Tenths, id: AllocationId, note: Note) {
-        let usual = self.usual_use();
+        let usual = self.learnt.usual.or_one();
         let machine = self.at.get(&id).and_then(|machine| self.machines.get_mut(machine));
         let Some(guest) = machine.and_then(|machine| machine.guests.get_mut(&id)) else { return };
         let expected = guest.asks * usual;
@@ -412,7 +394,7 @@
     fn reported(&mut self, now: Tenths, id: MachineId, report: Option<Report>) {
         let Some((size, report)) = self.size(id).zip(report) else { return };
         // One too young to be in the report would be taken off a sum that never held it.
-        let old = |guest: &&Guest| guest.runs && guest.sent + REPORT_LAG <= now;
+        let old = |guest: &&Guest| guest.runs && guest.sent + LAG <= now;
         let own: Amount =
             self.machines[&id].guests.values().filter(old).map(|guest| self.use_of(guest)).sum();
         let base = (size - report.unused - own).most(Amount::default());
@@ -498,7 +480,7 @@
     /// counts on top. Where no room is listed, others' asks are guessed from what they use.
     fn asked(&self, now: Tenths, id: MachineId) -> Amount {
         let machine = &self.machines[&id];
-        let since = machine.listed.map_or(0, |_| now.saturating_sub(LIST_LAG));
+        let since = machine.listed.map_or(0, |_| now.saturating_sub(LAG));
         let own = machine.guests.values().filter(|guest| guest.sent >= since).map(|guest| guest.asks);
         let others = || self.others(now, id) / self.learnt.present.or_one();
         machine.listed.unwrap_or_else(others) + own.sum() + self.unseen(id)
@@ -521,11 +503,6 @@
         there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
-    /// Use by asked unit that is expected where none is known; the whole ask before any record.
-    fn usual_use(&self) -> Amount {
-        self.learnt.usual.or_one()
-    }
-
     /// Whether the account holds its whole share of cores, if it has as much at the other schedulers. What goes
     /// well beyond waits while others would be crowded for it.
     fn beyond_share(&self, allocation: &Allocation) -> bool {
@@ -538,7 +515,7 @@
 
     /// What a guest of ours uses now, by its last notes or as usual.
     fn use_of(&self, guest: &Guest) -> Amount {
-        guest.present.unwrap_or(guest.asks * self.usual_use())
+        guest.present.unwrap_or(guest.asks * self.learnt.usual.or_one())
     }
 
     /// Present use of a machine by others: what it last reported, more and more what the list leads to expect or,
@@ -546,7 +523,7 @@
     fn others(&self, now: Tenths, id: MachineId) -> Amount {
         let machine = &self.machines[&id];
         let size = self.size(id).unwrap_or_default();
-        let old = machine.guests.values().filter(|guest| guest.sent + LIST_LAG <= now);
+        let old = machine.guests.values().filter(|guest| guest.sent + LAG <= now);
         let listed = machine.listed.filter(|_| self.learnt.present.cores.or(0.0) > 0.0);
         let expected = listed.map_or(self.view.average * size, |asked| {
             let others = asked - old.map(|guest| guest.asks).sum();
@@ -557,7 +534,7 @@
 
     fn present_use(&self, now: Tenths, id: MachineId) -> Amount {
         let own: Amount = self.machines[&id].guests.values().map(|guest| self.use_of(guest)).sum();
-        self.others(now, id) + own + self.unseen(id) * self.usual_use()
+        self.others(now, id) + own + self.unseen(id) * self.learnt.usual.or_one()
     }
 
     /// The view over all machines, taken anew when it is old: mean use by others as a share of size, what others
@@ -573,7 +550,7 @@
             all = all + size;
             for guest in machine.guests.values() {
                 own = own + self.use_of(guest);
-                young = young + if guest.sent + REPORT_LAG > now { guest.asks } else { Amount::default() };
+                young = young + if guest.sent + LAG > now { guest.asks } else { Amount::default() };
             }
             if let Some((at, base)) = machine.base {
                 (reported, weights) = (reported + base / size * weight(now - at), weights + weight(now - at));
@@ -586,36 +563,32 @@
         self.view.average = (reported + guess * FAINT) * (1.0 / (weights + FAINT));
         self.view.unseen = young / all * others;
         self.view.taken = Some(now);
-        self.view.open = self.open_machines(now, FILL);
+        self.view.open = self.open_machines(now);
     }
 
-    /// The machines not held back: as many as present need fills, those in use first, then by id, an order
-    /// that all schedulers share without speaking.
-    fn open_machines(&self, now: Tenths, fill: f64) -> BTreeSet<MachineId> {
+    /// The machines not held back: as many as present need fills, by id, an order that all schedulers share
+    /// without speaking.
+    fn open_machines(&self, now: Tenths) -> BTreeSet<MachineId> {
         let mut order = Vec::new();
         let (mut need, mut asked) = (Amount::default(), Amount::default());
         for (&id, machine) in &self.machines {
             let Some(size) = self.size(id) else { continue };
-            let used = self.present_use(now, id);
-            need = need + used;
-            asked = asked + self.asked(now, id);
+            (need, asked) = (need + self.present_use(now, id), asked + self.asked(now, id));
             if machine.serving() && machine.shunned <= now {
-                let idle = machine.guests.is_empty() && used.share_of(size) < IDLE;
-                order.push((idle, id, size));
+                order.push((id, size));
             }
         }
-        order.sort_by_key(|&(idle, id, _)| (idle, id));
         // What one of many schedulers knows of need is chance: the fewer it holds, the more may differ from what
         // the others see, and a machine that only some hold back costs as much as one that none does.
         let known = self.at.len() as f64 + 1.0;
         need = need.most(asked / self.cluster.accepts) * (1.0 + DOUBT / known.sqrt());
         let mut room = Amount::default();
-        let enough = order.iter().position(|&(_, _, size)| {
+        let enough = order.iter().position(|&(_, size)| {
             room = room + size;
-            need.within(room * fill)
+            need.within(room * FILL)
         });
         order.truncate(enough.map_or(order.len(), |last| last + 1));
-        order.into_iter().map(|(_, id, _)| id).collect()
+        order.into_iter().map(|(id, _)| id).collect()
     }
 
     /// The records that fit a guest of this age and highest use by asked unit.
@@ -630,7 +603,7 @@
         let size = self.size(id).unwrap_or_default();
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let base = self.others(now, id) + self.unseen(id) * self.usual_use();
+        let base = self.others(now, id) + self.unseen(id) * self.learnt.usual.or_one();
         // A start takes far more where the machine must load the program first: as many cores as get it done
         // within the contract time.
         let start = |has: bool, track: &Track| Amount {
@@ -642,23 +615,18 @@
             true => self.use_of(guest),
             false => self.use_of(guest) + start(guest.had_program, &self.cluster.tracks[guest.track.0]),
         });
-        let load =
-            base + own.sum() + new.asks * self.usual_use() + start(machine.has_program(new.service), track);
-        // What a machine is short of it takes from the lowest priority first.
-        let above = self.cluster.tracks.iter().any(|other| other.priority < track.priority);
-        let yields = if above { YIELDS } else { 0.0 };
-        // A machine starts few at a time: behind ours that wait there the contract time would pass. Then all
-        // machines share the starts, held back or not.
-        let starting = machine.guests.values().filter(|guest| !guest.runs).count() as f64;
-        let queues = starting * self.learnt.start_time[1].or(0.0) > track.contract_time as f64;
+        let load = base
+            + own.sum()
+            + new.asks * self.learnt.usual.or_one()
+            + start(machine.has_program(new.service), track);
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Weighed {
             machine: id,
             base,
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
-            bears: (load - base * yields).within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match self.view.open.contains(&id) && !queues && self.fits(now, id, size, new.asks) {
+            bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
+            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => 3,
             },
@@ -785,11 +753,3 @@
 fn weight(age: Tenths) -> f64 {
     (-(age as f64) / REPORT_HALF).exp2()
 }
-
-/// Scatters an id, alike at every scheduler (the last steps of splitmix64).
-fn mix(id: u64) -> u64 {
-    let id = id.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let id = (id ^ (id >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let id = (id ^ (id >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    id ^ (id >> 31)
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -156,3 +156,11 @@
     /// 0: to be used first; held-back machines come last.
     pub rank: u8,
 }
+
+/// Scatters an id, alike at every scheduler (the last steps of splitmix64).
+pub fn mix(id: u64) -> u64 {
+    let id = id.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let id = (id ^ (id >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let id = (id ^ (id >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    id ^ (id >> 31)
+}
