--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,7 +29,7 @@
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
 /// From this long after its send an allocation is taken to be in reports and in the room that the list tells.
-const LAG: Tenths = 2 * SECOND;
+const LAG: Tenths = SECOND;
 /// In this time a report loses half its weight against what is expected of the machine without it.
 const REPORT_HALF: f64 = 4.0 * SECOND as f64;
 /// So many open machines of a service's order are scanned first, so that they hold its program.
@@ -594,9 +594,6 @@
             + own.sum()
             + new.asks * self.learnt.usual.or_one()
             + start(machine.has_program(new.service), track);
-        // A machine starts few at a time: where ours that wait there take the contract time, all share them.
-        let starting = machine.guests.values().filter(|guest| !guest.runs).count() as f64;
-        let queues = starting * self.learnt.start_time[1].or(0.0) > track.contract_time as f64;
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Weighed {
             machine: id,
@@ -604,7 +601,7 @@
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match self.view.open.contains(&id) && !queues && self.fits(now, id, size, new.asks) {
+            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => 3,
             },
