--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,7 +29,7 @@
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
 /// From this long after its send an allocation is taken to be in reports and in the room that the list tells.
-const LAG: Tenths = SECOND;
+const LAG: Tenths = SECOND * 3 / 2;
 /// In this time a report loses half its weight against what is expected of the machine without it.
 const REPORT_HALF: f64 = 4.0 * SECOND as f64;
 /// So many open machines of a service's order are scanned first, so that they hold its program.
@@ -542,7 +542,7 @@
         // Where hardly anything was told, as at start, each of the others is taken to use as much as we do.
         let guess = own / all * others;
         self.view.average = (reported + guess * FAINT) * (1.0 / (weights + FAINT));
-        self.view.unseen = young / all * others;
+        self.view.unseen = young / all * others * 0.0;
         self.view.taken = Some(now);
         // Held back are those that present need does not fill, the last by id: an order common to all.
         let mut order = Vec::new();
