--- a/src/rules.rs
+++ b/src/rules.rs
@@ -467,13 +467,7 @@
         let since = machine.listed.map_or(0, |_| now.saturating_sub(LAG));
         let own = machine.guests.values().filter(|guest| guest.sent >= since).map(|guest| guest.asks);
         let others = || self.others(now, id) / self.learnt.present.or_one();
-        machine.listed.unwrap_or_else(others) + own.sum() + self.unseen(id)
-    }
-
-    /// What the other schedulers sent there that no report or list holds yet: as much as we did, each, spread
-    /// over all machines as they are large.
-    fn unseen(&self, id: MachineId) -> Amount {
-        self.size(id).unwrap_or_default() * self.view.unseen
+        machine.listed.unwrap_or_else(others) + own.sum()
     }
 
     fn fits(&self, now: Tenths, id: MachineId, size: Amount, asks: Amount) -> bool {
@@ -517,7 +511,7 @@
 
     fn present_use(&self, now: Tenths, id: MachineId) -> Amount {
         let own: Amount = self.machines[&id].guests.values().map(|guest| self.use_of(guest)).sum();
-        self.others(now, id) + own + self.unseen(id) * self.learnt.usual.or_one()
+        self.others(now, id) + own
     }
 
     /// Takes the view over all machines anew when it is old.
@@ -525,15 +519,12 @@
         if self.view.taken.is_some_and(|taken| taken + ASK_AGAIN > now) {
             return;
         }
-        let (mut all, mut own, mut young) = (Amount::ONE * 1e-9, Amount::default(), Amount::default());
+        let (mut all, mut own) = (Amount::ONE * 1e-9, Amount::default());
         let (mut reported, mut weights) = (Amount::default(), 0.0);
         for (&id, machine) in &self.machines {
             let Some(size) = self.size(id).filter(|_| machine.serving()) else { continue };
             all = all + size;
-            for guest in machine.guests.values() {
-                own = own + self.use_of(guest);
-                young = young + if guest.sent + LAG > now { guest.asks } else { Amount::default() };
-            }
+            own = own + machine.guests.values().map(|guest| self.use_of(guest)).sum();
             if let Some((at, base)) = machine.base {
                 (reported, weights) = (reported + base / size * weight(now - at), weights + weight(now - at));
             }
@@ -542,7 +533,6 @@
         // Where hardly anything was told, as at start, each of the others is taken to use as much as we do.
         let guess = own / all * others;
         self.view.average = (reported + guess * FAINT) * (1.0 / (weights + FAINT));
-        self.view.unseen = young / all * others * 0.0;
         self.view.taken = Some(now);
         // Held back are those that present need does not fill, the last by id: an order common to all.
         let mut order = Vec::new();
@@ -580,7 +570,7 @@
         let size = self.size(id).unwrap_or_default();
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let base = self.others(now, id) + self.unseen(id) * self.learnt.usual.or_one();
+        let base = self.others(now, id);
         // A start takes far more where the program must be loaded: the cores that do it in contract time.
         let start = |has: bool, track: &Track| {
             let time = self.learnt.start_time[usize::from(has)].or(self.learnt.start_time[1].or(0.0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,8 +139,6 @@
     pub taken: Option<Tenths>,
     /// Use by others as a share of size, in the mean.
     pub average: Amount,
-    /// What others asked for lately and nothing tells yet, as a share of size.
-    pub unseen: Amount,
     /// The machines not held back.
     pub open: BTreeSet<MachineId>,
 }
