--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,8 +32,9 @@
 const LAG: Tenths = SECOND * 3 / 2;
 /// In this time a report loses half its weight against what is expected of the machine without it.
 const REPORT_HALF: f64 = 4.0 * SECOND as f64;
-/// So many open machines of a service's order are scanned first, so that they hold its program.
+/// So many open machines of a service's order are scanned first.
 const SCAN: usize = 2;
+const HELD_BACK: u8 = 3;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
 const KEPT: usize = 10;
 /// Weight that a learnt mean keeps with each new value.
@@ -134,23 +135,23 @@
         if self.crowded.is_some_and(|(at, asks)| at == alike && asks.within(allocation.asks)) {
             return self.not_yet(now, allocation);
         }
-        scan.retain(|&machine| self.admits(now, machine, allocation));
-        let mine = |id: &&MachineId| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id);
-        let promised = scan.iter().find(mine).copied();
-        let chosen = promised.or_else(|| {
-            self.look(now);
-            scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
-            let mut weighed: Vec<Weighed> =
-                scan.into_iter().map(|id| self.weigh(now, id, allocation)).collect();
-            let first = weighed.iter_mut().filter(|w| w.rank <= 2).take(SCAN);
-            first.for_each(|w| w.rank = 0);
+        self.look(now);
+        scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
+        let mine = |id: &MachineId| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id);
+        let promised = scan.iter().copied().find(mine).filter(|&id| self.admits(now, id, allocation));
+        // First under theta those that come first in the service's order: all schedulers then send it to the same
+        // few machines, which so hold its program. It also spares weighing them all.
+        let first = self.weighed(now, &scan, allocation).filter(|w| w.rank < HELD_BACK).take(SCAN);
+        let first: Vec<Weighed> = first.map(|w| Weighed { rank: 0, bears: false, ..w }).collect();
+        let chosen = promised.or_else(|| self.choose(now, first, allocation));
+        let chosen = chosen.or_else(|| {
+            let mut weighed: Vec<Weighed> = self.weighed(now, &scan, allocation).collect();
             let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
             weighed.iter_mut().for_each(|w| w.bears &= !beyond);
-            let chosen = bears.then(|| self.choose(now, weighed, allocation)).flatten();
-            self.crowded = chosen.is_none().then_some((alike, allocation.asks));
-            chosen
+            bears.then(|| self.choose(now, weighed, allocation)).flatten()
         });
+        self.crowded = chosen.is_none().then_some((alike, allocation.asks));
         match chosen {
             Some(machine) => self.send(now, machine, allocation),
             None => self.not_yet(now, allocation),
@@ -214,7 +215,7 @@
             at.take_if(|at| *at <= now).is_some()
         };
         (wait.watch_list, wait.ask_again) = (due(&mut self.watch_at), due(&mut self.ask_at));
-        if self.cluster.may_probe {
+        if self.cluster.may_probe && self.probes >= 1.0 {
             let heard = |machine: &Machine| machine.base.map_or(0, |(at, _)| at).max(machine.probed);
             let unheard = |machine: &Machine| machine.serving() && heard(machine) + TURNOVER <= now;
             let mut probes: Vec<_> =
@@ -253,16 +254,18 @@
     /// The paper moves where a machine is over the line or an allocation fits only in pieces. So do we. All
     /// schedulers see the same machine: each of ours goes by the chance that makes as many as must go in all.
     fn moves(&mut self, now: Tenths) -> Vec<AllocationId> {
-        self.look(now);
         let mut moves = self.make_room(now);
-        let load = |id: &MachineId| Some(self.present_use(now, *id).share_of(self.size(*id)?));
-        let spare = self.view.open.iter().filter_map(load).any(|load| load < SPARE);
-        for (&id, machine) in self.machines.iter().filter(|_| spare) {
-            let (used, size) = (self.present_use(now, id).memory, self.size(id).unwrap_or_default().memory);
-            let part = 1.0 - size * OVER / used;
-            if used > 0.0 && part > 0.0 && moves.len() < 4 {
-                let movable = self.movable(machine).into_iter();
-                moves.extend(movable.filter(|_| self.rng.random::<f64>() < part));
+        let size = |id: MachineId| self.size(id).unwrap_or_default();
+        let over = |&(&id, machine): &(&MachineId, &Machine)| {
+            !machine.guests.is_empty() && self.present_use(now, id).memory > size(id).memory * OVER
+        };
+        let part = |id| 1.0 - size(id).memory * OVER / self.present_use(now, id).memory;
+        let over = self.machines.iter().filter(over).map(|(&id, machine)| (part(id), self.movable(machine)));
+        let over: Vec<_> = over.collect();
+        let spare = |id: &MachineId| self.present_use(now, *id).share_of(size(*id)) < SPARE;
+        if !over.is_empty() && self.view.open.iter().any(spare) {
+            for (part, movable) in over {
+                moves.extend(movable.into_iter().filter(|_| self.rng.random::<f64>() < part).take(4));
             }
         }
         for id in &moves {
@@ -565,6 +568,16 @@
         if peaks.is_empty() { vec![none] } else { peaks }
     }
 
+    fn weighed<'a>(
+        &'a self,
+        now: Tenths,
+        scan: &'a [MachineId],
+        new: &'a Allocation,
+    ) -> impl Iterator<Item = Weighed> + 'a {
+        let admitted = scan.iter().filter(move |&&id| self.admits(now, id, new));
+        admitted.map(move |&id| self.weigh(now, id, new))
+    }
+
     /// W Max with the allocation's expected start use, before any draw.
     fn weigh(&self, now: Tenths, id: MachineId, new: &Allocation) -> Weighed {
         let size = self.size(id).unwrap_or_default();
@@ -593,7 +606,7 @@
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
             rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
-                false => 3,
+                false => HELD_BACK,
             },
         }
     }
