--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,7 +39,7 @@
 const KEPT: usize = 10;
 /// Weight that a learnt mean keeps with each new value.
 const KEEP: f64 = 0.95;
-/// Between two looks for allocations to move.
+/// Between two looks over all machines, or for allocations to move.
 const LOOK: Tenths = SECOND / 4;
 /// So many times the usual ask is large.
 const LARGE: f64 = 4.0;
@@ -57,7 +57,7 @@
 const TURNOVER: Tenths = 2 * SECOND;
 /// Probes for each allocation taken.
 const PROBES: f64 = 1.0;
-/// Between two looks at an allocation that no machine could take, or at all machines.
+/// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 /// Weight in the average of what we guess from our own, against one of a fresh report.
 const FAINT: f64 = 0.1;
@@ -519,7 +519,7 @@
 
     /// Takes the view over all machines anew when it is old.
     fn look(&mut self, now: Tenths) {
-        if self.view.taken.is_some_and(|taken| taken + ASK_AGAIN > now) {
+        if self.view.taken.is_some_and(|taken| taken + LOOK > now) {
             return;
         }
         let (mut all, mut own) = (Amount::ONE * 1e-9, Amount::default());
