--- a/src/rules.rs
+++ b/src/rules.rs
@@ -598,13 +598,16 @@
             + new.asks * self.learnt.usual.or_one()
             + start(machine.has_program(new.service), track);
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
+        // A cold machine starts slowly and holds no program: its turn comes when no warm one is under theta.
+        let started = machine.entry.and_then(|entry| entry.started);
+        let cold = started.is_some_and(|started| now <= started + self.cluster.cold.lasts);
         Weighed {
             machine: id,
             base,
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
+            rank: match !cold && self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => HELD_BACK,
             },
