--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,8 +43,6 @@
 const LOOK: Tenths = SECOND / 4;
 /// So many times the usual ask is large.
 const LARGE: f64 = 4.0;
-/// So many times its share is well beyond it: we know only our own part.
-const BEYOND: f64 = 1.3;
 /// Share of memory past which some are moved away, if a machine under the second share could take them.
 const OVER: f64 = 0.95;
 const SPARE: f64 = 0.8;
@@ -111,6 +109,10 @@
         if now + MARGIN >= allocation.abandon || allocation.shots.len() >= self.cluster.shots {
             return self.give_up(allocation);
         }
+        // Room was short and the account is beyond its share: it tries no further, so that others find some.
+        if !allocation.shots.is_empty() && self.beyond_share(allocation) {
+            return self.give_up(allocation);
+        }
         if allocation.shots.is_empty() && allocation.taken == now {
             self.learnt.ask.add(allocation.asks.cores, KEEP);
             self.probes = (self.probes + PROBES).min(self.machines.len() as f64);
@@ -484,13 +486,15 @@
         there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
-    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler.
+    /// Whether the account holds more than its share of cores, if it has as much at each other scheduler: less a
+    /// standard error, as one of many holds a few of its allocations by chance.
     fn beyond_share(&self, allocation: &Allocation) -> bool {
         let share = self.cluster.accounts.get(allocation.account.0).and_then(|account| account.share_cores);
         let guests = self.machines.values().flat_map(|machine| machine.guests.values());
         let held = guests.filter(|guest| guest.account == allocation.account).map(|guest| guest.asks.cores);
-        let all = (held.sum::<f64>() + allocation.asks.cores) * self.cluster.schedulers as f64;
-        share.is_some_and(|share| all > share * BEYOND)
+        let held = held.sum::<f64>() + allocation.asks.cores;
+        let sure = held - (held * self.learnt.ask.or(0.0)).sqrt();
+        share.is_some_and(|share| sure * self.cluster.schedulers as f64 > share)
     }
 
     /// What a guest of ours uses now, by its last notes or as usual.
@@ -598,16 +602,13 @@
             + new.asks * self.learnt.usual.or_one()
             + start(machine.has_program(new.service), track);
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
-        // A cold machine starts slowly and holds no program: its turn comes when no warm one is under theta.
-        let started = machine.entry.and_then(|entry| entry.started);
-        let cold = started.is_some_and(|started| now <= started + self.cluster.cold.lasts);
         Weighed {
             machine: id,
             base,
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match !cold && self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
+            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => HELD_BACK,
             },
