--- a/src/rules.rs
+++ b/src/rules.rs
@@ -109,10 +109,6 @@
         if now + MARGIN >= allocation.abandon || allocation.shots.len() >= self.cluster.shots {
             return self.give_up(allocation);
         }
-        // Room was short and the account is beyond its share: it tries no further, so that others find some.
-        if !allocation.shots.is_empty() && self.beyond_share(allocation) {
-            return self.give_up(allocation);
-        }
         if allocation.shots.is_empty() && allocation.taken == now {
             self.learnt.ask.add(allocation.asks.cores, KEEP);
             self.probes = (self.probes + PROBES).min(self.machines.len() as f64);
