Hold an account to its share by what is surely beyond it

One of hundreds of schedulers holds a few of an account's allocations by chance; multiplied by hundreds that was beyond any share. A standard error is left out first.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,8 @@
 const LOOK: Tenths = SECOND / 4;
 /// So many times the usual ask is large.
 const LARGE: f64 = 4.0;
+/// So many times its share is well beyond it: the front is not even.
+const BEYOND: f64 = 1.3;
 /// Share of memory past which some are moved away, if a machine under the second share could take them.
 const OVER: f64 = 0.95;
 const SPARE: f64 = 0.8;
@@ -482,7 +484,7 @@
         there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
-    /// Whether the account holds more than its share of cores, if it has as much at each other scheduler: less a
+    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler: less a
     /// standard error, as one of many holds a few of its allocations by chance.
     fn beyond_share(&self, allocation: &Allocation) -> bool {
         let share = self.cluster.accounts.get(allocation.account.0).and_then(|account| account.share_cores);
@@ -490,7 +492,7 @@
         let held = guests.filter(|guest| guest.account == allocation.account).map(|guest| guest.asks.cores);
         let held = held.sum::<f64>() + allocation.asks.cores;
         let sure = held - (held * self.learnt.ask.or(0.0)).sqrt();
-        share.is_some_and(|share| sure * self.cluster.schedulers as f64 > share)
+        share.is_some_and(|share| sure * self.cluster.schedulers as f64 > share * BEYOND)
     }
 
     /// What a guest of ours uses now, by its last notes or as usual.
