--- a/src/rules.rs
+++ b/src/rules.rs
@@ -139,8 +139,8 @@
         scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
         let mine = |id: &MachineId| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id);
         let promised = scan.iter().copied().find(mine).filter(|&id| self.admits(now, id, allocation));
-        // First under theta those that come first in the service's order: all schedulers then send it to the same
-        // few machines, which so hold its program. It also spares weighing them all.
+        // First under theta those first in the service's order: all schedulers then send it to the same few
+        // machines, which so hold its program. It also spares weighing them all.
         let first = self.weighed(now, &scan, allocation).filter(|w| w.rank < HELD_BACK).take(SCAN);
         let first: Vec<Weighed> = first.map(|w| Weighed { rank: 0, bears: false, ..w }).collect();
         let chosen = promised.or_else(|| self.choose(now, first, allocation));
@@ -484,8 +484,8 @@
         there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
-    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler: less a
-    /// standard error, as one of many holds a few of its allocations by chance.
+    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler. Less
+    /// a standard error: one of many holds a few of its allocations by chance.
     fn beyond_share(&self, allocation: &Allocation) -> bool {
         let share = self.cluster.accounts.get(allocation.account.0).and_then(|account| account.share_cores);
         let guests = self.machines.values().flat_map(|machine| machine.guests.values());
