--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,7 +56,7 @@
 /// free for a large allocation, and one may be silent before it is probed, where it may be.
 const TURNOVER: Tenths = 2 * SECOND;
 /// Probes for each allocation taken.
-const PROBES: f64 = 1.0;
+const PROBES: f64 = 0.25;
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 /// Weight in the average of what we guess from our own, against one of a fresh report.
