--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,7 +56,7 @@
 /// free for a large allocation, and one may be silent before it is probed, where it may be.
 const TURNOVER: Tenths = 2 * SECOND;
 /// Probes for each allocation taken.
-const PROBES: f64 = 0.25;
+const PROBES: f64 = 1.0;
 /// Between two looks at an allocation that no machine could take.
 const ASK_AGAIN: Tenths = SECOND / 20;
 /// Weight in the average of what we guess from our own, against one of a fresh report.
@@ -484,8 +484,8 @@
         there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
-    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler. Less
-    /// a standard error: one of many holds a few of its allocations by chance.
+    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler; less
+    /// a standard error, as one of many holds a few of its allocations by chance.
     fn beyond_share(&self, allocation: &Allocation) -> bool {
         let share = self.cluster.accounts.get(allocation.account.0).and_then(|account| account.share_cores);
         let guests = self.machines.values().flat_map(|machine| machine.guests.values());
