--- a/src/rules.rs
+++ b/src/rules.rs
@@ -552,7 +552,7 @@
         // What one of many schedulers knows of need is chance, the more so the fewer it holds. A machine that
         // only some hold back costs as much as one that none does.
         let known = self.at.len() as f64 + 1.0;
-        need = need.most(asked / self.cluster.accepts) * (1.0 + DOUBT / known.sqrt());
+        need = need.most(asked / self.cluster.accepts) * (1.0 + DOUBT / known.sqrt()) + all * (1.0 / known);
         let mut room = Amount::default();
         let enough = order.iter().position(|&(_, size)| {
             room = room + size;
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Where a further small one of this service goes, or none.
+    pub fn sends(&mut self, service: u64) -> Option<u32> {
+        let mut allocation = self.ask(service, 0.1, 0.1);
+        self.sent_to(&mut allocation)
+    }
+
     pub fn seated(&mut self, allocation: &Allocation) {
         self.scheduler.after(self.now, allocation, allocation.shots.len() - 1, Outcome::Placed);
     }
