--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,7 +23,7 @@
 const LIMIT: f64 = 0.92;
 const FADE: f64 = 0.25;
 /// Load share that present need should fill on the machines not held back.
-const FILL: f64 = 0.9;
+const FILL: f64 = 0.7;
 /// Of the standard error of a count, taken on top of need.
 const DOUBT: f64 = 3.0;
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
@@ -34,7 +34,7 @@
 const REPORT_HALF: f64 = 4.0 * SECOND as f64;
 /// So many open machines of a service's order are scanned first.
 const SCAN: usize = 2;
-const HELD_BACK: u8 = 3;
+const HELD_BACK: u8 = 1;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
 const KEPT: usize = 10;
 /// Weight that a learnt mean keeps with each new value.
@@ -142,14 +142,17 @@
         // First under theta those first in the service's order: all schedulers then send it to the same few
         // machines, which so hold its program. It also spares weighing them all.
         let first = self.weighed(now, &scan, allocation).filter(|w| w.rank < HELD_BACK).take(SCAN);
-        let first: Vec<Weighed> = first.map(|w| Weighed { rank: 0, bears: false, ..w }).collect();
+        let first: Vec<Weighed> = first.map(|w| Weighed { bears: false, ..w }).collect();
         let chosen = promised.or_else(|| self.choose(now, first, allocation));
         let chosen = chosen.or_else(|| {
             let mut weighed: Vec<Weighed> = self.weighed(now, &scan, allocation).collect();
-            let bears = weighed.iter().any(|w| w.bears);
+            let open = weighed.iter().filter(|w| w.rank < HELD_BACK).map(|w| Weighed { bears: false, ..*w });
+            let open: Vec<Weighed> = open.collect();
+            let next = open.chunks(SCAN).find_map(|few| self.choose(now, few.to_vec(), allocation));
+            let bears = next.is_none() && weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
             weighed.iter_mut().for_each(|w| w.bears &= !beyond);
-            bears.then(|| self.choose(now, weighed, allocation)).flatten()
+            next.or_else(|| bears.then(|| self.choose(now, weighed, allocation)).flatten())
         });
         self.crowded = chosen.is_none().then_some((alike, allocation.asks));
         match chosen {
@@ -551,8 +554,7 @@
         }
         // What one of many schedulers knows of need is chance, the more so the fewer it holds. A machine that
         // only some hold back costs as much as one that none does.
-        let told = if self.cluster.shows_room { asked.cores / self.learnt.ask.or(1.0) } else { 0.0 };
-        let known = told.max(self.at.len() as f64) + 1.0;
+        let known = self.at.len() as f64 + 1.0;
         need = need.most(asked / self.cluster.accepts) * (1.0 + DOUBT / known.sqrt()) + all * (1.0 / known);
         let mut room = Amount::default();
         let enough = order.iter().position(|&(_, size)| {
@@ -600,7 +602,6 @@
             + own.sum()
             + new.asks * self.learnt.usual.or_one()
             + start(machine.has_program(new.service), track);
-        let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Weighed {
             machine: id,
             base,
@@ -608,7 +609,7 @@
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
             rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
-                true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
+                true => 0,
                 false => HELD_BACK,
             },
         }
