--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 const REPORT_HALF: f64 = 4.0 * SECOND as f64;
 /// So many open machines of a service's order are scanned first.
 const SCAN: usize = 2;
-const HELD_BACK: u8 = 1;
+const HELD_BACK: u8 = 3;
 /// Programs remembered as kept by a machine after our last allocation of the service there.
 const KEPT: usize = 10;
 /// Weight that a learnt mean keeps with each new value.
@@ -142,17 +142,14 @@
         // First under theta those first in the service's order: all schedulers then send it to the same few
         // machines, which so hold its program. It also spares weighing them all.
         let first = self.weighed(now, &scan, allocation).filter(|w| w.rank < HELD_BACK).take(SCAN);
-        let first: Vec<Weighed> = first.map(|w| Weighed { bears: false, ..w }).collect();
+        let first: Vec<Weighed> = first.map(|w| Weighed { rank: 0, bears: false, ..w }).collect();
         let chosen = promised.or_else(|| self.choose(now, first, allocation));
         let chosen = chosen.or_else(|| {
             let mut weighed: Vec<Weighed> = self.weighed(now, &scan, allocation).collect();
-            let open = weighed.iter().filter(|w| w.rank < HELD_BACK).map(|w| Weighed { bears: false, ..*w });
-            let open: Vec<Weighed> = open.collect();
-            let next = open.chunks(SCAN).find_map(|few| self.choose(now, few.to_vec(), allocation));
-            let bears = next.is_none() && weighed.iter().any(|w| w.bears);
+            let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
             weighed.iter_mut().for_each(|w| w.bears &= !beyond);
-            next.or_else(|| bears.then(|| self.choose(now, weighed, allocation)).flatten())
+            bears.then(|| self.choose(now, weighed, allocation)).flatten()
         });
         self.crowded = chosen.is_none().then_some((alike, allocation.asks));
         match chosen {
@@ -602,6 +599,7 @@
             + own.sum()
             + new.asks * self.learnt.usual.or_one()
             + start(machine.has_program(new.service), track);
+        let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Weighed {
             machine: id,
             base,
@@ -609,7 +607,7 @@
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
             rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
-                true => 0,
+                true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => HELD_BACK,
             },
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,7 +144,6 @@
 }
 
 /// A machine weighed for one allocation.
-#[derive(Clone, Copy)]
 pub struct Weighed {
     pub machine: MachineId,
     pub load: f64,
