--- a/src/rules.rs
+++ b/src/rules.rs
@@ -484,8 +484,8 @@
         there.filter(|guest| guest.service == allocation.service).count() < most
     }
 
-    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler; less
-    /// a standard error, as one of many holds a few of its allocations by chance.
+    /// Whether the account holds well over its share of cores, if it has as much at each other scheduler. A
+    /// standard error is left out: one of many holds a few of its allocations by chance.
     fn beyond_share(&self, allocation: &Allocation) -> bool {
         let share = self.cluster.accounts.get(allocation.account.0).and_then(|account| account.share_cores);
         let guests = self.machines.values().flat_map(|machine| machine.guests.values());
