--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,8 @@
 /// are evicted. Cores may pass the calm share by some: crowded ones serve worse, but serve.
 const LIMIT: f64 = 0.92;
 const FADE: f64 = 0.25;
+/// Part of others' use that stays where lower priorities yield.
+const YIELDS: f64 = 0.5;
 /// Load share that present need should fill on the machines not held back.
 const FILL: f64 = 0.7;
 /// Of the standard error of a count, taken on top of need.
@@ -431,7 +433,7 @@
         }
         let room = match machine.promised.filter(|&(until, _)| until > now) {
             Some((_, to)) => to == allocation.id && !machine.guests.values().any(|guest| guest.moved),
-            None => !self.cluster.shows_room || self.fits(now, id, size, allocation.asks),
+            None => !self.cluster.shows_room || self.fits(now, id, size, allocation),
         };
         room && self.cold_bears(now, id, entry) && self.spread_holds(id, allocation)
     }
@@ -473,8 +475,14 @@
         machine.listed.unwrap_or_else(others) + own.sum()
     }
 
-    fn fits(&self, now: Tenths, id: MachineId, size: Amount, asks: Amount) -> bool {
-        (self.asked(now, id) + asks).within(size * self.cluster.accepts)
+    /// Whether lower priorities yield to this track: a machine takes from them first what it is short of.
+    fn above(&self, track: TrackId) -> bool {
+        self.cluster.tracks.iter().any(|other| other.priority < self.cluster.tracks[track.0].priority)
+    }
+
+    fn fits(&self, now: Tenths, id: MachineId, size: Amount, new: &Allocation) -> bool {
+        let pushes_out = self.cluster.makes_room && self.above(new.track);
+        pushes_out || (self.asked(now, id) + new.asks).within(size * self.cluster.accepts)
     }
 
     fn spread_holds(&self, id: MachineId, allocation: &Allocation) -> bool {
@@ -585,7 +593,7 @@
         let size = self.size(id).unwrap_or_default();
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let base = self.others(now, id);
+        let base = self.others(now, id) * if self.above(new.track) { YIELDS } else { 1.0 };
         // A start takes far more where the program must be loaded: the cores that do it in contract time.
         let start = |has: bool, track: &Track| {
             let time = self.learnt.start_time[usize::from(has)].or(self.learnt.start_time[1].or(0.0));
@@ -606,7 +614,7 @@
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
+            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => HELD_BACK,
             },
