--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,7 +22,7 @@
 /// are evicted. Cores may pass the calm share by some: crowded ones serve worse, but serve.
 const LIMIT: f64 = 0.92;
 const FADE: f64 = 0.25;
-/// Part of others' use that stays where lower priorities yield.
+/// Part of the use of lower priorities that stays.
 const YIELDS: f64 = 0.5;
 /// Load share that present need should fill on the machines not held back.
 const FILL: f64 = 0.7;
@@ -475,13 +475,16 @@
         machine.listed.unwrap_or_else(others) + own.sum()
     }
 
-    /// Whether lower priorities yield to this track: a machine takes from them first what it is short of.
-    fn above(&self, track: TrackId) -> bool {
-        self.cluster.tracks.iter().any(|other| other.priority < self.cluster.tracks[track.0].priority)
+    /// Part of a track's use, or of others' unknown, that stays where one of another track comes: what a machine
+    /// is short of it takes from lower priorities first.
+    fn stays(&self, new: TrackId, of: Option<TrackId>) -> f64 {
+        let priority = |track: TrackId| self.cluster.tracks[track.0].priority;
+        let lowest = || self.cluster.tracks.iter().map(|track| track.priority).min().unwrap_or(0);
+        if of.map_or_else(lowest, priority) < priority(new) { YIELDS } else { 1.0 }
     }
 
     fn fits(&self, now: Tenths, id: MachineId, size: Amount, new: &Allocation) -> bool {
-        let pushes_out = self.cluster.makes_room && self.above(new.track);
+        let pushes_out = self.cluster.makes_room && self.stays(new.track, None) < 1.0;
         pushes_out || (self.asked(now, id) + new.asks).within(size * self.cluster.accepts)
     }
 
@@ -593,15 +596,16 @@
         let size = self.size(id).unwrap_or_default();
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let base = self.others(now, id) * if self.above(new.track) { YIELDS } else { 1.0 };
+        let base = self.others(now, id) * self.stays(new.track, None);
         // A start takes far more where the program must be loaded: the cores that do it in contract time.
         let start = |has: bool, track: &Track| {
             let time = self.learnt.start_time[usize::from(has)].or(self.learnt.start_time[1].or(0.0));
             Amount { cores: time / track.contract_time.max(1) as f64, memory: 0.0 }
         };
-        let own = machine.guests.values().map(|guest| match guest.runs {
-            true => self.use_of(guest),
-            false => self.use_of(guest) + start(guest.had_program, &self.cluster.tracks[guest.track.0]),
+        let own = machine.guests.values().map(|guest| {
+            let use_now = self.use_of(guest) * self.stays(new.track, Some(guest.track));
+            let starts = start(guest.had_program, &self.cluster.tracks[guest.track.0]);
+            if guest.runs { use_now } else { use_now + starts }
         });
         let load = base
             + own.sum()
@@ -628,7 +632,8 @@
             let highest = guest.highest / guest.asks;
             // Where no record reaches what it uses: its own highest use, or its ask while nothing is known.
             let own = guest.present.map_or(Amount::ONE, |_| highest);
-            (self.fitting(guest.service, now - guest.sent, highest, own), guest.asks)
+            let stays = guest.asks * self.stays(new.track, Some(guest.track));
+            (self.fitting(guest.service, now - guest.sent, highest, own), stays)
         });
         let pools: Vec<(Vec<Amount>, Amount)> = guests.collect();
         let pool = self.fitting(new.service, 0, Amount::default(), Amount::ONE);
