--- a/src/rules.rs
+++ b/src/rules.rs
@@ -433,7 +433,7 @@
         }
         let room = match machine.promised.filter(|&(until, _)| until > now) {
             Some((_, to)) => to == allocation.id && !machine.guests.values().any(|guest| guest.moved),
-            None => !self.cluster.shows_room || self.fits(now, id, size, allocation),
+            None => !self.cluster.shows_room || self.fits(now, id, size, allocation.asks),
         };
         room && self.cold_bears(now, id, entry) && self.spread_holds(id, allocation)
     }
@@ -483,9 +483,8 @@
         if of.map_or_else(lowest, priority) < priority(new) { YIELDS } else { 1.0 }
     }
 
-    fn fits(&self, now: Tenths, id: MachineId, size: Amount, new: &Allocation) -> bool {
-        let pushes_out = self.cluster.makes_room && self.stays(new.track, None) < 1.0;
-        pushes_out || (self.asked(now, id) + new.asks).within(size * self.cluster.accepts)
+    fn fits(&self, now: Tenths, id: MachineId, size: Amount, asks: Amount) -> bool {
+        (self.asked(now, id) + asks).within(size * self.cluster.accepts)
     }
 
     fn spread_holds(&self, id: MachineId, allocation: &Allocation) -> bool {
@@ -618,7 +617,7 @@
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new) {
+            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => HELD_BACK,
             },
