Let a higher priority count lower ones' use half where machines don't push them out

Others' use and ours count alike, else W Max prefers machines without ours. Where machines push out by themselves it costs more than it brings.

--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -35,6 +35,8 @@
 struct Family {
     admit_cores: f64,
     accepts_memory: f64,
+    #[serde(default)]
+    makes_room: bool,
     ack: String,
     class_calm: Vec<f64>,
     needs_kind: Vec<i64>,
@@ -98,6 +100,7 @@
                 .map(|index| Account { share_cores: family.share_cores.get(index).copied() })
                 .collect(),
             accepts: Amount { cores: family.admit_cores, memory: family.accepts_memory },
+            makes_room: family.makes_room,
             shots: self.limits.max_attempts,
             placed_runs: family.ack == "running",
             shows_room: family.view,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,6 +136,8 @@
     pub accounts: Vec<Account>,
     /// Machines accept until the asks reach this multiple of their size.
     pub accepts: Amount,
+    /// Machines push out lower priorities where an ask would not fit.
+    pub makes_room: bool,
     pub shots: usize,
     /// Placed is answered when the allocation runs, not when it is accepted.
     pub placed_runs: bool,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -143,11 +143,13 @@
         let promised = scan.iter().copied().find(mine).filter(|&id| self.admits(now, id, allocation));
         // First under theta those first in the service's order: all schedulers then send it to the same few
         // machines, which so hold its program. It also spares weighing them all.
-        let first = self.weighed(now, &scan, allocation).filter(|w| w.rank < HELD_BACK).take(SCAN);
+        let weigh = |&id: &MachineId| self.weigh(now, id, allocation);
+        let first = scan.iter().filter_map(weigh).filter(|w| w.rank < HELD_BACK).take(SCAN);
         let first: Vec<Weighed> = first.map(|w| Weighed { rank: 0, bears: false, ..w }).collect();
         let chosen = promised.or_else(|| self.choose(now, first, allocation));
         let chosen = chosen.or_else(|| {
-            let mut weighed: Vec<Weighed> = self.weighed(now, &scan, allocation).collect();
+            let weigh = |id| self.weigh(now, id, allocation);
+            let mut weighed: Vec<Weighed> = scan.into_iter().filter_map(weigh).collect();
             let bears = weighed.iter().any(|w| w.bears);
             let beyond = bears && self.beyond_share(allocation);
             weighed.iter_mut().for_each(|w| w.bears &= !beyond);
@@ -270,11 +272,7 @@
                 moves.extend(movable.into_iter().filter(|_| self.rng.random::<f64>() < part).take(4));
             }
         }
-        for id in &moves {
-            if let Some(guest) = self.guest(*id) {
-                guest.moved = true;
-            }
-        }
+        moves.iter().for_each(|&id| self.guest(id).into_iter().for_each(|guest| guest.moved = true));
         moves
     }
 
@@ -475,12 +473,13 @@
         machine.listed.unwrap_or_else(others) + own.sum()
     }
 
-    /// Part of a track's use, or of others' unknown, that stays where one of another track comes: what a machine
-    /// is short of it takes from lower priorities first.
+    /// Part of a track's use, or of others' unknown, that counts where one of another track comes: a machine
+    /// takes from lower priorities what it is short of, if only in use. Those it pushes out would come again.
     fn stays(&self, new: TrackId, of: Option<TrackId>) -> f64 {
         let priority = |track: TrackId| self.cluster.tracks[track.0].priority;
         let lowest = || self.cluster.tracks.iter().map(|track| track.priority).min().unwrap_or(0);
-        if of.map_or_else(lowest, priority) < priority(new) { YIELDS } else { 1.0 }
+        let yields = !self.cluster.makes_room && of.map_or_else(lowest, priority) < priority(new);
+        if yields { YIELDS } else { 1.0 }
     }
 
     fn fits(&self, now: Tenths, id: MachineId, size: Amount, asks: Amount) -> bool {
@@ -580,19 +579,9 @@
         if peaks.is_empty() { vec![none] } else { peaks }
     }
 
-    fn weighed<'a>(
-        &'a self,
-        now: Tenths,
-        scan: &'a [MachineId],
-        new: &'a Allocation,
-    ) -> impl Iterator<Item = Weighed> + 'a {
-        let admitted = scan.iter().filter(move |&&id| self.admits(now, id, new));
-        admitted.map(move |&id| self.weigh(now, id, new))
-    }
-
     /// W Max with the allocation's expected start use, before any draw.
-    fn weigh(&self, now: Tenths, id: MachineId, new: &Allocation) -> Weighed {
-        let size = self.size(id).unwrap_or_default();
+    fn weigh(&self, now: Tenths, id: MachineId, new: &Allocation) -> Option<Weighed> {
+        let size = self.size(id).filter(|_| self.admits(now, id, new))?;
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
         let base = self.others(now, id) * self.stays(new.track, None);
@@ -611,7 +600,7 @@
             + new.asks * self.learnt.usual.or_one()
             + start(machine.has_program(new.service), track);
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
-        Weighed {
+        Some(Weighed {
             machine: id,
             base,
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
@@ -621,7 +610,7 @@
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => HELD_BACK,
             },
-        }
+        })
     }
 
     /// Shares of draws that cross the line, with and without the allocation: the base, and for the new one
@@ -688,11 +677,8 @@
         // Giving up on a shot that waits in a queue leaves a copy behind and binds what may not run twice. So
         // only a machine far slower than all usually are counts as silent, and only for what may run again.
         let patience = (self.learnt.answer_time.or(left as f64) * PATIENCE) as Tenths;
-        let last = allocation.shots.len() + 1 >= self.cluster.shots;
-        let time_out = match track.repeat {
-            Repeat::Idempotent if !last => left.min(patience.max(2 * track.contract_time)),
-            _ => left,
-        };
+        let again = track.repeat == Repeat::Idempotent && allocation.shots.len() + 1 < self.cluster.shots;
+        let time_out = if again { left.min(patience.max(2 * track.contract_time)) } else { left };
         Placement::Send { machine, time_out }
     }
 
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -19,6 +19,7 @@
         tracks: vec![track],
         accounts: Vec::new(),
         accepts: Amount { cores: 3.0, memory: 1.5 },
+        makes_room: false,
         shots: 3,
         placed_runs: true,
         shows_room: false,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -447,3 +447,15 @@
     let moved = (0..200).filter(moving).count();
     assert!((1..40).contains(&moved), "{moved} of 200 moved; 4 of 99 are over");
 }
+
+#[test_case(2, false, Some(0); "what lower priorities use counts half for it")]
+#[test_case(2, true, None; "not where they would be pushed out for it")]
+#[test_case(0, false, None; "nor for one of their own priority")]
+fn lower_priorities_yield_to_a_higher_one(priority: u8, makes_room: bool, expected: Option<u32>) {
+    let plain = track(Repeat::Idempotent);
+    let tracks = vec![plain.clone(), Track { priority, ..plain }];
+    let mut host = Host::new(Cluster { tracks, makes_room, ..cluster(track(Repeat::Idempotent)) }, 1, 1);
+    host.reports(0, 20.0, 80.0);
+    let mut allocation = Allocation { track: TrackId(1), ..host.ask(1, 4.0, 30.0) };
+    assert_eq!(host.sent_to(&mut allocation), expected);
+}
