--- a/src/rules.rs
+++ b/src/rules.rs
@@ -143,18 +143,14 @@
         let promised = scan.iter().copied().find(mine).filter(|&id| self.admits(now, id, allocation));
         // First under theta those first in the service's order: all schedulers then send it to the same few
         // machines, which so hold its program. It also spares weighing them all.
-        let weigh = |&id: &MachineId| self.weigh(now, id, allocation);
+        let weigh = |&id: &MachineId| self.weigh(now, id, allocation, false);
         let first = scan.iter().filter_map(weigh).filter(|w| w.rank < HELD_BACK).take(SCAN);
         let first: Vec<Weighed> = first.map(|w| Weighed { rank: 0, bears: false, ..w }).collect();
         let chosen = promised.or_else(|| self.choose(now, first, allocation));
-        let chosen = chosen.or_else(|| {
-            let weigh = |id| self.weigh(now, id, allocation);
-            let mut weighed: Vec<Weighed> = scan.into_iter().filter_map(weigh).collect();
-            let bears = weighed.iter().any(|w| w.bears);
-            let beyond = bears && self.beyond_share(allocation);
-            weighed.iter_mut().for_each(|w| w.bears &= !beyond);
-            bears.then(|| self.choose(now, weighed, allocation)).flatten()
-        });
+        // Lower priorities are made to yield only where no machine is under theta without that.
+        let passes: &[bool] = if self.stays(allocation.track, None) < 1.0 { &[false, true] } else { &[true] };
+        let chosen =
+            chosen.or_else(|| passes.iter().find_map(|&last| self.pick(now, &scan, allocation, last)));
         self.crowded = chosen.is_none().then_some((alike, allocation.asks));
         match chosen {
             Some(machine) => self.send(now, machine, allocation),
@@ -162,12 +158,20 @@
         }
     }
 
+    fn pick(&mut self, now: Tenths, scan: &[MachineId], new: &Allocation, last: bool) -> Option<MachineId> {
+        let weigh = |&id: &MachineId| self.weigh(now, id, new, last);
+        let mut weighed: Vec<Weighed> = scan.iter().filter_map(weigh).collect();
+        let bears = weighed.iter().any(|w| w.bears);
+        let beyond = !last || bears && self.beyond_share(new);
+        weighed.iter_mut().for_each(|w| w.bears &= !beyond);
+        bears.then(|| self.choose(now, weighed, new)).flatten()
+    }
+
     fn not_yet(&mut self, now: Tenths, allocation: &Allocation) -> Placement {
         let at = (now + ASK_AGAIN).min(allocation.abandon - MARGIN);
         self.ask_at = Some(self.ask_at.map_or(at, |other| other.min(at)));
-        if self.large(allocation.asks)
-            && !self.machines.values().any(|machine| machine.promised.is_some_and(|(until, _)| until > now))
-        {
+        let promised = |machine: &Machine| machine.promised.is_some_and(|(until, _)| until > now);
+        if self.large(allocation.asks) && !self.machines.values().any(promised) {
             self.starved = Some(allocation.clone());
         }
         Placement::NotYet
@@ -385,8 +389,7 @@
         let Some((size, report)) = self.size(id).zip(report) else { return };
         // One too young to be in the report would be taken off a sum that never held it.
         let old = self.machines[&id].guests.values().filter(|guest| guest.runs && guest.sent + LAG <= now);
-        let base = size - report.unused - old.map(|guest| self.use_of(guest)).sum();
-        let base = base.most(Amount::default());
+        let base = (size - report.unused - old.map(|guest| self.use_of(guest)).sum()).most(Amount::default());
         self.machines.entry(id).or_default().base = Some((now, base));
         self.crowded = None;
     }
@@ -496,10 +499,10 @@
     /// Whether the account holds well over its share of cores, if it has as much at each other scheduler. A
     /// standard error is left out: one of many holds a few of its allocations by chance.
     fn beyond_share(&self, allocation: &Allocation) -> bool {
-        let share = self.cluster.accounts.get(allocation.account.0).and_then(|account| account.share_cores);
+        let share = self.cluster.accounts.get(allocation.account.0).and_then(|own| own.share_cores);
         let guests = self.machines.values().flat_map(|machine| machine.guests.values());
         let held = guests.filter(|guest| guest.account == allocation.account).map(|guest| guest.asks.cores);
-        let held = held.sum::<f64>() + allocation.asks.cores;
+        let held = allocation.asks.cores + held.sum::<f64>();
         let sure = held - (held * self.learnt.ask.or(0.0)).sqrt();
         share.is_some_and(|share| sure * self.cluster.schedulers as f64 > share * BEYOND)
     }
@@ -524,8 +527,7 @@
     }
 
     fn present_use(&self, now: Tenths, id: MachineId) -> Amount {
-        let own: Amount = self.machines[&id].guests.values().map(|guest| self.use_of(guest)).sum();
-        self.others(now, id) + own
+        self.others(now, id) + self.machines[&id].guests.values().map(|guest| self.use_of(guest)).sum()
     }
 
     /// Takes the view over all machines anew when it is old.
@@ -580,20 +582,20 @@
     }
 
     /// W Max with the allocation's expected start use, before any draw.
-    fn weigh(&self, now: Tenths, id: MachineId, new: &Allocation) -> Option<Weighed> {
+    fn weigh(&self, now: Tenths, id: MachineId, new: &Allocation, yields: bool) -> Option<Weighed> {
+        let stays = |of| if yields { self.stays(new.track, of) } else { 1.0 };
         let size = self.size(id).filter(|_| self.admits(now, id, new))?;
         let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let base = self.others(now, id) * self.stays(new.track, None);
+        let base = self.others(now, id) * stays(None);
         // A start takes far more where the program must be loaded: the cores that do it in contract time.
         let start = |has: bool, track: &Track| {
             let time = self.learnt.start_time[usize::from(has)].or(self.learnt.start_time[1].or(0.0));
             Amount { cores: time / track.contract_time.max(1) as f64, memory: 0.0 }
         };
         let own = machine.guests.values().map(|guest| {
-            let use_now = self.use_of(guest) * self.stays(new.track, Some(guest.track));
             let starts = start(guest.had_program, &self.cluster.tracks[guest.track.0]);
-            if guest.runs { use_now } else { use_now + starts }
+            self.use_of(guest) * stays(Some(guest.track)) + starts * f64::from(u8::from(!guest.runs))
         });
         let load = base
             + own.sum()
@@ -602,6 +604,7 @@
         let near = machine.entry.is_some_and(|entry| entry.hall == self.cluster.hall);
         Some(Weighed {
             machine: id,
+            yields,
             base,
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
@@ -620,8 +623,8 @@
             let highest = guest.highest / guest.asks;
             // Where no record reaches what it uses: its own highest use, or its ask while nothing is known.
             let own = guest.present.map_or(Amount::ONE, |_| highest);
-            let stays = guest.asks * self.stays(new.track, Some(guest.track));
-            (self.fitting(guest.service, now - guest.sent, highest, own), stays)
+            let stays = if weighed.yields { self.stays(new.track, Some(guest.track)) } else { 1.0 };
+            (self.fitting(guest.service, now - guest.sent, highest, own), guest.asks * stays)
         });
         let pools: Vec<(Vec<Amount>, Amount)> = guests.collect();
         let pool = self.fitting(new.service, 0, Amount::default(), Amount::ONE);
--- a/src/state.rs
+++ b/src/state.rs
@@ -146,6 +146,8 @@
 /// A machine weighed for one allocation.
 pub struct Weighed {
     pub machine: MachineId,
+    /// Whether lower priorities were taken to yield.
+    pub yields: bool,
     pub load: f64,
     /// Whether it can bear the allocation by present use, draws aside.
     pub bears: bool,
