--- /dev/null
+++ b/crates/api/build.rs
@@ -0,0 +1,9 @@
+//! Generates the messages from the .proto files, with protox in the place of a protoc to install.
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let files = ["placement", "node", "roster"].map(|name| format!("proto/corkspan/v1/{name}.proto"));
+    println!("cargo:rerun-if-changed=proto");
+    let set = protox::compile(files, ["proto"])?;
+    tonic_prost_build::configure().build_transport(false).compile_fds(set)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,321 @@
+//! What every caller of the decisions keeps and nothing else: the allocations in hand, their shots, the "not
+//! yet" queue and the one timer. No I/O, no clock of its own, and no decision: those are asked of
+//! [`corkspan::rules::Scheduler`], whose answers go straight to the caller's [`Wire`].
+
+use corkspan::interface::*;
+use corkspan::rules::Scheduler;
+use std::collections::{BTreeMap, HashMap};
+
+/// What the caller does with the answers of the decisions. `T` is what it keeps with each allocation.
+pub trait Wire<T> {
+    /// Offers the allocation to a machine, as the shot of this number, and waits `time_out` for its answer.
+    fn send(&mut self, held: &mut T, allocation: &Allocation, machine: MachineId, time_out: Tenths);
+    /// The final answer that another try is harmless.
+    fn shed(&mut self, held: &mut T, allocation: &Allocation);
+    /// The final answer that promises nothing.
+    fn scrap(&mut self, held: &mut T, allocation: &Allocation);
+    /// Stops a placed allocation so that its owner asks for it anew.
+    fn relocate(&mut self, held: &mut T, allocation: &Allocation);
+    fn probe(&mut self, machine: MachineId);
+    fn watch_list(&mut self);
+    /// Calls for [`Host::woken`] after so long; never 0.
+    fn wake(&mut self, after: Tenths);
+}
+
+struct Held<T> {
+    name: String,
+    own: T,
+    allocation: Allocation,
+    /// Shots without a return.
+    pending: usize,
+    placed: bool,
+    over: bool,
+}
+
+/// Why an allocation was not taken into hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotTaken {
+    #[error("as many allocations as may be are in hand")]
+    Full,
+    #[error("one of this name is in hand, or a shot of it is still out")]
+    SameName,
+}
+
+/// What an allocation is, as its owner says.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub service: ServiceId,
+    pub track: TrackId,
+    pub account: AccountId,
+    pub asks: Amount,
+    /// When the owner stops waiting for the final answer.
+    pub abandon: Tenths,
+}
+
+/// How many allocations stand where.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub in_hand: usize,
+    pub not_yet: usize,
+    pub shots_out: usize,
+    pub placed: usize,
+}
+
+/// One instance: its decisions and what it holds.
+pub struct Host<T> {
+    scheduler: Scheduler,
+    held: BTreeMap<AllocationId, Held<T>>,
+    by_name: HashMap<String, AllocationId>,
+    /// Answered with "not yet", in the order taken.
+    not_yet: Vec<AllocationId>,
+    taken: u64,
+    most: usize,
+    /// When the earliest timer under way falls due.
+    armed: Option<Tenths>,
+}
+
+impl<T> Host<T> {
+    /// `most` allocations are in hand at a time at the most; usize::MAX where the caller is bounded otherwise.
+    pub fn new(cluster: Cluster, seed: u64, now: Tenths, most: usize) -> Self {
+        Host {
+            scheduler: Scheduler::new(cluster, seed, now),
+            held: BTreeMap::new(),
+            by_name: HashMap::new(),
+            not_yet: Vec::new(),
+            taken: 0,
+            most,
+            armed: None,
+        }
+    }
+
+    /// Takes an allocation into hand. It is not yet placed: [`Host::place`] is the next call.
+    pub fn take(
+        &mut self,
+        now: Tenths,
+        name: &str,
+        asked: Asked,
+        own: T,
+    ) -> Result<AllocationId, (NotTaken, T)> {
+        if self.by_name.contains_key(name) {
+            return Err((NotTaken::SameName, own));
+        }
+        if self.held.len() >= self.most {
+            return Err((NotTaken::Full, own));
+        }
+        let id = AllocationId(self.taken);
+        self.taken += 1;
+        let Asked { service, track, account, asks, abandon } = asked;
+        let allocation =
+            Allocation { id, service, track, account, asks, taken: now, abandon, shots: Vec::new() };
+        self.by_name.insert(name.into(), id);
+        let held = Held { name: name.into(), own, allocation, pending: 0, placed: false, over: false };
+        self.held.insert(id, held);
+        Ok(id)
+    }
+
+    /// Takes one into hand that already runs on a machine. No final answer is owed, only its return.
+    pub fn take_running(
+        &mut self,
+        now: Tenths,
+        name: &str,
+        asked: Asked,
+        machine: MachineId,
+        own: T,
+    ) -> Result<AllocationId, (NotTaken, T)> {
+        let id = self.take(now, name, asked, own)?;
+        if let Some(held) = self.held.get_mut(&id) {
+            // The attempt that started it counts as made, though not by us.
+            held.allocation.shots.push(Shot { machine, sent: now, fate: Fate::MayHaveRun });
+            (held.pending, held.placed) = (1, true);
+            self.scheduler.taken_over(now, &held.allocation, machine);
+        }
+        Ok(id)
+    }
+
+    /// Where to: asked of the decisions for one in hand, and again for one that they answered "not yet".
+    pub fn place(&mut self, now: Tenths, id: AllocationId, wire: &mut impl Wire<T>) {
+        let Some(held) = self.held.get_mut(&id).filter(|held| !held.over) else { return };
+        match self.scheduler.place(now, &held.allocation) {
+            Placement::Send { machine, time_out } => {
+                wire.send(&mut held.own, &held.allocation, machine, time_out);
+                held.allocation.shots.push(Shot { machine, sent: now, fate: Fate::Pending });
+                held.pending += 1;
+            }
+            Placement::NotYet => self.not_yet.push(id),
+            Placement::Shed => self.shed(id, wire),
+            Placement::Scrap => self.scrap(id, wire),
+        }
+    }
+
+    /// A shot is placed. False where the answer is of no use: the allocation is over, or has been answered.
+    pub fn placed(&mut self, now: Tenths, id: AllocationId, shot: usize, wire: &mut impl Wire<T>) -> bool {
+        let Some(held) = self.held.get_mut(&id) else { return false };
+        let first = !held.over && !held.placed;
+        held.placed = true;
+        self.outcome(now, id, shot, Outcome::Placed, wire);
+        first
+    }
+
+    /// A shot has returned. False where there is no such shot.
+    #[allow(clippy::too_many_arguments)]
+    pub fn returned(
+        &mut self,
+        now: Tenths,
+        id: AllocationId,
+        shot: usize,
+        ending: Ending,
+        reason: Option<Reason>,
+        over: bool,
+        report: Option<Report>,
+        wire: &mut impl Wire<T>,
+    ) -> bool {
+        let Some(held) = self.held.get_mut(&id) else { return true };
+        let Some(made) = held.allocation.shots.get_mut(shot) else { return false };
+        made.fate = match ending {
+            Ending::Refused | Ending::Unconnected | Ending::NotSent => Fate::NeverRan,
+            _ => Fate::MayHaveRun,
+        };
+        held.pending = held.pending.saturating_sub(1);
+        let over = over || held.over;
+        self.outcome(now, id, shot, Outcome::Returned { ending, reason, over, report }, wire);
+        if over {
+            self.finish(id);
+        }
+        true
+    }
+
+    pub fn noted(&mut self, now: Tenths, id: AllocationId, note: Note) {
+        self.scheduler.noted(now, id, note);
+    }
+
+    pub fn probed(&mut self, now: Tenths, machine: MachineId, ending: Ending, report: Option<Report>) {
+        self.scheduler.probed(now, machine, ending, report);
+    }
+
+    pub fn listed(&mut self, scope: Scope, entries: &[Entry]) {
+        self.scheduler.listed(scope, entries);
+    }
+
+    pub fn list_failed(&mut self, now: Tenths) {
+        self.scheduler.list_failed(now);
+    }
+
+    /// The timer of [`Wire::wake`] went off. An earlier one may still be under way.
+    pub fn woken(&mut self, now: Tenths) {
+        if self.armed.is_some_and(|at| at <= now) {
+            self.armed = None;
+        }
+    }
+
+    /// After whatever was handed over: what is to be set going, and the timer for the next look.
+    pub fn rest(&mut self, now: Tenths, wire: &mut impl Wire<T>) {
+        loop {
+            let wait = self.scheduler.wait(now);
+            if wait.watch_list {
+                wire.watch_list();
+            }
+            wait.probes.iter().for_each(|&machine| wire.probe(machine));
+            for id in &wait.moves {
+                if let Some(held) = self.held.get_mut(id) {
+                    wire.relocate(&mut held.own, &held.allocation);
+                }
+            }
+            if wait.ask_again {
+                for id in std::mem::take(&mut self.not_yet) {
+                    self.place(now, id, wire);
+                }
+                continue;
+            }
+            let at = now + wait.time.max(1);
+            if self.armed.is_none_or(|armed| armed > at) {
+                wire.wake(wait.time.max(1));
+                self.armed = Some(at);
+            }
+            return;
+        }
+    }
+
+    /// The owner wants it no longer: no answer is owed from here on, nothing more is sent.
+    pub fn finish(&mut self, id: AllocationId) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.over = true;
+        if held.pending == 0
+            && let Some(held) = self.held.remove(&id)
+        {
+            self.by_name.remove(&held.name);
+        }
+    }
+
+    /// The caller stops: each one that is owed an answer gets one as soon as its shot out, if any, has returned.
+    pub fn stop(&mut self, now: Tenths, wire: &mut impl Wire<T>) {
+        let mut waits = Vec::new();
+        for (&id, held) in self.held.iter_mut().filter(|(_, held)| !held.over && !held.placed) {
+            held.allocation.abandon = held.allocation.abandon.min(now);
+            if held.pending == 0 {
+                waits.push(id);
+            }
+        }
+        waits.into_iter().for_each(|id| self.place(now, id, wire));
+        self.not_yet.clear();
+    }
+
+    /// Those that are owed an answer while a shot of theirs is out, with the number of that shot.
+    pub fn unanswered(&self) -> Vec<(AllocationId, usize)> {
+        let owed = self.held.iter().filter(|(_, held)| !held.over && !held.placed && held.pending > 0);
+        owed.map(|(&id, held)| (id, held.allocation.shots.len() - 1)).collect()
+    }
+
+    pub fn find(&self, name: &str) -> Option<AllocationId> {
+        self.by_name.get(name).copied()
+    }
+
+    /// What the caller keeps with one in hand, and the allocation.
+    pub fn own(&mut self, id: AllocationId) -> Option<(&mut T, &Allocation)> {
+        self.held.get_mut(&id).map(|held| (&mut held.own, &held.allocation))
+    }
+
+    pub fn all(&mut self) -> impl Iterator<Item = (AllocationId, &mut T, bool)> {
+        self.held.iter_mut().map(|(&id, held)| (id, &mut held.own, held.placed && !held.over))
+    }
+
+    pub fn counts(&self) -> Counts {
+        let mut counts = Counts { in_hand: self.held.len(), ..Counts::default() };
+        for held in self.held.values() {
+            counts.placed += usize::from(held.placed && !held.over);
+            counts.shots_out += usize::from(held.pending > 0 && !held.placed);
+            counts.not_yet += usize::from(held.pending == 0 && !held.placed && !held.over);
+        }
+        counts
+    }
+
+    fn outcome(
+        &mut self,
+        now: Tenths,
+        id: AllocationId,
+        shot: usize,
+        outcome: Outcome,
+        wire: &mut impl Wire<T>,
+    ) {
+        let Some(held) = self.held.get(&id) else { return };
+        match self.scheduler.after(now, &held.allocation, shot, outcome) {
+            After::Rest => {}
+            After::PlaceAgain => self.place(now, id, wire),
+            After::Shed => self.shed(id, wire),
+            After::Scrap => self.scrap(id, wire),
+        }
+    }
+
+    fn shed(&mut self, id: AllocationId, wire: &mut impl Wire<T>) {
+        if let Some(held) = self.held.get_mut(&id) {
+            wire.shed(&mut held.own, &held.allocation);
+        }
+        self.finish(id);
+    }
+
+    fn scrap(&mut self, id: AllocationId, wire: &mut impl Wire<T>) {
+        if let Some(held) = self.held.get_mut(&id) {
+            wire.scrap(&mut held.own, &held.allocation);
+        }
+        self.finish(id);
+    }
+}
