--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -3,10 +3,8 @@
 use crate::facts::{Facts, tenths};
 use crate::wire::{Fault, Message};
 use corkspan::interface::*;
-use corkspan_host::{Asked, Host, Wire};
-use fnv::FnvHasher;
+use corkspan_host::{Asked, Host, Wire, service};
 use std::fmt::Write;
-use std::hash::Hasher;
 
 pub struct Instance {
     host: Host<String>,
@@ -158,11 +156,8 @@
     }
 
     fn asked<'a>(&self, us: u64, message: &Message<'a>) -> Result<(&'a str, Asked), Fault> {
-        // No scheduler sees all services, so their numbers come from the name and not from the order of asks.
-        let mut service = FnvHasher::default();
-        service.write(message.text("owner-set")?.as_bytes());
         let asked = Asked {
-            service: ServiceId(service.finish()),
+            service: service(message.text("owner-set")?),
             track: TrackId(message.index("tier-class", None, self.facts.classes.len())?),
             account: AccountId(message.index("tenant", Some(0), self.facts.tenants.len().max(1))?),
             asks: Amount { cores: message.amount("cores-asked")?, memory: message.amount("mem")? },
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,216 @@
-//! x
+//! The command line of corkspan.
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use corkspan_api::v1::{self, placement_client::PlacementClient, word::Word as Said};
+use corkspan_deployment::Deployment;
+use corkspan_rpc::{Bounds, Link, Tasks, within};
+use futures_lite::future;
+use std::ffi::OsString;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// A cluster scheduler that fills machines by likely use, not by asks.
+#[derive(Parser)]
+#[command(name = "corkspan", version)]
+struct Line {
+    #[command(subcommand)]
+    call: Call,
+}
+
+#[derive(Subcommand)]
+enum Call {
+    /// Runs a dispatcher until a signal asks it to stop.
+    Serve {
+        /// The deployment file.
+        file: PathBuf,
+        /// How the log on standard error is written.
+        #[arg(long, value_enum, default_value = "text")]
+        log: Log,
+        /// The least level that is logged.
+        #[arg(long, default_value = "info")]
+        level: tracing::Level,
+    },
+    /// Checks a deployment file and says what is wrong with it.
+    Check {
+        /// The deployment file.
+        file: PathBuf,
+    },
+    /// Asks a dispatcher for one allocation and prints each word of it.
+    Place(Place),
+    /// Prints what a dispatcher holds and has answered.
+    Status {
+        /// Where the dispatcher listens.
+        dispatcher: SocketAddr,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Log {
+    Text,
+    Json,
+}
+
+#[derive(Args)]
+struct Place {
+    /// Where the dispatcher listens.
+    dispatcher: SocketAddr,
+    /// The task's name, the same on every return.
+    #[arg(long)]
+    task: String,
+    #[arg(long)]
+    service: String,
+    #[arg(long)]
+    track: String,
+    #[arg(long, default_value = "")]
+    account: String,
+    #[arg(long)]
+    cores: f64,
+    #[arg(long)]
+    memory: f64,
+    /// Expected life, ms.
+    #[arg(long, default_value_t = 0)]
+    life_ms: u64,
+    /// How long to wait for the final answer, ms.
+    #[arg(long, default_value_t = 6000)]
+    abandon_ms: u64,
+    /// The task was asked for before.
+    #[arg(long)]
+    again: bool,
+    /// Stay and print word of the allocation until it ends; to break off then stops it. Without this the call
+    /// ends with the final answer, and so does the allocation.
+    #[arg(long)]
+    stay: bool,
+}
+
+/// Runs the command line given, the program's name first.
+pub fn run(line: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let line = match Line::try_parse_from(line) {
+        Ok(line) => line,
+        Err(why) => {
+            let _ = why.print();
+            return if why.use_stderr() { ExitCode::from(2) } else { ExitCode::SUCCESS };
+        }
+    };
+    let result = match line.call {
+        Call::Serve { file, log, level } => serve(file, log, level),
+        Call::Check { file } => {
+            Deployment::load(&file).map(|_| println!("{}: sound", file.display())).map_err(text)
+        }
+        Call::Place(place) => called(place.dispatcher, |client| ask(client, place)),
+        Call::Status { dispatcher } => called(dispatcher, status),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("corkspan: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn text(why: impl ToString) -> String {
+    why.to_string()
+}
+
+fn serve(file: PathBuf, log: Log, level: tracing::Level) -> Result<(), String> {
+    let deployment = Deployment::load(&file).map_err(text)?;
+    let to = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
+    match log {
+        Log::Text => to.init(),
+        Log::Json => to.json().init(),
+    }
+    let ready = |address| {
+        // Whoever started it on port 0 reads here where it listens; that nobody reads is no harm.
+        let mut out = std::io::stdout();
+        let _ = writeln!(out, "listening {address}").and_then(|()| out.flush());
+    };
+    corkspan_dispatcher::serve(deployment, ready).map_err(text)
+}
+
+/// Runs one call of a client to its end.
+fn called<F: Future<Output = Result<(), String>>>(
+    dispatcher: SocketAddr,
+    call: impl FnOnce(PlacementClient<Link>) -> F,
+) -> Result<(), String> {
+    let tasks = Tasks::default();
+    let whole = async {
+        let bounds = Bounds { connect_within: Duration::from_secs(2), ..Bounds::default() };
+        let link =
+            Link::open(&tasks, dispatcher, &bounds).await.map_err(|why| format!("{dispatcher}: {why}"))?;
+        call(PlacementClient::new(link)).await
+    };
+    future::block_on(tasks.run(whole))
+}
+
+async fn status(mut client: PlacementClient<Link>) -> Result<(), String> {
+    let word = within(Duration::from_secs(5), client.status(v1::StatusAsk {})).await;
+    let word = word.ok_or("no answer within 5 s")?.map_err(|why| why.message().to_string())?.into_inner();
+    let rows = [
+        ("in hand", word.in_hand),
+        ("not yet placed", word.not_yet),
+        ("shots out", word.shots_out),
+        ("running", word.running),
+        ("asked", word.asked),
+        ("placed", word.placed),
+        ("refused", word.refused),
+        ("failed", word.failed),
+        ("cancelled", word.cancelled),
+        ("links to nodes", word.links),
+        ("machines serving", word.machines_serving),
+        ("machines known", word.machines_known),
+        ("decided, us", word.decided_us),
+    ];
+    println!(
+        "dispatcher {} of {}{}",
+        word.number,
+        word.schedulers,
+        if word.stopping { ", stopping" } else { "" }
+    );
+    rows.iter().for_each(|(what, value)| println!("{what:>18} {value}"));
+    Ok(())
+}
+
+async fn ask(mut client: PlacementClient<Link>, place: Place) -> Result<(), String> {
+    let Place { task, service, track, account, cores, memory, life_ms, abandon_ms, again, stay, .. } = place;
+    let placing = format!("{task}/{:x}", corkspan_dispatcher::clock::wall_ms());
+    let ask = v1::Ask { placing, task, service, track, account, cores, memory, life_ms, abandon_ms, again };
+    let mut words = client.place(ask).await.map_err(|why| why.message().to_string())?.into_inner();
+    let late = Duration::from_millis(abandon_ms.saturating_add(1000));
+    let mut answered = false;
+    loop {
+        let word = if answered {
+            words.message().await
+        } else {
+            within(late, words.message())
+                .await
+                .unwrap_or_else(|| Err(tonic::Status::deadline_exceeded("no answer")))
+        };
+        let Some(word) = word.map_err(|why| why.message().to_string())? else {
+            return if answered { Ok(()) } else { Err("the dispatcher gave no final answer".into()) };
+        };
+        match word.word {
+            Some(Said::Placed(placed)) => {
+                println!("placed on node {} by shot {}", placed.node, placed.shots);
+                answered = true;
+                if !stay {
+                    return Ok(());
+                }
+            }
+            Some(Said::Refused(refused)) => {
+                return Err(format!(
+                    "refused ({:?}): {}; another try is harmless",
+                    refused.why(),
+                    refused.text
+                ));
+            }
+            Some(Said::Failed(failed)) => return Err(format!("failed: {}", failed.text)),
+            Some(Said::Runs(_)) => println!("runs"),
+            Some(Said::Served(served)) => println!("served at {:.0}%", served.part * 100.0),
+            Some(Said::Ended(ended)) => println!("ended: {:?}", ended.how()),
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/deployment/src/sexp.rs
@@ -0,0 +1,262 @@
+//! Files of S-expressions, read form by form, so that whatever is wrong is told with its place.
+//!
+//! A form is a list whose first element is its name: `(cold (lasts 14 s) (offers 29))`. `;` starts a comment.
+
+use corkspan::interface::Tenths;
+use lexpr::datum::Ref;
+use std::path::Path;
+
+/// What is wrong with a file, and where.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{file}:{line}:{column}: {part}: {why}")]
+pub struct Fault {
+    pub file: String,
+    pub line: usize,
+    pub column: usize,
+    pub part: String,
+    pub why: String,
+}
+
+/// The largest file that is read.
+pub const LARGEST: u64 = 4 << 20;
+
+/// Reads a file's text; one that is missing, too large or not UTF-8 is a fault at its start.
+pub fn load(path: &Path) -> Result<String, Fault> {
+    let fault = |why: String| Fault {
+        file: path.display().to_string(),
+        line: 1,
+        column: 1,
+        part: "file".into(),
+        why,
+    };
+    let size = std::fs::metadata(path).map_err(|why| fault(why.to_string()))?.len();
+    if size > LARGEST {
+        return Err(fault(format!("{size} bytes; {LARGEST} is the most")));
+    }
+    let bytes = std::fs::read(path).map_err(|why| fault(why.to_string()))?;
+    String::from_utf8(bytes).map_err(|why| fault(why.to_string()))
+}
+
+/// Reads a text that holds exactly one form of this name, and hands it to `use_it`.
+pub fn with_form<T>(
+    file: &str,
+    text: &str,
+    name: &str,
+    use_it: impl FnOnce(&Form) -> Result<T, Fault>,
+) -> Result<T, Fault> {
+    let fault = |line, column, why: String| Fault { file: file.into(), line, column, part: name.into(), why };
+    let datum = lexpr::datum::from_str(text).map_err(|why| {
+        let place = why.location();
+        let (line, column) = place.map_or((1, 1), |place| (place.line(), place.column()));
+        fault(line, column, why.to_string())
+    })?;
+    let form = Form::read(file, name, datum.as_ref())?;
+    if form.name != name {
+        return Err(form.fault(format!("`({name} …)` must stand here, not `({} …)`", form.name)));
+    }
+    use_it(&form)
+}
+
+/// One form: its name and what follows it.
+#[derive(Clone)]
+pub struct Form<'a> {
+    file: &'a str,
+    at: Ref<'a>,
+    /// The names of the forms around it and its own, as messages give them.
+    path: String,
+    pub name: &'a str,
+    rest: Vec<Ref<'a>>,
+}
+
+impl<'a> Form<'a> {
+    fn read(file: &'a str, around: &str, at: Ref<'a>) -> Result<Self, Fault> {
+        let elements: Vec<Ref<'a>> = at.list_iter().map(Iterator::collect).unwrap_or_default();
+        let name = elements.first().and_then(|first| first.value().as_symbol());
+        let Some(name) = name else {
+            return Err(fault_at(file, at, around, "a form `(name …)` must stand here".into()));
+        };
+        Ok(Form { file, at, path: name.into(), name, rest: elements[1..].to_vec() })
+    }
+
+    /// A fault at the start of this form.
+    pub fn fault(&self, why: impl Into<String>) -> Fault {
+        fault_at(self.file, self.at, &self.path, why.into())
+    }
+
+    /// The forms within, each of a name that is known here and none twice.
+    pub fn parts(&self, known: &[&str]) -> Result<Parts<'a>, Fault> {
+        let parts = self.all(known)?;
+        for (index, part) in parts.iter().enumerate() {
+            if parts[..index].iter().any(|other| other.name == part.name) {
+                return Err(part.fault("stands here twice"));
+            }
+        }
+        Ok(Parts { form: self.clone(), parts })
+    }
+
+    /// The forms within, of names known here, each as often as it likes.
+    pub fn all(&self, known: &[&str]) -> Result<Vec<Form<'a>>, Fault> {
+        let parts = self.named()?;
+        match parts.iter().find(|part| !known.contains(&part.name)) {
+            Some(part) => Err(part.fault(format!("unknown; known here: {}", known.join(", ")))),
+            None => Ok(parts),
+        }
+    }
+
+    /// The forms within, whose names are names that the file gives, none twice.
+    pub fn own_names(&self) -> Result<Vec<Form<'a>>, Fault> {
+        let parts = self.named()?;
+        for (index, part) in parts.iter().enumerate() {
+            if parts[..index].iter().any(|other| other.name == part.name) {
+                return Err(part.fault(format!("a second `{}`", part.name)));
+            }
+        }
+        Ok(parts)
+    }
+
+    fn named(&self) -> Result<Vec<Form<'a>>, Fault> {
+        let part = |&at: &Ref<'a>| {
+            let mut part = Form::read(self.file, &self.path, at)?;
+            part.path = format!("{}/{}", self.path, part.name);
+            Ok(part)
+        };
+        self.rest.iter().map(part).collect()
+    }
+
+    fn only(&self, what: &str) -> Result<Ref<'a>, Fault> {
+        match self.rest[..] {
+            [only] => Ok(only),
+            _ => Err(self.fault(format!("{what} must follow, and nothing else"))),
+        }
+    }
+
+    fn fault_in(&self, at: Ref, what: &str) -> Fault {
+        fault_at(self.file, at, &self.path, format!("{what} must stand here, not `{}`", at.value()))
+    }
+
+    /// `(name "text")`
+    pub fn text(&self) -> Result<&'a str, Fault> {
+        let at = self.only("a text in quotes")?;
+        at.value().as_str().ok_or_else(|| self.fault_in(at, "a text in quotes"))
+    }
+
+    /// `(name word)`
+    pub fn word(&self) -> Result<&'a str, Fault> {
+        let at = self.only("a word")?;
+        at.value().as_symbol().ok_or_else(|| self.fault_in(at, "a word"))
+    }
+
+    /// `(name word word …)`, none twice.
+    pub fn words(&self) -> Result<Vec<&'a str>, Fault> {
+        let mut words = Vec::new();
+        for &at in &self.rest {
+            let word = at.value().as_symbol().ok_or_else(|| self.fault_in(at, "a word"))?;
+            if words.contains(&word) {
+                return Err(fault_at(self.file, at, &self.path, format!("a second `{word}`")));
+            }
+            words.push(word);
+        }
+        Ok(words)
+    }
+
+    /// `(name word)`, one of those given, as its index.
+    pub fn one_of(&self, words: &[impl AsRef<str>]) -> Result<usize, Fault> {
+        let word = self.word()?;
+        words.iter().position(|known| known.as_ref() == word).ok_or_else(|| {
+            let known: Vec<&str> = words.iter().map(AsRef::as_ref).collect();
+            self.fault(format!("`{word}` is none of: {}", known.join(", ")))
+        })
+    }
+
+    /// `(name #t)` or `(name #f)`
+    pub fn truth(&self) -> Result<bool, Fault> {
+        let at = self.only("#t or #f")?;
+        at.value().as_bool().ok_or_else(|| self.fault_in(at, "#t or #f"))
+    }
+
+    /// `(name 1.5)`: finite and not below 0.
+    pub fn amount(&self) -> Result<f64, Fault> {
+        let at = self.only("a number, 0 or more")?;
+        self.amount_at(at)
+    }
+
+    fn amount_at(&self, at: Ref) -> Result<f64, Fault> {
+        let value = at.value().as_f64().filter(|value| value.is_finite() && *value >= 0.0);
+        value.ok_or_else(|| self.fault_in(at, "a number, 0 or more"))
+    }
+
+    /// `(name 1.5)`: finite and above 0.
+    pub fn above_zero(&self) -> Result<f64, Fault> {
+        match self.amount()? {
+            value if value > 0.0 => Ok(value),
+            _ => Err(self.fault("must be above 0")),
+        }
+    }
+
+    /// `(name 3)`: a whole number within these bounds.
+    pub fn whole(&self, least: u64, most: u64) -> Result<u64, Fault> {
+        let what = format!("a whole number from {least} to {most}");
+        let at = self.only(&what)?;
+        let value = at.value().as_u64().filter(|value| (least..=most).contains(value));
+        value.ok_or_else(|| self.fault_in(at, &what))
+    }
+
+    /// `(name 600 ms)`, `(name 14 s)` or `(name 2 min)`: whole tenths of a millisecond, rounded down, a year at
+    /// the most.
+    pub fn time(&self) -> Result<Tenths, Fault> {
+        let [number, unit] = self.rest[..] else {
+            return Err(self.fault("a number and its unit (ms, s or min) must follow"));
+        };
+        let tenths = match unit.value().as_symbol() {
+            Some("ms") => 10.0,
+            Some("s") => 10_000.0,
+            Some("min") => 600_000.0,
+            _ => return Err(self.fault_in(unit, "ms, s or min")),
+        };
+        let value = self.amount_at(number)? * tenths;
+        if value > 315_360_000_000.0 {
+            return Err(self.fault_in(number, "a time of a year at the most"));
+        }
+        Ok(value as Tenths)
+    }
+
+    /// `(name (cores 2) (memory 4))`
+    pub fn cores_and_memory(&self) -> Result<corkspan::interface::Amount, Fault> {
+        let parts = self.parts(&["cores", "memory"])?;
+        Ok(corkspan::interface::Amount {
+            cores: parts.need("cores")?.above_zero()?,
+            memory: parts.need("memory")?.above_zero()?,
+        })
+    }
+}
+
+/// The forms within one, each at most once.
+pub struct Parts<'a> {
+    form: Form<'a>,
+    parts: Vec<Form<'a>>,
+}
+
+impl<'a> Parts<'a> {
+    pub fn need(&self, name: &str) -> Result<&Form<'a>, Fault> {
+        self.find(name).ok_or_else(|| self.form.fault(format!("lacks `({name} …)`")))
+    }
+
+    pub fn find(&self, name: &str) -> Option<&Form<'a>> {
+        self.parts.iter().find(|part| part.name == name)
+    }
+
+    /// What the part says, or this where there is none.
+    pub fn or<T>(
+        &self,
+        name: &str,
+        absent: T,
+        read: impl FnOnce(&Form<'a>) -> Result<T, Fault>,
+    ) -> Result<T, Fault> {
+        self.find(name).map_or(Ok(absent), read)
+    }
+}
+
+fn fault_at(file: &str, at: Ref, part: &str, why: String) -> Fault {
+    let start = at.span().start();
+    Fault { file: file.into(), line: start.line(), column: start.column(), part: part.into(), why }
+}
--- /dev/null
+++ b/crates/dispatcher/src/clients.rs
@@ -0,0 +1,85 @@
+//! The placement service: what owners say, straight to the desk.
+
+use crate::desk::{Desk, Taken};
+use corkspan::interface::AllocationId;
+use corkspan_api::v1::{self, placement_server::Placement};
+use futures_lite::Stream;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tonic::{Request, Response, Status};
+
+#[derive(Clone)]
+pub struct Clients(pub Arc<Desk>);
+
+/// The words to one owner. Its end, whoever ends it, is told to the desk.
+pub struct Words {
+    words: Pin<Box<async_channel::Receiver<v1::Word>>>,
+    id: Option<AllocationId>,
+    desk: Arc<Desk>,
+    _open: Arc<()>,
+}
+
+impl Words {
+    fn new(taken: Taken, desk: &Arc<Desk>) -> Response<Self> {
+        let Taken { words, id, open } = taken;
+        Response::new(Words { words: Box::pin(words), id, desk: Arc::clone(desk), _open: open })
+    }
+}
+
+impl Stream for Words {
+    type Item = Result<v1::Word, Status>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.words.as_mut().poll_next(cx).map(|word| word.map(Ok))
+    }
+}
+
+impl Drop for Words {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.desk.hung_up(id);
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Placement for Clients {
+    type PlaceStream = Words;
+    type HandOverStream = Words;
+
+    async fn place(&self, request: Request<v1::Ask>) -> Result<Response<Words>, Status> {
+        let hangs_up = deadline(request.metadata())?;
+        Ok(Words::new(self.0.ask(request.into_inner(), hangs_up), &self.0))
+    }
+
+    async fn hand_over(&self, request: Request<v1::Running>) -> Result<Response<Words>, Status> {
+        Ok(Words::new(self.0.hand_over(request.into_inner()), &self.0))
+    }
+
+    async fn status(&self, _: Request<v1::StatusAsk>) -> Result<Response<v1::StatusWord>, Status> {
+        Ok(Response::new(self.0.status()))
+    }
+}
+
+/// The call's own deadline: up to eight digits and a unit, as the gRPC protocol has it.
+fn deadline(metadata: &tonic::metadata::MetadataMap) -> Result<Option<Duration>, Status> {
+    let Some(value) = metadata.get("grpc-timeout") else { return Ok(None) };
+    let wrong = || Status::invalid_argument("grpc-timeout is no time");
+    let text = value.to_str().map_err(|_| wrong())?;
+    let (digits, unit) = text.split_at_checked(text.len().saturating_sub(1)).ok_or_else(wrong)?;
+    if digits.is_empty() || digits.len() > 8 || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(wrong());
+    }
+    let number: u64 = digits.parse().map_err(|_| wrong())?;
+    Ok(Some(match unit {
+        "H" => Duration::from_secs(number * 3600),
+        "M" => Duration::from_secs(number * 60),
+        "S" => Duration::from_secs(number),
+        "m" => Duration::from_millis(number),
+        "u" => Duration::from_micros(number),
+        "n" => Duration::from_nanos(number),
+        _ => return Err(wrong()),
+    }))
+}
--- /dev/null
+++ b/crates/dispatcher/src/desk.rs
@@ -0,0 +1,546 @@
+//! Where everything meets: the host with its decisions, what it holds for clients, and the ways out. Whoever
+//! reads a message calls in here directly; the answers leave as messages before the call returns.
+
+use crate::clock::{Clock, duration};
+use crate::links::{Counted, NodeLink};
+use crate::shots;
+use corkspan::interface::*;
+use corkspan_api::v1;
+use corkspan_deployment::Deployment;
+use corkspan_host::{Asked, Host, NotTaken, Wire, service};
+use corkspan_rpc::Tasks;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::time::{Duration, Instant};
+use tracing::{debug, info, warn};
+use v1::word::Word as Said;
+
+/// What is kept for the owner of an allocation in hand.
+pub struct Client {
+    pub ask: v1::Ask,
+    words: async_channel::Sender<v1::Word>,
+    /// When the owner stops waiting; none for one handed over.
+    deadline: Option<Tenths>,
+    /// The call itself has a deadline: that it ends then says nothing of the allocation.
+    hangs_up: Option<Tenths>,
+    moving: bool,
+}
+
+impl Client {
+    /// A word that must arrive. There is always room: notes leave some.
+    fn say(&self, said: Said) {
+        if self.words.try_send(v1::Word { word: Some(said) }).is_err() {
+            debug!(task = self.ask.task, "an owner is gone before its word");
+        }
+    }
+
+    /// A word that may be left out where the owner doesn't read.
+    fn note(&self, said: Said) {
+        const KEPT_FREE: usize = 4;
+        if self.words.len() + KEPT_FREE < self.words.capacity().unwrap_or(usize::MAX) {
+            let _ = self.words.try_send(v1::Word { word: Some(said) });
+        }
+    }
+}
+
+#[derive(Default)]
+struct Counters {
+    asked: u64,
+    placed: u64,
+    refused: u64,
+    failed: u64,
+    cancelled: u64,
+}
+
+/// The ways out: to nodes, owners and the timer.
+pub struct Port {
+    desk: Weak<Desk>,
+    now: Tenths,
+    nodes: BTreeMap<MachineId, Arc<NodeLink>>,
+    counters: Counters,
+    stopping: bool,
+    decided: Duration,
+    serving: usize,
+}
+
+pub struct Inner {
+    host: Host<Client>,
+    port: Port,
+}
+
+pub struct Desk {
+    inner: Mutex<Inner>,
+    pub clock: Clock,
+    pub deployment: Deployment,
+    pub link_bounds: corkspan_rpc::Bounds,
+    pub tasks: Tasks,
+    /// When to look again.
+    wakes: async_channel::Sender<Instant>,
+    /// The list is to be watched.
+    pub watches: async_channel::Sender<()>,
+    /// Calls of clients that are open.
+    calls: Arc<()>,
+}
+
+/// What an owner's call gets: words, and the id where it was taken into hand.
+pub struct Taken {
+    pub words: async_channel::Receiver<v1::Word>,
+    pub id: Option<AllocationId>,
+    pub open: Arc<()>,
+}
+
+impl Desk {
+    pub fn new(
+        deployment: Deployment,
+        seed: u64,
+        clock: Clock,
+        tasks: &Tasks,
+        wakes: async_channel::Sender<Instant>,
+        watches: async_channel::Sender<()>,
+    ) -> Arc<Self> {
+        let now = clock.now();
+        Arc::new_cyclic(|desk| {
+            let host = Host::new(deployment.cluster.clone(), seed, now, deployment.bounds.in_hand);
+            let port = Port {
+                desk: desk.clone(),
+                now,
+                nodes: BTreeMap::new(),
+                counters: Counters::default(),
+                stopping: false,
+                decided: Duration::ZERO,
+                serving: 0,
+            };
+            Desk {
+                inner: Mutex::new(Inner { host, port }),
+                clock,
+                link_bounds: crate::links::bounds(&deployment.bounds),
+                deployment,
+                tasks: Arc::clone(tasks),
+                wakes,
+                watches,
+                calls: Arc::new(()),
+            }
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // A panic under the lock would leave the books in doubt: go down with it rather than guess.
+        self.inner.lock().expect("the desk's books are whole")
+    }
+
+    /// Hands something over and sets going what follows from it.
+    fn with<R>(&self, call: impl FnOnce(Tenths, &mut Host<Client>, &mut Port) -> R) -> R {
+        let mut inner = self.lock();
+        let Inner { host, port } = &mut *inner;
+        let (now, began) = (self.clock.now(), Instant::now());
+        port.now = now;
+        let result = call(now, host, port);
+        host.rest(now, port);
+        port.decided += began.elapsed();
+        result
+    }
+
+    /// An owner asks. The answer is among the words, at once or later.
+    pub fn ask(self: &Arc<Self>, ask: v1::Ask, hangs_up: Option<Duration>) -> Taken {
+        let (words, heard) = async_channel::bounded(self.deployment.bounds.words_a_client);
+        let taken = Taken { words: heard, id: None, open: Arc::clone(&self.calls) };
+        let refuse = |why: v1::refused::Why, text: String| {
+            let word = v1::Refused { why: why.into(), text, shots: 0 };
+            let _ = words.try_send(v1::Word { word: Some(Said::Refused(word)) });
+        };
+        let mut inner = self.lock();
+        inner.port.counters.asked += 1;
+        inner.port.counters.refused += 1;
+        if inner.port.stopping {
+            refuse(v1::refused::Why::Stopping, "this dispatcher is about to stop".into());
+            return taken;
+        }
+        if Arc::strong_count(&self.calls) > self.deployment.bounds.calls as usize {
+            refuse(v1::refused::Why::TooMany, "as many calls as may be are open".into());
+            return taken;
+        }
+        let now = self.clock.now();
+        let left = [
+            hangs_up.map(crate::clock::tenths),
+            Some(ask.abandon_ms.saturating_mul(10)).filter(|&ms| ms > 0),
+        ];
+        let asked = match (self.asked(now, &ask), left.into_iter().flatten().min()) {
+            (Err(why), _) => Err(why),
+            (_, None) => Err("no deadline: neither abandon_ms nor one of the call".into()),
+            (_, Some(left)) if left > LONGEST => {
+                Err(format!("a deadline more than {} s away", LONGEST / 10_000))
+            }
+            (Ok(asked), Some(left)) => Ok((asked, left)),
+        };
+        let (asked, left) = match asked {
+            Ok(asked) => asked,
+            Err(why) => {
+                refuse(v1::refused::Why::BadAsk, why);
+                return taken;
+            }
+        };
+        // A dispatcher that stands still can't answer: so the decisions are told of less time than there is.
+        let ahead = self.deployment.bounds.answer_ahead.min(left / 2);
+        let asked = Asked { abandon: now + left - ahead, ..asked };
+        let task = ask.task.clone();
+        let hangs_up = hangs_up.map(|after| now + crate::clock::tenths(after));
+        let client =
+            Client { ask, words: words.clone(), deadline: Some(now + left), hangs_up, moving: false };
+        let why = match inner.host.take(now, &task, asked, client) {
+            Ok(id) => {
+                inner.port.counters.refused -= 1;
+                drop(inner);
+                self.with(|now, host, port| host.place(now, id, port));
+                return Taken { id: Some(id), ..taken };
+            }
+            Err((why, _)) => why,
+        };
+        refuse(refusal(why), why.to_string());
+        taken
+    }
+
+    /// An owner hands over an allocation that already runs.
+    pub fn hand_over(self: &Arc<Self>, running: v1::Running) -> Taken {
+        let (words, heard) = async_channel::bounded(self.deployment.bounds.words_a_client);
+        let open = Arc::clone(&self.calls);
+        let refuse = |why: v1::refused::Why, text: String| {
+            let word = v1::Refused { why: why.into(), text, shots: 0 };
+            let _ = words.try_send(v1::Word { word: Some(Said::Refused(word)) });
+        };
+        let ask = running.ask.unwrap_or_default();
+        let machine = MachineId(running.node);
+        let id = self.with(|now, host, port| {
+            let asked = self.asked(now, &ask).map_err(|why| refuse(v1::refused::Why::BadAsk, why)).ok()?;
+            if port.stopping {
+                refuse(v1::refused::Why::Stopping, "this dispatcher is about to stop".into());
+                return None;
+            }
+            let (task, shot) = (ask.task.clone(), self.shot(&ask, &asked, 0));
+            let client = Client { ask, words: words.clone(), deadline: None, hangs_up: None, moving: false };
+            match host.take_running(now, &task, asked, machine, client) {
+                Ok(id) => {
+                    self.tasks
+                        .spawn(shots::attend(self.clone(), id, port.node(machine), machine, shot))
+                        .detach();
+                    Some(id)
+                }
+                Err((why, _)) => {
+                    refuse(refusal(why), why.to_string());
+                    None
+                }
+            }
+        });
+        Taken { words: heard, id, open }
+    }
+
+    /// What an ask is to the decisions, or what is wrong with it. Its abandon time is not set.
+    fn asked(&self, now: Tenths, ask: &v1::Ask) -> Result<Asked, String> {
+        let index = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let track = index(&self.deployment.tracks, &ask.track);
+        let account = match (&ask.account[..], &self.deployment.accounts[..]) {
+            ("", _) | (_, []) => Some(0),
+            (name, names) => index(names, name),
+        };
+        let amount = |value: f64| value.is_finite() && value > 0.0 && value <= 1e9;
+        for (what, text) in [("task", &ask.task), ("placing", &ask.placing), ("service", &ask.service)] {
+            if text.is_empty() || text.len() > 256 {
+                return Err(format!("{what}: 1 to 256 bytes are wanted, not {}", text.len()));
+            }
+        }
+        if !amount(ask.cores) || !amount(ask.memory) {
+            return Err(format!("cores and memory must be above 0, not {} and {}", ask.cores, ask.memory));
+        }
+        Ok(Asked {
+            service: service(&ask.service),
+            track: TrackId(track.ok_or_else(|| format!("unknown track `{}`", ask.track))?),
+            account: AccountId(account.ok_or_else(|| format!("unknown account `{}`", ask.account))?),
+            asks: Amount { cores: ask.cores, memory: ask.memory },
+            abandon: now,
+        })
+    }
+
+    fn shot(&self, ask: &v1::Ask, asked: &Asked, number: usize) -> v1::Shot {
+        v1::Shot {
+            placing: ask.placing.clone(),
+            number: number as u32,
+            task: ask.task.clone(),
+            service: ask.service.clone(),
+            track: ask.track.clone(),
+            account: ask.account.clone(),
+            cores: ask.cores,
+            memory: ask.memory,
+            life_ms: ask.life_ms,
+            dispatcher: self.deployment.cluster.number as u32,
+            priority: u32::from(self.deployment.cluster.tracks[asked.track.0].priority),
+        }
+    }
+
+    /// The owner's call is over. Unless the allocation has ended too, or the call had its own deadline, it is no
+    /// longer wanted.
+    pub fn hung_up(self: &Arc<Self>, id: AllocationId) {
+        self.with(|now, host, port| {
+            let Some((client, _)) = host.own(id) else { return };
+            let placed = client.deadline.is_none();
+            if port.stopping && placed || placed && client.hangs_up.is_some_and(|at| now >= at) {
+                return;
+            }
+            self.unwanted(id, host, port);
+        });
+    }
+
+    /// Ends an allocation without an answer and stops what may run of it.
+    fn unwanted(self: &Arc<Self>, id: AllocationId, host: &mut Host<Client>, port: &mut Port) {
+        let Some((client, allocation)) = host.own(id) else { return };
+        if let Some(machine) = allocation.shots.last().map(|shot| shot.machine) {
+            port.stop(self, client, machine, false);
+        }
+        port.counters.cancelled += 1;
+        host.finish(id);
+    }
+
+    /// A node has placed a shot. False where the shot need not be followed any longer.
+    pub fn placed(self: &Arc<Self>, id: AllocationId, shot: usize, machine: MachineId) {
+        self.with(|now, host, port| {
+            let late = host.own(id).is_some_and(|(client, _)| client.deadline.is_some_and(|at| now >= at));
+            if late {
+                // The owner has given up: an answer now would be one too late. The outcome is told all the same.
+                host.placed(now, id, shot, port);
+                self.unwanted(id, host, port);
+            } else if host.placed(now, id, shot, port)
+                && let Some((client, allocation)) = host.own(id)
+            {
+                client.deadline = None;
+                port.counters.placed += 1;
+                let shots = allocation.shots.len() as u32;
+                client.say(Said::Placed(v1::Placed { node: machine.0, shots }));
+            }
+        });
+    }
+
+    /// A shot has returned. `over` where it was placed and the allocation ends with it, in this way.
+    pub fn returned(
+        self: &Arc<Self>,
+        id: AllocationId,
+        shot: usize,
+        ending: Ending,
+        reason: Option<Reason>,
+        over: Option<v1::ended::How>,
+        report: Option<Report>,
+    ) {
+        self.with(|now, host, port| {
+            if let (Some(how), Some((client, _))) = (over, host.own(id)) {
+                let how =
+                    if client.moving && how == v1::ended::How::Lost { v1::ended::How::Moved } else { how };
+                client.say(Said::Ended(v1::Ended { how: how.into() }));
+                client.words.close();
+            }
+            host.returned(now, id, shot, ending, reason, over.is_some(), report, port);
+        });
+    }
+
+    pub fn noted(&self, id: AllocationId, note: Note) {
+        self.with(|now, host, _| {
+            host.noted(now, id, note);
+            let Some((client, _)) = host.own(id) else { return };
+            match note {
+                Note::Runs => client.note(Said::Runs(v1::Runs {})),
+                Note::Served(part) => client.note(Said::Served(v1::Served { part })),
+                _ => {}
+            }
+        });
+    }
+
+    pub fn probed(&self, machine: MachineId, ending: Ending, report: Option<Report>) {
+        self.with(|now, host, _| host.probed(now, machine, ending, report));
+    }
+
+    /// The list of machines, or changes of it, with their addresses.
+    pub fn listed(&self, scope: Scope, entries: &[(Entry, std::net::SocketAddr)]) {
+        self.with(|_, host, port| {
+            if scope == Scope::Whole {
+                port.nodes.retain(|id, _| entries.iter().any(|(entry, _)| entry.machine == *id));
+            }
+            for (entry, address) in entries {
+                match port.nodes.get(&entry.machine) {
+                    Some(node) if node.address == *address => {}
+                    _ => drop(port.nodes.insert(entry.machine, NodeLink::new(*address))),
+                }
+            }
+            let list: Vec<Entry> = entries.iter().map(|(entry, _)| *entry).collect();
+            host.listed(scope, &list);
+        });
+    }
+
+    pub fn count_serving(&self, serving: usize) {
+        self.lock().port.serving = serving;
+    }
+
+    pub fn list_failed(&self) {
+        self.with(|now, host, _| host.list_failed(now));
+    }
+
+    pub fn woken(&self) {
+        self.with(|now, host, _| host.woken(now));
+    }
+
+    pub fn status(&self) -> v1::StatusWord {
+        let inner = self.lock();
+        let (counts, port) = (inner.host.counts(), &inner.port);
+        let idle = duration(self.deployment.bounds.idle_close);
+        v1::StatusWord {
+            number: self.deployment.cluster.number as u32,
+            schedulers: self.deployment.cluster.schedulers as u32,
+            in_hand: counts.in_hand as u64,
+            not_yet: counts.not_yet as u64,
+            shots_out: counts.shots_out as u64,
+            running: counts.placed as u64,
+            asked: port.counters.asked,
+            placed: port.counters.placed,
+            refused: port.counters.refused,
+            failed: port.counters.failed,
+            cancelled: port.counters.cancelled,
+            links: port.nodes.values().filter(|node| node.close_idle(idle)).count() as u64,
+            machines_serving: port.serving as u64,
+            machines_known: port.nodes.len() as u64,
+            decided_us: port.decided.as_micros() as u64,
+            stopping: port.stopping,
+        }
+    }
+
+    /// Closes links that nothing has crossed for a while.
+    pub fn close_idle(&self) {
+        let nodes: Vec<Arc<NodeLink>> = self.lock().port.nodes.values().cloned().collect();
+        let idle = duration(self.deployment.bounds.idle_close);
+        for node in nodes {
+            node.close_idle(idle);
+        }
+    }
+
+    /// No new asks from here on; whatever waits for room is answered.
+    pub fn stop(&self) {
+        info!("stopping: no new asks");
+        self.with(|now, host, port| {
+            port.stopping = true;
+            host.stop(now, port);
+        });
+    }
+
+    pub fn unanswered(&self) -> usize {
+        self.lock().host.unanswered().len()
+    }
+
+    /// Gives up on shots still out, and hands the running ones back to their owners.
+    pub fn let_go(&self) {
+        self.with(|now, host, port| {
+            for (id, shot) in host.unanswered() {
+                warn!(?id, shot, "no answer from a node before the stop");
+                host.returned(now, id, shot, Ending::TimedOut, None, false, None, port);
+            }
+            for (_, client, runs) in host.all() {
+                if runs {
+                    client.say(Said::Ended(v1::Ended { how: v1::ended::How::HandedBack.into() }));
+                }
+                client.words.close();
+            }
+        });
+    }
+
+    /// Whether calls of clients are open.
+    pub fn calls_open(&self) -> bool {
+        Arc::strong_count(&self.calls) > 1
+    }
+}
+
+/// No owner waits longer for a placing.
+const LONGEST: Tenths = 24 * 3600 * 10_000;
+
+fn refusal(why: NotTaken) -> v1::refused::Why {
+    match why {
+        NotTaken::Full => v1::refused::Why::TooMany,
+        NotTaken::SameName => v1::refused::Why::InHand,
+    }
+}
+
+impl Port {
+    fn node(&self, machine: MachineId) -> Option<Arc<NodeLink>> {
+        self.nodes.get(&machine).cloned()
+    }
+
+    fn stop(&mut self, desk: &Arc<Desk>, client: &Client, machine: MachineId, moved: bool) {
+        let Some(node) = self.node(machine) else { return };
+        let stop = v1::StopAsk { placing: client.ask.placing.clone(), task: client.ask.task.clone(), moved };
+        desk.tasks.spawn(shots::stop(desk.clone(), node, stop)).detach();
+    }
+
+    /// The final answer, unless the owner's time is already up.
+    fn answer(&self, client: &mut Client, said: Said) -> bool {
+        let in_time = client.deadline.take().is_some_and(|at| self.now < at);
+        if in_time {
+            client.say(said);
+        }
+        client.words.close();
+        in_time
+    }
+}
+
+impl Wire<Client> for Port {
+    fn send(&mut self, client: &mut Client, allocation: &Allocation, machine: MachineId, time_out: Tenths) {
+        let Some(desk) = self.desk.upgrade() else { return };
+        let asked = Asked {
+            service: allocation.service,
+            track: allocation.track,
+            account: allocation.account,
+            asks: allocation.asks,
+            abandon: allocation.abandon,
+        };
+        let shot = desk.shot(&client.ask, &asked, allocation.shots.len());
+        let node = self.node(machine);
+        let most = desk.deployment.bounds.offers_a_node;
+        let open: Option<Counted> = node.as_ref().and_then(|node| node.offer(most));
+        let offer = shots::Offer { id: allocation.id, number: allocation.shots.len(), machine, node, open };
+        let tasks = Arc::clone(&desk.tasks);
+        tasks.spawn(shots::offer(desk, offer, shot, duration(time_out))).detach();
+    }
+
+    fn shed(&mut self, client: &mut Client, allocation: &Allocation) {
+        let (why, shots) = (v1::refused::Why::NoRoom.into(), allocation.shots.len() as u32);
+        let text = "no machine could take it in its time".into();
+        if self.answer(client, Said::Refused(v1::Refused { why, text, shots })) {
+            self.counters.refused += 1;
+        }
+    }
+
+    fn scrap(&mut self, client: &mut Client, allocation: &Allocation) {
+        let shots = allocation.shots.len() as u32;
+        let text = "a shot may have run, and a further one is not allowed".into();
+        if self.answer(client, Said::Failed(v1::Failed { text, shots })) {
+            self.counters.failed += 1;
+        }
+    }
+
+    fn relocate(&mut self, client: &mut Client, allocation: &Allocation) {
+        let (Some(desk), Some(shot)) = (self.desk.upgrade(), allocation.shots.last()) else { return };
+        client.moving = true;
+        self.stop(&desk, client, shot.machine, true);
+    }
+
+    fn probe(&mut self, machine: MachineId) {
+        let (Some(desk), Some(node)) = (self.desk.upgrade(), self.node(machine)) else { return };
+        let tasks = Arc::clone(&desk.tasks);
+        tasks.spawn(shots::probe(desk, machine, node)).detach();
+    }
+
+    fn watch_list(&mut self) {
+        if let Some(desk) = self.desk.upgrade() {
+            // Full: one is asked for already.
+            let _ = desk.watches.try_send(());
+        }
+    }
+
+    fn wake(&mut self, after: Tenths) {
+        if let Some(desk) = self.desk.upgrade() {
+            // Always earlier than what is waited for, so it may take its place.
+            let _ = desk.wakes.force_send(Instant::now() + duration(after));
+        }
+    }
+}
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -1,1 +1,132 @@
-//! x
+//! The dispatcher daemon: owners ask over gRPC, the decisions of [`corkspan::rules`] say where to, nodes are
+//! offered the work, and the answers go back. It turns what it reads straight into calls, and answers straight
+//! into messages; docs/dispatcher.md says how and why.
+
+mod clients;
+pub mod clock;
+mod desk;
+mod links;
+mod roster;
+mod shots;
+
+use async_io::Timer;
+use async_net::TcpListener;
+use clients::Clients;
+use corkspan_api::v1::placement_server::PlacementServer;
+use corkspan_deployment::Deployment;
+use corkspan_rpc::Tasks;
+use desk::Desk;
+use futures_lite::{FutureExt, StreamExt, future};
+use roster::Roster;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tracing::info;
+
+/// Why a dispatcher did not start, or ended by itself.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    #[error("can't listen on {address}: {why}")]
+    Listen { address: SocketAddr, why: std::io::Error },
+    #[error("can't take signals: {0}")]
+    Signals(std::io::Error),
+    #[error("the listener broke: {0}")]
+    Listener(std::io::Error),
+}
+
+/// Runs a dispatcher on this thread until a signal asks it to stop and everything in hand has its answer.
+/// `ready` is called with the address that it listens on, once it does.
+pub fn serve(deployment: Deployment, ready: impl FnOnce(SocketAddr)) -> Result<(), Failure> {
+    use async_signal::{Signal, Signals};
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(Failure::Signals)?;
+    let stop = async move {
+        signals.next().await;
+    };
+    let tasks: Tasks = Arc::default();
+    future::block_on(tasks.clone().run(run(tasks, deployment, ready, stop)))
+}
+
+/// Runs a dispatcher on an executor until `stop` is done and everything in hand has its answer.
+pub async fn run(
+    tasks: Tasks,
+    deployment: Deployment,
+    ready: impl FnOnce(SocketAddr),
+    stop: impl Future<Output = ()>,
+) -> Result<(), Failure> {
+    let address = deployment.listen;
+    let listener = TcpListener::bind(address).await.map_err(|why| Failure::Listen { address, why })?;
+    let address = listener.local_addr().map_err(|why| Failure::Listen { address, why })?;
+    let clock = clock::Clock::start();
+    // Another life must not draw the same chances: one that was killed for a bad draw would repeat it.
+    let seed = deployment.seed ^ clock.now().rotate_left(20) ^ (deployment.cluster.number as u64) << 48;
+    let (wakes, waking) = async_channel::bounded(1);
+    let (watches, asked) = async_channel::bounded(1);
+    let path = deployment.remembered.clone();
+    let bounds = deployment.bounds.clone();
+    let desk = Desk::new(deployment, seed, clock, &tasks, wakes, watches);
+    let mut roster = path.as_deref().map(Roster::remembered).unwrap_or_default();
+    let entries = roster.entries(&desk);
+    info!(%address, remembered = entries.len(), "listening");
+    desk.listed(corkspan::interface::Scope::Remembered, &entries);
+
+    let service = PlacementServer::new(Clients(Arc::clone(&desk))).max_decoding_message_size(bounds.message);
+    let serving = corkspan_rpc::serve(listener, service, desk.link_bounds.clone());
+    let background = [
+        tasks.spawn(wake(Arc::clone(&desk), waking)),
+        tasks.spawn(roster::run(Arc::clone(&desk), roster, asked, path)),
+        tasks.spawn(sweep(Arc::clone(&desk), clock::duration(bounds.idle_close) / 4)),
+    ];
+    ready(address);
+    let stopping = async {
+        stop.await;
+        desk.stop();
+        let latest = Instant::now() + clock::duration(bounds.stop_within);
+        until(latest, || desk.unanswered() == 0).await;
+        desk.let_go();
+        // The last words are on their way; owners that don't read are not waited for.
+        until(Instant::now() + Duration::from_secs(1), || !desk.calls_open()).await;
+        info!("stopped");
+        Ok(())
+    };
+    let result = stopping.or(async { Err(Failure::Listener(serving.await)) }).await;
+    drop(background);
+    result
+}
+
+async fn until(latest: Instant, done: impl Fn() -> bool) {
+    while !done() && Instant::now() < latest {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
+/// The one timer.
+async fn wake(desk: Arc<Desk>, waking: async_channel::Receiver<Instant>) {
+    let mut due: Option<Instant> = None;
+    loop {
+        let told = async { waking.recv().await.ok().map(Some) };
+        let woken = async {
+            match due {
+                Some(at) => drop(Timer::at(at).await),
+                None => future::pending().await,
+            }
+            Some(None)
+        };
+        match told.or(woken).await {
+            Some(Some(at)) => due = Some(due.map_or(at, |other| other.min(at))),
+            Some(None) => {
+                due = None;
+                desk.woken();
+            }
+            None => return,
+        }
+    }
+}
+
+/// Closes links that are idle.
+async fn sweep(desk: Arc<Desk>, every: Duration) {
+    loop {
+        Timer::after(every).await;
+        desk.close_idle();
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/roster.rs
@@ -0,0 +1,249 @@
+//! The list of machines: watched at the roster when the decisions ask for it, kept on disk for the next start.
+
+use crate::clock::{Clock, tenths, wall_ms};
+use crate::desk::Desk;
+use corkspan::interface::*;
+use corkspan_api::v1::{self, roster_client::RosterClient};
+use corkspan_rpc::Link;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// One line of the list, as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Line {
+    node: u32,
+    address: SocketAddr,
+    kind: String,
+    hall: String,
+    cell: u64,
+    state: Known,
+    started_ms: u64,
+    /// Cores and memory.
+    unasked: Option<(f64, f64)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Known {
+    Serving,
+    Draining,
+    Gone,
+}
+
+/// The list as it is kept on disk. Its sum is over the text of the lines.
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    version: u64,
+    sum: u64,
+    lines: Vec<Line>,
+}
+
+/// The list as it is known, and what each start is in our own time.
+#[derive(Default)]
+pub struct Roster {
+    version: u64,
+    lines: BTreeMap<u32, Line>,
+    /// When each process started by our clock, fixed when first told: a moment worked out anew with each list
+    /// would wander with the way, and look like another start.
+    starts: BTreeMap<u32, (u64, Tenths)>,
+}
+
+/// Kept lists larger than this are none of ours.
+const LARGEST: u64 = 64 << 20;
+
+impl Roster {
+    /// The list of an earlier life; what can't be read is set aside, never guessed at.
+    pub fn remembered(path: &Path) -> Self {
+        let kept = match read(path) {
+            Ok(Some(kept)) => kept,
+            Ok(None) => return Roster::default(),
+            Err(why) => {
+                let aside = path.with_extension("aside");
+                warn!(path = %path.display(), why, "the remembered list can't be read; set aside");
+                if let Err(why) = std::fs::rename(path, &aside) {
+                    warn!(path = %path.display(), %why, "and can't be set aside either");
+                }
+                return Roster::default();
+            }
+        };
+        let lines = kept.lines.into_iter().map(|line| (line.node, line)).collect();
+        Roster { version: kept.version, lines, starts: BTreeMap::new() }
+    }
+
+    /// The lines as the decisions take them.
+    pub fn entries(&mut self, desk: &Desk) -> Vec<(Entry, SocketAddr)> {
+        let lines: Vec<Line> = self.lines.values().cloned().collect();
+        let now_ms = wall_ms();
+        lines.iter().filter_map(|line| self.entry(desk, line, now_ms)).collect()
+    }
+
+    fn take(&mut self, desk: &Desk, listing: v1::Listing) -> (Scope, Vec<(Entry, SocketAddr)>) {
+        let scope = if listing.whole { Scope::Whole } else { Scope::Changes };
+        if listing.whole {
+            self.lines.clear();
+        }
+        self.version = listing.version;
+        let mut entries = Vec::new();
+        for entry in listing.entries {
+            match line(entry) {
+                Ok(line) => {
+                    entries.extend(self.entry(desk, &line, listing.now_ms));
+                    if line.state == Known::Gone {
+                        self.lines.remove(&line.node);
+                    } else {
+                        self.lines.insert(line.node, line);
+                    }
+                }
+                Err(why) => warn!(why, "a line of the list is left out"),
+            }
+        }
+        self.starts.retain(|node, _| self.lines.contains_key(node));
+        desk.count_serving(self.lines.values().filter(|line| line.state == Known::Serving).count());
+        (scope, entries)
+    }
+
+    fn entry(&mut self, desk: &Desk, line: &Line, now_ms: u64) -> Option<(Entry, SocketAddr)> {
+        let index = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let (kind, hall) =
+            (index(&desk.deployment.kinds, &line.kind), index(&desk.deployment.halls, &line.hall));
+        let (Some(kind), Some(hall)) = (kind, hall) else {
+            warn!(
+                node = line.node,
+                kind = line.kind,
+                hall = line.hall,
+                "a node of unknown kind or hall is left out"
+            );
+            return None;
+        };
+        Some((
+            Entry {
+                machine: MachineId(line.node),
+                kind: KindId(kind),
+                hall: HallId(hall),
+                cell: CellId(line.cell),
+                state: match line.state {
+                    Known::Serving => State::Serving,
+                    Known::Draining => State::Draining,
+                    Known::Gone => State::Gone,
+                },
+                started: self.started(&desk.clock, line, now_ms),
+                unasked: line.unasked.map(|(cores, memory)| Amount { cores, memory }),
+            },
+            line.address,
+        ))
+    }
+
+    /// By the roster's clock a start was so long ago; by ours that is never earlier, since the list took a while
+    /// to come: a cold machine is taken to be cold for longer rather than too short.
+    fn started(&mut self, clock: &Clock, line: &Line, now_ms: u64) -> Option<Tenths> {
+        if line.started_ms == 0 {
+            return None;
+        }
+        match self.starts.get(&line.node) {
+            Some(&(told, at)) if told == line.started_ms => Some(at),
+            _ => {
+                let ago = tenths(Duration::from_millis(now_ms.saturating_sub(line.started_ms)));
+                let at = clock.now().saturating_sub(ago);
+                self.starts.insert(line.node, (line.started_ms, at));
+                Some(at)
+            }
+        }
+    }
+
+    /// Writes the list beside the old one and puts it in its place, so that a stop in between loses neither.
+    fn keep(&self, path: &Path) -> std::io::Result<()> {
+        let lines: Vec<Line> = self.lines.values().cloned().collect();
+        let kept = Kept { version: self.version, sum: sum(&lines), lines };
+        let new = path.with_extension("new");
+        let file = std::fs::File::create(&new)?;
+        serde_json::to_writer(std::io::BufWriter::new(&file), &kept)?;
+        file.sync_all()?;
+        std::fs::rename(&new, path)
+    }
+}
+
+fn sum(lines: &[Line]) -> u64 {
+    let text = serde_json::to_string(lines).unwrap_or_default();
+    corkspan_host::service(&text).0
+}
+
+fn read(path: &Path) -> Result<Option<Kept>, String> {
+    match std::fs::metadata(path) {
+        Err(why) if why.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(why) => return Err(why.to_string()),
+        Ok(data) if data.len() > LARGEST => return Err(format!("{} bytes", data.len())),
+        Ok(_) => {}
+    }
+    let text = std::fs::read(path).map_err(|why| why.to_string())?;
+    let kept: Kept = serde_json::from_slice(&text).map_err(|why| why.to_string())?;
+    if kept.sum != sum(&kept.lines) {
+        return Err("its sum is wrong".into());
+    }
+    Ok(Some(kept))
+}
+
+fn line(entry: v1::Entry) -> Result<Line, String> {
+    let state = match entry.state() {
+        v1::entry::State::Serving => Known::Serving,
+        v1::entry::State::Draining => Known::Draining,
+        v1::entry::State::Gone => Known::Gone,
+        v1::entry::State::Unknown => return Err(format!("node {} has no known state", entry.node)),
+    };
+    let address = entry.address.parse();
+    let address = address.map_err(|_| format!("node {}: `{}` is no address", entry.node, entry.address))?;
+    let room = entry.unasked.filter(|room| room.cores.is_finite() && room.memory.is_finite());
+    Ok(Line {
+        node: entry.node,
+        address,
+        kind: entry.kind,
+        hall: entry.hall,
+        cell: entry.cell,
+        state,
+        started_ms: entry.started_ms,
+        unasked: room.map(|room| (room.cores, room.memory)),
+    })
+}
+
+/// Watches the list whenever it is asked for, until the sender of `asked` is gone.
+pub async fn run(
+    desk: Arc<Desk>,
+    mut roster: Roster,
+    asked: async_channel::Receiver<()>,
+    path: Option<PathBuf>,
+) {
+    while asked.recv().await.is_ok() {
+        if let Err(why) = watch(&desk, &mut roster, path.as_deref()).await {
+            warn!(why, "the roster is out of reach; the list stays as it is");
+        }
+        // One asked for meanwhile is this one.
+        while asked.try_recv().is_ok() {}
+        desk.list_failed();
+    }
+}
+
+async fn watch(desk: &Arc<Desk>, roster: &mut Roster, path: Option<&Path>) -> Result<(), String> {
+    let link = Link::open(&desk.tasks, desk.deployment.roster, &desk.link_bounds).await;
+    let link = link.map_err(|why| why.to_string())?;
+    // A list is longer than a message of a client may be.
+    let mut client = RosterClient::new(link).max_decoding_message_size(LARGEST as usize);
+    let ask = v1::ListAsk { version: roster.version, dispatcher: desk.deployment.cluster.number as u32 };
+    let mut listings = client.watch(ask).await.map_err(|why| why.message().to_string())?.into_inner();
+    info!(roster = %desk.deployment.roster, version = roster.version, "watching the list");
+    loop {
+        let listing = listings.message().await.map_err(|why| why.message().to_string())?;
+        let listing = listing.ok_or("the roster ended the watch")?;
+        let (scope, entries) = roster.take(desk, listing);
+        desk.listed(scope, &entries);
+        let Some(path) = path else { continue };
+        let kept = Roster { version: roster.version, lines: roster.lines.clone(), ..Roster::default() };
+        let path = path.to_owned();
+        if let Err(why) = blocking::unblock(move || kept.keep(&path)).await {
+            warn!(%why, "the list can't be kept on disk; a restart will know an older one");
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/shots.rs
@@ -0,0 +1,234 @@
+//! One call to a node for each shot, followed from the offer to the end. What an outcome proves is told by
+//! what crossed the link: an offer that was never written can't have run; one that was, may have, unless the
+//! node itself says no.
+
+use crate::desk::Desk;
+use crate::links::{Counted, NodeLink};
+use corkspan::interface::*;
+use corkspan_api::v1::{self, node_client::NodeClient, said::Said as Word};
+use corkspan_rpc::{Link, within};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tonic::{Status, Streaming};
+use tracing::debug;
+
+/// An offer about to be made.
+pub struct Offer {
+    pub id: AllocationId,
+    pub number: usize,
+    pub machine: MachineId,
+    /// None where the machine has no address.
+    pub node: Option<Arc<NodeLink>>,
+    /// Counts the offer among those without an answer; none where there are as many as may be.
+    pub open: Option<Counted>,
+}
+
+/// How a shot has returned, before it was placed or after.
+struct Back {
+    ending: Ending,
+    reason: Option<Reason>,
+    how: v1::ended::How,
+    report: Option<Report>,
+}
+
+impl Back {
+    fn plain(ending: Ending) -> Self {
+        Back { ending, reason: None, how: v1::ended::How::Lost, report: None }
+    }
+}
+
+enum First {
+    Placed(Streaming<v1::Said>),
+    Back(Back),
+}
+
+/// Makes an offer and follows it to its end.
+pub async fn offer(desk: Arc<Desk>, offer: Offer, shot: v1::Shot, time_out: Duration) {
+    let Offer { id, number, machine, node, open } = offer;
+    let back = |back: Back, over| desk.returned(id, number, back.ending, back.reason, over, back.report);
+    let Some(node) = node else { return back(Back::plain(Ending::Unconnected), None) };
+    let Some(open) = open else {
+        // As the node itself would say: too many wait for it, here already.
+        let reason = Some(Reason::QueueFull);
+        return back(Back { reason, ..Back::plain(Ending::Refused) }, None);
+    };
+    let _call = node.call();
+    // Until the offer is handed to the link, it can't have reached the node.
+    let written = AtomicBool::new(false);
+    let first = async {
+        let Ok(link) = node.ready(&desk.tasks, &desk.link_bounds).await else {
+            return First::Back(Back::plain(Ending::Unconnected));
+        };
+        written.store(true, Ordering::Relaxed);
+        match client(&desk, link).offer(shot).await {
+            Ok(words) => first_word(&desk, words.into_inner()).await,
+            Err(why) => First::Back(Back::plain(broken(&why))),
+        }
+    };
+    let first = within(time_out, first).await.unwrap_or_else(|| {
+        let ending = if written.load(Ordering::Relaxed) { Ending::TimedOut } else { Ending::Unconnected };
+        First::Back(Back::plain(ending))
+    });
+    drop(open);
+    match first {
+        First::Back(it) => back(it, None),
+        First::Placed(words) => {
+            desk.placed(id, number, machine);
+            follow(&desk, id, number, words).await;
+        }
+    }
+}
+
+/// Follows an allocation that was running before this dispatcher had it.
+pub async fn attend(
+    desk: Arc<Desk>,
+    id: AllocationId,
+    node: Option<Arc<NodeLink>>,
+    machine: MachineId,
+    shot: v1::Shot,
+) {
+    let lost = |reason| desk.returned(id, 0, Ending::Reset, reason, Some(v1::ended::How::Lost), None);
+    let Some(node) = node else { return lost(None) };
+    let _call = node.call();
+    let patience = desk.link_bounds.keep_alive;
+    let words = within(patience, async {
+        let link = node.ready(&desk.tasks, &desk.link_bounds).await.ok()?;
+        client(&desk, link).attend(shot).await.ok().map(tonic::Response::into_inner)
+    });
+    match words.await.flatten() {
+        Some(words) => follow(&desk, id, 0, words).await,
+        None => {
+            debug!(machine = machine.0, "an allocation handed over is out of reach");
+            lost(None);
+        }
+    }
+}
+
+async fn first_word(desk: &Desk, mut words: Streaming<v1::Said>) -> First {
+    loop {
+        match words.message().await {
+            Ok(Some(v1::Said { said: Some(said), load })) => match said {
+                Word::Accepted(_) if !desk.deployment.cluster.placed_runs => return First::Placed(words),
+                Word::Running(_) => return First::Placed(words),
+                Word::Refused(turned) => {
+                    let back = Back::plain(Ending::Refused);
+                    return First::Back(Back { reason: reason(turned.why()), report: report(load), ..back });
+                }
+                Word::Ended(over) => {
+                    return First::Back(Back { report: report(load), ..ended(over.how()) });
+                }
+                _ => {}
+            },
+            Ok(Some(_)) => {}
+            // The stream ended without a word that binds: the node may have accepted it.
+            Ok(None) => return First::Back(Back::plain(Ending::Reset)),
+            Err(why) => return First::Back(Back::plain(broken(&why))),
+        }
+    }
+}
+
+async fn follow(desk: &Arc<Desk>, id: AllocationId, number: usize, mut words: Streaming<v1::Said>) {
+    let mut back = Back::plain(Ending::Reset);
+    while let Ok(Some(word)) = words.message().await {
+        match word.said {
+            Some(Word::Running(_)) => desk.noted(id, Note::Runs),
+            Some(Word::Use(used)) => {
+                for (note, value) in
+                    [(Note::Cores as fn(f64) -> Note, used.cores), (Note::Memory, used.memory)]
+                {
+                    if sound(value) {
+                        desk.noted(id, note(value));
+                    }
+                }
+            }
+            Some(Word::Served(part)) if sound(part) => desk.noted(id, Note::Served(part)),
+            Some(Word::MemoryShare(share)) if sound(share) => desk.noted(id, Note::MachineMemory(share)),
+            Some(Word::Ended(over)) => {
+                back = Back { report: report(word.load), ..ended(over.how()) };
+                break;
+            }
+            Some(Word::Refused(turned)) => {
+                // It doesn't run there: nothing is known against the node.
+                back.reason = reason(turned.why()).or(Some(Reason::NotHere));
+                break;
+            }
+            _ => {}
+        }
+    }
+    let Back { ending, reason, how, report } = back;
+    desk.returned(id, number, ending, reason, Some(how), report);
+}
+
+/// Tells a node that an allocation is not wanted there. One try: the word is about what may be gone already.
+pub async fn stop(desk: Arc<Desk>, node: Arc<NodeLink>, stop: v1::StopAsk) {
+    let _call = node.call();
+    let patience = desk.link_bounds.keep_alive;
+    let said = within(patience, async {
+        let link = node.ready(&desk.tasks, &desk.link_bounds).await.ok()?;
+        client(&desk, link).stop(stop).await.ok()
+    });
+    if said.await.flatten().is_none() {
+        debug!(address = %node.address, "a node could not be told to stop an allocation");
+    }
+}
+
+pub async fn probe(desk: Arc<Desk>, machine: MachineId, node: Arc<NodeLink>) {
+    let _call = node.call();
+    let patience = 4 * desk.link_bounds.connect_within;
+    let word = within(patience, async {
+        let link = node.ready(&desk.tasks, &desk.link_bounds).await.map_err(|_| Ending::Unconnected)?;
+        client(&desk, link).probe(v1::ProbeAsk {}).await.map_err(|why| broken(&why))
+    });
+    match word.await {
+        Some(Ok(word)) => desk.probed(machine, Ending::Ended, report(word.into_inner().load)),
+        Some(Err(ending)) => desk.probed(machine, ending, None),
+        None => desk.probed(machine, Ending::TimedOut, None),
+    }
+}
+
+fn client(desk: &Desk, link: Link) -> NodeClient<Link> {
+    NodeClient::new(link).max_decoding_message_size(desk.link_bounds.message)
+}
+
+/// An error that the link made up, or one that the node gave.
+fn broken(why: &Status) -> Ending {
+    match std::error::Error::source(why) {
+        Some(_) => Ending::Reset,
+        None => Ending::Error,
+    }
+}
+
+fn sound(value: f64) -> bool {
+    value.is_finite() && (0.0..=1e9).contains(&value)
+}
+
+/// The load report, where there is one that holds numbers.
+fn report(load: Option<v1::Load>) -> Option<Report> {
+    let load = load.filter(|load| load.cores.is_finite() && load.memory.is_finite())?;
+    Some(Report { unused: Amount { cores: load.cores, memory: load.memory } })
+}
+
+fn reason(why: v1::turned::Why) -> Option<Reason> {
+    match why {
+        v1::turned::Why::NotTold => None,
+        v1::turned::Why::NoCores => Some(Reason::NoCores),
+        v1::turned::Why::NoMemory => Some(Reason::NoMemory),
+        v1::turned::Why::QueueFull => Some(Reason::QueueFull),
+        v1::turned::Why::NotHere => Some(Reason::NotHere),
+    }
+}
+
+fn ended(how: v1::over::How) -> Back {
+    use v1::ended::How;
+    let (ending, reason, how) = match how {
+        v1::over::How::Error => (Ending::Error, None, How::Error),
+        v1::over::How::Ended => (Ending::Ended, None, How::Ended),
+        v1::over::How::Evicted => (Ending::Reset, Some(Reason::Evicted), How::Evicted),
+        v1::over::How::PushedOut => (Ending::Reset, Some(Reason::PushedOut), How::PushedOut),
+        v1::over::How::SentAway => (Ending::Reset, Some(Reason::SentAway), How::SentAway),
+        v1::over::How::Stopped => (Ending::Cancelled, None, How::Ended),
+        v1::over::How::Moved => (Ending::Cancelled, None, How::Moved),
+    };
+    Back { ending, reason, how, report: None }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -4,7 +4,9 @@
 
 use corkspan::interface::*;
 use corkspan::rules::Scheduler;
+use fnv::FnvHasher;
 use std::collections::{BTreeMap, HashMap};
+use std::hash::Hasher;
 
 /// What the caller does with the answers of the decisions. `T` is what it keeps with each allocation.
 pub trait Wire<T> {
@@ -22,6 +24,14 @@
     fn wake(&mut self, after: Tenths);
 }
 
+/// The id of a service. No instance sees all services, so it comes from the name and not from the order of
+/// asks, and is the same everywhere.
+pub fn service(name: &str) -> ServiceId {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    ServiceId(hasher.finish())
+}
+
 struct Held<T> {
     name: String,
     own: T,
