--- /dev/null
+++ b/crates/lab/src/capture.rs
@@ -0,0 +1,214 @@
+//! What crossed the stand-ins' sockets, one JSON line each: the judge's only source.
+
+use serde::{Deserialize, Serialize};
+use std::io::{BufRead, Write};
+use std::path::Path;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// One line: µs since the day's start, and what was seen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub t: u64,
+    #[serde(flatten)]
+    pub seen: Seen,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "seen", rename_all = "kebab-case")]
+pub enum Seen {
+    /// The first line: the rules of the day in figures.
+    Day(Rules),
+    /// An owner asks a dispatcher.
+    Asked(Asked),
+    /// An owner hands over an allocation that runs.
+    HandedOver { call: u64, placing: String, dispatcher: u32 },
+    /// A word reaches an owner.
+    Heard { call: u64, word: Word },
+    /// An owner's call is over. `broken`: the link broke; else the stream ended or the owner ended it.
+    Closed { call: u64, broken: bool },
+    /// The owner ends the call since it wants the allocation no longer.
+    Cancelled { call: u64 },
+    /// An offer reaches a node.
+    Offered { node: u32, placing: String, number: u32, dispatcher: u32, service: String },
+    /// A node says a word on an offer, whether it gets through or not.
+    Said { node: u32, placing: String, number: u32, word: Word },
+    /// The dispatcher has let go of an offer, or its link broke, before its node ended it.
+    LetGo { node: u32, placing: String, number: u32 },
+    /// A node's process starts, drains, is gone or fell over; all its allocations are gone with it if so.
+    Node { node: u32, state: NodeState },
+    /// The links of a node break; what runs there runs on.
+    Cut { node: u32 },
+    /// The roster tells a dispatcher of a node.
+    Told { dispatcher: u32, node: u32, state: NodeState },
+    /// A dispatcher's process starts, is killed, stands still or goes on.
+    Dispatcher { dispatcher: u32, state: DispatcherState },
+    /// The script sets a trouble going.
+    Trouble { name: String },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Asked {
+    pub call: u64,
+    pub placing: String,
+    pub task: String,
+    pub service: String,
+    pub track: usize,
+    pub dispatcher: u32,
+    pub abandon_us: u64,
+    pub first: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Word {
+    Accepted,
+    Running,
+    Placed,
+    Refused,
+    Failed,
+    Served,
+    Ended,
+    Evicted,
+    PushedOut,
+    SentAway,
+    Moved,
+    Stopped,
+    Lost,
+    HandedBack,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NodeState {
+    /// Just started.
+    Cold,
+    Serving,
+    Draining,
+    Gone,
+    FellOver,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DispatcherState {
+    Up,
+    Killed,
+    Paused,
+    GoesOn,
+    /// Asked to stop by a signal.
+    Stopping,
+    /// Ended with 0.
+    Ended,
+    /// Ended otherwise by itself.
+    Broke,
+}
+
+/// The five rules in this day's figures.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rules {
+    pub seed: u64,
+    pub tracks: Vec<Track>,
+    /// Halls and cells of the nodes, by id.
+    pub nodes: Vec<Home>,
+    /// Nothing new to a node so long after a dispatcher was told that it drains or is gone.
+    pub grace_us: u64,
+    pub cold: Cold,
+    /// Between two sockets of one machine: what one end did may be seen so much later at the other.
+    pub slack_us: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Home {
+    pub node: u32,
+    pub hall: String,
+    pub cell: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Cold {
+    pub lasts_us: u64,
+    pub window_us: u64,
+    /// More offers within a window push a cold node over.
+    pub most: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Track {
+    pub name: String,
+    pub repeat: Repeat,
+    pub contract_us: u64,
+    /// Allocations of a service in one machine at the most, from one dispatcher.
+    pub spread: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    Idempotent,
+    /// Within one hall.
+    Deduplicated {
+        window_us: u64,
+    },
+    Unrepeatable,
+}
+
+/// Where lines go as they are seen.
+pub struct Capture {
+    start: Instant,
+    to: Mutex<To>,
+}
+
+struct To {
+    file: Option<std::io::BufWriter<std::fs::File>>,
+    lines: Vec<Line>,
+}
+
+impl Capture {
+    /// Into a file, if one is given, and memory.
+    pub fn new(file: Option<&Path>) -> std::io::Result<Self> {
+        let file = file.map(std::fs::File::create).transpose()?.map(std::io::BufWriter::new);
+        Ok(Capture { start: Instant::now(), to: Mutex::new(To { file, lines: Vec::new() }) })
+    }
+
+    pub fn see(&self, seen: Seen) {
+        let mut to = self.to.lock().expect("no one panics while writing a line");
+        // The time is taken in here: lines stand in the order of their times.
+        let line = Line { t: self.start.elapsed().as_micros() as u64, seen };
+        if let Some(file) = &mut to.file {
+            let written = serde_json::to_writer(&mut *file, &line).map_err(Into::into);
+            if let Err(why) = written.and_then(|()| file.write_all(b"\n")) {
+                eprintln!("corkspan-lab: the capture can't be written: {why}");
+                to.file = None;
+            }
+        }
+        to.lines.push(line);
+    }
+
+    pub fn elapsed(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// All lines so far; the file is complete up to here.
+    pub fn lines(&self) -> Vec<Line> {
+        let mut to = self.to.lock().expect("no one panics while writing a line");
+        if let Some(file) = &mut to.file
+            && let Err(why) = file.flush()
+        {
+            eprintln!("corkspan-lab: the capture can't be written: {why}");
+        }
+        to.lines.clone()
+    }
+}
+
+/// Reads a capture back.
+pub fn read(path: &Path) -> Result<Vec<Line>, String> {
+    let file = std::fs::File::open(path).map_err(|why| format!("{}: {why}", path.display()))?;
+    let mut lines = Vec::new();
+    for (index, text) in std::io::BufReader::new(file).lines().enumerate() {
+        let place = |why: &dyn std::fmt::Display| format!("{}:{}: {why}", path.display(), index + 1);
+        let text = text.map_err(|why| place(&why))?;
+        lines.push(serde_json::from_str(&text).map_err(|why| place(&why))?);
+    }
+    Ok(lines)
+}
--- /dev/null
+++ b/crates/lab/src/judge.rs
@@ -0,0 +1,420 @@
+//! Judges a capture by the five rules. It knows what crossed the sockets and nothing of dispatchers or
+//! decisions.
+
+use crate::capture::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// A broken rule: which, by what, and the lines of the capture that show it, counted from 1.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    pub rule: u8,
+    pub what: String,
+    pub lines: Vec<usize>,
+}
+
+impl std::fmt::Display for Breach {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let lines: Vec<String> = self.lines.iter().map(ToString::to_string).collect();
+        write!(
+            f,
+            "rule {} ({}): {}; lines {}",
+            self.rule,
+            NAMES[usize::from(self.rule) - 1],
+            self.what,
+            lines.join(", ")
+        )
+    }
+}
+
+pub const NAMES: [&str; 5] = ["lost", "twice", "drains", "cold", "spread"];
+
+/// One call of an owner.
+struct Call<'a> {
+    asked: &'a Asked,
+    line: usize,
+    t: u64,
+    finals: Vec<(u64, usize, Word)>,
+    closed: Option<u64>,
+    cancelled: Option<u64>,
+    /// A dispatcher that broke off without an answer: the link broke.
+    broken: bool,
+}
+
+/// One offer as its node saw it.
+struct Offer {
+    node: u32,
+    number: u32,
+    t: u64,
+    line: usize,
+    refused: Option<u64>,
+    accepted: Option<u64>,
+    let_go: Option<u64>,
+    /// It holds its place no longer: ended, refused, let go, or its node is gone.
+    over: Option<u64>,
+}
+
+/// All broken rules of a capture, or what makes it unreadable.
+pub fn judge(lines: &[Line]) -> Result<Vec<Breach>, String> {
+    let Some(Line { seen: Seen::Day(rules), .. }) = lines.first() else {
+        return Err("the first line does not tell the day's rules".into());
+    };
+    let mut judge =
+        Judge { rules, lines, calls: BTreeMap::new(), offers: HashMap::new(), breaches: Vec::new() };
+    judge.read()?;
+    judge.lost();
+    judge.twice();
+    judge.drains();
+    judge.cold();
+    judge.spread();
+    judge.breaches.sort_by_key(|breach| (breach.rule, breach.lines.first().copied()));
+    Ok(judge.breaches)
+}
+
+struct Judge<'a> {
+    rules: &'a Rules,
+    lines: &'a [Line],
+    calls: BTreeMap<u64, Call<'a>>,
+    /// By placing.
+    offers: HashMap<&'a str, Vec<Offer>>,
+    breaches: Vec<Breach>,
+}
+
+impl<'a> Judge<'a> {
+    fn breach(&mut self, rule: u8, what: String, lines: Vec<usize>) {
+        self.breaches.push(Breach { rule, what, lines });
+    }
+
+    fn read(&mut self) -> Result<(), String> {
+        let mut last = 0;
+        for (index, Line { t, seen }) in self.lines.iter().enumerate() {
+            let (t, line) = (*t, index + 1);
+            if t < last {
+                return Err(format!("line {line}: its time is before the line above it"));
+            }
+            last = t;
+            match seen {
+                Seen::Asked(asked) => {
+                    if asked.track >= self.rules.tracks.len() {
+                        return Err(format!("line {line}: no track {}", asked.track));
+                    }
+                    let call = Call {
+                        asked,
+                        line,
+                        t,
+                        finals: Vec::new(),
+                        closed: None,
+                        cancelled: None,
+                        broken: false,
+                    };
+                    self.calls.insert(asked.call, call);
+                }
+                Seen::Heard { call, word: word @ (Word::Placed | Word::Refused | Word::Failed) } => {
+                    if let Some(call) = self.calls.get_mut(call) {
+                        call.finals.push((t, line, *word));
+                    }
+                }
+                Seen::Closed { call, broken } => {
+                    if let Some(call) = self.calls.get_mut(call) {
+                        (call.closed, call.broken) = (Some(t), *broken);
+                    }
+                }
+                Seen::Cancelled { call } => {
+                    if let Some(call) = self.calls.get_mut(call) {
+                        call.cancelled = Some(t);
+                    }
+                }
+                Seen::Offered { node, placing, number, .. } => {
+                    let offer = Offer {
+                        node: *node,
+                        number: *number,
+                        t,
+                        line,
+                        refused: None,
+                        accepted: None,
+                        let_go: None,
+                        over: None,
+                    };
+                    self.offers.entry(placing).or_default().push(offer);
+                }
+                Seen::Said { node, placing, number, word } => {
+                    let Some(offer) = find(&mut self.offers, placing, *number, *node) else { continue };
+                    match word {
+                        Word::Accepted => offer.accepted = Some(t),
+                        Word::Running => offer.accepted = offer.accepted.or(Some(t)),
+                        Word::Refused => (offer.refused, offer.over) = (Some(t), Some(t)),
+                        Word::Served | Word::Placed | Word::Failed => {}
+                        _ => offer.over = offer.over.or(Some(t)),
+                    }
+                }
+                Seen::LetGo { node, placing, number } => {
+                    if let Some(offer) = find(&mut self.offers, placing, *number, *node) {
+                        (offer.let_go, offer.over) = (Some(t), offer.over.or(Some(t)));
+                    }
+                }
+                Seen::Node { node, state: NodeState::Gone | NodeState::FellOver } => {
+                    let there = self.offers.values_mut().flatten().filter(|offer| offer.node == *node);
+                    there.for_each(|offer| offer.over = offer.over.or(Some(t)));
+                }
+                Seen::Cut { node } => {
+                    let there = self.offers.values_mut().flatten().filter(|offer| offer.node == *node);
+                    // The dispatcher's shot is over with its link, whatever the node goes on to do.
+                    there.for_each(|offer| offer.over = offer.over.or(Some(t)));
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a dispatcher stood still or was dead at some time between these two: what it owed then is not
+    /// held against it.
+    fn away(&self, dispatcher: u32, from: u64, to: u64) -> bool {
+        let mut since = None;
+        for Line { t, seen } in self.lines {
+            let Seen::Dispatcher { dispatcher: which, state } = seen else { continue };
+            if *which != dispatcher {
+                continue;
+            }
+            match state {
+                DispatcherState::Killed | DispatcherState::Paused | DispatcherState::Broke => {
+                    since = Some(*t)
+                }
+                _ => {
+                    if since.take().is_some_and(|since| since <= to && *t >= from) {
+                        return true;
+                    }
+                }
+            }
+        }
+        since.is_some_and(|since| since <= to)
+    }
+
+    fn lost(&mut self) {
+        let mut found = Vec::new();
+        for call in self.calls.values() {
+            let asked = call.asked;
+            let latest = call.t + asked.abandon_us + self.rules.slack_us;
+            let name = &asked.placing;
+            if let [first, second, ..] = call.finals[..] {
+                found.push((format!("{name} has two final answers"), vec![call.line, first.1, second.1]));
+            }
+            if let Some((t, line, _)) = call.finals.first()
+                && *t > latest
+                && !self.away(asked.dispatcher, call.t, *t)
+            {
+                found.push((format!("{name} is answered after its owner's time"), vec![call.line, *line]));
+            }
+            let over_by_owner = call.cancelled.is_some_and(|at| at <= latest);
+            if call.finals.is_empty()
+                && !over_by_owner
+                && !self.away(
+                    asked.dispatcher,
+                    call.t,
+                    latest.min(call.closed.unwrap_or(latest) + self.rules.slack_us),
+                )
+            {
+                found.push((format!("{name} has no final answer"), vec![call.line]));
+            }
+            // An offer under way crosses the answer only where the link, not the dispatcher, made it late.
+            let Some((t, line, _)) = call.finals.first() else { continue };
+            let after = |offer: &&Offer| offer.t > t + self.rules.slack_us && !self.stale(offer);
+            if let Some(offer) = self.offers.get(&name[..]).into_iter().flatten().find(after) {
+                found.push((format!("{name} is offered after its answer"), vec![*line, offer.line]));
+            }
+        }
+        found.into_iter().for_each(|(what, lines)| self.breach(1, what, lines));
+    }
+
+    /// One that was given up while it was on its way: its node sees it, and at once that it is let go.
+    fn stale(&self, offer: &Offer) -> bool {
+        offer.accepted.is_none() && offer.let_go.is_some_and(|at| at <= offer.t + self.rules.slack_us)
+    }
+
+    fn twice(&mut self) {
+        let mut found = Vec::new();
+        let tracks: HashMap<&str, usize> =
+            self.calls.values().map(|call| (&call.asked.placing[..], call.asked.track)).collect();
+        for (name, offers) in &self.offers {
+            let Some(track) = tracks.get(name).map(|&track| &self.rules.tracks[track]) else { continue };
+            let mut sent: Vec<&Offer> = offers.iter().filter(|offer| !self.stale(offer)).collect();
+            sent.sort_by_key(|offer| (offer.number, offer.t));
+            for (index, later) in sent.iter().enumerate() {
+                for earlier in &sent[..index] {
+                    if earlier.number == later.number {
+                        found.push((
+                            format!("{name}: shot {} is offered twice", later.number),
+                            vec![earlier.line, later.line],
+                        ));
+                        continue;
+                    }
+                    let over = earlier.over.unwrap_or(u64::MAX);
+                    if over > later.t + self.rules.slack_us {
+                        let what =
+                            format!("{name}: shot {} while shot {} is out", later.number, earlier.number);
+                        found.push((what, vec![earlier.line, later.line]));
+                    }
+                    let never_ran = earlier.refused.is_some();
+                    let allowed = match track.repeat {
+                        Repeat::Idempotent => true,
+                        Repeat::Unrepeatable => never_ran,
+                        Repeat::Deduplicated { window_us } => {
+                            let hall = self.hall(earlier.node) == self.hall(later.node);
+                            never_ran || hall && later.t <= earlier.t + window_us + self.rules.slack_us
+                        }
+                    };
+                    if !allowed {
+                        let what =
+                            format!("{name}: shot {} may run beside shot {}", later.number, earlier.number);
+                        found.push((what, vec![earlier.line, later.line]));
+                    }
+                }
+            }
+        }
+        for call in self.calls.values() {
+            let Some((t, line, Word::Refused)) = call.finals.first() else { continue };
+            if self.rules.tracks[call.asked.track].repeat == Repeat::Idempotent {
+                continue;
+            }
+            for offer in self.offers.get(&call.asked.placing[..]).into_iter().flatten() {
+                if offer.refused.is_none() && offer.accepted.is_some_and(|at| at <= t + self.rules.slack_us) {
+                    let what = format!("{} is refused, though a shot may run", call.asked.placing);
+                    found.push((what, vec![offer.line, *line]));
+                }
+            }
+        }
+        found.into_iter().for_each(|(what, lines)| self.breach(2, what, lines));
+    }
+
+    fn hall(&self, node: u32) -> Option<&str> {
+        self.rules.nodes.iter().find(|home| home.node == node).map(|home| &home.hall[..])
+    }
+
+    fn drains(&mut self) {
+        let mut found = Vec::new();
+        // Since when each dispatcher knows that a node takes nothing new.
+        let mut told: HashMap<(u32, u32), (u64, usize)> = HashMap::new();
+        for (index, Line { t, seen }) in self.lines.iter().enumerate() {
+            match seen {
+                Seen::Told { dispatcher, node, state: NodeState::Draining | NodeState::Gone } => {
+                    told.entry((*dispatcher, *node)).or_insert((*t, index + 1));
+                }
+                Seen::Told { dispatcher, node, .. } => drop(told.remove(&(*dispatcher, *node))),
+                Seen::Dispatcher { dispatcher, state: DispatcherState::GoesOn } => {
+                    // While it stood still it was told nothing.
+                    let own = told.iter_mut().filter(|((which, _), _)| which == dispatcher);
+                    own.for_each(|(_, (since, _))| *since = *t);
+                }
+                Seen::Dispatcher { dispatcher, state: DispatcherState::Up } => {
+                    told.retain(|(which, _), _| which != dispatcher);
+                }
+                Seen::Offered { node, placing, dispatcher, number, .. } => {
+                    let Some((since, line)) = told.get(&(*dispatcher, *node)) else { continue };
+                    let offer = self.offers.get(&placing[..]).into_iter().flatten();
+                    let stale = offer.filter(|offer| offer.line == index + 1).any(|offer| self.stale(offer));
+                    if *t > since + self.rules.grace_us + self.rules.slack_us && !stale {
+                        let what = format!("{placing}: shot {number} to node {node}, told of as leaving");
+                        found.push((what, vec![*line, index + 1]));
+                    }
+                }
+                _ => {}
+            }
+        }
+        found.into_iter().for_each(|(what, lines)| self.breach(3, what, lines));
+    }
+
+    fn cold(&mut self) {
+        let mut found = Vec::new();
+        let mut started: HashMap<u32, (u64, usize)> = HashMap::new();
+        let mut told: HashMap<(u32, u32), u64> = HashMap::new();
+        let mut offers: HashMap<u32, Vec<(u64, usize, bool)>> = HashMap::new();
+        let cold = &self.rules.cold;
+        for (index, Line { t, seen }) in self.lines.iter().enumerate() {
+            match seen {
+                Seen::Node { node, state: NodeState::Cold } => {
+                    started.insert(*node, (*t, index + 1));
+                    offers.remove(node);
+                }
+                Seen::Told { dispatcher, node, state: NodeState::Cold } => {
+                    told.insert((*dispatcher, *node), *t);
+                }
+                Seen::Dispatcher { dispatcher, state: DispatcherState::Killed | DispatcherState::Broke } => {
+                    // A new life knows what its remembered list says, or is told anew.
+                    told.retain(|(which, _), _| which != dispatcher);
+                }
+                Seen::Offered { node, dispatcher, .. } => {
+                    let Some((since, line)) = started.get(node).copied() else { continue };
+                    if *t > since + cold.lasts_us {
+                        continue;
+                    }
+                    let knows = told.get(&(*dispatcher, *node)).is_some_and(|at| *at >= since && at <= t);
+                    let window = offers.entry(*node).or_default();
+                    window.retain(|(at, _, _)| at + cold.window_us > *t);
+                    window.push((*t, index + 1, knows));
+                    let knowing = window.iter().filter(|(_, _, knows)| *knows).count();
+                    // Held against the dispatchers where two thirds came from such as knew.
+                    if window.len() > cold.most && knowing * 3 >= window.len() * 2 {
+                        let what = format!("node {node} got {} offers in a window while cold", window.len());
+                        let first = window.first().map_or(0, |(_, line, _)| *line);
+                        found.push((what, vec![line, first, index + 1]));
+                        window.clear();
+                    }
+                }
+                _ => {}
+            }
+        }
+        found.into_iter().for_each(|(what, lines)| self.breach(4, what, lines));
+    }
+
+    fn spread(&mut self) {
+        let mut found = Vec::new();
+        let mut by_service: HashMap<(u32, &str, u32), Vec<&Offer>> = HashMap::new();
+        let limits: HashMap<&str, usize> = (self.calls.values())
+            .filter_map(|call| Some((&call.asked.service[..], self.rules.tracks[call.asked.track].spread?)))
+            .collect();
+        let services: HashMap<&str, &str> =
+            self.calls.values().map(|call| (&call.asked.placing[..], &call.asked.service[..])).collect();
+        for Line { seen, .. } in self.lines {
+            let (node, placing, number, dispatcher, service) = match seen {
+                Seen::Offered { node, placing, number, dispatcher, service } => {
+                    (node, placing, number, dispatcher, service)
+                }
+                Seen::Dispatcher { dispatcher, state: DispatcherState::Up } => {
+                    // A new life holds what it is handed, and nothing else.
+                    by_service.retain(|(which, _, _), _| which != dispatcher);
+                    continue;
+                }
+                Seen::HandedOver { placing, dispatcher, .. } => {
+                    let offers = self.offers.get(&placing[..]).into_iter().flatten();
+                    let service = services.get(&placing[..]).copied().unwrap_or_default();
+                    if let Some(offer) = offers.rev().find(|offer| offer.accepted.is_some()) {
+                        by_service.entry((*dispatcher, service, offer.node)).or_default().push(offer);
+                    }
+                    continue;
+                }
+                _ => continue,
+            };
+            let Some(&most) = limits.get(&service[..]) else { continue };
+            let mut offers = self.offers.get(&placing[..]).into_iter().flatten();
+            let Some(offer) = offers.find(|o| o.number == *number && o.node == *node) else { continue };
+            let held = by_service.entry((*dispatcher, service, *node)).or_default();
+            // What is over a little later may be told here before the dispatcher's next offer overtakes it.
+            held.retain(|other| other.over.is_none_or(|over| over > offer.t));
+            held.push(offer);
+            if held.len() > most && !self.stale(offer) {
+                let what = format!("{} of {service} on node {node} from dispatcher {dispatcher}", held.len());
+                found.push((what, held.iter().map(|other| other.line).collect()));
+            }
+        }
+        found.into_iter().for_each(|(what, lines)| self.breach(5, what, lines));
+    }
+}
+
+fn find<'o>(
+    offers: &'o mut HashMap<&str, Vec<Offer>>,
+    placing: &str,
+    number: u32,
+    node: u32,
+) -> Option<&'o mut Offer> {
+    let offers = offers.get_mut(placing)?;
+    offers.iter_mut().rev().find(|offer| offer.number == number && offer.node == node)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,11 @@
-//! x
+//! The laboratory: stand-ins of nodes, roster and owners, scripted days of trouble played through real
+//! dispatchers, and the judge of what crossed the sockets. Figures from here are from stand-ins, not machines.
+
+pub mod capture;
+pub mod day;
+pub mod judge;
+pub mod node;
+pub mod owner;
+pub mod play;
+pub mod roster;
+pub mod table;
--- /dev/null
+++ b/crates/lab/src/node.rs
@@ -0,0 +1,581 @@
+//! A node's stand-in: it looks at one ask at a time, accepts or refuses, starts, runs, evicts, and fails as the
+//! day's script says. Several live in one process, each behind a listener of its own.
+
+use crate::capture::{Capture, NodeState, Seen, Word};
+use async_io::Timer;
+use async_lock::{Mutex as AsyncMutex, Semaphore};
+use async_net::TcpListener;
+use corkspan::interface::Amount;
+use corkspan_api::v1::{self, node_server::NodeServer, said::Said, turned::Why};
+use corkspan_rpc::{Bounds, Tasks};
+use futures_lite::Stream;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tonic::{Request, Response, Status};
+
+/// What a node is.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub id: u32,
+    pub kind: String,
+    pub hall: String,
+    pub cell: u64,
+    pub size: Amount,
+    /// Accepts until the asks reach this multiple of its size.
+    pub accepts: Amount,
+    /// To look at one ask.
+    pub look: Duration,
+    /// Asks that may wait to be looked at.
+    pub line: usize,
+    /// A start with the program in place, warm; without it takes `loads` times as long.
+    pub start: Duration,
+    pub loads: u32,
+    pub starts_at_once: usize,
+    pub keeps: usize,
+    /// Pushes out lower priorities for a higher one.
+    pub makes_room: bool,
+    pub cold: Cold,
+    pub seed: u64,
+}
+
+/// How a node is that has just started.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    pub lasts: Duration,
+    pub window: Duration,
+    /// With more offers within a window it falls over.
+    pub most: usize,
+    /// Its pace at first, growing to 1.
+    pub pace: f64,
+}
+
+/// What all stand-ins share: the capture, and what nodes of a hall know together.
+pub struct World {
+    pub capture: Capture,
+    pub tasks: Tasks,
+    /// Copies of deduplicated tasks that stand, by hall and task.
+    stand: Mutex<HashMap<(String, String), u32>>,
+    pub dedup_track: Option<String>,
+}
+
+impl World {
+    pub fn new(capture: Capture, tasks: &Tasks, dedup_track: Option<String>) -> Arc<Self> {
+        Arc::new(World { capture, tasks: Arc::clone(tasks), stand: Mutex::default(), dedup_track })
+    }
+}
+
+struct Guest {
+    shot: v1::Shot,
+    used: Amount,
+    runs: bool,
+    words: async_channel::Sender<v1::Said>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Counts the starts of the process: what belongs to an earlier one is gone.
+    life: u64,
+    up: bool,
+    draining: bool,
+    started: Option<Instant>,
+    still_until: Option<Instant>,
+    mute_until: Option<Instant>,
+    lag_until: Option<(Instant, Duration)>,
+    guests: BTreeMap<String, Guest>,
+    kept: VecDeque<String>,
+    offers: VecDeque<Instant>,
+    waiting: usize,
+    loads: VecDeque<(Instant, v1::Load)>,
+}
+
+pub struct Node {
+    pub plan: Plan,
+    world: Arc<World>,
+    state: Mutex<State>,
+    look: AsyncMutex<()>,
+    starts: Semaphore,
+    server: Mutex<Option<async_executor::Task<()>>>,
+    listener: Mutex<Option<TcpListener>>,
+}
+
+const NOTES: Duration = Duration::from_millis(250);
+
+impl Node {
+    pub fn new(plan: Plan, world: &Arc<World>) -> Arc<Self> {
+        Arc::new(Node {
+            starts: Semaphore::new(plan.starts_at_once),
+            plan,
+            world: Arc::clone(world),
+            state: Mutex::default(),
+            look: AsyncMutex::new(()),
+            server: Mutex::default(),
+            listener: Mutex::default(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no one panics while a node's state is held")
+    }
+
+    /// Starts the process, warm at the start of a day and cold otherwise. Where it listens.
+    pub async fn up(self: &Arc<Self>, cold: bool) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        {
+            let mut state = self.lock();
+            *state = State { life: state.life + 1, up: true, ..State::default() };
+            state.started = cold.then(Instant::now);
+        }
+        let seen = if cold { NodeState::Cold } else { NodeState::Serving };
+        self.world.capture.see(Seen::Node { node: self.plan.id, state: seen });
+        *self.listener.lock().expect("unshared") = Some(listener);
+        self.listen();
+        Ok(address)
+    }
+
+    fn listen(self: &Arc<Self>) {
+        let Some(listener) = self.listener.lock().expect("unshared").clone() else { return };
+        let service = NodeServer::new(Service(Arc::clone(self)));
+        let served = corkspan_rpc::serve(listener, service, Bounds::default());
+        let server = self.world.tasks.spawn(async move {
+            served.await;
+        });
+        *self.server.lock().expect("unshared") = Some(server);
+    }
+
+    /// The process dies, and with it all that runs.
+    pub fn kill(&self, why: NodeState) {
+        *self.listener.lock().expect("unshared") = None;
+        let server = self.server.lock().expect("unshared").take();
+        let mut state = self.lock();
+        if state.up {
+            self.world.capture.see(Seen::Node { node: self.plan.id, state: why });
+        }
+        *state = State { life: state.life, ..State::default() };
+        drop(state);
+        drop(server);
+        self.stand().retain(|_, node| *node != self.plan.id);
+    }
+
+    /// All links break and for so long none comes to stand; what runs goes on.
+    pub fn cut(self: &Arc<Self>, time: Duration) {
+        let server = self.server.lock().expect("unshared").take();
+        self.world.capture.see(Seen::Cut { node: self.plan.id });
+        drop(server);
+        let node = Arc::clone(self);
+        let life = self.lock().life;
+        let again = async move {
+            Timer::after(time).await;
+            if node.lock().life == life {
+                node.listen();
+            }
+        };
+        self.world.tasks.spawn(again).detach();
+    }
+
+    pub fn stand_still(&self, time: Duration) {
+        self.lock().still_until = Some(Instant::now() + time);
+    }
+
+    /// What it says is lost on the way.
+    pub fn mute(&self, time: Duration) {
+        self.lock().mute_until = Some(Instant::now() + time);
+    }
+
+    /// Load reports are so much older than they are.
+    pub fn delay_reports(&self, time: Duration, by: Duration) {
+        self.lock().lag_until = Some((Instant::now() + time, by));
+    }
+
+    pub fn lose_programs(&self) {
+        self.lock().kept.clear();
+    }
+
+    /// Takes nothing new from here on.
+    pub fn drain(&self) {
+        self.lock().draining = true;
+        self.world.capture.see(Seen::Node { node: self.plan.id, state: NodeState::Draining });
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.lock().up
+    }
+
+    /// Whether a task is here, by its placing.
+    pub fn holds(&self, task: &str) -> Option<String> {
+        let state = self.lock();
+        state.guests.iter().find(|(_, guest)| guest.shot.task == task).map(|(placing, _)| placing.clone())
+    }
+
+    /// What nobody has asked for.
+    pub fn unasked(&self) -> Amount {
+        self.plan.size - asked(&self.lock())
+    }
+
+    fn stand(&self) -> MutexGuard<'_, HashMap<(String, String), u32>> {
+        self.world.stand.lock().expect("no one panics while it is held")
+    }
+
+    fn mark(&self, shot: &v1::Shot) -> Option<(String, String)> {
+        let deduplicated = self.world.dedup_track.as_ref() == Some(&shot.track);
+        deduplicated.then(|| (self.plan.hall.clone(), shot.task.clone()))
+    }
+
+    /// What is not in use, as of a little while ago, and longer where reports are late.
+    fn load(&self, state: &mut State) -> v1::Load {
+        let now = Instant::now();
+        let used: Amount = state.guests.values().filter(|guest| guest.runs).map(|guest| guest.used).sum();
+        let free = self.plan.size - used;
+        state.loads.push_back((now, v1::Load { cores: free.cores, memory: free.memory }));
+        let usual = Duration::from_millis(200);
+        let age = state.lag_until.filter(|(until, _)| *until > now).map_or(usual, |(_, by)| usual + by);
+        while state.loads.len() > 2 && state.loads[1].0 + age <= now {
+            state.loads.pop_front();
+        }
+        state.loads.truncate(4096);
+        state.loads[0].1
+    }
+
+    fn say(&self, state: &mut State, shot: &v1::Shot, words: &async_channel::Sender<v1::Said>, said: Said) {
+        let word = match &said {
+            Said::Accepted(_) => Some(Word::Accepted),
+            Said::Running(_) => Some(Word::Running),
+            Said::Refused(_) => Some(Word::Refused),
+            Said::Ended(over) => Some(match over.how() {
+                v1::over::How::Evicted => Word::Evicted,
+                v1::over::How::PushedOut => Word::PushedOut,
+                v1::over::How::SentAway => Word::SentAway,
+                v1::over::How::Stopped => Word::Stopped,
+                v1::over::How::Moved => Word::Moved,
+                v1::over::How::Error => Word::Lost,
+                v1::over::How::Ended => Word::Ended,
+            }),
+            _ => None,
+        };
+        let load = Some(self.load(state));
+        if let Some(word) = word {
+            let (node, placing) = (self.plan.id, shot.placing.clone());
+            self.world.capture.see(Seen::Said { node, placing, number: shot.number, word });
+        }
+        if state.mute_until.is_none_or(|until| until <= Instant::now()) {
+            // Notes that a dispatcher doesn't read are left out.
+            let _ = words.try_send(v1::Said { said: Some(said), load });
+        }
+    }
+
+    fn refuse(&self, state: &mut State, shot: &v1::Shot, words: &async_channel::Sender<v1::Said>, why: Why) {
+        self.say(state, shot, words, Said::Refused(v1::Turned { why: why.into() }));
+        words.close();
+    }
+
+    /// Ends one that is here, in this way.
+    fn end(&self, state: &mut State, placing: &str, how: v1::over::How) {
+        let Some(guest) = state.guests.remove(placing) else { return };
+        if let Some(mark) = self.mark(&guest.shot) {
+            self.stand().remove(&mark);
+        }
+        if guest.runs {
+            let service = guest.shot.service.clone();
+            state.kept.retain(|other| *other != service);
+            state.kept.push_back(service);
+            if state.kept.len() > self.plan.keeps {
+                state.kept.pop_front();
+            }
+        }
+        self.say(state, &guest.shot, &guest.words, Said::Ended(v1::Over { how: how.into() }));
+        guest.words.close();
+    }
+
+    async fn gate(&self, life: u64) -> bool {
+        loop {
+            let (alive, until) = {
+                let state = self.lock();
+                (state.up && state.life == life, state.still_until)
+            };
+            match until.filter(|until| *until > Instant::now()) {
+                Some(until) if alive => drop(Timer::at(until).await),
+                _ => return alive,
+            }
+        }
+    }
+
+    /// An offer is here: counts it, and says whether the node bears it.
+    fn arrives(self: &Arc<Self>, shot: &v1::Shot) -> Option<u64> {
+        self.world.capture.see(Seen::Offered {
+            node: self.plan.id,
+            placing: shot.placing.clone(),
+            number: shot.number,
+            dispatcher: shot.dispatcher,
+            service: shot.service.clone(),
+        });
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.offers.push_back(now);
+        while state.offers.front().is_some_and(|&at| at + self.plan.cold.window <= now) {
+            state.offers.pop_front();
+        }
+        let cold = state.started.is_some_and(|at| now < at + self.plan.cold.lasts);
+        if cold && state.offers.len() > self.plan.cold.most {
+            drop(state);
+            let node = Arc::clone(self);
+            // Not from within its own server.
+            self.world.tasks.spawn(async move { node.kill(NodeState::FellOver) }).detach();
+            return None;
+        }
+        state.up.then_some(state.life)
+    }
+
+    async fn consider(self: Arc<Self>, shot: v1::Shot, words: async_channel::Sender<v1::Said>) {
+        let Some(life) = self.arrives(&shot) else { return };
+        {
+            let mut state = self.lock();
+            if state.waiting >= self.plan.line {
+                return self.refuse(&mut state, &shot, &words, Why::QueueFull);
+            }
+            state.waiting += 1;
+        }
+        let looked = async {
+            let _turn = self.look.lock().await;
+            Timer::after(self.plan.look).await;
+            self.gate(life).await
+        };
+        let alive = looked.await;
+        if alive && self.answer(life, &shot, &words) {
+            self.start(life, &shot).await;
+            self.run(life, shot).await;
+        }
+    }
+
+    /// Accepts an offer that has been looked at, or refuses it.
+    fn answer(&self, life: u64, shot: &v1::Shot, words: &async_channel::Sender<v1::Said>) -> bool {
+        let mut state = self.lock();
+        if state.life != life {
+            return false;
+        }
+        state.waiting -= 1;
+        if words.is_closed() {
+            return false;
+        }
+        if let Err(why) = self.fits(&mut state, shot) {
+            self.refuse(&mut state, shot, words, why);
+            return false;
+        }
+        if let Some(mark) = self.mark(shot) {
+            if self.stand().contains_key(&mark) {
+                self.refuse(&mut state, shot, words, Why::NotHere);
+                return false;
+            }
+            self.stand().insert(mark, self.plan.id);
+        }
+        let ask = Amount { cores: shot.cores, memory: shot.memory };
+        let used = ask * Amount { cores: 0.5, memory: 0.7 };
+        let guest = Guest { shot: shot.clone(), used, runs: false, words: words.clone() };
+        state.guests.insert(shot.placing.clone(), guest);
+        self.say(&mut state, shot, words, Said::Accepted(v1::Accepted {}));
+        true
+    }
+
+    fn fits(&self, state: &mut State, shot: &v1::Shot) -> Result<(), Why> {
+        if state.draining || state.guests.contains_key(&shot.placing) {
+            return Err(Why::NotHere);
+        }
+        let most = self.plan.size * self.plan.accepts;
+        let mut sum = asked(state) + Amount { cores: shot.cores, memory: shot.memory };
+        let mut out = Vec::new();
+        if self.plan.makes_room {
+            let mut lower: Vec<_> =
+                state.guests.iter().filter(|(_, guest)| guest.shot.priority < shot.priority).collect();
+            lower.sort_by_key(|(_, guest)| guest.shot.priority);
+            for (placing, guest) in lower {
+                if sum.within(most) {
+                    break;
+                }
+                sum = sum - Amount { cores: guest.shot.cores, memory: guest.shot.memory };
+                out.push(placing.clone());
+            }
+        }
+        if sum.memory > most.memory {
+            return Err(Why::NoMemory);
+        }
+        if sum.cores > most.cores {
+            return Err(Why::NoCores);
+        }
+        out.iter().for_each(|placing| self.end(state, placing, v1::over::How::PushedOut));
+        Ok(())
+    }
+
+    async fn start(&self, life: u64, shot: &v1::Shot) {
+        let _slot = self.starts.acquire().await;
+        let (has, pace) = {
+            let state = self.lock();
+            let near = |guest: &Guest| guest.shot.service == shot.service && guest.runs;
+            let has = state.kept.contains(&shot.service) || state.guests.values().any(near);
+            let warm =
+                state.started.map_or(1.0, |at| at.elapsed().div_duration_f64(self.plan.cold.lasts).min(1.0));
+            (has, self.plan.cold.pace + (1.0 - self.plan.cold.pace) * warm)
+        };
+        let time = if has { self.plan.start } else { self.plan.start * self.plan.loads };
+        Timer::after(time.div_f64(pace)).await;
+        if !self.gate(life).await {
+            return;
+        }
+        let mut state = self.lock();
+        if state.life != life {
+            return;
+        }
+        let Some(guest) = state.guests.get_mut(&shot.placing) else { return };
+        guest.runs = true;
+        let words = guest.words.clone();
+        self.say(&mut state, shot, &words, Said::Running(v1::Started {}));
+    }
+
+    /// Runs it to its end: notes of its use, eviction where memory runs out.
+    async fn run(&self, life: u64, shot: v1::Shot) {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.plan.seed ^ corkspan_host::service(&shot.placing).0);
+        let ask = Amount { cores: shot.cores, memory: shot.memory };
+        let until = Instant::now() + Duration::from_millis(shot.life_ms.max(1));
+        loop {
+            Timer::at(until.min(Instant::now() + NOTES)).await;
+            if !self.gate(life).await {
+                return;
+            }
+            let mut state = self.lock();
+            if state.life != life {
+                return;
+            }
+            let Some(guest) = state.guests.get_mut(&shot.placing) else { return };
+            if Instant::now() >= until {
+                return self.end(&mut state, &shot.placing, v1::over::How::Ended);
+            }
+            let swing = |least: f64, most: f64, rng: &mut Pcg64Mcg| rng.random_range(least..most);
+            let memory = swing(0.55, 0.9, &mut rng) * ask.memory;
+            guest.used = Amount {
+                cores: swing(0.3, 0.8, &mut rng) * ask.cores,
+                memory: guest.used.memory.max(memory),
+            };
+            let (words, used) = (guest.words.clone(), guest.used);
+            let said = Said::Use(v1::Use { cores: used.cores, memory: used.memory });
+            self.say(&mut state, &shot, &words, said);
+            let in_use: Amount =
+                state.guests.values().filter(|guest| guest.runs).map(|guest| guest.used).sum();
+            if in_use.cores > self.plan.size.cores {
+                let part = self.plan.size.cores / in_use.cores;
+                self.say(&mut state, &shot, &words, Said::Served(part));
+            }
+            if in_use.memory > self.plan.size.memory {
+                let lowest = state.guests.iter().filter(|(_, guest)| guest.runs);
+                let lowest =
+                    lowest.min_by_key(|(_, guest)| guest.shot.priority).map(|(placing, _)| placing.clone());
+                if let Some(placing) = lowest {
+                    self.end(&mut state, &placing, v1::over::How::Evicted);
+                }
+            }
+        }
+    }
+}
+
+fn asked(state: &State) -> Amount {
+    let asks =
+        state.guests.values().map(|guest| Amount { cores: guest.shot.cores, memory: guest.shot.memory });
+    asks.sum()
+}
+
+/// Words that wait for a dispatcher.
+const WORDS: usize = 256;
+
+struct Service(Arc<Node>);
+
+impl Clone for Service {
+    fn clone(&self) -> Self {
+        Service(Arc::clone(&self.0))
+    }
+}
+
+/// The words on one offer or attendance.
+pub struct Saying {
+    said: Pin<Box<async_channel::Receiver<v1::Said>>>,
+    /// Of an offer: the node, and which it is.
+    offer: Option<(Arc<Node>, String, u32)>,
+}
+
+impl Drop for Saying {
+    /// A stream that goes before its node has closed it: the dispatcher has let go, or its link broke.
+    fn drop(&mut self) {
+        if let Some((node, placing, number)) = self.offer.take()
+            && !self.said.is_closed()
+        {
+            node.world.capture.see(Seen::LetGo { node: node.plan.id, placing, number });
+        }
+    }
+}
+
+impl Stream for Saying {
+    type Item = Result<v1::Said, Status>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.said.as_mut().poll_next(cx).map(|said| said.map(Ok))
+    }
+}
+
+#[tonic::async_trait]
+impl v1::node_server::Node for Service {
+    type OfferStream = Saying;
+    type AttendStream = Saying;
+
+    async fn offer(&self, request: Request<v1::Shot>) -> Result<Response<Saying>, Status> {
+        let (words, said) = async_channel::bounded(WORDS);
+        let (node, shot) = (Arc::clone(&self.0), request.into_inner());
+        let offer = Some((Arc::clone(&node), shot.placing.clone(), shot.number));
+        node.world.tasks.clone().spawn(node.consider(shot, words)).detach();
+        Ok(Response::new(Saying { said: Box::pin(said), offer }))
+    }
+
+    async fn attend(&self, request: Request<v1::Shot>) -> Result<Response<Saying>, Status> {
+        let shot = request.into_inner();
+        let (words, said) = async_channel::bounded(WORDS);
+        let mut state = self.0.lock();
+        match state.guests.get_mut(&shot.placing) {
+            Some(guest) => {
+                guest.words = words.clone();
+                let (runs, shot) = (guest.runs, guest.shot.clone());
+                if runs {
+                    self.0.say(&mut state, &shot, &words, Said::Running(v1::Started {}));
+                }
+            }
+            None => {
+                let turned = v1::Turned { why: Why::NotHere.into() };
+                let _ = words.try_send(v1::Said { said: Some(Said::Refused(turned)), load: None });
+                words.close();
+            }
+        }
+        Ok(Response::new(Saying { said: Box::pin(said), offer: None }))
+    }
+
+    async fn stop(&self, request: Request<v1::StopAsk>) -> Result<Response<v1::StopWord>, Status> {
+        let ask = request.into_inner();
+        let mut state = self.0.lock();
+        let was_here = state.guests.contains_key(&ask.placing);
+        let how = if ask.moved { v1::over::How::Moved } else { v1::over::How::Stopped };
+        self.0.end(&mut state, &ask.placing, how);
+        Ok(Response::new(v1::StopWord { was_here }))
+    }
+
+    async fn probe(&self, _: Request<v1::ProbeAsk>) -> Result<Response<v1::ProbeWord>, Status> {
+        let life = self.0.lock().life;
+        {
+            let _turn = self.0.look.lock().await;
+            Timer::after(self.0.plan.look / 8).await;
+        }
+        if !self.0.gate(life).await {
+            return Err(Status::unavailable("gone"));
+        }
+        let load = self.0.load(&mut self.0.lock());
+        Ok(Response::new(v1::ProbeWord { load: Some(load) }))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/play.rs
@@ -0,0 +1,519 @@
+//! Plays a day: starts real dispatchers, each a process of its own, and the stand-ins around them, and lets the
+//! script's troubles strike.
+
+use crate::capture::{self, Capture, DispatcherState, NodeState, Repeat, Rules, Seen};
+use crate::day::{Day, Kind, Trouble};
+use crate::node::{Cold, Node, Plan, World};
+use crate::owner::{self, Front, Task};
+use crate::roster::Roster;
+use async_io::Timer;
+use corkspan::interface::Amount;
+use corkspan_api::v1;
+use corkspan_rpc::{Tasks, within};
+use futures_lite::future;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::ffi::OsString;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How a day is played.
+pub struct Play {
+    pub day: Day,
+    pub seed: u64,
+    /// The program and its first arguments; the deployment file follows `serve`.
+    pub program: Vec<OsString>,
+    /// Where the capture goes, if it is kept.
+    pub capture: Option<PathBuf>,
+    /// Changes what the dispatchers are told, for tests that must find a wrong one out.
+    pub tell: fn(String) -> String,
+    /// Where dispatchers write their logs; nowhere if none.
+    pub logs: Option<PathBuf>,
+}
+
+const HALLS: [&str; 2] = ["hall-a", "hall-b"];
+const TRACKS: [&str; 3] = ["web", "index", "ledger"];
+const SPREAD: usize = 4;
+const DEDUP_WINDOW: Duration = Duration::from_secs(6);
+const COLD: Cold =
+    Cold { lasts: Duration::from_secs(5), window: Duration::from_secs(1), most: 16, pace: 0.25 };
+/// What dispatchers are told that a cold node bears: less than pushes it over, for the way is uneven.
+const BEARS: usize = 12;
+
+impl Play {
+    fn rules(&self, plans: &[Plan]) -> Rules {
+        let track = |name: &str, repeat, contract_ms: u64, spread| capture::Track {
+            name: name.into(),
+            repeat,
+            contract_us: contract_ms * 1000,
+            spread,
+        };
+        let window_us = DEDUP_WINDOW.as_micros() as u64;
+        Rules {
+            seed: self.seed,
+            tracks: vec![
+                track(TRACKS[0], Repeat::Idempotent, 600, None),
+                track(TRACKS[1], Repeat::Deduplicated { window_us }, 1500, None),
+                track(TRACKS[2], Repeat::Unrepeatable, 1500, Some(SPREAD)),
+            ],
+            nodes: plans
+                .iter()
+                .map(|plan| capture::Home { node: plan.id, hall: plan.hall.clone(), cell: plan.cell })
+                .collect(),
+            grace_us: 1_000_000,
+            cold: capture::Cold {
+                lasts_us: COLD.lasts.as_micros() as u64,
+                window_us: COLD.window.as_micros() as u64,
+                most: COLD.most,
+            },
+            slack_us: 250_000,
+        }
+    }
+
+    fn deployment(&self, number: usize, roster: SocketAddr, folder: &Path) -> String {
+        let Day { dispatchers, .. } = self.day;
+        let hall = HALLS[number % HALLS.len()];
+        let kept = folder.join(format!("list-{number}.json"));
+        let text = format!(
+            r#"(deployment
+  (listen "127.0.0.1:0") (roster "{roster}") (remembered {kept:?}) (seed {seed})
+  (hall {hall}) (number {number}) (schedulers {dispatchers}) (halls hall-a hall-b)
+  (kinds (compact (cores 24) (memory 40)) (wide (cores 40) (memory 60)))
+  (tracks
+    (web (repeat idempotent) (contract-time 600 ms))
+    (index (repeat deduplicated) (within hall) (window 6 s) (contract-time 1500 ms) (priority 1))
+    (ledger (repeat unrepeatable) (contract-time 1500 ms) (priority 2) (spread machine) (most {SPREAD})))
+  (accepts (cores 2) (memory 1.5)) (makes-room #t) (placed-when accepted) (shows-room #t) (may-probe #t)
+  (cold (lasts 6 s) (window 1 s) (offers {BEARS})) (other-hall-price 0.03))
+"#,
+            seed = self.seed,
+        );
+        (self.tell)(text)
+    }
+
+    fn plans(&self, rng: &mut Pcg64Mcg) -> Vec<Plan> {
+        let plan = |id: usize| {
+            let wide = id % 2 == 1;
+            let (cores, memory) = if wide { (40.0, 60.0) } else { (24.0, 40.0) };
+            Plan {
+                id: 100 + id as u32,
+                kind: if wide { "wide" } else { "compact" }.into(),
+                hall: HALLS[id / 2 % HALLS.len()].into(),
+                cell: (id / 4) as u64,
+                size: Amount { cores, memory },
+                accepts: Amount { cores: 2.0, memory: 1.5 },
+                look: Duration::from_micros(rng.random_range(4_000..12_000)),
+                line: 24,
+                start: Duration::from_millis(rng.random_range(15..40)),
+                loads: 8,
+                starts_at_once: 4,
+                keeps: 6,
+                makes_room: true,
+                cold: COLD,
+                seed: rng.random(),
+            }
+        };
+        (0..self.day.nodes).map(plan).collect()
+    }
+
+    /// Plays the day to its end and returns what was seen.
+    pub fn run(self) -> Result<Vec<capture::Line>, String> {
+        let tasks = Tasks::default();
+        future::block_on(tasks.clone().run(self.play(tasks)))
+    }
+
+    async fn play(self, tasks: Tasks) -> Result<Vec<capture::Line>, String> {
+        let text = |why: std::io::Error| why.to_string();
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
+        let folder = tempfile::tempdir().map_err(text)?;
+        let capture = Capture::new(self.capture.as_deref()).map_err(text)?;
+        let plans = self.plans(&mut rng);
+        capture.see(Seen::Day(self.rules(&plans)));
+        let world = World::new(capture, &tasks, Some(TRACKS[1].into()));
+        let (roster, roster_address) = Roster::up(&world).await.map_err(text)?;
+        let nodes: Vec<Arc<Node>> = plans.into_iter().map(|plan| Node::new(plan, &world)).collect();
+        for node in &nodes {
+            let address = node.up(false).await.map_err(text)?;
+            roster.change(Duration::ZERO, entry(node, address, 0));
+        }
+        let front = Front::new(&world, &nodes, self.day.dispatchers);
+        let mut fleet = Vec::new();
+        for number in 0..self.day.dispatchers {
+            let file = folder.path().join(format!("dispatcher-{number}.sexp"));
+            std::fs::write(&file, self.deployment(number, roster_address, folder.path())).map_err(text)?;
+            let log = self.logs.as_ref().map(|logs| logs.join(format!("dispatcher-{number}.log")));
+            let program = self.program.clone();
+            fleet.push(Dispatcher { number, file, program, log, child: None });
+        }
+        for dispatcher in &mut fleet {
+            dispatcher.up(&front).await?;
+        }
+        // The day begins when dispatchers have had a moment to hear of the nodes.
+        let heard = async {
+            for number in 0..fleet.len() {
+                while front.serving(number).await < nodes.len() as u64 {
+                    Timer::after(Duration::from_millis(10)).await;
+                }
+            }
+        };
+        within(Duration::from_secs(10), heard).await.ok_or("the dispatchers don't hear of the nodes")?;
+        let start = Instant::now();
+        let until = start + self.day.length;
+        let room = tasks.spawn(tell_room(Arc::clone(&roster), nodes.clone()));
+        let mut stage =
+            Stage { day: &self.day, front: &front, nodes: &nodes, roster: &roster, fleet, rng, start };
+        let owners = stage.through(until).await?;
+        // Whoever still waits or runs has so long to come to an end.
+        let rest = async {
+            for owner in owners {
+                owner.await;
+            }
+        };
+        let ended = within(Duration::from_secs(40), rest).await;
+        drop(room);
+        for dispatcher in &mut stage.fleet {
+            dispatcher.down(&front).await?;
+        }
+        ended.ok_or("owners are still waiting long after the day's end")?;
+        Ok(world.capture.lines())
+    }
+}
+
+impl Front {
+    async fn serving(&self, dispatcher: usize) -> u64 {
+        let Some(mut client) = self.client(dispatcher).await else { return 0 };
+        client.status(v1::StatusAsk {}).await.map_or(0, |word| word.into_inner().machines_serving)
+    }
+}
+
+fn entry(node: &Node, address: SocketAddr, started_ms: u64) -> v1::Entry {
+    let unasked = node.unasked();
+    v1::Entry {
+        node: node.plan.id,
+        address: address.to_string(),
+        kind: node.plan.kind.clone(),
+        hall: node.plan.hall.clone(),
+        cell: node.plan.cell,
+        state: v1::entry::State::Serving.into(),
+        started_ms,
+        unasked: Some(v1::Room { cores: unasked.cores, memory: unasked.memory }),
+    }
+}
+
+/// Tells the roster again and again what nobody has asked for.
+async fn tell_room(roster: Arc<Roster>, nodes: Vec<Arc<Node>>) {
+    loop {
+        Timer::after(Duration::from_secs(1)).await;
+        for node in nodes.iter().filter(|node| node.is_up()) {
+            if let Some(entry) = roster.entry(node.plan.id) {
+                let unasked = node.unasked();
+                let unasked = Some(v1::Room { cores: unasked.cores, memory: unasked.memory });
+                roster.change(Duration::from_millis(300), v1::Entry { unasked, ..entry });
+            }
+        }
+    }
+}
+
+struct Stage<'a> {
+    day: &'a Day,
+    front: &'a Arc<Front>,
+    nodes: &'a [Arc<Node>],
+    roster: &'a Arc<Roster>,
+    fleet: Vec<Dispatcher>,
+    rng: Pcg64Mcg,
+    start: Instant,
+}
+
+/// What is undone at the end of a trouble.
+enum Undo {
+    Up(usize),
+    Undrain(usize),
+    Restart(usize),
+    GoOn(usize),
+}
+
+impl Stage<'_> {
+    /// Lets owners ask and troubles strike until the day is over.
+    async fn through(&mut self, until: Instant) -> Result<Vec<async_executor::Task<()>>, String> {
+        let mut troubles = self.day.troubles.clone();
+        troubles.sort_by_key(|trouble| trouble.at);
+        let mut troubles = troubles.into_iter().peekable();
+        let mut undos: Vec<(Instant, Undo)> = Vec::new();
+        let mut owners = Vec::new();
+        let mut next = self.start;
+        let mut number = 0;
+        loop {
+            let trouble = troubles.peek().map(|trouble| self.start + trouble.at);
+            let undo = undos.iter().map(|(at, _)| *at).min();
+            let asks = (next < until).then_some(next);
+            let Some(at) = [trouble, undo, asks].into_iter().flatten().min() else { return Ok(owners) };
+            Timer::at(at).await;
+            if undo == Some(at) {
+                let index = undos.iter().position(|(when, _)| *when == at).unwrap_or_default();
+                let (_, undo) = undos.swap_remove(index);
+                self.undo(undo).await?;
+            } else if trouble == Some(at)
+                && let Some(trouble) = troubles.next()
+            {
+                let ends = Instant::now() + trouble.lasts;
+                let burst = if trouble.kind == Kind::Burst { trouble.many } else { 0 };
+                for _ in 0..burst {
+                    owners.push(self.ask(number, until));
+                    number += 1;
+                }
+                undos.extend(self.strike(&trouble)?.into_iter().map(|undo| (ends, undo)));
+            } else {
+                owners.push(self.ask(number, until));
+                number += 1;
+                let rate = self.day.rate_at(next - self.start);
+                let gap: f64 = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+                next += Duration::from_secs_f64(gap.min(10.0));
+            }
+        }
+    }
+
+    fn ask(&mut self, number: u64, until: Instant) -> async_executor::Task<()> {
+        let rng = &mut self.rng;
+        let draw = rng.random_range(0.0..100.0);
+        let track = match draw {
+            draw if draw < self.day.deduplicated => 1,
+            draw if draw < self.day.deduplicated + self.day.unrepeatable => 2,
+            _ => 0,
+        };
+        let window_us = DEDUP_WINDOW.as_micros() as u64;
+        let (cores, memory) = [(1.0, 1.5), (2.0, 3.0), (1.0, 2.0)][track];
+        let service = rng.random_range(0..[14, 4, 3][track]);
+        let life = self.day.life.mul_f64(rng.random_range(0.3..1.7));
+        let cancels = rng.random_range(0.0..100.0) < self.day.cancels;
+        let task = Task {
+            name: format!("t{number}"),
+            service: format!("{}-{service}", TRACKS[track]),
+            track,
+            track_name: TRACKS[track].into(),
+            repeat: [Repeat::Idempotent, Repeat::Deduplicated { window_us }, Repeat::Unrepeatable][track],
+            cores,
+            memory,
+            life,
+            abandon: Duration::from_secs([5, 7, 7][track]),
+            cancels: cancels.then(|| Duration::from_millis(rng.random_range(0..3000))),
+        };
+        let own = Pcg64Mcg::seed_from_u64(rng.random());
+        self.front.world.tasks.spawn(owner::live(Arc::clone(self.front), task, own, until))
+    }
+
+    fn strike(&mut self, trouble: &Trouble) -> Result<Vec<Undo>, String> {
+        let name =
+            crate::day::KINDS.iter().find(|(_, kind)| *kind == trouble.kind).map_or("", |(name, _)| name);
+        self.front.world.capture.see(Seen::Trouble { name: name.into() });
+        let time = trouble.lasts;
+        let mut up: Vec<usize> = (0..self.nodes.len()).filter(|&index| self.nodes[index].is_up()).collect();
+        up.shuffle(&mut self.rng);
+        up.truncate(trouble.many);
+        let mut running: Vec<usize> =
+            (0..self.fleet.len()).filter(|&index| self.fleet[index].child.is_some()).collect();
+        running.shuffle(&mut self.rng);
+        running.truncate(trouble.many);
+        let mut undos = Vec::new();
+        match trouble.kind {
+            Kind::KillNodes => {
+                for index in up {
+                    self.kill(index);
+                    undos.push(Undo::Up(index));
+                }
+            }
+            Kind::RestartRack => {
+                let cell = up.first().map(|&index| self.nodes[index].plan.cell);
+                for index in (0..self.nodes.len()).filter(|&index| Some(self.nodes[index].plan.cell) == cell)
+                {
+                    self.kill(index);
+                    undos.push(Undo::Up(index));
+                }
+            }
+            Kind::DrainNodes => {
+                for index in up {
+                    self.nodes[index].drain();
+                    self.tell(index, v1::entry::State::Draining);
+                    undos.push(Undo::Undrain(index));
+                }
+            }
+            Kind::StallNodes => up.iter().for_each(|&index| self.nodes[index].stand_still(time)),
+            Kind::CutLinks => up.iter().for_each(|&index| self.nodes[index].cut(time)),
+            Kind::LoseAnswers => up.iter().for_each(|&index| self.nodes[index].mute(time)),
+            Kind::DelayReports => {
+                let by = Duration::from_millis(self.rng.random_range(700..4000));
+                up.iter().for_each(|&index| self.nodes[index].delay_reports(time, by));
+            }
+            Kind::LosePrograms => up.iter().for_each(|&index| self.nodes[index].lose_programs()),
+            Kind::RosterAway => self.roster.away(Some(time)),
+            Kind::Demand | Kind::Burst => {}
+            Kind::KillDispatchers => {
+                for index in running {
+                    self.fleet[index].kill(self.front)?;
+                    undos.push(Undo::Restart(index));
+                }
+            }
+            Kind::PauseDispatchers => {
+                for index in running {
+                    self.fleet[index].signal(
+                        self.front,
+                        rustix::process::Signal::STOP,
+                        DispatcherState::Paused,
+                    )?;
+                    undos.push(Undo::GoOn(index));
+                }
+            }
+        }
+        Ok(undos)
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.nodes[index].kill(NodeState::Gone);
+        self.tell(index, v1::entry::State::Gone);
+    }
+
+    /// The roster hears of it late.
+    fn tell(&mut self, index: usize, state: v1::entry::State) {
+        let late = Duration::from_millis(self.rng.random_range(100..900));
+        if let Some(entry) = self.roster.entry(self.nodes[index].plan.id) {
+            self.roster.change(late, v1::Entry { state: state.into(), ..entry });
+        }
+    }
+
+    async fn undo(&mut self, undo: Undo) -> Result<(), String> {
+        match undo {
+            Undo::Up(index) => {
+                let node = &self.nodes[index];
+                if !node.is_up() {
+                    let address = node.up(true).await.map_err(|why| why.to_string())?;
+                    let entry = entry(node, address, corkspan_dispatcher::clock::wall_ms());
+                    let late = Duration::from_millis(self.rng.random_range(50..500));
+                    self.roster.change(late, entry);
+                }
+            }
+            Undo::Undrain(index) => {
+                // Its process goes at the end of the drain, and comes back anew.
+                if self.nodes[index].is_up() {
+                    self.kill(index);
+                }
+                Box::pin(self.undo(Undo::Up(index))).await?;
+            }
+            Undo::Restart(index) => {
+                if self.fleet[index].child.is_none() {
+                    self.fleet[index].up(self.front).await?;
+                }
+            }
+            Undo::GoOn(index) => {
+                if self.fleet[index].child.is_some() {
+                    self.fleet[index].signal(
+                        self.front,
+                        rustix::process::Signal::CONT,
+                        DispatcherState::GoesOn,
+                    )?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A dispatcher's process.
+struct Dispatcher {
+    number: usize,
+    file: PathBuf,
+    program: Vec<OsString>,
+    log: Option<PathBuf>,
+    child: Option<Child>,
+}
+
+impl Dispatcher {
+    fn see(&self, front: &Front, state: DispatcherState) {
+        front.world.capture.see(Seen::Dispatcher { dispatcher: self.number as u32, state });
+    }
+
+    async fn up(&mut self, front: &Arc<Front>) -> Result<(), String> {
+        let (program, first) = self.program.split_first().ok_or("no program is given")?;
+        let mut command = Command::new(program);
+        command.args(first).arg("serve").arg(&self.file).stdin(Stdio::null()).stdout(Stdio::piped());
+        match &self.log {
+            Some(log) => {
+                let file = std::fs::OpenOptions::new().create(true).append(true).open(log);
+                command.stderr(file.map_err(|why| format!("{}: {why}", log.display()))?);
+            }
+            None => {
+                command.arg("--level").arg("error").stderr(Stdio::inherit());
+            }
+        }
+        let mut child = command.spawn().map_err(|why| format!("{}: {why}", program.display()))?;
+        let out = child.stdout.take().ok_or("no standard output")?;
+        let line = blocking::unblock(move || {
+            let mut line = String::new();
+            BufReader::new(out).read_line(&mut line).map(|_| line)
+        });
+        let line = within(Duration::from_secs(10), line).await;
+        let line = line.ok_or("a dispatcher does not start to listen")?.map_err(|why| why.to_string())?;
+        self.child = Some(child);
+        let address = line.trim().strip_prefix("listening ").and_then(|address| address.parse().ok());
+        let address = address.ok_or_else(|| format!("a dispatcher did not start: `{}`", line.trim()))?;
+        self.see(front, DispatcherState::Up);
+        front.open(self.number, Some(address));
+        Ok(())
+    }
+
+    fn kill(&mut self, front: &Front) -> Result<(), String> {
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        self.see(front, DispatcherState::Killed);
+        front.open(self.number, None);
+        child.kill().and_then(|()| child.wait()).map(drop).map_err(|why| why.to_string())
+    }
+
+    fn signal(
+        &mut self,
+        front: &Front,
+        signal: rustix::process::Signal,
+        state: DispatcherState,
+    ) -> Result<(), String> {
+        let Some(child) = &self.child else { return Ok(()) };
+        // Going on counts from before it does, standing still from before it does: neither flatters it.
+        self.see(front, state);
+        rustix::process::kill_process(rustix::process::Pid::from_child(child), signal)
+            .map_err(|why| why.to_string())
+    }
+
+    /// Asks it to stop and waits for it.
+    async fn down(&mut self, front: &Front) -> Result<(), String> {
+        self.signal(front, rustix::process::Signal::TERM, DispatcherState::Stopping)?;
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        front.open(self.number, None);
+        let until = Instant::now() + Duration::from_secs(15);
+        let status = loop {
+            match child.try_wait().map_err(|why| why.to_string())? {
+                Some(status) => break Some(status),
+                None if Instant::now() > until => break None,
+                None => drop(Timer::after(Duration::from_millis(10)).await),
+            }
+        };
+        if status.is_some_and(|status| status.success()) {
+            self.see(front, DispatcherState::Ended);
+            return Ok(());
+        }
+        self.see(front, DispatcherState::Broke);
+        if status.is_none() {
+            let _ = child.kill().and_then(|()| child.wait());
+        }
+        Err(format!("dispatcher {} did not stop with 0: {status:?}", self.number))
+    }
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        // A day that breaks off leaves no process behind.
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill().and_then(|()| child.wait());
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/roster.rs
@@ -0,0 +1,162 @@
+//! The roster's stand-in: it tells each watcher of every change, a while after it came to be.
+
+use crate::capture::{NodeState, Seen};
+use crate::node::World;
+use async_io::Timer;
+use async_net::TcpListener;
+use corkspan_api::v1::{self, entry::State, roster_server::RosterServer};
+use corkspan_rpc::Bounds;
+use futures_lite::Stream;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tonic::{Request, Response, Status};
+
+pub struct Roster {
+    world: Arc<World>,
+    listener: TcpListener,
+    server: Mutex<Option<async_executor::Task<()>>>,
+    log: Mutex<Log>,
+}
+
+#[derive(Default)]
+struct Log {
+    entries: BTreeMap<u32, v1::Entry>,
+    /// Each change and when it may be told; its place, counted from 1, is its version.
+    changes: Vec<(Instant, v1::Entry)>,
+    /// Watchers, to be woken.
+    wakes: Vec<async_channel::Sender<()>>,
+}
+
+/// How long ago a start may be that the capture calls cold.
+const RECENT_MS: u64 = 60_000;
+
+impl Roster {
+    pub async fn up(world: &Arc<World>) -> std::io::Result<(Arc<Self>, SocketAddr)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (server, log) = Default::default();
+        let roster = Arc::new(Roster { world: Arc::clone(world), listener, server, log });
+        roster.listen();
+        Ok((roster, address))
+    }
+
+    fn listen(self: &Arc<Self>) {
+        let service = RosterServer::new(Service(Arc::clone(self)));
+        let served = corkspan_rpc::serve(self.listener.clone(), service, Bounds::default());
+        let server = self.world.tasks.spawn(async move {
+            served.await;
+        });
+        *self.server.lock().expect("unshared") = Some(server);
+    }
+
+    /// Out of reach for so long, or for good.
+    pub fn away(self: &Arc<Self>, time: Option<Duration>) {
+        drop(self.server.lock().expect("unshared").take());
+        let roster = Arc::clone(self);
+        if let Some(time) = time {
+            let again = async move {
+                Timer::after(time).await;
+                roster.listen();
+            };
+            self.world.tasks.spawn(again).detach();
+        }
+    }
+
+    /// Changes an entry; watchers hear of it so much later.
+    pub fn change(&self, late: Duration, entry: v1::Entry) {
+        let mut log = self.log.lock().expect("no one panics while it is held");
+        let earliest = log.changes.last().map_or_else(Instant::now, |(at, _)| *at);
+        // Changes are told in their order.
+        log.changes.push(((Instant::now() + late).max(earliest), entry.clone()));
+        log.entries.insert(entry.node, entry);
+        log.wakes.retain(|wake| !matches!(wake.try_send(()), Err(async_channel::TrySendError::Closed(()))));
+    }
+
+    pub fn entry(&self, node: u32) -> Option<v1::Entry> {
+        self.log.lock().expect("no one panics while it is held").entries.get(&node).cloned()
+    }
+
+    fn listing(&self, dispatcher: u32, version: u64, whole: bool, entries: Vec<v1::Entry>) -> v1::Listing {
+        let now_ms = corkspan_dispatcher::clock::wall_ms();
+        for entry in &entries {
+            let state = match entry.state() {
+                State::Draining => NodeState::Draining,
+                State::Gone => NodeState::Gone,
+                _ if entry.started_ms > 0 && entry.started_ms + RECENT_MS > now_ms => NodeState::Cold,
+                _ => NodeState::Serving,
+            };
+            self.world.capture.see(Seen::Told { dispatcher, node: entry.node, state });
+        }
+        v1::Listing { version, whole, now_ms, entries }
+    }
+
+    async fn watch(self: Arc<Self>, ask: v1::ListAsk, to: async_channel::Sender<v1::Listing>) {
+        let (wake, woken) = async_channel::bounded(1);
+        let mut at = {
+            let mut log = self.log.lock().expect("no one panics while it is held");
+            log.wakes.push(wake);
+            ask.version.min(log.changes.len() as u64) as usize
+        };
+        if ask.version == 0 {
+            // What may be told by now, whole.
+            let entries = {
+                let log = self.log.lock().expect("no one panics while it is held");
+                at = log.changes.iter().take_while(|(when, _)| *when <= Instant::now()).count();
+                let told: BTreeMap<u32, v1::Entry> =
+                    log.changes[..at].iter().map(|(_, entry)| (entry.node, entry.clone())).collect();
+                told.into_values().filter(|entry| entry.state() != State::Gone).collect()
+            };
+            if to.send(self.listing(ask.dispatcher, at as u64, true, entries)).await.is_err() {
+                return;
+            }
+        }
+        loop {
+            let next = self.log.lock().expect("no one panics while it is held").changes.get(at).cloned();
+            match next {
+                Some((when, entry)) => {
+                    Timer::at(when).await;
+                    at += 1;
+                    let listing = self.listing(ask.dispatcher, at as u64, false, vec![entry]);
+                    if to.send(listing).await.is_err() {
+                        return;
+                    }
+                }
+                None if woken.recv().await.is_err() => return,
+                None => {}
+            }
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Service(Arc<Roster>);
+
+type Listings = Pin<Box<dyn Stream<Item = Result<v1::Listing, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl v1::roster_server::Roster for Service {
+    type WatchStream = Listings;
+
+    async fn list(&self, request: Request<v1::ListAsk>) -> Result<Response<v1::Listing>, Status> {
+        let (entries, version) = {
+            let log = self.0.log.lock().expect("no one panics while it is held");
+            (log.entries.values().cloned().collect(), log.changes.len() as u64)
+        };
+        Ok(Response::new(self.0.listing(request.into_inner().dispatcher, version, true, entries)))
+    }
+
+    async fn watch(&self, request: Request<v1::ListAsk>) -> Result<Response<Listings>, Status> {
+        let (to, listings) = async_channel::bounded(16);
+        let watch = Arc::clone(&self.0).watch(request.into_inner(), to);
+        // Carried by the stream itself, so that it ends with it.
+        let task = self.0.world.tasks.spawn(watch);
+        let stream = futures_lite::stream::unfold((listings, task), |(listings, task)| async move {
+            let listing = listings.recv().await.ok()?;
+            Some((Ok(listing), (listings, task)))
+        });
+        Ok(Response::new(Box::pin(stream)))
+    }
+}
