Close a listener's links with it

Cause: the tasks of a link held the executor that held them, so a dropped listener kept its sockets open and silent; peers noticed only by keep-alive, 20 s later. Change: links hold their executor weakly.

--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -13,8 +13,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tonic::body::Body;
@@ -149,7 +149,7 @@
             }
             links.fetch_add(1, Ordering::Relaxed);
             let (service, links, bounds) = (service.clone(), Arc::clone(&links), bounds.clone());
-            let tasks = Arc::clone(&own);
+            let tasks = Own(Arc::downgrade(&own));
             own.spawn(async move {
                 carry(tasks, stream, service, bounds).await;
                 links.fetch_sub(1, Ordering::Relaxed);
@@ -160,7 +160,20 @@
     accept.or(own.run(future::pending())).await
 }
 
-async fn carry<S>(tasks: Tasks, stream: TcpStream, service: S, bounds: Bounds)
+/// Spawns what a link needs into its listener's own executor. Weak: tasks that kept their executor alive would
+/// keep their sockets open after the listener is gone.
+#[derive(Clone)]
+struct Own(Weak<Executor<'static>>);
+
+impl<F: Future<Output = ()> + Send + 'static> hyper::rt::Executor<F> for Own {
+    fn execute(&self, task: F) {
+        if let Some(executor) = self.0.upgrade() {
+            executor.spawn(task).detach();
+        }
+    }
+}
+
+async fn carry<S>(tasks: Own, stream: TcpStream, service: S, bounds: Bounds)
 where
     S: Service<http::Request<Body>, Response = http::Response<Body>, Error = Infallible>
         + Clone
@@ -172,7 +185,7 @@
         return;
     }
     let service = ToBody { inner: service, most: bounds.message };
-    let mut builder = hyper::server::conn::http2::Builder::new(SmolExecutor::new(tasks));
+    let mut builder = hyper::server::conn::http2::Builder::new(tasks);
     builder
         .timer(SmolTimer::new())
         .max_concurrent_streams(bounds.calls)
