--- a/crates/deployment/src/sexp.rs
+++ b/crates/deployment/src/sexp.rs
@@ -47,7 +47,7 @@
     let fault = |line, column, why: String| Fault { file: file.into(), line, column, part: name.into(), why };
     let datum = lexpr::datum::from_str(text).map_err(|why| {
         let place = why.location();
-        let (line, column) = place.map_or((1, 1), |place| (place.line(), place.column()));
+        let (line, column) = place.map_or((1, 1), |place| (place.line(), place.column() + 1));
         fault(line, column, why.to_string())
     })?;
     let form = Form::read(file, name, datum.as_ref())?;
@@ -258,5 +258,5 @@
 
 fn fault_at(file: &str, at: Ref, part: &str, why: String) -> Fault {
     let start = at.span().start();
-    Fault { file: file.into(), line: start.line(), column: start.column(), part: part.into(), why }
+    Fault { file: file.into(), line: start.line(), column: start.column() + 1, part: part.into(), why }
 }
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -100,7 +100,11 @@
     ) -> Arc<Self> {
         let now = clock.now();
         Arc::new_cyclic(|desk| {
-            let host = Host::new(deployment.cluster.clone(), seed, now, deployment.bounds.in_hand);
+            let mut cluster = deployment.cluster.clone();
+            // An offer may leave so much later than it is decided. Two windows' worth, the first late and the
+            // second not, would reach a cold node closer together than they were decided.
+            cluster.cold.window += deployment.bounds.connect_within;
+            let host = Host::new(cluster, seed, now, deployment.bounds.in_hand);
             let port = Port {
                 desk: desk.clone(),
                 now,
@@ -313,6 +317,9 @@
                 port.counters.placed += 1;
                 let shots = allocation.shots.len() as u32;
                 client.say(Said::Placed(v1::Placed { node: machine.0, shots }));
+            } else if let Some((client, _)) = host.own(id) {
+                // Wanted no longer by the time the node took it: an earlier word to stop found nothing there.
+                port.stop(self, client, machine, false);
             }
         });
     }
@@ -360,10 +367,14 @@
             if scope == Scope::Whole {
                 port.nodes.retain(|id, _| entries.iter().any(|(entry, _)| entry.machine == *id));
             }
+            let dispatcher = self.deployment.cluster.number as u32;
             for (entry, address) in entries {
                 match port.nodes.get(&entry.machine) {
                     Some(node) if node.address == *address => {}
-                    _ => drop(port.nodes.insert(entry.machine, NodeLink::new(*address))),
+                    _ => drop(
+                        port.nodes
+                            .insert(entry.machine, NodeLink::new(*address, entry.machine.0, dispatcher)),
+                    ),
                 }
             }
             let list: Vec<Entry> = entries.iter().map(|(entry, _)| *entry).collect();
@@ -497,7 +508,8 @@
         let node = self.node(machine);
         let most = desk.deployment.bounds.offers_a_node;
         let open: Option<Counted> = node.as_ref().and_then(|node| node.offer(most));
-        let offer = shots::Offer { id: allocation.id, number: allocation.shots.len(), machine, node, open };
+        let (id, number, decided) = (allocation.id, allocation.shots.len(), Instant::now());
+        let offer = shots::Offer { id, number, machine, node, open, decided };
         let tasks = Arc::clone(&desk.tasks);
         tasks.spawn(shots::offer(desk, offer, shot, duration(time_out))).detach();
     }
--- a/crates/dispatcher/src/links.rs
+++ b/crates/dispatcher/src/links.rs
@@ -2,13 +2,14 @@
 
 use crate::clock::duration;
 use async_lock::Mutex as AsyncMutex;
+use corkspan_api::v1::{self, node_client::NodeClient};
 use corkspan_deployment::Bounds;
-use corkspan_rpc::{Link, NoLink, Tasks};
+use corkspan_rpc::{Link, NoLink, Tasks, within};
 use futures_lite::future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tower_service::Service;
 
 /// The bounds of a link, as the deployment gives them.
@@ -22,9 +23,25 @@
     }
 }
 
+/// Why no link to a node stands. Nothing that binds was sent on it.
+#[derive(Debug, thiserror::Error)]
+pub enum NoNode {
+    #[error(transparent)]
+    NoLink(#[from] NoLink),
+    #[error("another attempt failed meanwhile")]
+    FailedAlready,
+    #[error("no answer to the greeting within {0:?}")]
+    Silent(Duration),
+    #[error("the greeting was turned down: {0}")]
+    TurnedDown(String),
+    #[error("node {0} answers there")]
+    Stranger(u32),
+}
+
 /// A node as it is reached.
 pub struct NodeLink {
     pub address: SocketAddr,
+    greeting: v1::Greeting,
     state: AsyncMutex<State>,
     calls: AtomicUsize,
     unanswered: AtomicUsize,
@@ -58,14 +75,15 @@
 }
 
 impl NodeLink {
-    pub fn new(address: SocketAddr) -> Arc<Self> {
+    pub fn new(address: SocketAddr, node: u32, dispatcher: u32) -> Arc<Self> {
+        let greeting = v1::Greeting { node, dispatcher };
         let state = State { link: None, failed: None, used: Instant::now() };
         let (calls, unanswered) = Default::default();
-        Arc::new(NodeLink { address, state: AsyncMutex::new(state), calls, unanswered })
+        Arc::new(NodeLink { address, greeting, state: AsyncMutex::new(state), calls, unanswered })
     }
 
     /// A link that takes a call now. Nothing has been sent where this fails.
-    pub async fn ready(&self, tasks: &Tasks, bounds: &corkspan_rpc::Bounds) -> Result<Link, NoLink> {
+    pub async fn ready(&self, tasks: &Tasks, bounds: &corkspan_rpc::Bounds) -> Result<Link, NoNode> {
         let since = Instant::now();
         let mut state = self.state.lock().await;
         state.used = Instant::now();
@@ -74,9 +92,9 @@
             return ready(link).await;
         }
         if state.failed.is_some_and(|at| at >= since) {
-            return Err(NoLink::TimedOut(bounds.connect_within));
+            return Err(NoNode::FailedAlready);
         }
-        match Link::open(tasks, self.address, bounds).await {
+        match self.open(tasks, bounds).await {
             Ok(link) => {
                 state.link = Some(link.clone());
                 drop(state);
@@ -89,6 +107,20 @@
         }
     }
 
+    /// Opens a link and waits for the node's own word that it stands: a connection that the kernel at the other
+    /// end took, for a process that no longer looks, would make of each offer one that may have run.
+    async fn open(&self, tasks: &Tasks, bounds: &corkspan_rpc::Bounds) -> Result<Link, NoNode> {
+        let link = Link::open(tasks, self.address, bounds).await?;
+        let mut client = NodeClient::new(link.clone());
+        let greeted = within(bounds.connect_within, client.greet(self.greeting)).await;
+        let word = greeted.ok_or(NoNode::Silent(bounds.connect_within))?;
+        let word = word.map_err(|why| NoNode::TurnedDown(why.message().into()))?.into_inner();
+        if word.node != self.greeting.node {
+            return Err(NoNode::Stranger(word.node));
+        }
+        Ok(link)
+    }
+
     /// Counts a call on the link until dropped.
     pub fn call(self: &Arc<Self>) -> Counted {
         Counted::new(self, |node| &node.calls)
@@ -101,7 +133,7 @@
     }
 
     /// Closes the link if it has been idle for so long. Whether one is open afterwards.
-    pub fn close_idle(&self, after: std::time::Duration) -> bool {
+    pub fn close_idle(&self, after: Duration) -> bool {
         let Some(mut state) = self.state.try_lock() else { return true };
         if self.calls.load(Ordering::Relaxed) == 0 && state.used.elapsed() >= after {
             state.link = None;
@@ -110,7 +142,7 @@
     }
 }
 
-async fn ready(mut link: Link) -> Result<Link, NoLink> {
+async fn ready(mut link: Link) -> Result<Link, NoNode> {
     future::poll_fn(|cx| link.poll_ready(cx)).await.map_err(NoLink::NotHttp)?;
     Ok(link)
 }
--- a/crates/dispatcher/src/shots.rs
+++ b/crates/dispatcher/src/shots.rs
@@ -9,7 +9,7 @@
 use corkspan_rpc::{Link, within};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tonic::{Status, Streaming};
 use tracing::debug;
 
@@ -22,6 +22,8 @@
     pub node: Option<Arc<NodeLink>>,
     /// Counts the offer among those without an answer; none where there are as many as may be.
     pub open: Option<Counted>,
+    /// When it was decided.
+    pub decided: Instant,
 }
 
 /// How a shot has returned, before it was placed or after.
@@ -45,7 +47,7 @@
 
 /// Makes an offer and follows it to its end.
 pub async fn offer(desk: Arc<Desk>, offer: Offer, shot: v1::Shot, time_out: Duration) {
-    let Offer { id, number, machine, node, open } = offer;
+    let Offer { id, number, machine, node, open, decided } = offer;
     let back = |back: Back, over| desk.returned(id, number, back.ending, back.reason, over, back.report);
     let Some(node) = node else { return back(Back::plain(Ending::Unconnected), None) };
     let Some(open) = open else {
@@ -57,9 +59,19 @@
     // Until the offer is handed to the link, it can't have reached the node.
     let written = AtomicBool::new(false);
     let first = async {
-        let Ok(link) = node.ready(&desk.tasks, &desk.link_bounds).await else {
-            return First::Back(Back::plain(Ending::Unconnected));
+        let latest = desk.link_bounds.connect_within;
+        let link = match within(latest, node.ready(&desk.tasks, &desk.link_bounds)).await {
+            Some(Ok(link)) => link,
+            other => {
+                debug!(machine = machine.0, why = ?other.map(Result::err), "no link");
+                return First::Back(Back::plain(Ending::Unconnected));
+            }
         };
+        // What is offered later than this is not what was decided: what a cold node bears in a window, and who
+        // drains, are counted from the decision. So a process that stood still in between sends nothing.
+        if decided.elapsed() > latest {
+            return First::Back(Back::plain(Ending::NotSent));
+        }
         written.store(true, Ordering::Relaxed);
         match client(&desk, link).offer(shot).await {
             Ok(words) => first_word(&desk, words.into_inner()).await,
--- /dev/null
+++ b/crates/host/tests/stories.rs
@@ -0,0 +1,185 @@
+//! What a caller relies on, one story each, against a wire that writes down what it is told.
+
+use corkspan::interface::*;
+use corkspan_host::{Asked, Host, NotTaken, Wire, service};
+
+const SECOND: Tenths = 10_000;
+
+#[derive(Default)]
+struct Noted(Vec<String>);
+
+impl Wire<&'static str> for Noted {
+    fn send(&mut self, own: &mut &'static str, allocation: &Allocation, machine: MachineId, _: Tenths) {
+        self.0.push(format!("{own}: shot {} to {}", allocation.shots.len(), machine.0));
+    }
+    fn shed(&mut self, own: &mut &'static str, _: &Allocation) {
+        self.0.push(format!("{own}: shed"));
+    }
+    fn scrap(&mut self, own: &mut &'static str, _: &Allocation) {
+        self.0.push(format!("{own}: scrapped"));
+    }
+    fn relocate(&mut self, own: &mut &'static str, _: &Allocation) {
+        self.0.push(format!("{own}: moved"));
+    }
+    fn probe(&mut self, _: MachineId) {}
+    fn watch_list(&mut self) {
+        self.0.push("watch".into());
+    }
+    fn wake(&mut self, after: Tenths) {
+        assert!(after > 0, "a timer of 0 would spin");
+        self.0.push("wake".into());
+    }
+}
+
+impl Noted {
+    fn said(&mut self) -> String {
+        std::mem::take(&mut self.0).join("; ")
+    }
+}
+
+fn host(repeat: Repeat, machines: u32, most: usize) -> Host<&'static str> {
+    let size = Amount { cores: 40.0, memory: 100.0 };
+    let track = Track { repeat, contract_time: SECOND, calm: 1.0, priority: 0, kind: None, spread: None };
+    let cluster = Cluster {
+        hall: HallId(0),
+        number: 0,
+        schedulers: 1,
+        kinds: vec![size],
+        tracks: vec![track],
+        accounts: Vec::new(),
+        accepts: Amount { cores: 2.0, memory: 1.5 },
+        makes_room: false,
+        shots: 3,
+        placed_runs: false,
+        shows_room: false,
+        may_probe: false,
+        ask_list: Some(10 * SECOND),
+        cold: Cold { lasts: SECOND, window: SECOND, offers: 5.0 },
+        other_hall_price: 0.0,
+    };
+    let mut host = Host::new(cluster, 1, 0, most);
+    let entry = |id| Entry {
+        machine: MachineId(id),
+        kind: KindId(0),
+        hall: HallId(0),
+        cell: CellId(0),
+        state: State::Serving,
+        started: None,
+        unasked: None,
+    };
+    host.listed(Scope::Remembered, &(0..machines).map(entry).collect::<Vec<_>>());
+    host
+}
+
+fn asked(abandon: Tenths) -> Asked {
+    let asks = Amount { cores: 1.0, memory: 1.0 };
+    Asked { service: service("s"), track: TrackId(0), account: AccountId(0), asks, abandon }
+}
+
+fn refused(host: &mut Host<&'static str>, now: Tenths, id: AllocationId, shot: usize, wire: &mut Noted) {
+    host.returned(now, id, shot, Ending::Refused, Some(Reason::NoCores), false, None, wire);
+}
+
+#[test]
+fn a_second_of_the_same_name_is_not_taken_and_its_owner_gets_its_own_back() {
+    let mut host = host(Repeat::Idempotent, 1, 10);
+    host.take(0, "a", asked(SECOND), "first").ok().expect("room");
+    let again = host.take(0, "a", asked(SECOND), "second");
+    assert_eq!(again.err(), Some((NotTaken::SameName, "second")));
+}
+
+#[test]
+fn beyond_the_most_in_hand_none_is_taken_until_one_is_over() {
+    let mut host = host(Repeat::Idempotent, 0, 1);
+    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    assert_eq!(host.take(0, "b", asked(SECOND), "b").err(), Some((NotTaken::Full, "b")));
+    host.finish(id);
+    assert!(host.take(0, "b", asked(SECOND), "b").is_ok());
+}
+
+#[test]
+fn one_that_no_machine_takes_waits_and_is_shed_in_its_time() {
+    let (mut host, mut wire) = (host(Repeat::Idempotent, 0, 10), Noted::default());
+    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    host.place(0, id, &mut wire);
+    assert_eq!(host.counts().not_yet, 1);
+    let mut now = 0;
+    while !wire.0.iter().any(|said| said == "a: shed") {
+        now += 100;
+        assert!(now < SECOND, "no answer in time");
+        host.woken(now);
+        host.rest(now, &mut wire);
+    }
+    assert_eq!(host.counts(), Default::default());
+}
+
+#[test]
+fn the_name_of_a_cancelled_one_is_kept_while_its_shot_is_out() {
+    let (mut host, mut wire) = (host(Repeat::Unrepeatable, 1, 10), Noted::default());
+    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    host.place(0, id, &mut wire);
+    host.finish(id);
+    assert_eq!(host.take(1, "a", asked(SECOND), "again").err(), Some((NotTaken::SameName, "again")));
+    refused(&mut host, 2, id, 0, &mut wire);
+    assert_eq!(wire.said(), "a: shot 0 to 0", "nothing is sent for one that is over");
+    assert!(host.take(3, "a", asked(SECOND), "again").is_ok());
+}
+
+#[test]
+fn an_answer_that_comes_after_the_end_is_no_answer() {
+    let (mut host, mut wire) = (host(Repeat::Idempotent, 1, 10), Noted::default());
+    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    host.place(0, id, &mut wire);
+    host.finish(id);
+    assert!(!host.placed(5, id, 0, &mut wire));
+}
+
+#[test]
+fn only_the_first_placed_answer_counts() {
+    let (mut host, mut wire) = (host(Repeat::Idempotent, 1, 10), Noted::default());
+    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    host.place(0, id, &mut wire);
+    assert!(host.placed(5, id, 0, &mut wire));
+    assert!(!host.placed(6, id, 0, &mut wire));
+}
+
+#[test]
+fn a_shot_that_was_never_made_is_told_apart() {
+    let (mut host, mut wire) = (host(Repeat::Idempotent, 1, 10), Noted::default());
+    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    assert!(!host.returned(1, id, 7, Ending::Ended, None, true, None, &mut wire));
+}
+
+#[test]
+fn at_a_stop_the_waiting_are_answered_at_once_and_the_others_after_their_shot() {
+    let (mut host, mut wire) = (host(Repeat::Unrepeatable, 1, 10), Noted::default());
+    let out = host.take(0, "out", asked(9 * SECOND), "out").ok().expect("room");
+    host.place(0, out, &mut wire);
+    host.listed(Scope::Whole, &[]);
+    let waits = host.take(0, "waits", asked(9 * SECOND), "waits").ok().expect("room");
+    host.place(0, waits, &mut wire);
+    wire.said();
+    host.stop(10, &mut wire);
+    assert_eq!(wire.said(), "waits: shed");
+    assert_eq!(host.unanswered(), [(out, 0)]);
+    host.returned(20, out, 0, Ending::TimedOut, None, false, None, &mut wire);
+    assert_eq!(wire.said(), "out: scrapped", "a shot that may have run promises nothing");
+    assert_eq!(host.counts().in_hand, 0);
+}
+
+#[test]
+fn one_taken_over_owes_no_answer_and_goes_with_its_return() {
+    let (mut host, mut wire) = (host(Repeat::Unrepeatable, 1, 10), Noted::default());
+    let id = host.take_running(0, "a", asked(0), MachineId(0), "a").ok().expect("room");
+    host.rest(100, &mut wire);
+    assert!(host.unanswered().is_empty());
+    host.returned(200, id, 0, Ending::Reset, Some(Reason::Evicted), true, None, &mut wire);
+    assert!(!wire.said().contains("a:"), "no answer and no further shot");
+    assert_eq!(host.counts().in_hand, 0);
+}
+
+#[test]
+fn services_have_the_same_number_everywhere() {
+    assert_eq!(service("quotes"), service("quotes"));
+    assert_ne!(service("quotes"), service("quote"));
+}
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -528,6 +528,10 @@
     type OfferStream = Saying;
     type AttendStream = Saying;
 
+    async fn greet(&self, _: Request<v1::Greeting>) -> Result<Response<v1::Greeting>, Status> {
+        Ok(Response::new(v1::Greeting { node: self.0.plan.id, dispatcher: 0 }))
+    }
+
     async fn offer(&self, request: Request<v1::Shot>) -> Result<Response<Saying>, Status> {
         let (words, said) = async_channel::bounded(WORDS);
         let (node, shot) = (Arc::clone(&self.0), request.into_inner());
--- a/crates/lab/src/roster.rs
+++ b/crates/lab/src/roster.rs
@@ -16,6 +16,7 @@
 
 pub struct Roster {
     world: Arc<World>,
+    pub address: SocketAddr,
     listener: TcpListener,
     server: Mutex<Option<async_executor::Task<()>>>,
     log: Mutex<Log>,
@@ -38,7 +39,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (server, log) = Default::default();
-        let roster = Arc::new(Roster { world: Arc::clone(world), listener, server, log });
+        let roster = Arc::new(Roster { world: Arc::clone(world), address, listener, server, log });
         roster.listen();
         Ok((roster, address))
     }
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,84 @@
+//! Whole days through real dispatchers, each a process of its own.
+
+use corkspan_lab::capture::Line;
+use corkspan_lab::day::{BUILT_IN, Day, SHORT};
+use corkspan_lab::judge::judge;
+use corkspan_lab::play::Play;
+use corkspan_lab::table::Table;
+use test_case::test_case;
+
+fn play(script: &str, seed: u64, tell: fn(String) -> String) -> Vec<Line> {
+    let day = Day::read("day", script).unwrap_or_else(|why| panic!("{why}"));
+    let program = vec![env!("CARGO_BIN_EXE_corkspan-lab").into(), "corkspan".into()];
+    let played = Play { day, seed, program, capture: None, tell, logs: None }.run();
+    played.unwrap_or_else(|why| panic!("{why}"))
+}
+
+fn broken(lines: &[Line]) -> Vec<u8> {
+    let mut rules: Vec<u8> = judge(lines).expect("readable").iter().map(|breach| breach.rule).collect();
+    rules.dedup();
+    rules
+}
+
+#[test]
+fn the_short_day_keeps_the_rules() {
+    let lines = play(SHORT, 1, |text| text);
+    assert_eq!(broken(&lines), [0; 0]);
+    let table = Table::of(&lines);
+    assert!(table.first_asks > 200 && table.placed > 200, "{table}");
+    assert_eq!(table.asked, table.placed + table.refused + table.failed + table.cancelled + table.unanswered);
+}
+
+const UNREPEATABLE: &str = "(day (length 4 s) (dispatchers 2) (nodes 4) (rate 40) (unrepeatable 80)
+    (life 2 s) (troubles (lose-answers (at 500 ms) (for 3 s) (many 2))))";
+const RACK: &str = "(day (length 5 s) (dispatchers 2) (nodes 4) (rate 60) (life 1 s)
+    (troubles (restart-rack (at 1 s) (for 500 ms))))";
+
+fn repeats_what_must_not(text: String) -> String {
+    replace(
+        text,
+        "(repeat unrepeatable) (contract-time 1500 ms)",
+        "(repeat idempotent) (contract-time 100 ms)",
+    )
+}
+
+fn knows_no_spread(text: String) -> String {
+    replace(text, "(spread machine) (most 4)", "")
+}
+
+fn knows_no_cold(text: String) -> String {
+    replace(text, "(offers 12)", "(offers 100000)")
+}
+
+fn replace(text: String, from: &str, to: &str) -> String {
+    assert!(text.contains(from), "the deployment says `{from}`");
+    text.replace(from, to)
+}
+
+#[test_case(UNREPEATABLE, repeats_what_must_not, 2; "one that repeats what must not run twice")]
+#[test_case(UNREPEATABLE, knows_no_spread, 5; "one that knows no spread")]
+#[test_case(RACK, knows_no_cold, 4; "one that floods what has just started")]
+fn a_dispatcher_with_wrong_decisions_is_found_out(script: &str, wrong: fn(String) -> String, rule: u8) {
+    assert!(broken(&play(script, 1, wrong)).contains(&rule), "the judge finds rule {rule} broken");
+    assert_eq!(broken(&play(script, 1, |text| text)), [0; 0], "and the right one keeps all");
+}
+
+#[test]
+fn the_built_in_days_are_sound_scripts() {
+    let day = Day::read("built-in", BUILT_IN).expect("sound");
+    assert!(day.rate * day.length.as_secs_f64() > 2_000.0 && day.troubles.len() >= 6);
+    Day::read("short", SHORT).expect("sound");
+}
+
+#[test_case("(day (length 4 s) (dispatchers 2) (nodes 4))", "d:1:1: day: lacks `(rate …)`"; "a part missing")]
+#[test_case("(day (length 4 s) (dispatchers 0) (nodes 4) (rate 1))", "d:1:32: day/dispatchers: a whole number from 1 to 300"; "no dispatchers")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (rain (at 1 s))))", "troubles/rain: unknown"; "an unknown trouble")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (demand (at 1 s) (for 1 s))))", "lacks `(times …)`"; "a demand step without its size")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (kill-nodes (at 9 s) (for 1 s))))", "after the day's end"; "a trouble too late")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (kill-nodes (at 1 s) (for 1 s) (many 5))))", "from 1 to 4"; "more nodes than there are")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (deduplicated 70) (unrepeatable 40))", "over 100 together"; "parts beyond the whole")]
+#[test_case("(day (length 4 s)", "d:1:"; "cut off")]
+fn a_malformed_day_is_told_with_its_place(script: &str, why: &str) {
+    let fault = Day::read("d", script).expect_err("a fault").to_string();
+    assert!(fault.starts_with("d:1:") && fault.contains(why), "{fault}");
+}
--- /dev/null
+++ b/crates/lab/tests/hard_cases.rs
@@ -0,0 +1,419 @@
+//! What goes wrong between owners, dispatcher, nodes and roster, provoked over real sockets.
+
+mod rig;
+
+use async_io::Timer;
+use corkspan_api::v1::{self, ended::How, entry::State, refused::Why, word::Word};
+use corkspan_lab::capture::{self, NodeState, Seen};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use rig::*;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+fn ended(word: Option<Word>) -> How {
+    match word {
+        Some(Word::Ended(ended)) => ended.how(),
+        other => panic!("an end is expected, not {other:?}"),
+    }
+}
+
+#[test]
+fn an_ask_is_placed_runs_and_ends() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut words = rig.ask(v1::Ask { life_ms: 50, ..ask("a", "web") }).await;
+        placed(&mut words).await;
+        assert!(matches!(next(&mut words).await, Some(Word::Runs(_))));
+        assert_eq!(ended(next_of_weight(&mut words).await), How::Ended);
+        assert!(next(&mut words).await.is_none(), "the call ends with its allocation");
+        until(async || rig.status().await.in_hand == 0).await;
+    });
+}
+
+#[test]
+fn an_ask_that_arrives_as_its_node_drains_goes_elsewhere() {
+    Rig::run(Layout::default(), async |rig| {
+        rig.nodes[0].drain();
+        let early = placed(&mut rig.ask(ask("early", "once")).await).await;
+        assert_eq!(early, 1, "the node itself turns it away, the other takes it");
+        rig.tell(0, State::Draining);
+        rig.until_serving(1).await;
+        let before = rig.offers().iter().filter(|(_, _, node)| *node == 0).count();
+        for number in 0..10 {
+            let mut words = rig.ask(ask(&format!("late{number}"), "web")).await;
+            assert_eq!(placed(&mut words).await, 1);
+        }
+        let after = rig.offers().iter().filter(|(_, _, node)| *node == 0).count();
+        assert_eq!(after, before, "nothing new goes to it");
+    });
+}
+
+#[test]
+fn a_node_that_accepts_and_loses_the_program_is_told_to_the_owner() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut words = rig.ask(ask("a", "once")).await;
+        let node = placed(&mut words).await;
+        rig.nodes[node as usize].kill(NodeState::Gone);
+        assert_eq!(ended(next_of_weight(&mut words).await), How::Lost);
+        assert_eq!(rig.offers().len(), 1, "it is its owner who asks again");
+    });
+}
+
+#[test]
+fn a_link_cut_before_the_answer_fails_what_must_not_run_twice() {
+    let layout = Layout { look: Duration::from_millis(400), ..Layout::default() };
+    Rig::run(layout, async |rig| {
+        let mut words = rig.ask(ask("a", "once")).await;
+        until(async || rig.offers().len() == 1).await;
+        rig.nodes[rig.offers()[0].2 as usize].cut(Duration::from_millis(50));
+        assert!(matches!(next(&mut words).await, Some(Word::Failed(_))));
+        assert_eq!(rig.offers().len(), 1);
+    });
+}
+
+#[test_case(2_000, true; "within its hall's window")]
+#[test_case(100, false; "after its hall's window")]
+fn a_deduplicated_one_cut_off_is_tried_again(window: u64, again: bool) {
+    let layout = Layout { nodes: 4, look: Duration::from_millis(400), ..Layout::default() };
+    Rig::run(layout, async |rig| {
+        let text = deployment(rig.roster.address, "");
+        let short = Rig::beside(&rig, &text.replace("(window 2 s)", &format!("(window {window} ms)"))).await;
+        short.until_serving(4).await;
+        let mut words = short.ask(ask("a", "jobs")).await;
+        until(async || rig.offers().len() == 1).await;
+        // Long enough for the shorter window to pass, and not the longer.
+        Timer::after(Duration::from_millis(150)).await;
+        let first = rig.offers()[0].2;
+        rig.nodes[first as usize].cut(Duration::from_millis(50));
+        match next(&mut words).await {
+            Some(Word::Placed(placed)) if again => {
+                assert_eq!(placed.node / 2, first / 2, "only in its hall are repeats dropped");
+            }
+            Some(Word::Failed(_)) if !again => assert_eq!(rig.offers().len(), 1),
+            other => panic!("not {other:?}"),
+        }
+    });
+}
+
+#[test]
+fn an_answer_after_the_time_out_is_not_heard() {
+    Rig::run(Layout::default(), async |rig| {
+        // It learns how long answers usually take.
+        for number in 0..20 {
+            placed(&mut rig.ask(ask(&format!("quick{number}"), "web")).await).await;
+        }
+        rig.nodes[0].stand_still(Duration::from_millis(2_500));
+        let mut calls = Vec::new();
+        for number in 0..12 {
+            calls.push(rig.ask(ask(&format!("slow{number}"), "web")).await);
+        }
+        for words in &mut calls {
+            assert_eq!(placed(words).await, 1, "the one that answers");
+        }
+        let offers = rig.offers();
+        assert!(offers.iter().any(|(_, number, node)| (*number, *node) == (1, 1)), "a second shot was made");
+        for words in &mut calls {
+            assert!(matches!(next(words).await, Some(Word::Runs(_))), "no second answer");
+        }
+    });
+}
+
+#[test]
+fn one_end_that_takes_the_link_for_broken_can_be_handed_what_runs_on() {
+    Rig::run(Layout::default(), async |rig| {
+        let ask = v1::Ask { life_ms: 1_500, ..ask("a", "once") };
+        let mut words = rig.ask(ask.clone()).await;
+        let node = placed(&mut words).await;
+        rig.nodes[node as usize].cut(Duration::from_millis(20));
+        assert_eq!(ended(next_of_weight(&mut words).await), How::Lost);
+        assert!(rig.nodes[node as usize].holds("a").is_some(), "it runs on");
+        let mut again = rig.hand_over(ask, node).await;
+        assert_eq!(ended(next_of_weight(&mut again).await), How::Ended);
+        assert_eq!(rig.offers().len(), 1, "and is not started again");
+    });
+}
+
+#[test]
+fn one_handed_over_that_does_not_run_is_lost() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut words = rig.hand_over(ask("a", "once"), 1).await;
+        assert_eq!(ended(next(&mut words).await), How::Lost);
+        let mut words = rig.hand_over(ask("a", "once"), 77).await;
+        assert_eq!(ended(next(&mut words).await), How::Lost, "nor on a node that nobody knows");
+    });
+}
+
+#[test]
+fn a_node_started_anew_under_its_id_is_met_at_its_new_address_and_as_cold() {
+    Rig::run(Layout { nodes: 1, ..Layout::default() }, async |rig| {
+        let mut words = rig.ask(ask("a", "once")).await;
+        placed(&mut words).await;
+        rig.nodes[0].kill(NodeState::Gone);
+        let address = rig.nodes[0].up(true).await.expect("a port");
+        let now_ms = corkspan_dispatcher::clock::wall_ms();
+        rig.roster.change(Duration::ZERO, entry(&rig.nodes[0], address, State::Serving, now_ms));
+        assert_eq!(ended(next_of_weight(&mut words).await), How::Lost);
+        let mut calls = Vec::new();
+        for number in 0..40 {
+            calls.push(rig.ask(ask(&format!("b{number}"), "web")).await);
+        }
+        for words in &mut calls {
+            placed(words).await;
+        }
+        assert!(rig.nodes[0].is_up(), "it was not pushed over");
+    });
+}
+
+#[test]
+fn a_stranger_at_a_nodes_old_address_is_offered_nothing() {
+    Rig::run(Layout { nodes: 1, ..Layout::default() }, async |rig| {
+        let old = rig.roster.entry(0).expect("listed");
+        let id = 9;
+        rig.roster.change(Duration::ZERO, v1::Entry { node: id, ..old.clone() });
+        rig.roster.change(Duration::ZERO, v1::Entry { state: State::Gone.into(), ..old });
+        until(async || rig.status().await.machines_known == 2).await;
+        rig.until_serving(1).await;
+        let mut words = rig.ask(v1::Ask { abandon_ms: 900, ..ask("a", "once") }).await;
+        assert_eq!(refused(&mut words).await, Why::NoRoom, "it never ran, so another try is harmless");
+        assert!(rig.offers().is_empty());
+    });
+}
+
+#[test]
+fn two_asks_of_one_name_are_one_allocation() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut first = rig.ask(ask("a", "once")).await;
+        placed(&mut first).await;
+        let mut second = rig.ask(v1::Ask { placing: "a#1".into(), ..ask("a", "once") }).await;
+        assert_eq!(refused(&mut second).await, Why::InHand);
+        assert!(rig.nodes.iter().any(|node| node.holds("a").is_some()), "the first runs on");
+    });
+}
+
+#[test]
+fn an_owner_that_hangs_up_has_its_allocation_stopped() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut words = rig.ask(ask("a", "once")).await;
+        let node = placed(&mut words).await as usize;
+        drop(words);
+        until(async || rig.nodes[node].holds("a").is_none()).await;
+        until(async || rig.status().await.in_hand == 0).await;
+        assert_eq!(rig.status().await.cancelled, 1);
+    });
+}
+
+#[test]
+fn an_owner_that_hangs_up_while_its_shot_is_out_leaves_no_copy() {
+    let layout = Layout { look: Duration::from_millis(300), ..Layout::default() };
+    Rig::run(layout, async |rig| {
+        let words = rig.ask(ask("a", "once")).await;
+        until(async || rig.offers().len() == 1).await;
+        drop(words);
+        until(async || rig.status().await.in_hand == 0).await;
+        assert!(rig.nodes.iter().all(|node| node.holds("a").is_none()));
+    });
+}
+
+#[test]
+fn a_calls_own_deadline_is_heeded_and_its_passing_stops_nothing() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut request = tonic::Request::new(v1::Ask { abandon_ms: 0, ..ask("a", "once") });
+        request.set_timeout(Duration::from_millis(600));
+        let mut words = rig.client().await.place(request).await.expect("taken").into_inner();
+        let node = placed(&mut words).await as usize;
+        Timer::after(Duration::from_millis(650)).await;
+        drop(words);
+        // Another call after it, so that the end of the first has been seen.
+        placed(&mut rig.ask(ask("b", "once")).await).await;
+        assert!(rig.nodes[node].holds("a").is_some(), "its owner's call has ended as agreed");
+    });
+}
+
+#[test]
+fn without_room_it_is_refused_before_the_owners_time_is_up() {
+    Rig::run(Layout { nodes: 0, ..Layout::default() }, async |rig| {
+        let began = Instant::now();
+        let mut words = rig.ask(v1::Ask { abandon_ms: 1_000, ..ask("a", "once") }).await;
+        assert_eq!(refused(&mut words).await, Why::NoRoom);
+        assert!(began.elapsed() < Duration::from_millis(1_000));
+    });
+}
+
+#[test_case(v1::Ask { abandon_ms: 0, ..ask("a", "web") }, "deadline"; "without a deadline")]
+#[test_case(v1::Ask { abandon_ms: u64::MAX, ..ask("a", "web") }, "deadline"; "with a deadline beyond all time")]
+#[test_case(v1::Ask { cores: f64::NAN, ..ask("a", "web") }, "cores"; "cores that are no number")]
+#[test_case(v1::Ask { memory: -1.0, ..ask("a", "web") }, "memory"; "negative memory")]
+#[test_case(v1::Ask { cores: 0.0, ..ask("a", "web") }, "cores"; "no cores")]
+#[test_case(ask("a", "wbe"), "unknown track `wbe`"; "unknown track")]
+#[test_case(ask("", "web"), "task"; "no name")]
+#[test_case(ask(&"x".repeat(300), "web"), "task"; "a name too long")]
+fn an_ask_that_is_none_is_refused_with_the_reason(ask: v1::Ask, why: &str) {
+    Rig::run(Layout::default(), async |rig| {
+        match next(&mut rig.ask(ask).await).await {
+            Some(Word::Refused(refused)) => {
+                assert_eq!(refused.why(), Why::BadAsk);
+                assert!(refused.text.contains(why), "{}", refused.text);
+            }
+            other => panic!("not {other:?}"),
+        }
+        placed(&mut rig.ask(rig::ask("sound", "web")).await).await;
+    });
+}
+
+#[test]
+fn garbage_and_too_large_a_message_harm_nobody_else() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut wild = async_net::TcpStream::connect(rig.address).await.expect("it listens");
+        wild.write_all(&[0xa5; 4096]).await.expect("written");
+        let mut rest = Vec::new();
+        let closed = corkspan_rpc::within(PATIENCE, wild.read_to_end(&mut rest)).await;
+        assert!(closed.is_some(), "the link is closed");
+        let large = v1::Ask { service: "x".repeat(1 << 20), ..ask("a", "web") };
+        let status = rig.client().await.place(large).await.expect_err("turned down");
+        assert!(
+            matches!(status.code(), tonic::Code::OutOfRange | tonic::Code::ResourceExhausted),
+            "{status}"
+        );
+        placed(&mut rig.ask(ask("sound", "web")).await).await;
+    });
+}
+
+#[test]
+fn a_roster_away_all_day_leaves_the_remembered_list() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let list = folder.path().join("list.json");
+    let more = format!("(remembered {list:?})");
+    Rig::run(Layout { more: more.clone(), ..Layout::default() }, async |rig| {
+        until(async || list.exists()).await;
+        rig.roster.away(None);
+        let text = deployment("127.0.0.1:1".parse().expect("an address"), &more);
+        let second = Rig::beside(&rig, &text).await;
+        placed(&mut second.ask(ask("a", "web")).await).await;
+    });
+}
+
+#[test_case(&[][..]; "empty")]
+#[test_case(&b"{\"version\": 3, \"sum\": 1, \"lines\": []}"[..]; "with a wrong sum")]
+#[test_case(&b"{\"version\": 3, \"su"[..]; "cut off")]
+#[test_case(&[0xff; 64][..]; "garbled")]
+fn a_remembered_list_that_is(torn: &[u8]) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let list = folder.path().join("list.json");
+    std::fs::write(&list, torn).expect("written");
+    let more = format!("(remembered {list:?})");
+    Rig::run(Layout { more, ..Layout::default() }, async |rig| {
+        assert!(folder.path().join("list.aside").exists(), "it is kept for whoever looks into it");
+        placed(&mut rig.ask(ask("a", "web")).await).await;
+        until(async || list.exists()).await;
+    });
+}
+
+#[test]
+fn a_full_disk_under_the_remembered_list_stops_nothing() {
+    // A folder where the file should be can't be written to, whoever tries.
+    let folder = tempfile::tempdir().expect("a folder");
+    let more = format!("(remembered {:?})", folder.path().join("missing").join("list.json"));
+    Rig::run(Layout { more, ..Layout::default() }, async |rig| {
+        placed(&mut rig.ask(ask("a", "web")).await).await;
+    });
+}
+
+#[test]
+fn a_burst_of_five_thousand_gets_one_answer_each() {
+    let layout = Layout { more: "(bounds (in-hand 1000))".into(), ..Layout::default() };
+    Rig::run(layout, async |rig| {
+        let client = rig.client().await;
+        let mut calls = Vec::new();
+        for number in 0..5_000 {
+            let (mut client, ask) = (client.clone(), ask(&format!("t{number}"), "web"));
+            calls.push(rig.tasks.spawn(async move {
+                let mut words = client.place(ask).await.expect("taken").into_inner();
+                let word = next(&mut words).await;
+                (word, words)
+            }));
+        }
+        let (mut placed, mut too_many, mut no_room) = (0, 0, 0);
+        let mut held = Vec::new();
+        for call in calls {
+            let (word, words) = call.await;
+            held.push(words);
+            match word {
+                Some(Word::Placed(_)) => placed += 1,
+                Some(Word::Refused(refused)) if refused.why() == Why::TooMany => too_many += 1,
+                Some(Word::Refused(_)) => no_room += 1,
+                other => panic!("not {other:?}"),
+            }
+        }
+        assert_eq!(placed + too_many + no_room, 5_000);
+        assert!(placed >= 100 && too_many >= 3_000, "{placed} placed, {too_many} beyond the most in hand");
+        let status = rig.status().await;
+        assert_eq!((status.asked, status.placed, status.running), (5_000, placed, placed));
+    });
+}
+
+#[test]
+fn an_owner_that_does_not_read_holds_nobody_up() {
+    Rig::run(Layout::default(), async |rig| {
+        let mut silent = Vec::new();
+        for number in 0..50 {
+            silent.push(rig.ask(ask(&format!("silent{number}"), "web")).await);
+        }
+        for number in 0..50 {
+            placed(&mut rig.ask(ask(&format!("loud{number}"), "web")).await).await;
+        }
+        for words in &mut silent {
+            placed(words).await;
+        }
+    });
+}
+
+#[test]
+fn a_dispatcher_that_stops_answers_everything_in_hand() {
+    let layout = Layout { nodes: 1, look: Duration::from_millis(100), ..Layout::default() };
+    Rig::run(layout, async |rig| {
+        let mut running = rig.ask(ask("running", "once")).await;
+        placed(&mut running).await;
+        let mut out = rig.ask(ask("out", "once")).await;
+        until(async || rig.offers().len() == 2).await;
+        // Larger than all that the node accepts.
+        let mut waits = rig.ask(v1::Ask { cores: 500.0, ..ask("waits", "once") }).await;
+        until(async || rig.status().await.not_yet == 1).await;
+        let mut late = rig.client().await;
+        let stopping = rig.tasks.clone().spawn(rig.stop());
+        assert_eq!(refused(&mut waits).await, Why::NoRoom);
+        if let Ok(words) = late.place(ask("late", "web")).await {
+            assert_eq!(refused(&mut words.into_inner()).await, Why::Stopping);
+        }
+        placed(&mut out).await;
+        for words in [&mut running, &mut out] {
+            assert_eq!(ended(next_of_weight(words).await), How::HandedBack);
+        }
+        let lines = stopping.await;
+        let stopped =
+            |line: &capture::Line| matches!(line.seen, Seen::Said { word: capture::Word::Stopped, .. });
+        assert!(!lines.iter().any(stopped), "what runs, runs on");
+    });
+}
+
+#[test]
+fn a_port_in_use_is_named() {
+    Rig::run(Layout::default(), async |rig| {
+        let text = deployment(rig.address, "").replace("127.0.0.1:0", &rig.address.to_string());
+        let deployment = corkspan_deployment::Deployment::read("rig", &text).expect("sound");
+        let run =
+            corkspan_dispatcher::run(rig.tasks.clone(), deployment, |_| {}, futures_lite::future::pending());
+        let why = run.await.expect_err("the port is taken").to_string();
+        assert!(why.contains(&rig.address.to_string()), "{why}");
+    });
+}
+
+#[test]
+fn links_with_nothing_on_them_are_closed() {
+    let more = "(bounds (idle-close 200 ms))".to_string();
+    Rig::run(Layout { more, ..Layout::default() }, async |rig| {
+        let mut words = rig.ask(v1::Ask { life_ms: 600, ..ask("a", "web") }).await;
+        placed(&mut words).await;
+        assert_eq!(rig.status().await.links, 1);
+        assert_eq!(ended(next_of_weight(&mut words).await), How::Ended);
+        until(async || rig.status().await.links == 0).await;
+    });
+}
--- /dev/null
+++ b/crates/lab/tests/judge.rs
@@ -0,0 +1,279 @@
+//! The judge must find each rule broken, by captures written for it, and nothing in a sound one.
+
+use corkspan_lab::capture::{DispatcherState as D, NodeState as N, Word::*, *};
+use corkspan_lab::judge::judge;
+use test_case::test_case;
+
+/// Times in ms make a capture easy to read.
+struct Script(Vec<Line>);
+
+const NODE: u32 = 7;
+
+impl Script {
+    fn new() -> Self {
+        let track = |name: &str, repeat, spread| Track { name: name.into(), repeat, contract_us: 1, spread };
+        let home = |node, hall: &str| Home { node, hall: hall.into(), cell: 0 };
+        let rules = Rules {
+            seed: 0,
+            tracks: vec![
+                track("web", Repeat::Idempotent, None),
+                track("jobs", Repeat::Deduplicated { window_us: 6_000_000 }, None),
+                track("once", Repeat::Unrepeatable, Some(2)),
+            ],
+            nodes: vec![home(7, "a"), home(8, "a"), home(9, "b")],
+            grace_us: 1_000_000,
+            cold: Cold { lasts_us: 5_000_000, window_us: 1_000_000, most: 4 },
+            slack_us: 200_000,
+        };
+        Script(vec![Line { t: 0, seen: Seen::Day(rules) }])
+    }
+
+    fn see(mut self, ms: u64, seen: Seen) -> Self {
+        self.0.push(Line { t: ms * 1000, seen });
+        self
+    }
+
+    fn asks(self, ms: u64, call: u64, track: usize) -> Self {
+        let asked = Asked {
+            call,
+            placing: format!("p{call}"),
+            task: format!("t{call}"),
+            service: "s".into(),
+            track,
+            dispatcher: 0,
+            abandon_us: 5_000_000,
+            first: true,
+        };
+        self.see(ms, Seen::Asked(asked))
+    }
+
+    fn hears(self, ms: u64, call: u64, word: Word) -> Self {
+        self.see(ms, Seen::Heard { call, word })
+    }
+
+    fn offer(self, ms: u64, call: u64, number: u32, node: u32) -> Self {
+        let (placing, service) = (format!("p{call}"), "s".into());
+        self.see(ms, Seen::Offered { node, placing, number, dispatcher: 0, service })
+    }
+
+    fn says(self, ms: u64, call: u64, number: u32, node: u32, word: Word) -> Self {
+        self.see(ms, Seen::Said { node, placing: format!("p{call}"), number, word })
+    }
+
+    fn lets_go(self, ms: u64, call: u64, number: u32, node: u32) -> Self {
+        self.see(ms, Seen::LetGo { node, placing: format!("p{call}"), number })
+    }
+
+    fn node(self, ms: u64, state: NodeState) -> Self {
+        self.see(ms, Seen::Node { node: NODE, state })
+    }
+
+    fn told(self, ms: u64, state: NodeState) -> Self {
+        self.see(ms, Seen::Told { dispatcher: 0, node: NODE, state })
+    }
+
+    fn dispatcher(self, ms: u64, state: DispatcherState) -> Self {
+        self.see(ms, Seen::Dispatcher { dispatcher: 0, state })
+    }
+
+    /// The rules that are broken, with the lines that show it.
+    fn broken(&self) -> Vec<(u8, Vec<usize>)> {
+        let breaches = judge(&self.0).expect("a readable capture");
+        breaches.into_iter().map(|breach| (breach.rule, breach.lines)).collect()
+    }
+
+    fn breaks(self, rule: u8, lines: &[usize]) {
+        assert_eq!(self.broken(), [(rule, lines.to_vec())]);
+    }
+
+    fn is_sound(self) {
+        assert_eq!(self.broken(), []);
+    }
+}
+
+/// One that was placed as it should be, by two shots.
+fn placed() -> Script {
+    let script = Script::new().asks(10, 1, 2).offer(20, 1, 0, 8).says(30, 1, 0, 8, Refused);
+    script.offer(40, 1, 1, NODE).says(50, 1, 1, NODE, Accepted).hears(60, 1, Placed)
+}
+
+#[test]
+fn a_sound_capture_breaks_nothing() {
+    placed().says(900, 1, 1, NODE, Ended).hears(910, 1, Ended).is_sound();
+}
+
+#[test]
+fn one_without_an_answer_is_lost() {
+    Script::new().asks(10, 1, 0).breaks(1, &[2]);
+}
+
+#[test]
+fn one_whose_dispatcher_was_killed_is_not_held_against_it() {
+    let script = Script::new().asks(10, 1, 0).dispatcher(100, D::Killed);
+    script.see(101, Seen::Closed { call: 1, broken: true }).dispatcher(900, D::Up).is_sound();
+}
+
+#[test]
+fn a_kill_long_before_is_no_excuse() {
+    Script::new().dispatcher(1, D::Killed).dispatcher(5, D::Up).asks(10, 1, 0).breaks(1, &[4]);
+}
+
+#[test]
+fn a_cancelled_one_is_owed_nothing() {
+    Script::new().asks(10, 1, 0).see(20, Seen::Cancelled { call: 1 }).is_sound();
+}
+
+#[test]
+fn two_final_answers_are_one_too_many() {
+    placed().hears(70, 1, Refused).breaks(1, &[2, 7, 8]);
+}
+
+#[test_case(5_150, &[]; "within the slack")]
+#[test_case(5_300, &[(1, vec![2, 3])]; "later")]
+fn an_answer_after_the_owners_time(ms: u64, broken: &[(u8, Vec<usize>)]) {
+    assert_eq!(Script::new().asks(10, 1, 0).hears(ms, 1, Failed).broken(), broken);
+}
+
+#[test]
+fn an_offer_after_the_answer_is_too_much() {
+    Script::new().asks(10, 1, 0).hears(20, 1, Refused).offer(400, 1, 0, 8).breaks(1, &[3, 4]);
+}
+
+#[test]
+fn a_second_shot_while_the_first_is_out() {
+    let script = Script::new().asks(10, 1, 0).offer(20, 1, 0, 8).offer(30, 1, 1, NODE);
+    script.says(900, 1, 1, NODE, Accepted).hears(910, 1, Placed).breaks(2, &[3, 4]);
+}
+
+#[test]
+fn a_shot_let_go_before_the_next_is_over() {
+    let script =
+        Script::new().asks(10, 1, 0).offer(20, 1, 0, 8).says(25, 1, 0, 8, Accepted).lets_go(700, 1, 0, 8);
+    script.offer(710, 1, 1, NODE).says(720, 1, 1, NODE, Accepted).hears(730, 1, Placed).is_sound();
+}
+
+#[test]
+fn an_unrepeatable_one_that_may_run_is_sent_again() {
+    let script = Script::new().asks(10, 1, 2).offer(20, 1, 0, 8).says(30, 1, 0, 8, Accepted);
+    let script = script.lets_go(40, 1, 0, 8).offer(50, 1, 1, NODE).says(60, 1, 1, NODE, Refused);
+    script.hears(70, 1, Failed).breaks(2, &[3, 6]);
+}
+
+#[test_case(8, 5_000, true; "in its hall and window")]
+#[test_case(9, 5_000, false; "in another hall")]
+#[test_case(8, 6_500, false; "after the window")]
+fn a_deduplicated_one_that_may_run_is_sent_again(node: u32, ms: u64, sound: bool) {
+    let script = Script::new().asks(10, 1, 1).offer(20, 1, 0, NODE).see(30, Seen::Cut { node: NODE });
+    let script = script.hears(40, 1, Failed).asks(41, 2, 0).hears(42, 2, Refused).offer(ms, 1, 1, node);
+    let twice = script.broken().into_iter().any(|(rule, _)| rule == 2);
+    assert_eq!(twice, !sound);
+}
+
+#[test]
+fn one_that_may_run_is_called_harmless() {
+    let script = Script::new().asks(10, 1, 2).offer(20, 1, 0, 8).says(30, 1, 0, 8, Accepted);
+    script.lets_go(40, 1, 0, 8).hears(50, 1, Refused).breaks(2, &[3, 6]);
+}
+
+#[test_case(1_100, &[]; "within the grace and slack")]
+#[test_case(1_500, &[(3, vec![3, 4])]; "later")]
+fn an_offer_to_a_node_told_of_as_draining(ms: u64, broken: &[(u8, Vec<usize>)]) {
+    let script = Script::new().asks(5, 1, 0).told(10, N::Draining).offer(ms, 1, 0, NODE);
+    assert_eq!(script.hears(ms + 1, 1, Placed).broken(), broken);
+}
+
+#[test]
+fn what_is_told_while_it_stands_still_counts_from_when_it_goes_on() {
+    let script = Script::new().dispatcher(1, D::Paused).told(10, N::Gone).dispatcher(3_000, D::GoesOn);
+    script.asks(3_001, 1, 0).offer(3_500, 1, 0, NODE).hears(3_600, 1, Placed).is_sound();
+}
+
+#[test]
+fn a_node_told_of_as_serving_again_may_be_offered() {
+    let script =
+        Script::new().asks(5, 1, 0).told(10, N::Gone).told(1_400, N::Serving).offer(1_500, 1, 0, NODE);
+    script.hears(1_501, 1, Placed).is_sound();
+}
+
+fn five_offers(mut script: Script, apart: u64) -> Script {
+    for call in 1..=5 {
+        let ms = 100 + call * apart;
+        script = script.asks(ms, call, 0).offer(ms, call, 0, NODE).says(ms, call, 0, NODE, Refused);
+        script = script.hears(ms, call, Refused);
+    }
+    script
+}
+
+#[test]
+fn a_cold_node_is_pushed_over() {
+    five_offers(Script::new().node(10, N::Cold).told(20, N::Cold), 50).breaks(4, &[2, 5, 21]);
+}
+
+#[test]
+fn the_same_offers_over_a_longer_time_are_borne() {
+    five_offers(Script::new().node(10, N::Cold).told(20, N::Cold), 400).is_sound();
+}
+
+#[test]
+fn the_same_offers_are_borne_by_a_warm_node() {
+    five_offers(Script::new().node(10, N::Serving).told(20, N::Serving), 50).is_sound();
+}
+
+#[test]
+fn who_was_not_told_of_the_start_is_not_to_blame() {
+    five_offers(Script::new().node(10, N::Cold), 50).is_sound();
+}
+
+fn three_of_a_service(script: Script, first_ends: bool) -> Script {
+    let mut script = script;
+    for call in 1..=3 {
+        let ms = call * 100;
+        script = script.asks(ms, call, 2).offer(ms, call, 0, NODE).says(ms + 1, call, 0, NODE, Accepted);
+        script = script.hears(ms + 2, call, Placed);
+        if call == 2 && first_ends {
+            script = script.says(ms + 3, 1, 0, NODE, Ended);
+        }
+    }
+    script
+}
+
+#[test]
+fn a_service_stands_too_close() {
+    three_of_a_service(Script::new(), false).breaks(5, &[3, 7, 11]);
+}
+
+#[test]
+fn one_that_ended_holds_its_place_no_longer() {
+    three_of_a_service(Script::new(), true).is_sound();
+}
+
+#[test_case(true, &[(5, vec![3, 7, 15])]; "handed over, it does")]
+#[test_case(false, &[]; "not handed over, it doesn't")]
+fn one_of_an_earlier_life_holds_its_place(handed: bool, broken: &[(u8, Vec<usize>)]) {
+    let mut script = Script::new();
+    for call in 1..=2 {
+        let ms = call * 100;
+        script = script.asks(ms, call, 2).offer(ms, call, 0, NODE).says(ms, call, 0, NODE, Accepted);
+        script = script.hears(ms, call, Placed);
+    }
+    script = script.dispatcher(300, D::Killed).dispatcher(310, D::Up);
+    if handed {
+        for call in 1..=2 {
+            script = script.see(320, Seen::HandedOver { call, placing: format!("p{call}"), dispatcher: 0 });
+        }
+    }
+    script = script.asks(400, 3, 2).offer(400, 3, 0, NODE).hears(401, 3, Placed);
+    assert_eq!(script.broken(), broken);
+}
+
+#[test]
+fn a_capture_without_its_rules_is_unreadable() {
+    assert!(judge(&[]).is_err());
+    assert!(judge(&Script::new().0[1..]).is_err());
+}
+
+#[test]
+fn a_capture_whose_times_go_back_is_unreadable() {
+    let why = judge(&Script::new().asks(10, 1, 0).asks(5, 2, 0).0).expect_err("unreadable");
+    assert!(why.contains("line 3"), "{why}");
+}
--- /dev/null
+++ b/crates/lab/tests/rig/mod.rs
@@ -0,0 +1,262 @@
+//! One dispatcher, some nodes and a roster on one executor, all on loopback.
+
+use async_io::Timer;
+use corkspan::interface::Amount;
+use corkspan_api::v1::{self, placement_client::PlacementClient, word::Word};
+use corkspan_deployment::Deployment;
+use corkspan_dispatcher::Failure;
+use corkspan_lab::capture::{Capture, Line, Seen};
+use corkspan_lab::node::{Cold, Node, Plan, World};
+use corkspan_lab::roster::Roster;
+use corkspan_rpc::{Bounds, Link, Tasks, within};
+use futures_lite::future;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tonic::Streaming;
+
+/// Nothing here takes longer: what does has failed.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Rig {
+    pub tasks: Tasks,
+    pub world: Arc<World>,
+    pub nodes: Vec<Arc<Node>>,
+    pub roster: Arc<Roster>,
+    pub address: SocketAddr,
+    stop: async_channel::Sender<()>,
+    dispatcher: async_channel::Receiver<Result<(), Failure>>,
+}
+
+/// How a rig is laid out.
+pub struct Layout {
+    pub nodes: u32,
+    pub look: Duration,
+    /// More text for the deployment: bounds, where the list is remembered.
+    pub more: String,
+    pub roster_away: bool,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Layout { nodes: 2, look: Duration::from_millis(3), more: String::new(), roster_away: false }
+    }
+}
+
+pub fn deployment(roster: SocketAddr, more: &str) -> String {
+    format!(
+        r#"(deployment (listen "127.0.0.1:0") (roster "{roster}") (seed 1)
+  (hall a) (number 0) (schedulers 1) (halls a b)
+  (kinds (small (cores 40) (memory 80)))
+  (tracks
+    (web (repeat idempotent) (contract-time 300 ms))
+    (jobs (repeat deduplicated) (within hall) (window 2 s) (contract-time 1 s))
+    (once (repeat unrepeatable) (contract-time 1 s)))
+  (accepts (cores 2) (memory 1.5)) (placed-when accepted) (shows-room #f) (may-probe #f)
+  (cold (lasts 2 s) (window 1 s) (offers 8)) {more})"#
+    )
+}
+
+impl Rig {
+    /// Runs a story against a rig, on this thread.
+    pub fn run<F: Future<Output = ()>>(layout: Layout, story: impl FnOnce(Rig) -> F) {
+        let tasks = Tasks::default();
+        let whole = async {
+            let rig = Rig::up(tasks.clone(), layout).await;
+            story(rig).await;
+        };
+        let whole = within(3 * PATIENCE, whole);
+        future::block_on(tasks.run(whole)).expect("the story comes to its end");
+    }
+
+    async fn up(tasks: Tasks, layout: Layout) -> Rig {
+        let capture = Capture::new(None).expect("no file, no failure");
+        let world = World::new(capture, &tasks, Some("jobs".into()));
+        let (roster, roster_address) = Roster::up(&world).await.expect("a port");
+        let mut nodes = Vec::new();
+        for id in 0..layout.nodes {
+            let node = Node::new(plan(id, layout.look), &world);
+            let address = node.up(false).await.expect("a port");
+            roster.change(Duration::ZERO, entry(&node, address, v1::entry::State::Serving, 0));
+            nodes.push(node);
+        }
+        if layout.roster_away {
+            roster.away(None);
+        }
+        let text = deployment(roster_address, &layout.more);
+        let rig = Rig::start(tasks, world, nodes, roster, &text).await;
+        if !layout.roster_away {
+            rig.until_serving(u64::from(layout.nodes)).await;
+        }
+        rig
+    }
+
+    /// A second dispatcher with another deployment, before the same nodes.
+    pub async fn beside(rig: &Rig, text: &str) -> Rig {
+        let (nodes, roster) = (rig.nodes.clone(), Arc::clone(&rig.roster));
+        Rig::start(rig.tasks.clone(), Arc::clone(&rig.world), nodes, roster, text).await
+    }
+
+    async fn start(
+        tasks: Tasks,
+        world: Arc<World>,
+        nodes: Vec<Arc<Node>>,
+        roster: Arc<Roster>,
+        text: &str,
+    ) -> Rig {
+        let deployment = Deployment::read("rig", text).unwrap_or_else(|why| panic!("{why}"));
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let (told, ready) = async_channel::bounded(1);
+        let stopped = async move {
+            let _ = stopped.recv().await;
+        };
+        let ready_call = move |address| drop(told.try_send(address));
+        // On a thread of its own: a burst of owners here must not take its turns.
+        let (ended, dispatcher) = async_channel::bounded(1);
+        std::thread::spawn(move || {
+            let own = Tasks::default();
+            let run = corkspan_dispatcher::run(own.clone(), deployment, ready_call, stopped);
+            let _ = ended.try_send(future::block_on(own.run(run)));
+        });
+        let address = within(PATIENCE, ready.recv()).await.expect("it listens").expect("an address");
+        Rig { tasks, world, nodes, roster, address, stop, dispatcher }
+    }
+
+    pub async fn client(&self) -> PlacementClient<Link> {
+        let bounds = Bounds { connect_within: PATIENCE, ..Bounds::default() };
+        PlacementClient::new(Link::open(&self.tasks, self.address, &bounds).await.expect("it listens"))
+    }
+
+    pub async fn status(&self) -> v1::StatusWord {
+        self.client().await.status(v1::StatusAsk {}).await.expect("a status").into_inner()
+    }
+
+    pub async fn until_serving(&self, many: u64) {
+        until(async || self.status().await.machines_serving == many).await;
+    }
+
+    /// Asks and returns the words of the call.
+    pub async fn ask(&self, ask: v1::Ask) -> Streaming<v1::Word> {
+        let call = self.client().await.place(ask).await;
+        call.expect("the call is taken").into_inner()
+    }
+
+    pub async fn hand_over(&self, ask: v1::Ask, node: u32) -> Streaming<v1::Word> {
+        let running = v1::Running { ask: Some(ask), node };
+        self.client().await.hand_over(running).await.expect("the call is taken").into_inner()
+    }
+
+    /// Asks the dispatcher to stop and waits until it has.
+    pub async fn stop(self) -> Vec<Line> {
+        let _ = self.stop.send(()).await;
+        let stopped = within(PATIENCE, self.dispatcher.recv()).await.expect("it stops");
+        stopped.expect("its thread ends").expect("it stops without a failure");
+        self.world.capture.lines()
+    }
+
+    pub fn tell(&self, index: usize, state: v1::entry::State) {
+        let node = &self.nodes[index];
+        let old = self.roster.entry(node.plan.id).expect("the node is listed");
+        self.roster.change(Duration::ZERO, v1::Entry { state: state.into(), ..old });
+    }
+
+    /// Offers that nodes have seen, as (placing, number, node).
+    pub fn offers(&self) -> Vec<(String, u32, u32)> {
+        let lines = self.world.capture.lines().into_iter();
+        lines
+            .filter_map(|line| match line.seen {
+                Seen::Offered { node, placing, number, .. } => Some((placing, number, node)),
+                _ => None,
+            })
+            .collect()
+    }
+}
+
+pub fn plan(id: u32, look: Duration) -> Plan {
+    Plan {
+        id,
+        kind: "small".into(),
+        hall: if id < 2 { "a" } else { "b" }.into(),
+        cell: u64::from(id),
+        size: Amount { cores: 40.0, memory: 80.0 },
+        accepts: Amount { cores: 2.0, memory: 1.5 },
+        look,
+        line: 10_000,
+        start: Duration::from_millis(5),
+        loads: 2,
+        starts_at_once: 64,
+        keeps: 4,
+        makes_room: false,
+        cold: Cold { lasts: Duration::from_secs(2), window: Duration::from_secs(1), most: 12, pace: 0.5 },
+        seed: 1,
+    }
+}
+
+pub fn entry(node: &Node, address: SocketAddr, state: v1::entry::State, started_ms: u64) -> v1::Entry {
+    v1::Entry {
+        node: node.plan.id,
+        address: address.to_string(),
+        kind: "small".into(),
+        hall: node.plan.hall.clone(),
+        cell: node.plan.cell,
+        state: state.into(),
+        started_ms,
+        unasked: None,
+    }
+}
+
+pub fn ask(task: &str, track: &str) -> v1::Ask {
+    v1::Ask {
+        placing: format!("{task}#0"),
+        task: task.into(),
+        service: "s".into(),
+        track: track.into(),
+        account: String::new(),
+        cores: 1.0,
+        memory: 1.0,
+        life_ms: 60_000,
+        abandon_ms: 4_000,
+        again: false,
+    }
+}
+
+/// The next word, or none where the stream ends.
+pub async fn next(words: &mut Streaming<v1::Word>) -> Option<Word> {
+    let word = within(PATIENCE, words.message()).await.expect("a word or an end");
+    word.ok().flatten().and_then(|word| word.word)
+}
+
+/// The next word that is no note.
+pub async fn next_of_weight(words: &mut Streaming<v1::Word>) -> Option<Word> {
+    loop {
+        match next(words).await {
+            Some(Word::Runs(_) | Word::Served(_)) => {}
+            other => return other,
+        }
+    }
+}
+
+pub async fn placed(words: &mut Streaming<v1::Word>) -> u32 {
+    match next(words).await {
+        Some(Word::Placed(placed)) => placed.node,
+        other => panic!("placed is expected, not {other:?}"),
+    }
+}
+
+pub async fn refused(words: &mut Streaming<v1::Word>) -> v1::refused::Why {
+    match next(words).await {
+        Some(Word::Refused(refused)) => refused.why(),
+        other => panic!("refused is expected, not {other:?}"),
+    }
+}
+
+/// Waits for a condition.
+pub async fn until(mut condition: impl AsyncFnMut() -> bool) {
+    let waits = async {
+        while !condition().await {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    };
+    within(PATIENCE, waits).await.expect("the condition comes to hold");
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -61,6 +61,15 @@
     }
 }
 
+impl Bounds {
+    /// The window of a whole link. HTTP/2 closes a link on which more small frames wait than half of it bears, at
+    /// 256 bytes each: with the usual window a burst of some hundred asks, or as many words from a node while we
+    /// stand still, would end every allocation on it. So there is room for one such frame a call.
+    fn window(&self) -> u32 {
+        self.calls.saturating_mul(512).clamp(64 * 1024, 64 << 20)
+    }
+}
+
 /// One link to a server, to hand to a generated client; clones share it.
 #[derive(Clone)]
 pub struct Link {
@@ -81,6 +90,7 @@
                 .keep_alive_timeout(bounds.keep_alive)
                 .keep_alive_while_idle(false)
                 .initial_max_send_streams(bounds.calls as usize)
+                .initial_connection_window_size(bounds.window())
                 .max_header_list_size(16 * 1024);
             builder.handshake(FuturesIo::new(stream)).await.map_err(NoLink::NotHttp)
         };
@@ -189,6 +199,7 @@
     builder
         .timer(SmolTimer::new())
         .max_concurrent_streams(bounds.calls)
+        .initial_connection_window_size(bounds.window())
         .max_header_list_size(16 * 1024)
         .max_send_buf_size(64 * 1024)
         .keep_alive_interval(bounds.keep_alive)
