--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -285,7 +285,7 @@
         self.with(|now, host, port| {
             let Some((client, _)) = host.own(id) else { return };
             let placed = client.deadline.is_none();
-            if port.stopping && placed || placed && client.hangs_up.is_some_and(|at| now >= at) {
+            if placed && (port.stopping || client.hangs_up.is_some_and(|at| now >= at)) {
                 return;
             }
             self.unwanted(id, host, port);
--- a/crates/host/tests/stories.rs
+++ b/crates/host/tests/stories.rs
@@ -83,7 +83,7 @@
 #[test]
 fn a_second_of_the_same_name_is_not_taken_and_its_owner_gets_its_own_back() {
     let mut host = host(Repeat::Idempotent, 1, 10);
-    host.take(0, "a", asked(SECOND), "first").ok().expect("room");
+    host.take(0, "a", asked(SECOND), "first").expect("room");
     let again = host.take(0, "a", asked(SECOND), "second");
     assert_eq!(again.err(), Some((NotTaken::SameName, "second")));
 }
@@ -91,7 +91,7 @@
 #[test]
 fn beyond_the_most_in_hand_none_is_taken_until_one_is_over() {
     let mut host = host(Repeat::Idempotent, 0, 1);
-    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    let id = host.take(0, "a", asked(SECOND), "a").expect("room");
     assert_eq!(host.take(0, "b", asked(SECOND), "b").err(), Some((NotTaken::Full, "b")));
     host.finish(id);
     assert!(host.take(0, "b", asked(SECOND), "b").is_ok());
@@ -100,7 +100,7 @@
 #[test]
 fn one_that_no_machine_takes_waits_and_is_shed_in_its_time() {
     let (mut host, mut wire) = (host(Repeat::Idempotent, 0, 10), Noted::default());
-    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    let id = host.take(0, "a", asked(SECOND), "a").expect("room");
     host.place(0, id, &mut wire);
     assert_eq!(host.counts().not_yet, 1);
     let mut now = 0;
@@ -116,7 +116,7 @@
 #[test]
 fn the_name_of_a_cancelled_one_is_kept_while_its_shot_is_out() {
     let (mut host, mut wire) = (host(Repeat::Unrepeatable, 1, 10), Noted::default());
-    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    let id = host.take(0, "a", asked(SECOND), "a").expect("room");
     host.place(0, id, &mut wire);
     host.finish(id);
     assert_eq!(host.take(1, "a", asked(SECOND), "again").err(), Some((NotTaken::SameName, "again")));
@@ -128,7 +128,7 @@
 #[test]
 fn an_answer_that_comes_after_the_end_is_no_answer() {
     let (mut host, mut wire) = (host(Repeat::Idempotent, 1, 10), Noted::default());
-    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    let id = host.take(0, "a", asked(SECOND), "a").expect("room");
     host.place(0, id, &mut wire);
     host.finish(id);
     assert!(!host.placed(5, id, 0, &mut wire));
@@ -137,7 +137,7 @@
 #[test]
 fn only_the_first_placed_answer_counts() {
     let (mut host, mut wire) = (host(Repeat::Idempotent, 1, 10), Noted::default());
-    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    let id = host.take(0, "a", asked(SECOND), "a").expect("room");
     host.place(0, id, &mut wire);
     assert!(host.placed(5, id, 0, &mut wire));
     assert!(!host.placed(6, id, 0, &mut wire));
@@ -146,17 +146,17 @@
 #[test]
 fn a_shot_that_was_never_made_is_told_apart() {
     let (mut host, mut wire) = (host(Repeat::Idempotent, 1, 10), Noted::default());
-    let id = host.take(0, "a", asked(SECOND), "a").ok().expect("room");
+    let id = host.take(0, "a", asked(SECOND), "a").expect("room");
     assert!(!host.returned(1, id, 7, Ending::Ended, None, true, None, &mut wire));
 }
 
 #[test]
 fn at_a_stop_the_waiting_are_answered_at_once_and_the_others_after_their_shot() {
     let (mut host, mut wire) = (host(Repeat::Unrepeatable, 1, 10), Noted::default());
-    let out = host.take(0, "out", asked(9 * SECOND), "out").ok().expect("room");
+    let out = host.take(0, "out", asked(9 * SECOND), "out").expect("room");
     host.place(0, out, &mut wire);
     host.listed(Scope::Whole, &[]);
-    let waits = host.take(0, "waits", asked(9 * SECOND), "waits").ok().expect("room");
+    let waits = host.take(0, "waits", asked(9 * SECOND), "waits").expect("room");
     host.place(0, waits, &mut wire);
     wire.said();
     host.stop(10, &mut wire);
@@ -170,7 +170,7 @@
 #[test]
 fn one_taken_over_owes_no_answer_and_goes_with_its_return() {
     let (mut host, mut wire) = (host(Repeat::Unrepeatable, 1, 10), Noted::default());
-    let id = host.take_running(0, "a", asked(0), MachineId(0), "a").ok().expect("room");
+    let id = host.take_running(0, "a", asked(0), MachineId(0), "a").expect("room");
     host.rest(100, &mut wire);
     assert!(host.unanswered().is_empty());
     host.returned(200, id, 0, Ending::Reset, Some(Reason::Evicted), true, None, &mut wire);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capture;
 pub mod day;
 pub mod judge;
+pub mod measure;
 pub mod node;
 pub mod owner;
 pub mod play;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! `corkspan-lab`: days of trouble, their judge, and measurements.
 
 use clap::{Parser, Subcommand};
-use corkspan_lab::{capture, day::Day, judge, play::Play, table::Table};
+use corkspan_lab::{capture, day::Day, judge, measure::Measure, play::Play, table::Table};
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -37,6 +37,22 @@
     },
     /// Judges a capture alone.
     Judge { capture: PathBuf },
+    /// Measures a dispatcher against the RPC stack alone, side by side.
+    Measure {
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Of each round.
+        #[arg(long, default_value_t = 2.0)]
+        seconds: f64,
+        /// Asks under way at a time.
+        #[arg(long, default_value_t = 64)]
+        at_once: usize,
+        #[arg(long, default_value_t = 40)]
+        nodes: u32,
+        /// Allocations held for the memory figure.
+        #[arg(long, default_value_t = 3000)]
+        held: usize,
+    },
     /// The program itself, as days start it.
     #[command(hide = true, disable_help_flag = true)]
     Corkspan {
@@ -56,16 +72,17 @@
             day.map_err(|why| why.to_string()).and_then(|day| {
                 let program = match program {
                     Some(program) => vec![program.into_os_string()],
-                    None => {
-                        let own = std::env::current_exe().map_err(|why| why.to_string())?;
-                        vec![own.into_os_string(), "corkspan".into()]
-                    }
+                    None => own()?,
                 };
                 let lines = Play { day, seed, program, capture, tell: |text| text, logs }.run()?;
                 println!("{}", Table::of(&lines));
                 judged(&lines)
             })
         }
+        Call::Measure { rounds, seconds, at_once, nodes, held } => own().and_then(|program| {
+            let rounds = rounds.clamp(1, 1_000);
+            Measure { program, rounds, seconds, at_once, nodes, held }.run()
+        }),
         Call::Judge { capture } => judge_file(&capture),
         Call::Corkspan { line } => {
             return corkspan_cli::run(std::iter::once("corkspan".into()).chain(line));
@@ -80,6 +97,12 @@
     }
 }
 
+/// The dispatcher built in, as a process of its own.
+fn own() -> Result<Vec<OsString>, String> {
+    let own = std::env::current_exe().map_err(|why| why.to_string())?;
+    Ok(vec![own.into_os_string(), "corkspan".into()])
+}
+
 fn judge_file(path: &Path) -> Result<(), String> {
     let lines = capture::read(path)?;
     println!("{}", Table::of(&lines));
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,355 @@
+//! What a dispatcher costs against the RPC stack alone, side by side in one run. Nodes answer at once here: the
+//! figures are the dispatcher's, not a cluster's.
+
+use crate::capture::Capture;
+use crate::node::World;
+use crate::roster::Roster;
+use async_io::Timer;
+use async_net::TcpListener;
+use corkspan_api::v1::{self, placement_client::PlacementClient, word::Word};
+use corkspan_rpc::{Bounds, Link, Tasks, within};
+use futures_lite::{future, stream};
+use hdrhistogram::Histogram;
+use std::ffi::OsString;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tonic::{Request, Response, Status};
+
+/// How it is measured.
+pub struct Measure {
+    pub program: Vec<OsString>,
+    pub rounds: usize,
+    pub seconds: f64,
+    /// Asks under way at a time.
+    pub at_once: usize,
+    pub nodes: u32,
+    /// Allocations held for the memory figure.
+    pub held: usize,
+}
+
+/// One round's figures.
+#[derive(Clone, Copy, Debug, Default)]
+struct Round {
+    a_second: f64,
+    p50_us: f64,
+    p99_us: f64,
+}
+
+impl Measure {
+    pub fn run(self) -> Result<(), String> {
+        let text = |why: std::io::Error| why.to_string();
+        let tasks = Tasks::default();
+        let echo = apart(|| v1::placement_server::PlacementServer::new(Echo))?;
+        let node = apart(|| v1::node_server::NodeServer::new(Prompt))?;
+        let whole = async {
+            let world = World::new(Capture::new(None).map_err(text)?, &tasks, None);
+            let (roster, address) = Roster::up(&world).await.map_err(text)?;
+            for id in 0..self.nodes {
+                roster.change(Duration::ZERO, entry(id, node));
+            }
+            let mut dispatcher = Process::start(&self.program, address)?;
+            let result = self.compare(&tasks, echo, &mut dispatcher).await;
+            result.and(self.memory(&tasks, &mut dispatcher).await)
+        };
+        future::block_on(tasks.run(whole))
+    }
+
+    async fn compare(&self, tasks: &Tasks, echo: SocketAddr, dispatcher: &mut Process) -> Result<(), String> {
+        let (mut floor, mut own) = (Vec::new(), Vec::new());
+        let before = self.until_ready(tasks, dispatcher.address).await?;
+        println!("idle: {} KiB resident", dispatcher.resident()?);
+        let cpu = dispatcher.cpu()?;
+        println!("{:>10} {:>12} {:>10} {:>10}", "", "asks/s", "p50 us", "p99 us");
+        for _ in 0..self.rounds {
+            floor.push(self.round(tasks, "echo", echo).await?);
+            own.push(self.round(tasks, "dispatcher", dispatcher.address).await?);
+        }
+        let after = self.until_ready(tasks, dispatcher.address).await?;
+        let median = |rounds: &[Round], of: fn(&Round) -> f64| {
+            let mut values: Vec<f64> = rounds.iter().map(of).collect();
+            values.sort_by(f64::total_cmp);
+            values[values.len() / 2]
+        };
+        let ratio = |of: fn(&Round) -> f64| median(&own, of) / median(&floor, of);
+        println!(
+            "dispatcher over echo, medians: asks/s {:.2}, p50 {:.2}, p99 {:.2}",
+            ratio(|r| r.a_second),
+            ratio(|r| r.p50_us),
+            ratio(|r| r.p99_us)
+        );
+        let asks = (after.asked - before.asked).max(1) as f64;
+        let whole = (dispatcher.cpu()? - cpu).as_micros() as f64 / asks;
+        let decided = (after.decided_us - before.decided_us) as f64 / asks;
+        println!(
+            "an ask: {whole:.1} us of CPU, {decided:.1} in the decisions and the host, {:.1} outside",
+            whole - decided
+        );
+        println!("placed {} of {} asked", after.placed - before.placed, after.asked - before.asked);
+        Ok(())
+    }
+
+    async fn memory(&self, tasks: &Tasks, dispatcher: &mut Process) -> Result<(), String> {
+        let client = PlacementClient::new(link(tasks, dispatcher.address).await?);
+        let mut held = Vec::new();
+        for number in 0..self.held {
+            let ask = ask(&format!("held{number}"), 3_600_000);
+            let words = client.clone().place(ask).await.map_err(|why| why.to_string())?;
+            held.push(words.into_inner());
+        }
+        for words in &mut held {
+            words.message().await.map_err(|why| why.to_string())?;
+        }
+        let status = self.until_ready(tasks, dispatcher.address).await?;
+        println!("with {} in hand: {} KiB resident", status.in_hand, dispatcher.resident()?);
+        Ok(())
+    }
+
+    async fn until_ready(&self, tasks: &Tasks, at: SocketAddr) -> Result<v1::StatusWord, String> {
+        let ready = async {
+            let mut client = PlacementClient::new(link(tasks, at).await?);
+            loop {
+                let status =
+                    client.status(v1::StatusAsk {}).await.map_err(|why| why.to_string())?.into_inner();
+                if status.machines_serving >= u64::from(self.nodes) {
+                    return Ok(status);
+                }
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        };
+        within(Duration::from_secs(10), ready).await.ok_or("the dispatcher does not hear of its nodes")?
+    }
+
+    /// Closed loop, named so: so many owners that each ask again as soon as they are answered.
+    async fn round(&self, tasks: &Tasks, name: &str, at: SocketAddr) -> Result<Round, String> {
+        let client = PlacementClient::new(link(tasks, at).await?);
+        let began = Instant::now();
+        let until = began + Duration::from_secs_f64(self.seconds);
+        let owners: Vec<_> = (0..self.at_once)
+            .map(|owner| {
+                let mut client = client.clone();
+                tasks.spawn(async move {
+                    let mut times = Vec::new();
+                    while Instant::now() < until {
+                        let asked = Instant::now();
+                        let name =
+                            format!("{owner}-{}-{:x}", times.len(), corkspan_dispatcher::clock::wall_ms());
+                        let words = client.place(ask(&name, 1)).await.map_err(|why| why.to_string())?;
+                        let mut words = words.into_inner();
+                        match words.message().await.map_err(|why| why.to_string())?.and_then(|word| word.word)
+                        {
+                            Some(Word::Placed(_)) => times.push(asked.elapsed().as_micros() as u64),
+                            other => return Err(format!("not placed: {other:?}")),
+                        }
+                        // To its end, so that nothing is cancelled.
+                        while words.message().await.map_err(|why| why.to_string())?.is_some() {}
+                    }
+                    Ok(times)
+                })
+            })
+            .collect();
+        let mut times = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(|why| why.to_string())?;
+        for owner in owners {
+            owner.await?.into_iter().for_each(|time| times.saturating_record(time.max(1)));
+        }
+        let round = Round {
+            a_second: times.len() as f64 / began.elapsed().as_secs_f64(),
+            p50_us: times.value_at_quantile(0.5) as f64,
+            p99_us: times.value_at_quantile(0.99) as f64,
+        };
+        println!("{name:>10} {:>12.0} {:>10.0} {:>10.0}", round.a_second, round.p50_us, round.p99_us);
+        Ok(round)
+    }
+}
+
+async fn link(tasks: &Tasks, to: SocketAddr) -> Result<Link, String> {
+    let bounds = Bounds { connect_within: Duration::from_secs(2), ..Bounds::default() };
+    Link::open(tasks, to, &bounds).await.map_err(|why| why.to_string())
+}
+
+fn ask(task: &str, life_ms: u64) -> v1::Ask {
+    v1::Ask {
+        placing: task.into(),
+        task: task.into(),
+        service: format!("s{}", task.len() % 7),
+        track: "web".into(),
+        account: String::new(),
+        cores: 0.5,
+        memory: 1.0,
+        life_ms,
+        abandon_ms: 30_000,
+        again: false,
+    }
+}
+
+fn entry(id: u32, address: SocketAddr) -> v1::Entry {
+    v1::Entry {
+        node: id,
+        address: address.to_string(),
+        kind: "wide".into(),
+        hall: "hall".into(),
+        cell: u64::from(id / 4),
+        state: v1::entry::State::Serving.into(),
+        started_ms: 0,
+        unasked: None,
+    }
+}
+
+/// Serves on a thread of its own.
+fn apart<S>(service: impl FnOnce() -> S + Send + 'static) -> Result<SocketAddr, String>
+where
+    S: tower_service::Service<
+            http::Request<tonic::body::Body>,
+            Response = http::Response<tonic::body::Body>,
+            Error = std::convert::Infallible,
+        > + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let listener = future::block_on(TcpListener::bind("127.0.0.1:0")).map_err(|why| why.to_string())?;
+    let address = listener.local_addr().map_err(|why| why.to_string())?;
+    std::thread::spawn(move || {
+        let tasks = Tasks::default();
+        future::block_on(tasks.run(corkspan_rpc::serve(listener, service(), Bounds::default())))
+    });
+    Ok(address)
+}
+
+type Words<T> = Pin<Box<dyn futures_lite::Stream<Item = Result<T, Status>> + Send>>;
+
+/// The floor: the same stack, answering at once.
+#[derive(Clone)]
+struct Echo;
+
+#[tonic::async_trait]
+impl v1::placement_server::Placement for Echo {
+    type PlaceStream = Words<v1::Word>;
+    type HandOverStream = Words<v1::Word>;
+
+    async fn place(&self, _: Request<v1::Ask>) -> Result<Response<Self::PlaceStream>, Status> {
+        let words = [
+            Word::Placed(v1::Placed { node: 0, shots: 1 }),
+            Word::Runs(v1::Runs {}),
+            Word::Ended(v1::Ended { how: v1::ended::How::Ended.into() }),
+        ];
+        let words = words.map(|word| Ok(v1::Word { word: Some(word) }));
+        Ok(Response::new(Box::pin(stream::iter(words))))
+    }
+
+    async fn hand_over(&self, _: Request<v1::Running>) -> Result<Response<Self::HandOverStream>, Status> {
+        Err(Status::unimplemented("an echo holds nothing"))
+    }
+
+    async fn status(&self, _: Request<v1::StatusAsk>) -> Result<Response<v1::StatusWord>, Status> {
+        Ok(Response::new(v1::StatusWord::default()))
+    }
+}
+
+/// A node that takes everything at once, and ends it at once unless it is to live long.
+#[derive(Clone)]
+struct Prompt;
+
+#[tonic::async_trait]
+impl v1::node_server::Node for Prompt {
+    type OfferStream = Words<v1::Said>;
+    type AttendStream = Words<v1::Said>;
+
+    async fn greet(&self, request: Request<v1::Greeting>) -> Result<Response<v1::Greeting>, Status> {
+        Ok(Response::new(request.into_inner()))
+    }
+
+    async fn offer(&self, request: Request<v1::Shot>) -> Result<Response<Self::OfferStream>, Status> {
+        use v1::said::Said;
+        let load = Some(v1::Load { cores: 30.0, memory: 40.0 });
+        let say = move |said| Ok(v1::Said { said: Some(said), load });
+        let first = stream::iter([say(Said::Accepted(v1::Accepted {})), say(Said::Running(v1::Started {}))]);
+        let over = say(Said::Ended(v1::Over { how: v1::over::How::Ended.into() }));
+        let long = request.into_inner().life_ms > 1_000;
+        let rest = stream::once_future(async move {
+            if long {
+                future::pending::<()>().await;
+            }
+            over
+        });
+        Ok(Response::new(Box::pin(stream::StreamExt::chain(first, Box::pin(rest)))))
+    }
+
+    async fn attend(&self, _: Request<v1::Shot>) -> Result<Response<Self::AttendStream>, Status> {
+        Err(Status::unimplemented("nothing stays here"))
+    }
+
+    async fn stop(&self, _: Request<v1::StopAsk>) -> Result<Response<v1::StopWord>, Status> {
+        Ok(Response::new(v1::StopWord { was_here: true }))
+    }
+
+    async fn probe(&self, _: Request<v1::ProbeAsk>) -> Result<Response<v1::ProbeWord>, Status> {
+        Ok(Response::new(v1::ProbeWord { load: None }))
+    }
+}
+
+/// A dispatcher's process, measured from outside.
+struct Process {
+    child: Child,
+    address: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Process {
+    fn start(program: &[OsString], roster: SocketAddr) -> Result<Self, String> {
+        let text = |why: std::io::Error| why.to_string();
+        let folder = tempfile::tempdir().map_err(text)?;
+        let file = folder.path().join("dispatcher.sexp");
+        let deployment = format!(
+            r#"(deployment (listen "127.0.0.1:0") (roster "{roster}")
+  (hall hall) (number 0) (schedulers 1) (halls hall) (kinds (wide (cores 64) (memory 256)))
+  (tracks (web (repeat idempotent) (contract-time 600 ms)))
+  (accepts (cores 2) (memory 1.5)) (placed-when accepted)
+  (cold (lasts 5 s) (window 1 s) (offers 12)))"#
+        );
+        std::fs::write(&file, deployment).map_err(text)?;
+        let (first, rest) = program.split_first().ok_or("no program is given")?;
+        let mut command = Command::new(first);
+        command.args(rest).arg("serve").arg(&file).arg("--level").arg("warn").stdout(Stdio::piped());
+        let mut child = command.spawn().map_err(text)?;
+        let mut line = String::new();
+        if let Some(out) = child.stdout.take() {
+            BufReader::new(out).read_line(&mut line).map_err(text)?;
+        }
+        let address = line.trim().strip_prefix("listening ").and_then(|address| address.parse().ok());
+        let Some(address) = address else {
+            let _ = child.kill().and_then(|()| child.wait());
+            return Err(format!("the dispatcher did not start: `{}`", line.trim()));
+        };
+        Ok(Process { child, address, _folder: folder })
+    }
+
+    /// KiB, as the kernel counts them.
+    fn resident(&self) -> Result<u64, String> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).map_err(|why| why.to_string())?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|rest| rest.split_whitespace().next()?.parse().ok());
+        number.ok_or_else(|| "the kernel does not tell its memory".into())
+    }
+
+    /// Time on a processor so far, in the kernel's ticks of 10 ms.
+    fn cpu(&self) -> Result<Duration, String> {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let stat = std::fs::read_to_string(path).map_err(|why| why.to_string())?;
+        // Counted from behind the name, which may hold spaces.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<u64>().ok());
+        let ticks = ticks(11).zip(ticks(12)).ok_or("the kernel does not tell its time")?;
+        Ok(Duration::from_millis((ticks.0 + ticks.1) * 10))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill().and_then(|()| self.child.wait());
+    }
+}
