--- a/crates/host/tests/stories.rs
+++ b/crates/host/tests/stories.rs
@@ -105,7 +105,7 @@
     assert_eq!(host.counts().not_yet, 1);
     let mut now = 0;
     while !wire.0.iter().any(|said| said == "a: shed") {
-        now += 100;
+        now += 10;
         assert!(now < SECOND, "no answer in time");
         host.woken(now);
         host.rest(now, &mut wire);
--- /dev/null
+++ b/crates/roll/src/conductor.rs
@@ -0,0 +1,309 @@
+//! Decides a service's roll for one dispatcher, from its own copies and what the keepers tell.
+
+use crate::keeper::Grant;
+use crate::{ClaimId, Order, Phase, Roll, majority};
+use corkspan::interface::Tenths;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+
+/// Between two looks where nothing falls due.
+const LOOK: Tenths = 5_000;
+/// After a claim that others won, so long at the least before the next; twice at the most, and longer each time.
+const BACK_OFF: Tenths = 500;
+const LONGEST_BACK_OFF: Tenths = 20_000;
+/// A grant whose holder has not been heard of is left alone for so many times the time to get ready.
+const FORGET: u64 = 3;
+
+/// One copy of ours.
+#[derive(Clone, Debug, PartialEq)]
+struct Copy {
+    version: String,
+    /// Since when it is ready by its own word.
+    ready: Option<Tenths>,
+    /// Since when it is not.
+    unready: Tenths,
+    claim: Option<ClaimId>,
+    step: Step,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// As it is.
+    Stays,
+    /// A slot is being claimed for it.
+    Claims,
+    /// It is being replaced: the slot is held.
+    Replaced,
+}
+
+/// What to set going now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Look {
+    /// Claims to send to all keepers: claim, slot and task.
+    pub claims: Vec<(ClaimId, u32, String)>,
+    /// Copies to replace by the version wanted, in the order of the roll.
+    pub replace: Vec<String>,
+    /// Claims to give back at all keepers.
+    pub release: Vec<ClaimId>,
+    /// The roll is to halt for this reason.
+    pub halt: Option<String>,
+    /// Until the next look.
+    pub wait: Tenths,
+}
+
+/// How a claim came out, of all keepers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Votes {
+    pub granted: usize,
+    pub keepers: usize,
+}
+
+pub struct Conductor {
+    me: u32,
+    rng: Pcg64Mcg,
+    roll: Roll,
+    copies: BTreeMap<String, Copy>,
+    /// Claims of ours that are out or held, with the task they are for.
+    claims: BTreeMap<ClaimId, String>,
+    failures: u32,
+    halted: bool,
+    lost_in_a_row: u32,
+    claim_at: Tenths,
+    /// Grants that nobody was heard to use, and since when.
+    idle: BTreeMap<ClaimId, Tenths>,
+}
+
+impl Conductor {
+    pub fn new(me: u32, seed: u64, roll: Roll, now: Tenths) -> Self {
+        Conductor {
+            me,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            roll,
+            copies: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            failures: 0,
+            halted: false,
+            lost_in_a_row: 0,
+            claim_at: now,
+            idle: BTreeMap::new(),
+        }
+    }
+
+    pub fn roll(&self) -> &Roll {
+        &self.roll
+    }
+
+    /// A later wish is in force. What is being replaced goes on under the slot it holds.
+    pub fn adopt(&mut self, roll: Roll) {
+        if roll.number > self.roll.number {
+            // Only a change of version begins anew: a pause must not forget what has failed.
+            if roll.version != self.roll.version {
+                self.failures = 0;
+            }
+            self.halted = false;
+            self.lost_in_a_row = 0;
+            self.roll = roll;
+        }
+    }
+
+    /// Takes a claim back from an earlier life of ours: it goes on holding its slot.
+    pub fn remember(&mut self, claim: ClaimId, task: &str) {
+        self.claims.insert(claim, task.into());
+    }
+
+    /// A copy is ours, of this version and not known to be ready: placed, being placed, or handed over.
+    pub fn copy(&mut self, now: Tenths, task: &str, version: &str) {
+        let claim = self.copies.get(task).and_then(|copy| copy.claim);
+        let claim = claim.or(self.claims.iter().find(|(_, own)| *own == task).map(|(claim, _)| *claim));
+        let step = if claim.is_some() { Step::Replaced } else { Step::Stays };
+        let copy = Copy { version: version.into(), ready: None, unready: now, claim, step };
+        self.copies.insert(task.into(), copy);
+    }
+
+    /// By its own word.
+    pub fn ready(&mut self, now: Tenths, task: &str) {
+        if let Some(copy) = self.copies.get_mut(task) {
+            copy.ready.get_or_insert(now);
+        }
+    }
+
+    /// By its own word, or since its node is lost, evicts it, or sends it away. True where that is a failure of
+    /// the version being rolled out: it had not yet stayed ready for its time.
+    pub fn unready(&mut self, now: Tenths, task: &str) -> bool {
+        let (version, time) = (self.roll.version.clone(), self.roll.ready_for);
+        let Some(copy) = self.copies.get_mut(task) else { return false };
+        let Some(since) = copy.ready.take() else { return false };
+        copy.unready = now;
+        let failed = copy.version == version && copy.claim.is_some() && now < since + time;
+        self.failures += u32::from(failed);
+        failed
+    }
+
+    /// The copy is ours no longer, or is wanted no longer. `ended`: it is not wanted; else it comes again, to us
+    /// or another, and its slot is held until it is ready there.
+    pub fn gone(&mut self, task: &str, ended: bool) -> Vec<ClaimId> {
+        self.copies.remove(task);
+        if !ended {
+            return Vec::new();
+        }
+        let mine: Vec<ClaimId> =
+            self.claims.iter().filter(|(_, own)| *own == task).map(|(claim, _)| *claim).collect();
+        mine.iter().for_each(|claim| drop(self.claims.remove(claim)));
+        mine
+    }
+
+    /// The new copy of one being replaced found no machine, or failed before it was ready.
+    pub fn failed(&mut self, _now: Tenths, task: &str) {
+        if self.copies.get(task).is_none_or(|copy| copy.claim.is_some()) {
+            self.failures += 1;
+        }
+    }
+
+    /// How a claim came out. False where it is lost: it is to be given back at all keepers, for some may have
+    /// granted it, or may still.
+    pub fn claimed(&mut self, now: Tenths, claim: ClaimId, votes: Votes) -> bool {
+        let Some(task) = self.claims.get(&claim).cloned() else { return false };
+        let won = majority(votes.granted, votes.keepers);
+        let copy = self.copies.get_mut(&task).filter(|copy| copy.claim == Some(claim));
+        // While it was out its copy may have gone, or the roll been paused: then it is not used.
+        let rolling = self.roll.phase == Phase::Rolling && !self.halted;
+        match copy {
+            Some(copy) if won && (rolling || copy.ready.is_none()) => {
+                copy.step = Step::Replaced;
+                self.lost_in_a_row = 0;
+                true
+            }
+            copy => {
+                if let Some(copy) = copy {
+                    (copy.claim, copy.step) = (None, Step::Stays);
+                }
+                self.claims.remove(&claim);
+                self.lost_in_a_row = self.lost_in_a_row.saturating_add(1);
+                let longest = (BACK_OFF << self.lost_in_a_row.min(6)).min(LONGEST_BACK_OFF);
+                self.claim_at = now + longest / 2 + self.rng.random_range(0..longest / 2);
+                false
+            }
+        }
+    }
+
+    /// What to set going now. `held` are the slots that keepers tell of, each with how many tell it.
+    pub fn look(&mut self, now: Tenths, held: &[(u32, Grant, usize)]) -> Look {
+        let mut look = Look { wait: LOOK, ..Look::default() };
+        self.settle(now, &mut look);
+        self.give_back(now, held, &mut look);
+        self.halt(now, &mut look);
+        if self.roll.phase != Phase::Rolling || self.halted {
+            return look;
+        }
+        let wanted = self.roll.wanted().to_string();
+        // What holds a slot and is of another version than wanted now: a later wish came, or an undo.
+        for (task, copy) in &mut self.copies {
+            if copy.step == Step::Replaced && copy.version != wanted {
+                copy.version.clone_from(&wanted);
+                copy.ready = None;
+                copy.unready = now;
+                look.replace.push(task.clone());
+            }
+        }
+        if now < self.claim_at {
+            look.wait = look.wait.min(self.claim_at - now);
+            return look;
+        }
+        let free: Vec<u32> = {
+            let taken = |slot: &u32| held.iter().any(|(other, _, _)| other == slot);
+            (0..self.roll.unready_most).filter(|slot| !taken(slot)).collect()
+        };
+        let batch = (self.roll.batch.max(1) as usize).saturating_sub(self.claims.len()).min(free.len());
+        // Those not ready by themselves come first: while they are down they take a slot from the roll, and are
+        // replaced in passing. Then old ones that are ready.
+        let mut next: Vec<(bool, &String)> = (self.copies.iter())
+            .filter(|(_, copy)| copy.step == Step::Stays && copy.version != wanted)
+            .map(|(task, copy)| (copy.ready.is_some(), task))
+            .collect();
+        next.sort();
+        let next: Vec<String> = next.into_iter().take(batch).map(|(_, task)| task.clone()).collect();
+        // Each dispatcher begins at another slot, so that not all go for the same.
+        let first = self.rng.random_range(0..free.len().max(1));
+        for (index, task) in next.into_iter().enumerate() {
+            let claim = ClaimId(self.rng.random());
+            let slot = free[(first + index) % free.len()];
+            if let Some(copy) = self.copies.get_mut(&task) {
+                (copy.claim, copy.step) = (Some(claim), Step::Claims);
+            }
+            self.claims.insert(claim, task.clone());
+            look.claims.push((claim, slot, task));
+        }
+        look
+    }
+
+    /// Copies that have stayed ready for their time give their slot back.
+    fn settle(&mut self, now: Tenths, look: &mut Look) {
+        let wanted = self.roll.wanted().to_string();
+        for copy in self.copies.values_mut().filter(|copy| copy.step == Step::Replaced) {
+            let Some(since) = copy.ready else { continue };
+            if now < since + self.roll.ready_for {
+                look.wait = look.wait.min(since + self.roll.ready_for - now);
+            } else if copy.version == wanted || self.roll.phase != Phase::Rolling {
+                copy.step = Step::Stays;
+                if let Some(claim) = copy.claim.take() {
+                    self.claims.remove(&claim);
+                    look.release.push(claim);
+                }
+            }
+        }
+    }
+
+    /// Slots that others left behind. A copy that is ready here for its time holds none, whoever claimed it; and
+    /// what an earlier life of ours claimed for an owner that never came back is not wanted any more.
+    fn give_back(&mut self, now: Tenths, held: &[(u32, Grant, usize)], look: &mut Look) {
+        self.idle.retain(|claim, _| held.iter().any(|(_, grant, _)| grant.claim == *claim));
+        for (_, grant, _) in held.iter().filter(|(_, grant, _)| !self.claims.contains_key(&grant.claim)) {
+            let settled = self.copies.get(&grant.task).is_some_and(|copy| {
+                copy.step == Step::Stays && copy.ready.is_some_and(|at| now >= at + self.roll.ready_for)
+            });
+            // A claim of ours that we don't know: a lost one that a keeper granted late, or an earlier life's.
+            let mine = grant.dispatcher == self.me && !self.copies.contains_key(&grant.task);
+            let since = *self.idle.entry(grant.claim).or_insert(now);
+            if settled || mine && now >= since + FORGET * self.roll.ready_within {
+                look.release.push(grant.claim);
+            }
+        }
+    }
+
+    /// Too many failures, by copies that do not get ready or do not stay so.
+    fn halt(&mut self, now: Tenths, look: &mut Look) {
+        let version = self.roll.version.clone();
+        let mut late = 0;
+        for copy in self.copies.values() {
+            if copy.step == Step::Replaced && copy.ready.is_none() && copy.version == version {
+                let due = copy.unready + self.roll.ready_within;
+                if now >= due {
+                    late += 1;
+                } else {
+                    look.wait = look.wait.min(due - now);
+                }
+            }
+        }
+        let failed = self.failures + late;
+        if self.roll.phase == Phase::Rolling && !self.halted && failed > self.roll.failures_most {
+            self.halted = true;
+            let why = format!(
+                "{failed} copies of {version} failed at dispatcher {}, {late} not ready in time",
+                self.me
+            );
+            look.halt = Some(why);
+        }
+    }
+
+    /// Copies here: all, of the wanted version, and not ready.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let wanted = self.roll.wanted();
+        let of = |check: &dyn Fn(&Copy) -> bool| self.copies.values().filter(|copy| check(copy)).count();
+        (self.copies.len(), of(&|copy| copy.version == wanted), of(&|copy| copy.ready.is_none()))
+    }
+
+    pub fn order(&self) -> Order {
+        self.roll.order
+    }
+}
--- /dev/null
+++ b/crates/roll/src/lib.rs
@@ -0,0 +1,93 @@
+//! What a rolling update decides, without I/O and without a clock. docs/roll.md says why it is so.
+//!
+//! A roll replaces the copies of a service by a new version, so that never more than a stated number of them are
+//! not ready, over all dispatchers together, which share nothing. [`keeper`] is the place of truth: a few nodes,
+//! named in the deployment, keep each service's latest roll and who holds its slots. A copy may be taken down
+//! only by who holds a slot at a majority of them. [`conductor`] decides for one dispatcher: which copy next,
+//! when to wait, when to halt.
+
+pub mod conductor;
+pub mod keeper;
+
+use corkspan::interface::Tenths;
+use serde::{Deserialize, Serialize};
+
+/// One claim of a slot; drawn anew for each, so that word of an earlier one can't be taken for a later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ClaimId(pub u64);
+
+/// A service's roll, as its operator wants it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roll {
+    pub service: String,
+    /// Counts the wishes for a service; the highest that a majority of keepers holds is in force.
+    pub number: u64,
+    /// Drawn by who asks: two who ask at once with one number are told apart by it.
+    pub asker: u64,
+    pub version: String,
+    /// What an undo goes back to.
+    pub former: String,
+    /// Copies of the service that may be not ready at a time.
+    pub unready_most: u32,
+    /// Copies that one dispatcher replaces at a time.
+    pub batch: u32,
+    pub order: Order,
+    /// So long a copy must be ready before the next takes its slot.
+    pub ready_for: Tenths,
+    /// So long a copy may take to get ready.
+    pub ready_within: Tenths,
+    /// Copies that may fail at one dispatcher before the roll halts.
+    pub failures_most: u32,
+    pub phase: Phase,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Order {
+    /// The old copy is known to be gone before the new one is placed.
+    StopFirst,
+    /// The new copy is ready before the old one is stopped. Only for what may run twice.
+    StartFirst,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    Rolling,
+    Paused,
+    /// By itself, for this reason.
+    Halted(String),
+}
+
+impl Roll {
+    /// The version that a copy placed now gets: the former where it is not known that the new one is any good.
+    pub fn wanted(&self) -> &str {
+        match self.phase {
+            Phase::Rolling | Phase::Paused => &self.version,
+            Phase::Halted(_) => &self.former,
+        }
+    }
+
+    /// The next wish with another phase.
+    pub fn with_phase(&self, phase: Phase, asker: u64) -> Roll {
+        Roll { number: self.number + 1, asker, phase, ..self.clone() }
+    }
+
+    /// The next wish that goes back to the former version.
+    pub fn undone(&self, asker: u64) -> Roll {
+        let (version, former) = (self.former.clone(), self.version.clone());
+        Roll { number: self.number + 1, asker, version, former, phase: Phase::Rolling, ..self.clone() }
+    }
+}
+
+/// Whether so many of all are more than half.
+pub fn majority(some: usize, all: usize) -> bool {
+    2 * some > all
+}
+
+/// The roll in force among what keepers tell, with how many keepers there are: the highest that a majority holds.
+/// None where no majority is seen to agree; what was in force before then stays so.
+pub fn in_force<'a>(told: impl IntoIterator<Item = &'a Roll>, keepers: usize) -> Option<&'a Roll> {
+    let told: Vec<&Roll> = told.into_iter().collect();
+    let agreed =
+        told.iter().filter(|roll| majority(told.iter().filter(|other| other == roll).count(), keepers));
+    agreed.max_by_key(|roll| roll.number).copied()
+}
