--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,7 +1,9 @@
 //! The command line of corkspan.
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use corkspan_api::v1::{self, placement_client::PlacementClient, word::Word as Said};
+use corkspan_api::v1::{
+    self, placement_client::PlacementClient, rolls_client::RollsClient, word::Word as Said,
+};
 use corkspan_deployment::Deployment;
 use corkspan_rpc::{Bounds, Link, Tasks, within};
 use futures_lite::future;
@@ -40,6 +42,11 @@
     },
     /// Asks a dispatcher for one allocation and prints each word of it.
     Place(Place),
+    /// Rolling updates of a service's program.
+    Roll {
+        #[command(subcommand)]
+        call: Roll,
+    },
     /// Prints what a dispatcher holds and has answered.
     Status {
         /// Where the dispatcher listens.
@@ -47,6 +54,45 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Roll {
+    /// Begins a roll, unless another stands in its way.
+    Start {
+        /// Where any one of the dispatchers listens.
+        dispatcher: SocketAddr,
+        service: String,
+        /// The version to roll out.
+        #[arg(long)]
+        to: String,
+        /// The version that runs, for an undo; after an earlier roll its own is taken.
+        #[arg(long, default_value = "")]
+        from: String,
+        /// Copies that may be not ready at a time, over all dispatchers.
+        #[arg(long)]
+        unready_most: u32,
+        /// Copies that one dispatcher replaces at a time.
+        #[arg(long, default_value_t = 4)]
+        batch: u32,
+        /// So long a copy must stay ready, ms.
+        #[arg(long, default_value_t = 3_000)]
+        ready_for_ms: u64,
+        /// So long a copy may take to get ready, ms.
+        #[arg(long, default_value_t = 60_000)]
+        ready_within_ms: u64,
+        /// Copies that may fail at one dispatcher before the roll halts.
+        #[arg(long, default_value_t = 1)]
+        failures_most: u32,
+    },
+    /// Tells how far a roll is, as one dispatcher sees it.
+    Status { dispatcher: SocketAddr, service: String },
+    /// No further copy is taken down; those that are, come back.
+    Pause { dispatcher: SocketAddr, service: String },
+    /// Goes on after a pause or a halt.
+    Resume { dispatcher: SocketAddr, service: String },
+    /// Goes back to the former version, by the same limits.
+    Undo { dispatcher: SocketAddr, service: String },
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Log {
     Text,
@@ -99,8 +145,9 @@
         Call::Check { file } => {
             Deployment::load(&file).map(|_| println!("{}: sound", file.display())).map_err(text)
         }
-        Call::Place(place) => called(place.dispatcher, |client| ask(client, place)),
-        Call::Status { dispatcher } => called(dispatcher, status),
+        Call::Place(place) => called(place.dispatcher, |link| ask(PlacementClient::new(link), place)),
+        Call::Status { dispatcher } => called(dispatcher, |link| status(PlacementClient::new(link))),
+        Call::Roll { call } => roll(call),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -133,18 +180,94 @@
 /// Runs one call of a client to its end.
 fn called<F: Future<Output = Result<(), String>>>(
     dispatcher: SocketAddr,
-    call: impl FnOnce(PlacementClient<Link>) -> F,
+    call: impl FnOnce(Link) -> F,
 ) -> Result<(), String> {
     let tasks = Tasks::default();
     let whole = async {
         let bounds = Bounds { connect_within: Duration::from_secs(2), ..Bounds::default() };
         let link =
             Link::open(&tasks, dispatcher, &bounds).await.map_err(|why| format!("{dispatcher}: {why}"))?;
-        call(PlacementClient::new(link)).await
+        call(link).await
     };
     future::block_on(tasks.run(whole))
 }
 
+fn roll(call: Roll) -> Result<(), String> {
+    let change = |dispatcher, service: String, what: v1::change_ask::What| {
+        called(dispatcher, async |link| {
+            let ask = v1::ChangeAsk { service, what: what.into() };
+            taken(RollsClient::new(link).change(ask).await)
+        })
+    };
+    match call {
+        Roll::Start {
+            dispatcher,
+            service,
+            to,
+            from,
+            unready_most,
+            batch,
+            ready_for_ms,
+            ready_within_ms,
+            failures_most,
+        } => called(dispatcher, async |link| {
+            let ask = v1::RollAsk {
+                service,
+                version: to,
+                former: from,
+                unready_most,
+                batch,
+                ready_for_ms,
+                ready_within_ms,
+                failures_most,
+            };
+            taken(RollsClient::new(link).start(ask).await)
+        }),
+        Roll::Status { dispatcher, service } => called(dispatcher, async |link| {
+            let status = RollsClient::new(link).status(v1::RollStatusAsk { service }).await;
+            let status = status.map_err(|why| why.message().to_string())?.into_inner();
+            match &status.roll {
+                Some(roll) => println!("{}", told(roll)),
+                None => println!("no roll is known here"),
+            }
+            let v1::RollStatus { copies, wanted, unready, keepers, keepers_heard, .. } = status;
+            println!("copies here {copies}, of the version wanted {wanted}, not ready {unready}");
+            println!("keepers heard {keepers_heard} of {keepers}");
+            for slot in status.held {
+                println!("slot {} held for {} by dispatcher {}", slot.slot, slot.task, slot.dispatcher);
+            }
+            Ok(())
+        }),
+        Roll::Pause { dispatcher, service } => change(dispatcher, service, v1::change_ask::What::Pause),
+        Roll::Resume { dispatcher, service } => change(dispatcher, service, v1::change_ask::What::Resume),
+        Roll::Undo { dispatcher, service } => change(dispatcher, service, v1::change_ask::What::Undo),
+    }
+}
+
+fn taken(word: Result<tonic::Response<v1::RollWord>, tonic::Status>) -> Result<(), String> {
+    let word = word.map_err(|why| why.message().to_string())?.into_inner();
+    match word.stands {
+        Some(roll) if word.taken => {
+            println!("{}", told(&roll));
+            Ok(())
+        }
+        _ => Err(word.text),
+    }
+}
+
+fn told(roll: &v1::Roll) -> String {
+    let v1::Roll { service, number, version, former, unready_most, why, .. } = roll;
+    let phase = match roll.phase() {
+        v1::roll::Phase::Rolling => "rolling".into(),
+        v1::roll::Phase::Paused => "paused".into(),
+        v1::roll::Phase::Halted => format!("halted: {why}"),
+    };
+    let former = if former.is_empty() { "none" } else { former };
+    format!(
+        "roll {number} of {service} to {version} (before: {former}), at most {unready_most} not ready: {phase}"
+    )
+}
+
 async fn status(mut client: PlacementClient<Link>) -> Result<(), String> {
     let word = within(Duration::from_secs(5), client.status(v1::StatusAsk {})).await;
     let word = word.ok_or("no answer within 5 s")?.map_err(|why| why.message().to_string())?.into_inner();
@@ -209,6 +332,9 @@
             Some(Said::Failed(failed)) => return Err(format!("failed: {}", failed.text)),
             Some(Said::Runs(_)) => println!("runs"),
             Some(Said::Served(served)) => println!("served at {:.0}%", served.part * 100.0),
+            Some(Said::Replaced(replaced)) => {
+                println!("replaced by version {} on node {}", replaced.version, replaced.node);
+            }
             Some(Said::Ended(ended)) => println!("ended: {:?}", ended.how()),
             None => {}
         }
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -16,6 +16,9 @@
     /// Where the last list of machines is kept, if it is.
     pub remembered: Option<PathBuf>,
     pub seed: u64,
+    /// Nodes that keep the rolls, the same at every dispatcher, and where our own claims are kept.
+    pub keepers: Vec<MachineId>,
+    pub rolls: Option<PathBuf>,
     /// What the decisions are handed; its lists are in the order of the names below.
     pub cluster: Cluster,
     pub halls: Vec<String>,
@@ -63,6 +66,8 @@
                 "listen",
                 "roster",
                 "remembered",
+                "keepers",
+                "rolls",
                 "seed",
                 "hall",
                 "number",
@@ -127,6 +132,8 @@
                 listen: address(parts.need("listen")?)?,
                 roster: address(parts.need("roster")?)?,
                 remembered: parts.find("remembered").map(Form::text).transpose()?.map(PathBuf::from),
+                keepers: parts.or("keepers", Vec::new(), keepers)?,
+                rolls: parts.find("rolls").map(Form::text).transpose()?.map(PathBuf::from),
                 seed: parts.or("seed", 0, |form| form.whole(0, u64::MAX))?,
                 cluster,
                 halls,
@@ -167,6 +174,11 @@
     text.parse().map_err(|_| form.fault(format!("`{text}` is no address with a port")))
 }
 
+fn keepers(form: &Form) -> Result<Vec<MachineId>, Fault> {
+    let ids = form.wholes(u64::from(u32::MAX))?;
+    Ok(ids.into_iter().map(|id| MachineId(id as u32)).collect())
+}
+
 fn cold(form: &Form) -> Result<Cold, Fault> {
     let parts = form.parts(&["lasts", "window", "offers"])?;
     Ok(Cold {
--- a/crates/deployment/src/sexp.rs
+++ b/crates/deployment/src/sexp.rs
@@ -201,6 +201,21 @@
         value.ok_or_else(|| self.fault_in(at, &what))
     }
 
+    /// `(name 3 5 8)`: whole numbers up to this, none twice.
+    pub fn wholes(&self, most: u64) -> Result<Vec<u64>, Fault> {
+        let what = format!("a whole number from 0 to {most}");
+        let mut wholes = Vec::new();
+        for &at in &self.rest {
+            let value = at.value().as_u64().filter(|value| *value <= most);
+            let value = value.ok_or_else(|| self.fault_in(at, &what))?;
+            if wholes.contains(&value) {
+                return Err(fault_at(self.file, at, &self.path, format!("a second {value}")));
+            }
+            wholes.push(value);
+        }
+        Ok(wholes)
+    }
+
     /// `(name 600 ms)`, `(name 14 s)` or `(name 2 min)`: whole tenths of a millisecond, rounded down, a year at
     /// the most.
     pub fn time(&self) -> Result<Tenths, Fault> {
--- a/crates/dispatcher/src/clients.rs
+++ b/crates/dispatcher/src/clients.rs
@@ -1,7 +1,6 @@
 //! The placement service: what owners say, straight to the desk.
 
 use crate::desk::{Desk, Taken};
-use corkspan::interface::AllocationId;
 use corkspan_api::v1::{self, placement_server::Placement};
 use futures_lite::Stream;
 use std::pin::Pin;
@@ -16,7 +15,7 @@
 /// The words to one owner. Its end, whoever ends it, is told to the desk.
 pub struct Words {
     words: Pin<Box<async_channel::Receiver<v1::Word>>>,
-    id: Option<AllocationId>,
+    id: Option<crate::desk::Current>,
     desk: Arc<Desk>,
     _open: Arc<()>,
 }
@@ -38,8 +37,8 @@
 
 impl Drop for Words {
     fn drop(&mut self) {
-        if let Some(id) = self.id {
-            self.desk.hung_up(id);
+        if let Some(id) = &self.id {
+            self.desk.hung_up(id.get());
         }
     }
 }
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -3,13 +3,16 @@
 
 use crate::clock::{Clock, duration};
 use crate::links::{Counted, NodeLink};
+use crate::rolls::{self, Rolls};
 use crate::shots;
 use corkspan::interface::*;
 use corkspan_api::v1;
 use corkspan_deployment::Deployment;
 use corkspan_host::{Asked, Host, NotTaken, Wire, service};
+use corkspan_roll::Roll;
 use corkspan_rpc::Tasks;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 use tracing::{debug, info, warn};
@@ -24,9 +27,57 @@
     /// The call itself has a deadline: that it ends then says nothing of the allocation.
     hangs_up: Option<Tenths>,
     moving: bool,
+    /// Its id now: a roll gives it another with each copy.
+    current: Current,
+    version: String,
+    /// Since when its copy is ready, by its own word.
+    ready: Option<Tenths>,
+    roll: Rolled,
+}
+
+/// How far a roll has come with an allocation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rolled {
+    No,
+    /// Its old copy is being stopped.
+    Stopping,
+    /// A new copy is being placed, in the place of an old one.
+    Anew,
+}
+
+/// The id of an owner's allocation, as it is now.
+#[derive(Clone)]
+pub struct Current(Arc<AtomicU64>);
+
+impl Current {
+    fn new() -> Self {
+        Current(Arc::new(AtomicU64::new(u64::MAX)))
+    }
+
+    pub fn get(&self) -> AllocationId {
+        AllocationId(self.0.load(Ordering::Relaxed))
+    }
+
+    fn set(&self, id: AllocationId) {
+        self.0.store(id.0, Ordering::Relaxed);
+    }
 }
 
 impl Client {
+    fn new(ask: v1::Ask, words: &async_channel::Sender<v1::Word>) -> Self {
+        Client {
+            ask,
+            words: words.clone(),
+            deadline: None,
+            hangs_up: None,
+            moving: false,
+            current: Current::new(),
+            version: String::new(),
+            ready: None,
+            roll: Rolled::No,
+        }
+    }
+
     /// A word that must arrive. There is always room: notes leave some.
     fn say(&self, said: Said) {
         if self.words.try_send(v1::Word { word: Some(said) }).is_err() {
@@ -61,6 +112,7 @@
     stopping: bool,
     decided: Duration,
     serving: usize,
+    rolls: Rolls,
 }
 
 pub struct Inner {
@@ -80,12 +132,14 @@
     pub watches: async_channel::Sender<()>,
     /// Calls of clients that are open.
     calls: Arc<()>,
+    /// Where rolls and claims are kept.
+    pub store: Arc<rolls::Store>,
 }
 
 /// What an owner's call gets: words, and the id where it was taken into hand.
 pub struct Taken {
     pub words: async_channel::Receiver<v1::Word>,
-    pub id: Option<AllocationId>,
+    pub id: Option<Current>,
     pub open: Arc<()>,
 }
 
@@ -99,6 +153,8 @@
         watches: async_channel::Sender<()>,
     ) -> Arc<Self> {
         let now = clock.now();
+        let store = Arc::new(rolls::Store::open(deployment.rolls.as_deref()));
+        let kept = store.read();
         Arc::new_cyclic(|desk| {
             let mut cluster = deployment.cluster.clone();
             // An offer may leave so much later than it is decided. Two windows' worth, the first late and the
@@ -113,6 +169,7 @@
                 stopping: false,
                 decided: Duration::ZERO,
                 serving: 0,
+                rolls: Rolls::new(deployment.cluster.number as u32, seed, now, kept),
             };
             Desk {
                 inner: Mutex::new(Inner { host, port }),
@@ -123,6 +180,7 @@
                 wakes,
                 watches,
                 calls: Arc::new(()),
+                store,
             }
         })
     }
@@ -188,14 +246,14 @@
         let asked = Asked { abandon: now + left - ahead, ..asked };
         let task = ask.task.clone();
         let hangs_up = hangs_up.map(|after| now + crate::clock::tenths(after));
-        let client =
-            Client { ask, words: words.clone(), deadline: Some(now + left), hangs_up, moving: false };
+        let client = Client { deadline: Some(now + left), hangs_up, ..Client::new(ask, &words) };
+        let current = client.current.clone();
         let why = match inner.host.take(now, &task, asked, client) {
             Ok(id) => {
                 inner.port.counters.refused -= 1;
                 drop(inner);
                 self.with(|now, host, port| host.place(now, id, port));
-                return Taken { id: Some(id), ..taken };
+                return Taken { id: Some(current), ..taken };
             }
             Err((why, _)) => why,
         };
@@ -219,14 +277,20 @@
                 refuse(v1::refused::Why::Stopping, "this dispatcher is about to stop".into());
                 return None;
             }
-            let (task, shot) = (ask.task.clone(), self.shot(&ask, &asked, 0));
-            let client = Client { ask, words: words.clone(), deadline: None, hangs_up: None, moving: false };
+            let (task, shot) = (ask.task.clone(), self.shot(&ask, &asked, 0, String::new()));
+            let service_name = ask.service.clone();
+            let client = Client::new(ask, &words);
+            let current = client.current.clone();
             match host.take_running(now, &task, asked, machine, client) {
                 Ok(id) => {
                     self.tasks
                         .spawn(shots::attend(self.clone(), id, port.node(machine), machine, shot))
                         .detach();
-                    Some(id)
+                    current.set(id);
+                    if let Some(conductor) = port.rolls.of(&service_name) {
+                        conductor.copy(now, &task, "");
+                    }
+                    Some(current)
                 }
                 Err((why, _)) => {
                     refuse(refusal(why), why.to_string());
@@ -263,7 +327,7 @@
         })
     }
 
-    fn shot(&self, ask: &v1::Ask, asked: &Asked, number: usize) -> v1::Shot {
+    fn shot(&self, ask: &v1::Ask, asked: &Asked, number: usize, version: String) -> v1::Shot {
         v1::Shot {
             placing: ask.placing.clone(),
             number: number as u32,
@@ -276,6 +340,7 @@
             life_ms: ask.life_ms,
             dispatcher: self.deployment.cluster.number as u32,
             priority: u32::from(self.deployment.cluster.tracks[asked.track.0].priority),
+            version,
         }
     }
 
@@ -284,7 +349,7 @@
     pub fn hung_up(self: &Arc<Self>, id: AllocationId) {
         self.with(|now, host, port| {
             let Some((client, _)) = host.own(id) else { return };
-            let placed = client.deadline.is_none();
+            let placed = client.deadline.is_none() || client.roll == Rolled::Anew;
             if placed && (port.stopping || client.hangs_up.is_some_and(|at| now >= at)) {
                 return;
             }
@@ -298,6 +363,7 @@
         if let Some(machine) = allocation.shots.last().map(|shot| shot.machine) {
             port.stop(self, client, machine, false);
         }
+        port.copy_gone(client, true);
         port.counters.cancelled += 1;
         host.finish(id);
     }
@@ -314,6 +380,12 @@
                 && let Some((client, allocation)) = host.own(id)
             {
                 client.deadline = None;
+                if client.roll == Rolled::Anew {
+                    client.roll = Rolled::No;
+                    let version = client.version.clone();
+                    client.say(Said::Replaced(v1::Replaced { node: machine.0, version }));
+                    return;
+                }
                 port.counters.placed += 1;
                 let shots = allocation.shots.len() as u32;
                 client.say(Said::Placed(v1::Placed { node: machine.0, shots }));
@@ -335,16 +407,113 @@
         report: Option<Report>,
     ) {
         self.with(|now, host, port| {
-            if let (Some(how), Some((client, _))) = (over, host.own(id)) {
-                let how =
-                    if client.moving && how == v1::ended::How::Lost { v1::ended::How::Moved } else { how };
-                client.say(Said::Ended(v1::Ended { how: how.into() }));
-                client.words.close();
+            let mut anew = None;
+            if let (Some(how), Some((client, allocation))) = (over, host.own(id)) {
+                // Known to be gone, since its node says so: now a copy of the version wanted may be placed.
+                if client.roll == Rolled::Stopping && ending == Ending::Cancelled && !port.stopping {
+                    anew = port.anew(client, allocation);
+                } else {
+                    let how = if client.moving && how == v1::ended::How::Lost {
+                        v1::ended::How::Moved
+                    } else {
+                        how
+                    };
+                    port.copy_gone(client, ending == Ending::Ended);
+                    client.say(Said::Ended(v1::Ended { how: how.into() }));
+                    client.words.close();
+                }
             }
             host.returned(now, id, shot, ending, reason, over.is_some(), report, port);
+            let Some((asked, client)) = anew else { return };
+            let (task, current) = (client.ask.task.clone(), client.current.clone());
+            match host.take(now, &task, asked, client) {
+                Ok(id) => {
+                    current.set(id);
+                    host.place(now, id, port);
+                }
+                Err((why, mut client)) => {
+                    warn!(task, %why, "a copy taken down for a roll can't be placed anew here");
+                    port.answer(&mut client, Said::Failed(v1::Failed::default()));
+                }
+            }
+        });
+    }
+
+    /// A copy says which version it runs: one handed over is known by that alone.
+    pub fn runs(&self, id: AllocationId, version: String) {
+        self.with(|now, host, port| {
+            let Some((client, _)) = host.own(id).filter(|(client, _)| client.version != version) else {
+                return;
+            };
+            if let Some(conductor) = port.rolls.of(&client.ask.service) {
+                conductor.copy(now, &client.ask.task, &version);
+            }
+            client.version = version;
+        });
+    }
+
+    /// A copy's own word that it is ready, or no longer.
+    pub fn ready(&self, id: AllocationId, ready: bool) {
+        self.with(|now, host, port| {
+            let Some((client, _)) = host.own(id) else { return };
+            client.ready = if ready { client.ready.or(Some(now)) } else { None };
+            match port.rolls.of(&client.ask.service) {
+                Some(conductor) if ready => conductor.ready(now, &client.ask.task),
+                Some(conductor) => drop(conductor.unready(now, &client.ask.task)),
+                None => {}
+            }
         });
     }
 
+    /// A later roll is in force. Copies that were here before it are its own from now on.
+    pub fn adopt(&self, roll: Roll) {
+        self.with(|now, host, port| {
+            let known = port.rolls.of(&roll.service).is_some();
+            let service = roll.service.clone();
+            port.rolls.adopt(now, roll);
+            let Some(conductor) = port.rolls.of(&service).filter(|_| !known) else { return };
+            for (_, client, placed) in host.all().filter(|(_, client, _)| client.ask.service == service) {
+                if !placed {
+                    continue;
+                }
+                conductor.copy(now, &client.ask.task, &client.version);
+                if let Some(at) = client.ready {
+                    conductor.ready(at, &client.ask.task);
+                }
+            }
+        });
+    }
+
+    /// Replaces a copy by one of the version wanted: stopped first, and placed anew once it is known to be gone.
+    pub fn replace(self: &Arc<Self>, task: &str) {
+        self.with(|_, host, port| {
+            let Some((client, allocation)) = host.find(task).and_then(|id| host.own(id)) else { return };
+            client.roll = Rolled::Stopping;
+            if let Some(shot) = allocation.shots.last() {
+                port.stop(self, client, shot.machine, false);
+            }
+        });
+    }
+
+    /// Says it again to nodes that have not stopped a copy yet: word to them is one try each.
+    pub fn stop_old_copies(self: &Arc<Self>) {
+        let tasks: Vec<String> = {
+            let mut inner = self.lock();
+            let stopping = inner.host.all().filter(|(_, client, _)| client.roll == Rolled::Stopping);
+            stopping.map(|(_, client, _)| client.ask.task.clone()).collect()
+        };
+        tasks.iter().for_each(|task| self.replace(task));
+    }
+
+    pub fn with_rolls<R>(&self, call: impl FnOnce(Tenths, &mut Rolls) -> R) -> R {
+        let mut inner = self.lock();
+        call(self.clock.now(), &mut inner.port.rolls)
+    }
+
+    pub fn node(&self, machine: MachineId) -> Option<Arc<NodeLink>> {
+        self.lock().port.node(machine)
+    }
+
     pub fn noted(&self, id: AllocationId, note: Note) {
         self.with(|now, host, _| {
             host.noted(now, id, note);
@@ -483,8 +652,49 @@
         desk.tasks.spawn(shots::stop(desk.clone(), node, stop)).detach();
     }
 
+    /// What is placed anew in the place of a copy that a roll has stopped.
+    fn anew(&mut self, client: &Client, allocation: &Allocation) -> Option<(Asked, Client)> {
+        let within = self.rolls.of(&client.ask.service)?.roll().ready_within;
+        let abandon = self.now + within;
+        let asked = Asked {
+            service: allocation.service,
+            track: allocation.track,
+            account: allocation.account,
+            asks: allocation.asks,
+            abandon,
+        };
+        let (first, many) = client.ask.placing.rsplit_once('~').unwrap_or((&client.ask.placing, "0"));
+        let placing = format!("{first}~{}", many.parse::<u64>().unwrap_or(0) + 1);
+        let fresh = Client::new(v1::Ask { placing, ..client.ask.clone() }, &client.words);
+        let (current, hangs_up) = (client.current.clone(), client.hangs_up);
+        Some((asked, Client { deadline: Some(abandon), hangs_up, current, roll: Rolled::Anew, ..fresh }))
+    }
+
+    /// A copy is ours no longer. `wanted_no_more`: its owner does not come again for it.
+    fn copy_gone(&mut self, client: &Client, wanted_no_more: bool) {
+        let (service, task) = (&client.ask.service, &client.ask.task);
+        let Some(conductor) = self.rolls.of(service) else { return };
+        if !wanted_no_more {
+            return conductor.died(self.now, task);
+        }
+        let Some(desk) = self.desk.upgrade() else { return };
+        for claim in conductor.gone(task) {
+            let (desk, service) = (Arc::clone(&desk), service.clone());
+            let tasks = Arc::clone(&desk.tasks);
+            tasks.spawn(async move { rolls::release(&desk, &service, claim).await }).detach();
+        }
+    }
+
     /// The final answer, unless the owner's time is already up.
-    fn answer(&self, client: &mut Client, said: Said) -> bool {
+    fn answer(&mut self, client: &mut Client, said: Said) -> bool {
+        if client.roll == Rolled::Anew {
+            // Its owner had its answer long ago: to it the copy is sent away, and it comes again.
+            self.copy_gone(client, false);
+            client.say(Said::Ended(v1::Ended { how: v1::ended::How::SentAway.into() }));
+            client.words.close();
+            return false;
+        }
+        self.copy_gone(client, true);
         let in_time = client.deadline.take().is_some_and(|at| self.now < at);
         if in_time {
             client.say(said);
@@ -504,7 +714,12 @@
             asks: allocation.asks,
             abandon: allocation.abandon,
         };
-        let shot = desk.shot(&client.ask, &asked, allocation.shots.len());
+        client.version = self.rolls.wanted(&client.ask.service);
+        client.ready = None;
+        if let Some(conductor) = self.rolls.of(&client.ask.service) {
+            conductor.copy(self.now, &client.ask.task, &client.version);
+        }
+        let shot = desk.shot(&client.ask, &asked, allocation.shots.len(), client.version.clone());
         let node = self.node(machine);
         let most = desk.deployment.bounds.offers_a_node;
         let open: Option<Counted> = node.as_ref().and_then(|node| node.offer(most));
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -6,13 +6,14 @@
 pub mod clock;
 mod desk;
 mod links;
+pub mod rolls;
 mod roster;
 mod shots;
 
 use async_io::Timer;
 use async_net::TcpListener;
 use clients::Clients;
-use corkspan_api::v1::placement_server::PlacementServer;
+use corkspan_api::v1::{placement_server::PlacementServer, rolls_server::RollsServer};
 use corkspan_deployment::Deployment;
 use corkspan_rpc::Tasks;
 use desk::Desk;
@@ -20,7 +21,9 @@
 use roster::Roster;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tracing::info;
 
@@ -70,11 +73,16 @@
     info!(%address, remembered = entries.len(), "listening");
     desk.listed(corkspan::interface::Scope::Remembered, &entries);
 
-    let service = PlacementServer::new(Clients(Arc::clone(&desk))).max_decoding_message_size(bounds.message);
+    let service = Both {
+        placement: PlacementServer::new(Clients(Arc::clone(&desk))).max_decoding_message_size(bounds.message),
+        rolls: RollsServer::new(rolls::Operators(Arc::clone(&desk)))
+            .max_decoding_message_size(bounds.message),
+    };
     let serving = corkspan_rpc::serve(listener, service, desk.link_bounds.clone());
     let background = [
         tasks.spawn(wake(Arc::clone(&desk), waking)),
         tasks.spawn(roster::run(Arc::clone(&desk), roster, asked, path)),
+        tasks.spawn(rolls::run(Arc::clone(&desk))),
         tasks.spawn(sweep(Arc::clone(&desk), clock::duration(bounds.idle_close) / 4)),
     ];
     ready(address);
@@ -130,3 +138,28 @@
         desk.close_idle();
     }
 }
+
+/// The two services on one listener, told apart by their path.
+#[derive(Clone)]
+struct Both {
+    placement: PlacementServer<Clients>,
+    rolls: RollsServer<rolls::Operators>,
+}
+
+impl tower_service::Service<http::Request<tonic::body::Body>> for Both {
+    type Response = http::Response<tonic::body::Body>;
+    type Error = std::convert::Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: http::Request<tonic::body::Body>) -> Self::Future {
+        if request.uri().path().starts_with("/corkspan.v1.Rolls/") {
+            self.rolls.call(request)
+        } else {
+            self.placement.call(request)
+        }
+    }
+}
--- a/crates/dispatcher/src/shots.rs
+++ b/crates/dispatcher/src/shots.rs
@@ -48,7 +48,9 @@
 /// Makes an offer and follows it to its end.
 pub async fn offer(desk: Arc<Desk>, offer: Offer, shot: v1::Shot, time_out: Duration) {
     let Offer { id, number, machine, node, open, decided } = offer;
-    let back = |back: Back, over| desk.returned(id, number, back.ending, back.reason, over, back.report);
+    let back = |back: Back, over: Option<v1::ended::How>| {
+        desk.returned(id, number, back.ending, back.reason, over, back.report)
+    };
     let Some(node) = node else { return back(Back::plain(Ending::Unconnected), None) };
     let Some(open) = open else {
         // As the node itself would say: too many wait for it, here already.
@@ -145,7 +147,11 @@
     let mut back = Back::plain(Ending::Reset);
     while let Ok(Some(word)) = words.message().await {
         match word.said {
-            Some(Word::Running(_)) => desk.noted(id, Note::Runs),
+            Some(Word::Running(started)) => {
+                desk.runs(id, started.version);
+                desk.noted(id, Note::Runs);
+            }
+            Some(Word::Ready(ready)) => desk.ready(id, ready),
             Some(Word::Use(used)) => {
                 for (note, value) in
                     [(Note::Cores as fn(f64) -> Note, used.cores), (Note::Memory, used.memory)]
--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -35,6 +35,10 @@
     Said { node: u32, placing: String, number: u32, word: Word },
     /// The dispatcher has let go of an offer, or its link broke, before its node ended it.
     LetGo { node: u32, placing: String, number: u32 },
+    /// A copy says that it is ready, or is so no longer. `done`: it has come to its end and is not wanted.
+    Ready { node: u32, task: String, service: String, version: String, ready: bool, done: bool },
+    /// An operator begins a roll: from here on so many copies of the service may be not ready.
+    Roll { service: String, version: String, unready_most: usize },
     /// A node's process starts, drains, is gone or fell over; all its allocations are gone with it if so.
     Node { node: u32, state: NodeState },
     /// The links of a node break; what runs there runs on.
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -26,7 +26,8 @@
     }
 }
 
-pub const NAMES: [&str; 5] = ["lost", "twice", "drains", "cold", "spread"];
+/// The brief's five, and the limit of a roll.
+pub const NAMES: [&str; 6] = ["lost", "twice", "drains", "cold", "spread", "unready"];
 
 /// One call of an owner.
 struct Call<'a> {
@@ -66,6 +67,7 @@
     judge.drains();
     judge.cold();
     judge.spread();
+    judge.unready();
     judge.breaches.sort_by_key(|breach| (breach.rule, breach.lines.first().copied()));
     Ok(judge.breaches)
 }
@@ -285,6 +287,37 @@
         found.into_iter().for_each(|(what, lines)| self.breach(2, what, lines));
     }
 
+    /// While a roll is on, of the copies that were ready once and are still wanted so many are not at the most.
+    fn unready(&mut self) {
+        let mut found = Vec::new();
+        let mut limits: HashMap<&str, usize> = HashMap::new();
+        // Ready copies of each task; one that was never ready is not counted yet.
+        let mut ready: HashMap<&str, BTreeMap<&str, i64>> = HashMap::new();
+        for (index, Line { seen, .. }) in self.lines.iter().enumerate() {
+            match seen {
+                Seen::Roll { service, unready_most, .. } => drop(limits.insert(service, *unready_most)),
+                Seen::Ready { task, service, ready: is, done, .. } => {
+                    let tasks = ready.entry(service).or_default();
+                    match (done, is) {
+                        (true, _) => drop(tasks.remove(&task[..])),
+                        (_, true) => *tasks.entry(task).or_default() += 1,
+                        (_, false) => {
+                            if let Some(copies) = tasks.get_mut(&task[..]) {
+                                *copies = (*copies - 1).max(0);
+                            }
+                        }
+                    }
+                    let unready = tasks.values().filter(|copies| **copies == 0).count();
+                    if limits.get(&service[..]).is_some_and(|most| unready > *most) {
+                        found.push((format!("{unready} copies of {service} are not ready"), vec![index + 1]));
+                    }
+                }
+                _ => {}
+            }
+        }
+        found.into_iter().for_each(|(what, lines)| self.breach(6, what, lines));
+    }
+
     fn hall(&self, node: u32) -> Option<&str> {
         self.rules.nodes.iter().find(|home| home.node == node).map(|home| &home.hall[..])
     }
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -267,7 +267,8 @@
         use v1::said::Said;
         let load = Some(v1::Load { cores: 30.0, memory: 40.0 });
         let say = move |said| Ok(v1::Said { said: Some(said), load });
-        let first = stream::iter([say(Said::Accepted(v1::Accepted {})), say(Said::Running(v1::Started {}))]);
+        let first =
+            stream::iter([say(Said::Accepted(v1::Accepted {})), say(Said::Running(v1::Started::default()))]);
         let over = say(Said::Ended(v1::Over { how: v1::over::How::Ended.into() }));
         let long = request.into_inner().life_ms > 1_000;
         let rest = stream::once_future(async move {
@@ -283,6 +284,10 @@
         Err(Status::unimplemented("nothing stays here"))
     }
 
+    async fn keep(&self, _: Request<v1::KeepAsk>) -> Result<Response<v1::KeepWord>, Status> {
+        Err(Status::unimplemented("no keeper"))
+    }
+
     async fn stop(&self, _: Request<v1::StopAsk>) -> Result<Response<v1::StopWord>, Status> {
         Ok(Response::new(v1::StopWord { was_here: true }))
     }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -7,6 +7,7 @@
 use async_net::TcpListener;
 use corkspan::interface::Amount;
 use corkspan_api::v1::{self, node_server::NodeServer, said::Said, turned::Why};
+use corkspan_roll::keeper::{Claimed, Grant, Keeper};
 use corkspan_rpc::{Bounds, Tasks};
 use futures_lite::Stream;
 use rand::{RngExt, SeedableRng};
@@ -62,11 +63,30 @@
     /// Copies of deduplicated tasks that stand, by hall and task.
     stand: Mutex<HashMap<(String, String), u32>>,
     pub dedup_track: Option<String>,
+    /// Versions of programs that are no good.
+    bad: Mutex<HashMap<String, Bad>>,
+}
+
+/// What is wrong with a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    NeverReady,
+    /// Ready, and so long later it fails.
+    DiesAfter(Duration),
 }
 
 impl World {
     pub fn new(capture: Capture, tasks: &Tasks, dedup_track: Option<String>) -> Arc<Self> {
-        Arc::new(World { capture, tasks: Arc::clone(tasks), stand: Mutex::default(), dedup_track })
+        let (stand, bad) = Default::default();
+        Arc::new(World { capture, tasks: Arc::clone(tasks), stand, dedup_track, bad })
+    }
+
+    pub fn spoil(&self, version: &str, how: Bad) {
+        self.bad.lock().expect("unshared").insert(version.into(), how);
+    }
+
+    fn bad(&self, version: &str) -> Option<Bad> {
+        self.bad.lock().expect("unshared").get(version).copied()
     }
 }
 
@@ -74,6 +94,7 @@
     shot: v1::Shot,
     used: Amount,
     runs: bool,
+    ready: bool,
     words: async_channel::Sender<v1::Said>,
 }
 
@@ -102,6 +123,8 @@
     starts: Semaphore,
     server: Mutex<Option<async_executor::Task<()>>>,
     listener: Mutex<Option<TcpListener>>,
+    /// On its disk: it survives the process.
+    keeper: Mutex<Keeper>,
 }
 
 const NOTES: Duration = Duration::from_millis(250);
@@ -116,6 +139,7 @@
             look: AsyncMutex::new(()),
             server: Mutex::default(),
             listener: Mutex::default(),
+            keeper: Mutex::default(),
         })
     }
 
@@ -157,6 +181,9 @@
         if state.up {
             self.world.capture.see(Seen::Node { node: self.plan.id, state: why });
         }
+        for guest in state.guests.values().filter(|guest| guest.ready) {
+            self.see_ready(&guest.shot, false, false);
+        }
         *state = State { life: state.life, ..State::default() };
         drop(state);
         drop(server);
@@ -274,9 +301,18 @@
         words.close();
     }
 
+    fn see_ready(&self, shot: &v1::Shot, ready: bool, done: bool) {
+        let (task, service) = (shot.task.clone(), shot.service.clone());
+        let (node, version) = (self.plan.id, shot.version.clone());
+        self.world.capture.see(Seen::Ready { node, task, service, version, ready, done });
+    }
+
     /// Ends one that is here, in this way.
     fn end(&self, state: &mut State, placing: &str, how: v1::over::How) {
         let Some(guest) = state.guests.remove(placing) else { return };
+        if guest.ready {
+            self.see_ready(&guest.shot, false, how == v1::over::How::Ended);
+        }
         if let Some(mark) = self.mark(&guest.shot) {
             self.stand().remove(&mark);
         }
@@ -375,7 +411,7 @@
         }
         let ask = Amount { cores: shot.cores, memory: shot.memory };
         let used = ask * Amount { cores: 0.5, memory: 0.7 };
-        let guest = Guest { shot: shot.clone(), used, runs: false, words: words.clone() };
+        let guest = Guest { shot: shot.clone(), used, runs: false, ready: false, words: words.clone() };
         state.guests.insert(shot.placing.clone(), guest);
         self.say(&mut state, shot, words, Said::Accepted(v1::Accepted {}));
         true
@@ -432,7 +468,7 @@
         let Some(guest) = state.guests.get_mut(&shot.placing) else { return };
         guest.runs = true;
         let words = guest.words.clone();
-        self.say(&mut state, shot, &words, Said::Running(v1::Started {}));
+        self.say(&mut state, shot, &words, Said::Running(v1::Started { version: shot.version.clone() }));
     }
 
     /// Runs it to its end: notes of its use, eviction where memory runs out.
@@ -440,6 +476,20 @@
         let mut rng = Pcg64Mcg::seed_from_u64(self.plan.seed ^ corkspan_host::service(&shot.placing).0);
         let ask = Amount { cores: shot.cores, memory: shot.memory };
         let until = Instant::now() + Duration::from_millis(shot.life_ms.max(1));
+        let bad = self.world.bad(&shot.version);
+        let mut dies = None;
+        if bad != Some(Bad::NeverReady) {
+            Timer::after(self.plan.start / 2).await;
+            let mut state = self.lock();
+            let Some(guest) = state.guests.get_mut(&shot.placing).filter(|guest| guest.runs) else { return };
+            guest.ready = true;
+            let words = guest.words.clone();
+            self.see_ready(&shot, true, false);
+            self.say(&mut state, &shot, &words, Said::Ready(true));
+            if let Some(Bad::DiesAfter(time)) = bad {
+                dies = Some(Instant::now() + time);
+            }
+        }
         loop {
             Timer::at(until.min(Instant::now() + NOTES)).await;
             if !self.gate(life).await {
@@ -450,6 +500,9 @@
                 return;
             }
             let Some(guest) = state.guests.get_mut(&shot.placing) else { return };
+            if dies.is_some_and(|at| Instant::now() >= at) {
+                return self.end(&mut state, &shot.placing, v1::over::How::Error);
+            }
             if Instant::now() >= until {
                 return self.end(&mut state, &shot.placing, v1::over::How::Ended);
             }
@@ -547,9 +600,13 @@
         match state.guests.get_mut(&shot.placing) {
             Some(guest) => {
                 guest.words = words.clone();
-                let (runs, shot) = (guest.runs, guest.shot.clone());
+                let (runs, ready, shot) = (guest.runs, guest.ready, guest.shot.clone());
                 if runs {
-                    self.0.say(&mut state, &shot, &words, Said::Running(v1::Started {}));
+                    let version = shot.version.clone();
+                    self.0.say(&mut state, &shot, &words, Said::Running(v1::Started { version }));
+                }
+                if ready {
+                    self.0.say(&mut state, &shot, &words, Said::Ready(true));
                 }
             }
             None => {
@@ -561,6 +618,46 @@
         Ok(Response::new(Saying { said: Box::pin(said), offer: None }))
     }
 
+    async fn keep(&self, request: Request<v1::KeepAsk>) -> Result<Response<v1::KeepWord>, Status> {
+        use v1::keep_ask::Ask;
+        let kept = |roll: &corkspan_roll::Roll, slots| v1::Kept {
+            roll: Some(corkspan_dispatcher::rolls::message(roll)),
+            slots,
+        };
+        let mut keeper = self.0.keeper.lock().expect("no one panics while it is held");
+        let mut word = v1::KeepWord::default();
+        match request.into_inner().ask {
+            Some(Ask::Propose(roll)) => {
+                let roll = corkspan_dispatcher::rolls::roll_of(&roll);
+                let roll = roll.ok_or_else(|| Status::invalid_argument("no roll"))?;
+                word.kept.extend(keeper.propose(roll).map(|roll| kept(roll, Vec::new())));
+            }
+            Some(Ask::Claim(claim)) => {
+                let slot = claim.slot.ok_or_else(|| Status::invalid_argument("no slot"))?;
+                let own = corkspan_roll::ClaimId(slot.claim);
+                let grant = Grant { claim: own, task: slot.task, dispatcher: slot.dispatcher };
+                let claimed = keeper.claim(&claim.service, claim.number, slot.slot, grant);
+                word.granted = claimed == Claimed::Granted;
+            }
+            Some(Ask::Release(release)) => {
+                keeper.release(&release.service, corkspan_roll::ClaimId(release.claim));
+            }
+            Some(Ask::Tell(_)) => {
+                for own in keeper.services() {
+                    let slots = own.slots.iter().map(|(slot, grant)| v1::Slot {
+                        slot: *slot,
+                        claim: grant.claim.0,
+                        task: grant.task.clone(),
+                        dispatcher: grant.dispatcher,
+                    });
+                    word.kept.push(kept(&own.roll, slots.collect()));
+                }
+            }
+            None => return Err(Status::invalid_argument("nothing is asked")),
+        }
+        Ok(Response::new(word))
+    }
+
     async fn stop(&self, request: Request<v1::StopAsk>) -> Result<Response<v1::StopWord>, Status> {
         let ask = request.into_inner();
         let mut state = self.0.lock();
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -188,7 +188,7 @@
         Said::Refused(_) => Word::Refused,
         Said::Failed(_) => Word::Failed,
         Said::Runs(_) => Word::Running,
-        Said::Served(_) => Word::Served,
+        Said::Served(_) | Said::Replaced(_) => Word::Served,
         Said::Ended(ended) => match ended.how() {
             How::Ended => Word::Ended,
             How::Evicted => Word::Evicted,
--- a/crates/lab/tests/rig/mod.rs
+++ b/crates/lab/tests/rig/mod.rs
@@ -26,6 +26,7 @@
     pub roster: Arc<Roster>,
     pub address: SocketAddr,
     stop: async_channel::Sender<()>,
+    kill: async_channel::Sender<()>,
     dispatcher: async_channel::Receiver<Result<(), Failure>>,
 }
 
@@ -114,13 +115,19 @@
         let ready_call = move |address| told.try_send(address).expect("told once");
         // On a thread of its own: a burst of owners here must not take its turns.
         let (ended, dispatcher) = async_channel::bounded(1);
+        let (kill, killed) = async_channel::bounded::<()>(1);
         std::thread::spawn(move || {
             let own = Tasks::default();
             let run = corkspan_dispatcher::run(own.clone(), deployment, ready_call, stopped);
-            let _ = ended.try_send(future::block_on(own.run(run)));
+            // Dropped with all its tasks where it is killed: its sockets close, and it says nothing more.
+            let killed = async {
+                let _ = killed.recv().await;
+                Ok(())
+            };
+            let _ = ended.try_send(future::block_on(own.run(future::or(run, killed))));
         });
         let address = within(PATIENCE, ready.recv()).await.expect("it listens").expect("an address");
-        Rig { tasks, world, nodes, roster, address, stop, dispatcher }
+        Rig { tasks, world, nodes, roster, address, stop, kill, dispatcher }
     }
 
     pub async fn client(&self) -> PlacementClient<Link> {
@@ -155,6 +162,16 @@
         self.world.capture.lines()
     }
 
+    /// Ends the dispatcher as a kill does, without a word.
+    pub async fn kill(self) {
+        let _ = self.kill.send(()).await;
+        within(PATIENCE, self.dispatcher.recv())
+            .await
+            .expect("it is gone")
+            .expect("its thread ends")
+            .expect("killed");
+    }
+
     pub fn tell(&self, index: usize, state: v1::entry::State) {
         let node = &self.nodes[index];
         let old = self.roster.entry(node.plan.id).expect("the node is listed");
--- /dev/null
+++ b/crates/lab/tests/rolls.rs
@@ -0,0 +1,307 @@
+//! Rolling updates over real sockets: the limit is counted by the judge from what copies say of themselves.
+
+#[allow(dead_code)]
+mod rig;
+
+use corkspan_api::v1::{self, roll::Phase, rolls_client::RollsClient};
+use corkspan_lab::capture::{Line, NodeState, Repeat, Seen};
+use corkspan_lab::judge::judge;
+use corkspan_lab::node::Bad;
+use corkspan_lab::owner::{Front, Task, live};
+use corkspan_rpc::{Bounds, Link};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rig::*;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+fn more(folder: &Path, number: usize) -> String {
+    format!("(keepers 0 1 2) (rolls {:?})", folder.join(format!("rolls-{number}.redb")))
+}
+
+/// Some dispatchers before ten nodes, and owners of so many copies of one service.
+struct Stage {
+    rigs: Vec<Rig>,
+    front: Arc<Front>,
+    folder: tempfile::TempDir,
+}
+
+impl Stage {
+    async fn set(
+        rig: Rig,
+        folder: tempfile::TempDir,
+        dispatchers: usize,
+        copies: usize,
+        track: &str,
+    ) -> Stage {
+        let front = Front::new(&rig.world, &rig.nodes, dispatchers);
+        front.open(0, Some(rig.address));
+        let mut rigs = vec![rig];
+        for number in 1..dispatchers {
+            let text = deployment(rigs[0].roster.address, &more(folder.path(), number));
+            let text = text.replace("(number 0)", &format!("(number {number})"));
+            // Each knows how many there are; the first was told of itself alone, which only makes it bolder.
+            let text = text.replace("(schedulers 1)", &format!("(schedulers {dispatchers})"));
+            let rig = Rig::beside(&rigs[0], &text).await;
+            rig.until_serving(10).await;
+            front.open(number, Some(rig.address));
+            rigs.push(rig);
+        }
+        let until = Instant::now() + Duration::from_secs(3600);
+        for number in 0..copies {
+            let task = Task {
+                name: format!("c{number}"),
+                service: "s".into(),
+                track: 0,
+                track_name: track.into(),
+                repeat: Repeat::Idempotent,
+                cores: 1.0,
+                memory: 1.0,
+                life: Duration::from_secs(3600),
+                abandon: Duration::from_secs(4),
+                cancels: None,
+            };
+            let rng = Pcg64Mcg::seed_from_u64(number as u64);
+            rigs[0].tasks.spawn(live(Arc::clone(&front), task, rng, until)).detach();
+        }
+        let stage = Stage { rigs, front, folder };
+        until_ready(&stage, "", copies).await;
+        stage
+    }
+
+    fn lines(&self) -> Vec<Line> {
+        self.rigs[0].world.capture.lines()
+    }
+
+    async fn rolls(&self, dispatcher: usize) -> RollsClient<Link> {
+        let bounds = Bounds { connect_within: PATIENCE, ..Bounds::default() };
+        let rig = &self.rigs[dispatcher];
+        RollsClient::new(Link::open(&rig.tasks, rig.address, &bounds).await.expect("it listens"))
+    }
+
+    async fn start(&self, dispatcher: usize, version: &str, unready_most: u32) -> v1::RollWord {
+        let seen =
+            Seen::Roll { service: "s".into(), version: version.into(), unready_most: unready_most as usize };
+        self.rigs[0].world.capture.see(seen);
+        let ask = v1::RollAsk {
+            service: "s".into(),
+            version: version.into(),
+            former: "v1".into(),
+            unready_most,
+            batch: 8,
+            ready_for_ms: 1_000,
+            ready_within_ms: 3_000,
+            failures_most: 1,
+        };
+        self.rolls(dispatcher).await.start(ask).await.expect("an answer").into_inner()
+    }
+
+    async fn change(&self, what: v1::change_ask::What) -> v1::RollWord {
+        let ask = v1::ChangeAsk { service: "s".into(), what: what.into() };
+        self.rolls(0).await.change(ask).await.expect("an answer").into_inner()
+    }
+
+    async fn status(&self, dispatcher: usize) -> v1::RollStatus {
+        let ask = v1::RollStatusAsk { service: "s".into() };
+        self.rolls(dispatcher).await.status(ask).await.expect("an answer").into_inner()
+    }
+
+    /// Ready copies by version, and the most not ready at a time since the roll began.
+    fn ready(&self) -> (BTreeMap<String, usize>, usize) {
+        let (mut copies, mut most, mut rolling) = (BTreeMap::<String, String>::new(), 0, false);
+        let mut all = 0;
+        for Line { seen, .. } in self.lines() {
+            match seen {
+                Seen::Roll { .. } => rolling = true,
+                Seen::Ready { task, version, ready: true, .. } => {
+                    copies.insert(task, version);
+                }
+                Seen::Ready { task, .. } => drop(copies.remove(&task)),
+                _ => {}
+            }
+            all = all.max(copies.len());
+            if rolling {
+                most = most.max(all - copies.len());
+            }
+        }
+        let mut by_version = BTreeMap::new();
+        copies.into_values().for_each(|version| *by_version.entry(version).or_default() += 1);
+        (by_version, most)
+    }
+
+    fn breaches(&self) -> Vec<String> {
+        // The rig has no day of its own: the limit of a roll needs no figure of one.
+        let mut lines = vec![Line { t: 0, seen: Seen::Day(rules()) }];
+        lines.extend(self.lines());
+        judge(&lines).expect("readable").iter().filter(|it| it.rule == 6).map(ToString::to_string).collect()
+    }
+}
+
+fn rules() -> corkspan_lab::capture::Rules {
+    use corkspan_lab::capture::{Cold, Rules, Track};
+    let track = Track { name: "web".into(), repeat: Repeat::Idempotent, contract_us: 1, spread: None };
+    let cold = Cold { lasts_us: 0, window_us: 0, most: usize::MAX };
+    Rules { seed: 0, tracks: vec![track], nodes: Vec::new(), grace_us: 0, cold, slack_us: 1_000_000 }
+}
+
+async fn until_ready(stage: &Stage, version: &str, copies: usize) {
+    let long = corkspan_rpc::within(Duration::from_secs(50), async {
+        while stage.ready().0.get(version).copied().unwrap_or(0) < copies {
+            async_io::Timer::after(Duration::from_millis(20)).await;
+        }
+    });
+    let (ready, most) = match long.await {
+        Some(()) => return,
+        None => stage.ready(),
+    };
+    panic!("{copies} of `{version}` are awaited; ready are {ready:?}, at most {most} were not");
+}
+
+fn story<F: Future<Output = ()>>(
+    dispatchers: usize,
+    copies: usize,
+    track: &'static str,
+    story: impl FnOnce(Stage) -> F,
+) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let layout = Layout { nodes: 10, more: more(folder.path(), 0), ..Layout::default() };
+    Rig::run(layout, async |rig| story(Stage::set(rig, folder, dispatchers, copies, track).await).await);
+}
+
+#[test_case(1, 100, 20, "web"; "one dispatcher, a hundred copies")]
+#[test_case(4, 24, 3, "web"; "more dispatchers than may be down")]
+#[test_case(2, 16, 4, "once"; "of what must never run twice")]
+#[test_case(2, 16, 4, "jobs"; "of what its hall lets stand once")]
+fn a_roll_replaces_every_copy_within_its_limit(
+    dispatchers: usize,
+    copies: usize,
+    most: u32,
+    track: &'static str,
+) {
+    story(dispatchers, copies, track, async |stage| {
+        assert!(stage.start(0, "v2", most).await.taken);
+        until_ready(&stage, "v2", copies).await;
+        let (ready, unready) = stage.ready();
+        assert_eq!(ready, BTreeMap::from([("v2".into(), copies)]));
+        assert!(unready >= 1 && unready <= most as usize, "{unready} were not ready at a time");
+        assert_eq!(stage.breaches(), [""; 0]);
+        // All slots come back.
+        until(async || stage.status(0).await.held.is_empty()).await;
+    });
+}
+
+#[test_case(Bad::NeverReady; "that never gets ready")]
+#[test_case(Bad::DiesAfter(Duration::from_millis(300)); "that gets ready and dies")]
+fn a_version_halts_the_roll_by_itself_and_is_undone(how: Bad) {
+    story(2, 20, "web", async |stage| {
+        stage.rigs[0].world.spoil("v2", how);
+        assert!(stage.start(0, "v2", 4).await.taken);
+        let halted = async || stage.status(1).await.roll.is_some_and(|roll| roll.phase() == Phase::Halted);
+        until(halted).await;
+        let (ready, unready) = stage.ready();
+        assert!(unready <= 4, "{unready} were not ready");
+        assert!(ready[""] >= 16, "the others run on: {ready:?}");
+        assert!(stage.change(v1::change_ask::What::Undo).await.taken);
+        until_ready(&stage, "v1", 20).await;
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
+
+#[test]
+fn of_two_operators_at_once_one_wins() {
+    story(3, 6, "web", async |stage| {
+        let (one, two) = futures_lite::future::zip(stage.start(1, "v2", 2), stage.start(2, "v3", 2)).await;
+        assert!(!(one.taken && two.taken), "two winners");
+        let wins = if one.taken { "v2" } else { "v3" };
+        if one.taken || two.taken {
+            let loser = if one.taken { &two } else { &one };
+            assert!(loser.text.contains(wins), "the other is told: {}", loser.text);
+            until_ready(&stage, wins, 6).await;
+        }
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
+
+#[test]
+fn a_pause_takes_nothing_further_down_and_a_resume_goes_on() {
+    story(1, 20, "web", async |stage| {
+        assert!(stage.start(0, "v2", 2).await.taken);
+        until(async || stage.ready().0.contains_key("v2")).await;
+        assert!(stage.change(v1::change_ask::What::Pause).await.taken);
+        until(async || stage.status(0).await.roll.is_some_and(|roll| roll.phase() == Phase::Paused)).await;
+        until(async || stage.status(0).await.held.is_empty()).await;
+        let before = stage.ready().0;
+        assert_eq!(before.values().sum::<usize>(), 20, "what was down has come back");
+        async_io::Timer::after(Duration::from_millis(1_500)).await;
+        assert_eq!(stage.ready().0, before);
+        assert!(stage.change(v1::change_ask::What::Resume).await.taken);
+        until_ready(&stage, "v2", 20).await;
+    });
+}
+
+#[test]
+fn a_keeper_that_dies_stops_nothing_and_two_stop_the_roll() {
+    story(1, 12, "web", async |stage| {
+        stage.rigs[0].nodes[0].kill(NodeState::Gone);
+        assert!(stage.start(0, "v2", 3).await.taken, "two of three are a majority");
+        until_ready(&stage, "v2", 12).await;
+        stage.rigs[0].nodes[1].kill(NodeState::Gone);
+        let ask = v1::RollAsk {
+            service: "s".into(),
+            version: "v3".into(),
+            unready_most: 3,
+            ready_for_ms: 1_000,
+            ready_within_ms: 3_000,
+            ..v1::RollAsk::default()
+        };
+        let why = stage.rolls(0).await.start(ask).await.expect_err("no majority");
+        assert!(why.message().contains("1 of 3 keepers"), "{}", why.message());
+    });
+}
+
+#[test]
+fn the_roster_away_for_the_whole_roll_changes_nothing() {
+    story(2, 12, "web", async |stage| {
+        stage.rigs[0].roster.away(None);
+        assert!(stage.start(1, "v2", 3).await.taken);
+        until_ready(&stage, "v2", 12).await;
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
+
+#[test]
+fn a_dispatcher_killed_while_it_conducts_leaves_no_slot_behind() {
+    story(2, 16, "web", async |mut stage| {
+        assert!(stage.start(0, "v2", 2).await.taken);
+        until(async || stage.status(0).await.held.iter().any(|slot| slot.dispatcher == 1)).await;
+        // Its links break as they would at a kill; owners hand over what runs, and ask again for what doesn't.
+        let killed = stage.rigs.pop().expect("two");
+        stage.front.open(1, None);
+        let text = deployment(killed.roster.address, &more(stage.folder.path(), 1));
+        let text = text.replace("(number 0)", "(number 1)").replace("(schedulers 1)", "(schedulers 2)");
+        killed.kill().await;
+        let again = Rig::beside(&stage.rigs[0], &text).await;
+        stage.front.open(1, Some(again.address));
+        stage.rigs.push(again);
+        until_ready(&stage, "v2", 16).await;
+        assert_eq!(stage.breaches(), [""; 0]);
+        until(async || stage.status(0).await.held.is_empty()).await;
+        assert_eq!(stage.ready().0, BTreeMap::from([("v2".into(), 16)]), "one copy each, of one version");
+    });
+}
+
+#[test]
+fn a_torn_store_is_set_aside_and_said() {
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::write(folder.path().join("rolls-0.redb"), vec![0x5a; 9000]).expect("written");
+    let layout = Layout { nodes: 10, more: more(folder.path(), 0), ..Layout::default() };
+    Rig::run(layout, async |rig| {
+        assert!(folder.path().join("rolls-0.aside").exists());
+        let stage = Stage::set(rig, folder, 1, 6, "web").await;
+        assert!(stage.start(0, "v2", 2).await.taken);
+        until_ready(&stage, "v2", 6).await;
+    });
+}
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -1,7 +1,7 @@
 //! Decides a service's roll for one dispatcher, from its own copies and what the keepers tell.
 
 use crate::keeper::Grant;
-use crate::{ClaimId, Order, Phase, Roll, majority};
+use crate::{ClaimId, Phase, Roll, majority};
 use corkspan::interface::Tenths;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -140,24 +140,22 @@
         failed
     }
 
-    /// The copy is ours no longer, or is wanted no longer. `ended`: it is not wanted; else it comes again, to us
-    /// or another, and its slot is held until it is ready there.
-    pub fn gone(&mut self, task: &str, ended: bool) -> Vec<ClaimId> {
+    /// The copy is not wanted any more. The claims to give back.
+    pub fn gone(&mut self, task: &str) -> Vec<ClaimId> {
         self.copies.remove(task);
-        if !ended {
-            return Vec::new();
-        }
         let mine: Vec<ClaimId> =
             self.claims.iter().filter(|(_, own)| *own == task).map(|(claim, _)| *claim).collect();
         mine.iter().for_each(|claim| drop(self.claims.remove(claim)));
         mine
     }
 
-    /// The new copy of one being replaced found no machine, or failed before it was ready.
-    pub fn failed(&mut self, _now: Tenths, task: &str) {
-        if self.copies.get(task).is_none_or(|copy| copy.claim.is_some()) {
-            self.failures += 1;
-        }
+    /// The copy is no longer here: lost with its node, evicted, sent away, or without room for its new one. Its
+    /// owner comes again, to us or another, and a slot that it holds stays held until it is ready there.
+    pub fn died(&mut self, now: Tenths, task: &str) {
+        let Some(copy) = self.copies.remove(task) else { return };
+        let settled = copy.ready.is_some_and(|at| now >= at + self.roll.ready_for);
+        let replaced = copy.step == Step::Replaced && copy.version == self.roll.version;
+        self.failures += u32::from(replaced && !settled);
     }
 
     /// How a claim came out. False where it is lost: it is to be given back at all keepers, for some may have
@@ -197,15 +195,7 @@
             return look;
         }
         let wanted = self.roll.wanted().to_string();
-        // What holds a slot and is of another version than wanted now: a later wish came, or an undo.
-        for (task, copy) in &mut self.copies {
-            if copy.step == Step::Replaced && copy.version != wanted {
-                copy.version.clone_from(&wanted);
-                copy.ready = None;
-                copy.unready = now;
-                look.replace.push(task.clone());
-            }
-        }
+        look.replace = self.look_at_held(now);
         if now < self.claim_at {
             look.wait = look.wait.min(self.claim_at - now);
             return look;
@@ -237,6 +227,24 @@
         look
     }
 
+    /// Copies to replace now, of those that hold a slot: of another version than is wanted, since the slot was
+    /// just won, or a later wish or an undo came.
+    pub fn look_at_held(&mut self, now: Tenths) -> Vec<String> {
+        let wanted = self.roll.wanted().to_string();
+        let mut replace = Vec::new();
+        if self.roll.phase != Phase::Rolling || self.halted {
+            return replace;
+        }
+        for (task, copy) in &mut self.copies {
+            if copy.step == Step::Replaced && copy.version != wanted {
+                copy.version.clone_from(&wanted);
+                (copy.ready, copy.unready) = (None, now);
+                replace.push(task.clone());
+            }
+        }
+        replace
+    }
+
     /// Copies that have stayed ready for their time give their slot back.
     fn settle(&mut self, now: Tenths, look: &mut Look) {
         let wanted = self.roll.wanted().to_string();
@@ -257,6 +265,10 @@
     /// Slots that others left behind. A copy that is ready here for its time holds none, whoever claimed it; and
     /// what an earlier life of ours claimed for an owner that never came back is not wanted any more.
     fn give_back(&mut self, now: Tenths, held: &[(u32, Grant, usize)], look: &mut Look) {
+        // A copy that left us for another has its slot given back by that one, once it is ready there.
+        let told = |claim: &ClaimId| held.iter().any(|(_, grant, _)| grant.claim == *claim);
+        let copies = &self.copies;
+        self.claims.retain(|claim, task| copies.contains_key(task) || told(claim));
         self.idle.retain(|claim, _| held.iter().any(|(_, grant, _)| grant.claim == *claim));
         for (_, grant, _) in held.iter().filter(|(_, grant, _)| !self.claims.contains_key(&grant.claim)) {
             let settled = self.copies.get(&grant.task).is_some_and(|copy| {
@@ -303,7 +315,8 @@
         (self.copies.len(), of(&|copy| copy.version == wanted), of(&|copy| copy.ready.is_none()))
     }
 
-    pub fn order(&self) -> Order {
-        self.roll.order
+    /// Claims that are out or held.
+    pub fn claims(&self) -> impl Iterator<Item = ClaimId> {
+        self.claims.keys().copied()
     }
 }
--- a/crates/roll/src/keeper.rs
+++ b/crates/roll/src/keeper.rs
@@ -38,24 +38,22 @@
 const MOST: usize = 10_000;
 
 impl Keeper {
-    /// Takes a wish if it is later than the one it has, or the same; else says which stands. Claims under the
-    /// earlier one go on holding their slots.
-    pub fn propose(&mut self, roll: Roll) -> Result<(), Option<Roll>> {
-        let full = self.services.len() >= MOST;
-        match self.services.get_mut(&roll.service) {
-            Some(kept) if kept.roll == roll => Ok(()),
-            Some(kept) if kept.roll.number < roll.number => {
-                kept.roll = roll;
-                Ok(())
-            }
-            Some(kept) => Err(Some(kept.roll.clone())),
-            None if full => Err(None),
-            None => {
-                let (service, slots) = (roll.service.clone(), BTreeMap::new());
-                self.services.insert(service, Kept { roll, slots });
-                Ok(())
+    /// Takes a wish if it is later than the one it has. What stands here afterwards: the wish itself where it
+    /// was taken, now or before; none where no more services can be kept. Claims under the earlier one go on
+    /// holding their slots.
+    pub fn propose(&mut self, roll: Roll) -> Option<&Roll> {
+        if !self.services.contains_key(&roll.service) {
+            if self.services.len() >= MOST {
+                return None;
             }
+            let kept = Kept { roll: roll.clone(), slots: BTreeMap::new() };
+            self.services.insert(roll.service.clone(), kept);
+        }
+        let kept = self.services.get_mut(&roll.service)?;
+        if kept.roll.number < roll.number {
+            kept.roll = roll;
         }
+        Some(&kept.roll)
     }
 
     /// Grants a slot of the roll that stands here. A smaller limit than the one before holds for those held
--- a/crates/roll/tests/search.rs
+++ b/crates/roll/tests/search.rs
@@ -168,7 +168,7 @@
 fn the_keeper_itself_keeps_the_rule_of_the_search() {
     let mut keeper = Keeper::default();
     assert_eq!(keeper.claim("s", 1, 0, grant(1)), Claimed::OtherRoll, "of a roll it doesn't know");
-    keeper.propose(roll(1, 1)).expect("the first");
+    assert_eq!(keeper.propose(roll(1, 1)), Some(&roll(1, 1)));
     assert_eq!(keeper.claim("s", 1, 0, grant(1)), Claimed::Granted);
     assert_eq!(keeper.claim("s", 1, 0, grant(1)), Claimed::Granted, "asked twice");
     assert_eq!(keeper.claim("s", 1, 0, grant(2)), Claimed::Taken);
@@ -182,11 +182,11 @@
 #[test]
 fn a_smaller_limit_counts_what_the_larger_one_let_down() {
     let mut keeper = Keeper::default();
-    keeper.propose(roll(1, 3)).expect("the first");
+    assert_eq!(keeper.propose(roll(1, 3)), Some(&roll(1, 3)));
     for claim in 1..=3 {
         assert_eq!(keeper.claim("s", 1, claim - 1, grant(u64::from(claim))), Claimed::Granted);
     }
-    keeper.propose(roll(2, 2)).expect("a later one");
+    assert_eq!(keeper.propose(roll(2, 2)), Some(&roll(2, 2)));
     assert_eq!(
         keeper.claim("s", 1, 0, grant(9)),
         Claimed::OtherRoll,
@@ -202,11 +202,11 @@
 fn of_two_operators_at_once_one_wins_and_the_other_is_told() {
     let mut keepers = vec![Keeper::default(); KEEPERS];
     let (one, two) = (Roll { asker: 1, ..roll(1, 1) }, Roll { asker: 2, ..roll(1, 2) });
-    keepers[0].propose(one.clone()).expect("first there");
-    keepers[1].propose(two.clone()).expect("first there");
-    keepers[2].propose(two.clone()).expect("first there");
-    assert_eq!(keepers[1].propose(one.clone()), Err(Some(two.clone())));
-    assert_eq!(keepers[0].propose(two.clone()), Err(Some(one)));
+    assert_eq!(keepers[0].propose(one.clone()), Some(&one));
+    assert_eq!(keepers[1].propose(two.clone()), Some(&two));
+    assert_eq!(keepers[2].propose(two.clone()), Some(&two));
+    assert_eq!(keepers[1].propose(one.clone()), Some(&two), "the first there stands");
+    assert_eq!(keepers[0].propose(two.clone()), Some(&one));
     let told: Vec<Roll> =
         keepers.iter().flat_map(|keeper| keeper.services().map(|kept| kept.roll.clone())).collect();
     assert_eq!(in_force(&told, KEEPERS), Some(&two));
