Take nothing down under a claim not known to be won; undo leaves the unrolled alone

Cause: random orders of events found a copy told of anew while its claim was out taken for one that holds its slot; a claim on disk before it was sent counted as won after a restart; an undo meeting a copy still being placed would have given its owner a second final answer, and replaced copies that no roll had touched. Change: claims know whether they are won, on disk too, before a copy is stopped; being stopped and being placed anew are two facts; a roll says what a copy without a version is.

--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -32,17 +32,10 @@
     version: String,
     /// Since when its copy is ready, by its own word.
     ready: Option<Tenths>,
-    roll: Rolled,
-}
-
-/// How far a roll has come with an allocation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Rolled {
-    No,
-    /// Its old copy is being stopped.
-    Stopping,
-    /// A new copy is being placed, in the place of an old one.
-    Anew,
+    /// A roll is having its copy stopped, to place another.
+    stopping: bool,
+    /// It is being placed in the place of a copy that a roll has stopped: its owner had its answer before.
+    anew: bool,
 }
 
 /// The id of an owner's allocation, as it is now.
@@ -74,7 +67,8 @@
             current: Current::new(),
             version: String::new(),
             ready: None,
-            roll: Rolled::No,
+            stopping: false,
+            anew: false,
         }
     }
 
@@ -350,7 +344,7 @@
     pub fn hung_up(self: &Arc<Self>, id: AllocationId) {
         self.with(|now, host, port| {
             let Some((client, _)) = host.own(id) else { return };
-            let placed = client.deadline.is_none() || client.roll == Rolled::Anew;
+            let placed = client.deadline.is_none() || client.anew;
             if placed && (port.stopping || client.hangs_up.is_some_and(|at| now >= at)) {
                 return;
             }
@@ -381,8 +375,7 @@
                 && let Some((client, allocation)) = host.own(id)
             {
                 client.deadline = None;
-                if client.roll == Rolled::Anew {
-                    client.roll = Rolled::No;
+                if std::mem::take(&mut client.anew) {
                     let version = client.version.clone();
                     client.say(Said::Replaced(v1::Replaced { node: machine.0, version }));
                     return;
@@ -411,7 +404,7 @@
             let mut anew = None;
             if let (Some(how), Some((client, allocation))) = (over, host.own(id)) {
                 // Known to be gone, since its node says so: now a copy of the version wanted may be placed.
-                if client.roll == Rolled::Stopping && ending == Ending::Cancelled && !port.stopping {
+                if client.stopping && ending == Ending::Cancelled && !port.stopping {
                     anew = port.anew(client, allocation);
                 } else {
                     let how = if client.moving && how == v1::ended::How::Lost {
@@ -489,7 +482,7 @@
     pub fn replace(self: &Arc<Self>, task: &str) {
         self.with(|_, host, port| {
             let Some((client, allocation)) = host.find(task).and_then(|id| host.own(id)) else { return };
-            client.roll = Rolled::Stopping;
+            client.stopping = true;
             if let Some(shot) = allocation.shots.last() {
                 port.stop(self, client, shot.machine, false);
             }
@@ -500,7 +493,7 @@
     pub fn stop_old_copies(self: &Arc<Self>) {
         let tasks: Vec<String> = {
             let mut inner = self.lock();
-            let stopping = inner.host.all().filter(|(_, client, _)| client.roll == Rolled::Stopping);
+            let stopping = inner.host.all().filter(|(_, client, _)| client.stopping);
             stopping.map(|(_, client, _)| client.ask.task.clone()).collect()
         };
         tasks.iter().for_each(|task| self.replace(task));
@@ -668,7 +661,7 @@
         let placing = format!("{first}~{}", many.parse::<u64>().unwrap_or(0) + 1);
         let fresh = Client::new(v1::Ask { placing, ..client.ask.clone() }, &client.words);
         let (current, hangs_up) = (client.current.clone(), client.hangs_up);
-        Some((asked, Client { deadline: Some(abandon), hangs_up, current, roll: Rolled::Anew, ..fresh }))
+        Some((asked, Client { deadline: Some(abandon), hangs_up, current, anew: true, ..fresh }))
     }
 
     /// A copy is ours no longer. `wanted_no_more`: its owner does not come again for it.
@@ -688,7 +681,7 @@
 
     /// The final answer, unless the owner's time is already up.
     fn answer(&mut self, client: &mut Client, said: Said) -> bool {
-        if client.roll == Rolled::Anew {
+        if client.anew {
             // Its owner had its answer long ago: to it the copy is sent away, and it comes again.
             self.copy_gone(client, false);
             client.say(Said::Ended(v1::Ended { how: v1::ended::How::SentAway.into() }));
@@ -716,7 +709,7 @@
             abandon: allocation.abandon,
         };
         client.version = self.rolls.wanted(&client.ask.service);
-        client.ready = None;
+        (client.ready, client.stopping) = (None, false);
         if let Some(conductor) = self.rolls.of(&client.ask.service) {
             conductor.copy(self.now, &client.ask.task, &client.version);
         }
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -18,7 +18,7 @@
 use tracing::{error, info, warn};
 use v1::keep_ask::Ask;
 
-/// Claims that are out or held, as JSON of service and task.
+/// Claims that are out or held, as JSON of service, task and whether it is known to be won.
 const CLAIMS: TableDefinition<u64, &str> = TableDefinition::new("claims");
 /// Rolls in force, as JSON by service.
 const ROLLS: TableDefinition<&str, &str> = TableDefinition::new("rolls");
@@ -68,8 +68,8 @@
         whole().map_err(|why| why.to_string())
     }
 
-    fn claim(&self, claim: ClaimId, service: &str, task: &str) -> Result<(), String> {
-        let text = serde_json::to_string(&(service, task)).map_err(|why| why.to_string())?;
+    fn claim(&self, claim: ClaimId, service: &str, task: &str, won: bool) -> Result<(), String> {
+        let text = serde_json::to_string(&(service, task, won)).map_err(|why| why.to_string())?;
         self.write(|transaction| {
             transaction.open_table(CLAIMS)?.insert(claim.0, &text[..])?;
             Ok(())
@@ -123,14 +123,14 @@
     }
     for line in transaction.open_table(CLAIMS).map_err(text)?.iter().map_err(text)? {
         let (claim, value) = line.map_err(text)?;
-        let (service, task) = serde_json::from_str(value.value()).map_err(text)?;
-        claims.push((ClaimId(claim.value()), service, task));
+        let (service, task, won) = serde_json::from_str(value.value()).map_err(text)?;
+        claims.push((ClaimId(claim.value()), service, task, won));
     }
     Ok((rolls, claims))
 }
 
-/// What the store held at the start: rolls, and claims with their service and task.
-pub type Kept = (Vec<Roll>, Vec<(ClaimId, String, String)>);
+/// What the store held at the start: rolls, and claims with service, task and whether they were won.
+pub type Kept = (Vec<Roll>, Vec<(ClaimId, String, String, bool)>);
 
 /// Slots that keepers tell of, each with how many tell it.
 type Held = Vec<(u32, Grant, usize)>;
@@ -149,9 +149,9 @@
     pub fn new(me: u32, seed: u64, now: Tenths, (rolls, claims): Kept) -> Self {
         let mut own = Rolls { me, seed, conductors: BTreeMap::new(), held: BTreeMap::new(), heard: 0 };
         rolls.into_iter().for_each(|roll| own.adopt(now, roll));
-        for (claim, service, task) in claims {
+        for (claim, service, task, won) in claims {
             match own.conductors.get_mut(&service) {
-                Some(conductor) => conductor.remember(claim, &task),
+                Some(conductor) => conductor.remember(claim, &task, won),
                 None => warn!(service, task, "a claim of a roll that the store doesn't know"),
             }
         }
@@ -266,20 +266,20 @@
         desk.replace(&task);
     }
     for (claim, slot, task) in look.claims {
-        let (store, of, name) = (Arc::clone(&desk.store), service.to_string(), task.clone());
-        let kept = blocking::unblock(move || store.claim(claim, &of, &name)).await;
-        if let Err(why) = &kept {
-            warn!(service, task, why, "a claim can't be kept on disk, and is not made");
-        }
         let mut granted = 0;
-        if kept.is_ok() {
-            let slot =
-                v1::Slot { slot, claim: claim.0, task, dispatcher: desk.deployment.cluster.number as u32 };
+        if keep_claim(desk, claim, service, &task, false).await {
+            let dispatcher = desk.deployment.cluster.number as u32;
+            let slot = v1::Slot { slot, claim: claim.0, task: task.clone(), dispatcher };
             let ask = v1::Claim { service: service.into(), number: roll.number, slot: Some(slot) };
             let words = ask_all(desk, Ask::Claim(ask)).await;
             granted = words.iter().filter(|word| word.granted).count();
         }
-        let votes = Votes { granted, keepers: desk.deployment.keepers.len() };
+        let keepers = desk.deployment.keepers.len();
+        // On disk before anything is taken down under it: a restart must know that the slot is used.
+        if majority(granted, keepers) && !keep_claim(desk, claim, service, &task, true).await {
+            granted = 0;
+        }
+        let votes = Votes { granted, keepers };
         let won = desk.with_rolls(|now, rolls| {
             rolls.of(service).is_some_and(|conductor| conductor.claimed(now, claim, votes))
         });
@@ -295,6 +295,16 @@
     }
 }
 
+async fn keep_claim(desk: &Arc<Desk>, claim: ClaimId, service: &str, task: &str, won: bool) -> bool {
+    let (store, of, name) = (Arc::clone(&desk.store), service.to_string(), task.to_string());
+    let kept = blocking::unblock(move || store.claim(claim, &of, &name, won)).await;
+    if let Err(why) = &kept {
+        warn!(service, task, why, "a claim can't be kept on disk, and is not used");
+    }
+    kept.is_ok()
+}
+
+/// Gives a claim back at all keepers.
 pub async fn release(desk: &Arc<Desk>, service: &str, claim: ClaimId) {
     let ask = v1::Release { service: service.into(), claim: claim.0 };
     // A keeper that doesn't hear tells of it again, and hears it again then.
@@ -357,6 +367,7 @@
         asker: roll.asker,
         version: roll.version.clone(),
         former: roll.former.clone(),
+        unversioned: roll.unversioned.clone(),
         unready_most: roll.unready_most,
         batch: roll.batch,
         ready_for: roll.ready_for,
@@ -376,6 +387,7 @@
         asker: roll.asker,
         version: roll.version.clone(),
         former: roll.former.clone(),
+        unversioned: roll.unversioned.clone(),
         unready_most: roll.unready_most,
         batch: roll.batch.max(1),
         order: Order::StopFirst,
@@ -456,8 +468,10 @@
             Some(roll) if ask.former.is_empty() => roll.wanted().to_string(),
             _ => ask.former,
         };
+        let unversioned = before.as_ref().map_or_else(|| former.clone(), |roll| roll.unversioned.clone());
         self.wish(Roll {
             service: ask.service,
+            unversioned,
             number: before.map_or(1, |roll| roll.number + 1),
             asker: asker(&self.0),
             version: ask.version,
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -27,6 +27,13 @@
     step: Step,
 }
 
+#[derive(Clone, Debug, PartialEq)]
+struct Claim {
+    task: String,
+    /// A majority has granted it.
+    won: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
     /// As it is.
@@ -64,8 +71,10 @@
     rng: Pcg64Mcg,
     roll: Roll,
     copies: BTreeMap<String, Copy>,
-    /// Claims of ours that are out or held, with the task they are for.
-    claims: BTreeMap<ClaimId, String>,
+    /// Claims of ours that are out or held.
+    claims: BTreeMap<ClaimId, Claim>,
+    /// Claims of an earlier life that was never known to have won: nothing was taken down under them.
+    unwon: Vec<ClaimId>,
     failures: u32,
     halted: bool,
     lost_in_a_row: u32,
@@ -82,6 +91,7 @@
             roll,
             copies: BTreeMap::new(),
             claims: BTreeMap::new(),
+            unwon: Vec::new(),
             failures: 0,
             halted: false,
             lost_in_a_row: 0,
@@ -107,16 +117,25 @@
         }
     }
 
-    /// Takes a claim back from an earlier life of ours: it goes on holding its slot.
-    pub fn remember(&mut self, claim: ClaimId, task: &str) {
-        self.claims.insert(claim, task.into());
+    /// Takes a claim back from an earlier life of ours. One that was known to be won goes on holding its slot.
+    pub fn remember(&mut self, claim: ClaimId, task: &str, won: bool) {
+        if won {
+            self.claims.insert(claim, Claim { task: task.into(), won });
+        } else {
+            self.unwon.push(claim);
+        }
     }
 
     /// A copy is ours, of this version and not known to be ready: placed, being placed, or handed over.
     pub fn copy(&mut self, now: Tenths, task: &str, version: &str) {
-        let claim = self.copies.get(task).and_then(|copy| copy.claim);
-        let claim = claim.or(self.claims.iter().find(|(_, own)| *own == task).map(|(claim, _)| *claim));
-        let step = if claim.is_some() { Step::Replaced } else { Step::Stays };
+        let own = self.claims.iter().find(|(_, own)| own.task == task);
+        let (claim, step) = match own {
+            Some((claim, own)) if own.won => (Some(*claim), Step::Replaced),
+            // Not yet known to be won: it is no leave to take anything down.
+            Some((claim, _)) => (Some(*claim), Step::Claims),
+            None => (None, Step::Stays),
+        };
+        let version = if version.is_empty() { &self.roll.unversioned } else { version };
         let copy = Copy { version: version.into(), ready: None, unready: now, claim, step };
         self.copies.insert(task.into(), copy);
     }
@@ -144,7 +163,7 @@
     pub fn gone(&mut self, task: &str) -> Vec<ClaimId> {
         self.copies.remove(task);
         let mine: Vec<ClaimId> =
-            self.claims.iter().filter(|(_, own)| *own == task).map(|(claim, _)| *claim).collect();
+            self.claims.iter().filter(|(_, own)| own.task == task).map(|(claim, _)| *claim).collect();
         mine.iter().for_each(|claim| drop(self.claims.remove(claim)));
         mine
     }
@@ -161,7 +180,7 @@
     /// How a claim came out. False where it is lost: it is to be given back at all keepers, for some may have
     /// granted it, or may still.
     pub fn claimed(&mut self, now: Tenths, claim: ClaimId, votes: Votes) -> bool {
-        let Some(task) = self.claims.get(&claim).cloned() else { return false };
+        let Some(task) = self.claims.get(&claim).map(|claim| claim.task.clone()) else { return false };
         let won = majority(votes.granted, votes.keepers);
         let copy = self.copies.get_mut(&task).filter(|copy| copy.claim == Some(claim));
         // While it was out its copy may have gone, or the roll been paused: then it is not used.
@@ -169,6 +188,7 @@
         match copy {
             Some(copy) if won && (rolling || copy.ready.is_none()) => {
                 copy.step = Step::Replaced;
+                self.claims.insert(claim, Claim { task, won });
                 self.lost_in_a_row = 0;
                 true
             }
@@ -188,6 +208,7 @@
     /// What to set going now. `held` are the slots that keepers tell of, each with how many tell it.
     pub fn look(&mut self, now: Tenths, held: &[(u32, Grant, usize)]) -> Look {
         let mut look = Look { wait: LOOK, ..Look::default() };
+        look.release = std::mem::take(&mut self.unwon);
         self.settle(now, &mut look);
         self.give_back(now, held, &mut look);
         self.halt(now, &mut look);
@@ -221,7 +242,7 @@
             if let Some(copy) = self.copies.get_mut(&task) {
                 (copy.claim, copy.step) = (Some(claim), Step::Claims);
             }
-            self.claims.insert(claim, task.clone());
+            self.claims.insert(claim, Claim { task: task.clone(), won: false });
             look.claims.push((claim, slot, task));
         }
         look
@@ -268,9 +289,12 @@
         // A copy that left us for another has its slot given back by that one, once it is ready there.
         let told = |claim: &ClaimId| held.iter().any(|(_, grant, _)| grant.claim == *claim);
         let copies = &self.copies;
-        self.claims.retain(|claim, task| copies.contains_key(task) || told(claim));
+        self.claims.retain(|claim, own| copies.contains_key(&own.task) || told(claim));
         self.idle.retain(|claim, _| held.iter().any(|(_, grant, _)| grant.claim == *claim));
         for (_, grant, _) in held.iter().filter(|(_, grant, _)| !self.claims.contains_key(&grant.claim)) {
+            if look.release.contains(&grant.claim) {
+                continue;
+            }
             let settled = self.copies.get(&grant.task).is_some_and(|copy| {
                 copy.step == Step::Stays && copy.ready.is_some_and(|at| now >= at + self.roll.ready_for)
             });
--- a/crates/roll/src/lib.rs
+++ b/crates/roll/src/lib.rs
@@ -27,6 +27,8 @@
     pub version: String,
     /// What an undo goes back to.
     pub former: String,
+    /// What a copy is that tells no version: it was placed before the first roll.
+    pub unversioned: String,
     /// Copies of the service that may be not ready at a time.
     pub unready_most: u32,
     /// Copies that one dispatcher replaces at a time.
--- /dev/null
+++ b/crates/roll/tests/conductor.rs
@@ -0,0 +1,301 @@
+//! What one dispatcher decides of a roll, whatever comes in whatever order.
+
+use corkspan_roll::conductor::{Conductor, Look, Votes};
+use corkspan_roll::keeper::Grant;
+use corkspan_roll::{ClaimId, Order, Phase, Roll};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const SECOND: u64 = 10_000;
+const WON: Votes = Votes { granted: 2, keepers: 3 };
+const LOST: Votes = Votes { granted: 1, keepers: 3 };
+
+fn roll(number: u64, version: &str) -> Roll {
+    Roll {
+        service: "s".into(),
+        number,
+        asker: 1,
+        version: version.into(),
+        former: "v1".into(),
+        unversioned: "v1".into(),
+        unready_most: 2,
+        batch: 2,
+        order: Order::StopFirst,
+        ready_for: 2 * SECOND,
+        ready_within: 10 * SECOND,
+        failures_most: 1,
+        phase: Phase::Rolling,
+    }
+}
+
+/// A conductor with so many old copies that are ready.
+fn conductor(copies: usize) -> Conductor {
+    let mut conductor = Conductor::new(0, 1, roll(1, "v2"), 0);
+    for number in 0..copies {
+        conductor.copy(0, &format!("c{number}"), "v1");
+        conductor.ready(0, &format!("c{number}"));
+    }
+    conductor
+}
+
+fn grant(claim: ClaimId, task: &str) -> Grant {
+    Grant { claim, task: task.into(), dispatcher: 0 }
+}
+
+/// Wins a slot for one copy and takes it down. Its claim and task.
+fn takes_down(conductor: &mut Conductor, now: u64) -> (ClaimId, String) {
+    let look = conductor.look(now, &[]);
+    let (claim, _, task) = look.claims[0].clone();
+    assert!(conductor.claimed(now, claim, WON));
+    for (other, _, _) in &look.claims[1..] {
+        conductor.claimed(now, *other, LOST);
+    }
+    assert_eq!(conductor.look_at_held(now), std::slice::from_ref(&task));
+    (claim, task)
+}
+
+#[test]
+fn no_more_is_claimed_than_slots_or_batch_allow() {
+    let mut conductor = conductor(5);
+    let look = conductor.look(0, &[]);
+    assert_eq!(look.claims.len(), 2);
+    let slots: BTreeSet<u32> = look.claims.iter().map(|(_, slot, _)| *slot).collect();
+    assert_eq!(slots, BTreeSet::from([0, 1]), "not twice the same");
+    assert!(conductor.look(1, &[]).claims.is_empty(), "those are still out");
+}
+
+#[test]
+fn a_slot_held_by_another_is_not_claimed() {
+    let other = Grant { dispatcher: 7, ..grant(ClaimId(9), "x") };
+    let look = conductor(5).look(0, &[(0, other, 2)]);
+    assert_eq!(look.claims.iter().map(|(_, slot, _)| *slot).collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn a_lost_claim_takes_nothing_down_and_waits() {
+    let mut conductor = conductor(1);
+    let (claim, _, _) = conductor.look(0, &[]).claims[0].clone();
+    assert!(!conductor.claimed(0, claim, LOST), "to be given back");
+    assert!(conductor.look_at_held(0).is_empty());
+    let look = conductor.look(1, &[]);
+    assert!(look.claims.is_empty() && look.wait > 0, "not at once again");
+    assert_eq!(conductor.look(10 * SECOND, &[]).claims.len(), 1, "but again");
+}
+
+#[test]
+fn a_slot_comes_back_only_after_the_copy_has_stayed_ready() {
+    let mut conductor = conductor(1);
+    let (claim, task) = takes_down(&mut conductor, 0);
+    conductor.copy(SECOND, &task, "v2");
+    let held = [(0, grant(claim, &task), 3)];
+    conductor.ready(2 * SECOND, &task);
+    assert!(conductor.look(3 * SECOND, &held).release.is_empty());
+    conductor.unready(3 * SECOND, &task);
+    conductor.ready(4 * SECOND, &task);
+    assert!(conductor.look(5 * SECOND, &held).release.is_empty(), "its time began anew");
+    assert_eq!(conductor.look(6 * SECOND, &held).release, [claim]);
+}
+
+#[test]
+fn a_copy_gone_while_its_claim_is_out_uses_no_slot() {
+    let mut conductor = conductor(1);
+    let (claim, _, task) = conductor.look(0, &[]).claims[0].clone();
+    assert_eq!(conductor.gone(&task), [claim], "given back at once");
+    assert!(!conductor.claimed(0, claim, WON));
+}
+
+#[test]
+fn a_pause_while_a_claim_is_out_takes_nothing_down() {
+    let mut conductor = conductor(1);
+    let (claim, _, _) = conductor.look(0, &[]).claims[0].clone();
+    conductor.adopt(roll(1, "v2").with_phase(Phase::Paused, 1));
+    assert!(!conductor.claimed(0, claim, WON));
+    assert_eq!(conductor.look(5 * SECOND, &[]), Look { wait: 5_000, ..Look::default() });
+}
+
+#[test]
+fn failures_beyond_the_limit_halt_and_undo_replaces_what_is_down() {
+    let mut conductor = conductor(4);
+    let first = takes_down(&mut conductor, 0);
+    conductor.copy(0, &first.1, "v2");
+    conductor.died(SECOND, &first.1);
+    let (_, second) = takes_down(&mut conductor, 5 * SECOND);
+    conductor.copy(5 * SECOND, &second, "v2");
+    let held = [(0, grant(first.0, &first.1), 3)];
+    assert_eq!(conductor.look(14 * SECOND, &held).halt, None, "one may fail");
+    let why = conductor.look(15 * SECOND, &held).halt.expect("the second has had its time");
+    assert!(why.contains("2 copies of v2"), "{why}");
+    assert_eq!(conductor.look(16 * SECOND, &held).halt, None, "told once");
+    conductor.adopt(roll(1, "v2").with_phase(Phase::Halted(why), 1));
+    assert!(conductor.look(17 * SECOND, &held).claims.is_empty());
+    conductor.adopt(Roll { number: 3, ..roll(1, "v2").undone(1) });
+    assert_eq!(conductor.look(18 * SECOND, &held).replace, [second], "under the slot that it holds");
+}
+
+#[test]
+fn a_copy_that_dies_long_after_it_was_settled_is_no_failure_of_the_roll() {
+    let mut conductor = conductor(1);
+    let (claim, task) = takes_down(&mut conductor, 0);
+    conductor.copy(0, &task, "v2");
+    conductor.ready(SECOND, &task);
+    assert_eq!(conductor.look(3 * SECOND, &[]).release, [claim]);
+    for _ in 0..5 {
+        conductor.died(9 * SECOND, &task);
+        conductor.copy(9 * SECOND, &task, "v2");
+    }
+    assert_eq!(conductor.look(10 * SECOND, &[]).halt, None);
+}
+
+#[test]
+fn an_undo_leaves_alone_what_was_never_rolled() {
+    let mut conductor = conductor(0);
+    conductor.copy(0, "old", "");
+    conductor.ready(0, "old");
+    conductor.adopt(roll(1, "v2").undone(1));
+    assert!(conductor.look(SECOND, &[]).claims.is_empty());
+}
+
+#[test]
+fn a_slot_left_behind_by_another_comes_back_once_its_copy_is_ready_here() {
+    let mut conductor = conductor(0);
+    let left = [(0, Grant { dispatcher: 7, ..grant(ClaimId(9), "x") }, 2)];
+    conductor.copy(0, "x", "v2");
+    assert!(conductor.look(SECOND, &left).release.is_empty());
+    conductor.ready(SECOND, "x");
+    assert!(conductor.look(2 * SECOND, &left).release.is_empty(), "not before it has stayed so");
+    assert_eq!(conductor.look(3 * SECOND, &left).release, [ClaimId(9)]);
+}
+
+#[test]
+fn an_earlier_lifes_slot_comes_back_when_nobody_came_for_it() {
+    let mut conductor = conductor(0);
+    let left = [(0, grant(ClaimId(9), "x"), 2)];
+    assert!(conductor.look(0, &left).release.is_empty());
+    assert!(conductor.look(29 * SECOND, &left).release.is_empty());
+    assert_eq!(conductor.look(30 * SECOND, &left).release, [ClaimId(9)]);
+}
+
+#[test]
+fn a_claim_remembered_goes_on_with_its_copy() {
+    let mut conductor = conductor(0);
+    conductor.remember(ClaimId(9), "x", true);
+    conductor.copy(0, "x", "v1");
+    let look = conductor.look(0, &[(0, grant(ClaimId(9), "x"), 3)]);
+    assert_eq!((look.replace, look.claims), (vec!["x".to_string()], Vec::new()), "without a second claim");
+}
+
+#[test]
+fn a_claim_remembered_that_was_not_known_to_be_won_is_given_back() {
+    let mut conductor = conductor(0);
+    conductor.remember(ClaimId(9), "x", false);
+    conductor.copy(0, "x", "v1");
+    let look = conductor.look(0, &[(0, grant(ClaimId(9), "x"), 3)]);
+    assert_eq!((look.replace, look.release), (Vec::new(), vec![ClaimId(9)]));
+}
+
+#[test]
+fn a_copy_told_of_anew_while_its_claim_is_out_has_no_slot_yet() {
+    let mut conductor = conductor(1);
+    let (claim, _, task) = conductor.look(0, &[]).claims[0].clone();
+    conductor.copy(0, &task, "v1");
+    assert!(conductor.look_at_held(0).is_empty());
+    assert!(conductor.claimed(0, claim, WON));
+    assert_eq!(conductor.look_at_held(0), [task]);
+}
+
+#[derive(Clone, Debug)]
+enum Comes {
+    Copy(u8, bool),
+    Ready(u8),
+    Unready(u8),
+    Gone(u8),
+    Died(u8),
+    Look,
+    Vote(bool),
+    Pause,
+    Resume,
+    Undo,
+    Later(u16),
+}
+
+fn comes() -> impl Strategy<Value = Comes> {
+    prop_oneof![
+        (0..6u8, any::<bool>()).prop_map(|(copy, new)| Comes::Copy(copy, new)),
+        (0..6u8).prop_map(Comes::Ready),
+        (0..6u8).prop_map(Comes::Unready),
+        (0..6u8).prop_map(Comes::Gone),
+        (0..6u8).prop_map(Comes::Died),
+        Just(Comes::Look),
+        Just(Comes::Look),
+        any::<bool>().prop_map(Comes::Vote),
+        Just(Comes::Pause),
+        Just(Comes::Resume),
+        Just(Comes::Undo),
+        (0..40_000u16).prop_map(Comes::Later),
+    ]
+}
+
+proptest! {
+    /// A copy is taken down only under a claim that was won and not given back, one claim a copy, and never more
+    /// than the batch at a time, whatever happens meanwhile.
+    #[test]
+    fn whatever_comes_nothing_is_taken_down_without_a_slot(all in prop::collection::vec(comes(), 0..120)) {
+        let mut conductor = conductor(4);
+        let mut now = 0;
+        let mut out: Vec<(ClaimId, String)> = Vec::new();
+        let mut held: BTreeMap<ClaimId, String> = BTreeMap::new();
+        let mut current = roll(1, "v2");
+        for comes in all {
+            let name = |copy: u8| format!("c{copy}");
+            let mut down = Vec::new();
+            match comes {
+                Comes::Copy(copy, new) => conductor.copy(now, &name(copy), if new { "v2" } else { "v1" }),
+                Comes::Ready(copy) => conductor.ready(now, &name(copy)),
+                Comes::Unready(copy) => drop(conductor.unready(now, &name(copy))),
+                Comes::Gone(copy) => {
+                    for claim in conductor.gone(&name(copy)) {
+                        held.remove(&claim);
+                    }
+                }
+                Comes::Died(copy) => conductor.died(now, &name(copy)),
+                Comes::Look => {
+                    let view: Vec<_> = held.iter().enumerate()
+                        .map(|(slot, (claim, task))| (slot as u32, grant(*claim, task), 2)).collect();
+                    let look = conductor.look(now, &view);
+                    for claim in &look.release {
+                        held.remove(claim);
+                    }
+                    down = look.replace;
+                    out.extend(look.claims.into_iter().map(|(claim, _, task)| (claim, task)));
+                    prop_assert!(look.wait <= 5_000);
+                }
+                Comes::Vote(won) => {
+                    let Some((claim, task)) = out.pop() else { continue };
+                    if conductor.claimed(now, claim, if won { WON } else { LOST }) {
+                        prop_assert!(won, "a lost claim is no slot");
+                        held.insert(claim, task);
+                        down = conductor.look_at_held(now);
+                    }
+                }
+                Comes::Pause => {
+                    current = current.with_phase(Phase::Paused, 1);
+                    conductor.adopt(current.clone());
+                }
+                Comes::Resume => {
+                    current = current.with_phase(Phase::Rolling, 1);
+                    conductor.adopt(current.clone());
+                }
+                Comes::Undo => {
+                    current = current.undone(1);
+                    conductor.adopt(current.clone());
+                }
+                Comes::Later(time) => now += u64::from(time),
+            }
+            for task in down {
+                prop_assert!(held.values().any(|own| *own == task), "{task} is taken down without a slot");
+                prop_assert_eq!(&current.phase, &Phase::Rolling);
+            }
+            prop_assert!(conductor.claims().count() <= 2 + 4, "claims stay few");
+        }
+    }
+}
--- a/crates/roll/tests/search.rs
+++ b/crates/roll/tests/search.rs
@@ -16,6 +16,7 @@
         asker: 1,
         version: "v2".into(),
         former: "v1".into(),
+        unversioned: "v1".into(),
         unready_most,
         batch: 1,
         order: Order::StopFirst,
