--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -26,6 +26,7 @@
         call: u64,
         placing: String,
         dispatcher: u32,
+        task: String,
     },
     /// A word reaches an owner.
     Heard {
@@ -76,6 +77,7 @@
         service: String,
         version: String,
         unready_most: usize,
+        ready_for_us: u64,
     },
     Probed {
         node: u32,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -19,9 +19,19 @@
     pub cancels: f64,
     /// Mean life of a task.
     pub life: Duration,
+    /// Copies of one service that run all day, and a roll of their program.
+    pub copies: usize,
+    pub roll: Option<Roll>,
     pub troubles: Vec<Trouble>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Roll {
+    pub at: Duration,
+    pub unready_most: u32,
+    pub ready_for: Duration,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Trouble {
     pub kind: Kind,
@@ -87,6 +97,8 @@
                 "unrepeatable",
                 "cancels",
                 "life",
+                "copies",
+                "roll",
                 "troubles",
             ];
             let parts = form.parts(&known)?;
@@ -104,8 +116,13 @@
                 unrepeatable: parts.or("unrepeatable", 5.0, percent)?,
                 cancels: parts.or("cancels", 1.0, percent)?,
                 life: parts.or("life", Duration::from_secs(4), |form| span(form, 3600))?,
+                copies: parts.or("copies", 0, |form| Ok(form.whole(0, 10_000)? as usize))?,
+                roll: parts.find("roll").map(roll).transpose()?,
                 troubles: Vec::new(),
             };
+            if let (Some(form), 0) = (parts.find("roll"), day.copies) {
+                return Err(form.fault("stands only beside `(copies …)`"));
+            }
             if day.deduplicated + day.unrepeatable > 100.0 {
                 return Err(form.fault("deduplicated and unrepeatable are over 100 together"));
             }
@@ -132,6 +149,15 @@
     Ok(time)
 }
 
+fn roll(form: &Form) -> Result<Roll, Fault> {
+    let parts = form.parts(&["at", "unready-most", "ready-for"])?;
+    Ok(Roll {
+        at: span(parts.need("at")?, 600)?,
+        unready_most: parts.need("unready-most")?.whole(1, 10_000)? as u32,
+        ready_for: parts.or("ready-for", Duration::from_secs(1), |form| span(form, 600))?,
+    })
+}
+
 fn trouble(form: &Form, day: &Day) -> Result<Trouble, Fault> {
     let kind = KINDS.iter().find(|(name, _)| *name == form.name).map(|(_, kind)| *kind);
     let kind = kind.ok_or_else(|| form.fault("unknown"))?;
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -293,8 +293,18 @@
         let mut limits: HashMap<&str, usize> = HashMap::new();
         // Ready copies of each task; one that was never ready is not counted yet.
         let mut ready: HashMap<&str, BTreeMap<&str, i64>> = HashMap::new();
+        let mut tasks_of: HashMap<u64, &str> = HashMap::new();
         for (index, Line { seen, .. }) in self.lines.iter().enumerate() {
             match seen {
+                Seen::Asked(asked) => drop(tasks_of.insert(asked.call, &asked.task)),
+                Seen::HandedOver { call, task, .. } => drop(tasks_of.insert(*call, task)),
+                Seen::Cancelled { call } => {
+                    // Its owner wants it no longer: that it stops is no copy missing.
+                    let task = tasks_of.get(call).copied().unwrap_or_default();
+                    ready.values_mut().for_each(|tasks| {
+                        tasks.remove(task);
+                    });
+                }
                 Seen::Roll { service, unready_most, .. } => drop(limits.insert(service, *unready_most)),
                 Seen::Ready { task, service, ready: is, done, .. } => {
                     let tasks = ready.entry(service).or_default();
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -3,7 +3,9 @@
 use crate::capture::{Asked, Repeat, Seen, Word};
 use crate::node::{Node, World};
 use async_io::Timer;
-use corkspan_api::v1::{self, placement_client::PlacementClient, word::Word as Said};
+use corkspan_api::v1::{
+    self, placement_client::PlacementClient, rolls_client::RollsClient, word::Word as Said,
+};
 use corkspan_rpc::{Bounds, Link, within};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -42,6 +44,14 @@
     }
 
     pub async fn client(&self, dispatcher: usize) -> Option<PlacementClient<Link>> {
+        self.link(dispatcher).await.map(PlacementClient::new)
+    }
+
+    pub async fn rolls(&self, dispatcher: usize) -> Option<RollsClient<Link>> {
+        self.link(dispatcher).await.map(RollsClient::new)
+    }
+
+    async fn link(&self, dispatcher: usize) -> Option<Link> {
         let (address, link) = {
             let door = self.doors[dispatcher].lock().expect("unshared");
             (door.address, door.link.clone().filter(Link::stands))
@@ -59,7 +69,7 @@
             }
             (None, None) => return None,
         };
-        Some(PlacementClient::new(link))
+        Some(link)
     }
 
     /// Where a task runs, and by which placing: the truth, as the owner's own runtime would know it.
@@ -80,6 +90,8 @@
     pub memory: f64,
     pub life: Duration,
     pub abandon: Duration,
+    /// It asks so many times at the most.
+    pub patience: u32,
     /// The owner changes its mind so long after it first asked.
     pub cancels: Option<Duration>,
 }
@@ -106,7 +118,7 @@
             Came::AskAgain => {
                 let wait = rng.random_range(1100..2800);
                 Timer::after(Duration::from_millis(wait)).await;
-                if Instant::now() >= until || asks >= 8 || task.cancels.is_some() {
+                if Instant::now() >= until || asks >= task.patience || task.cancels.is_some() {
                     return;
                 }
                 ask(&front, &task, &mut asks, &mut rng).await
@@ -154,6 +166,7 @@
         abandon_us: task.abandon.as_micros() as u64,
         first,
     }));
+    let mut open = Open { front, call, closed: false };
     let began = Instant::now();
     let talk = async {
         let Ok(words) = client.place(message(task, placing, !first)).await else { return Came::InDoubt };
@@ -171,16 +184,38 @@
         Some(after) => match within(after, talk).await {
             Some(came) => came,
             None => {
-                front.world.capture.see(Seen::Cancelled { call });
+                open.cancelled();
                 Came::Done
             }
         },
         None => talk.await,
     };
+    open.closed = true;
     front.world.capture.see(Seen::Closed { call, broken: matches!(came, Came::InDoubt) });
     came
 }
 
+/// A call under way: where its owner is gone before its end, it wants the allocation no longer.
+struct Open<'a> {
+    front: &'a Front,
+    call: u64,
+    closed: bool,
+}
+
+impl Open<'_> {
+    fn cancelled(&mut self) {
+        if !std::mem::replace(&mut self.closed, true) {
+            self.front.world.capture.see(Seen::Cancelled { call: self.call });
+        }
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.cancelled();
+    }
+}
+
 fn hear(front: &Front, call: u64, said: &Said) -> Option<Word> {
     use v1::ended::How;
     let word = match said {
@@ -231,11 +266,19 @@
     let dispatcher = rng.random_range(0..front.doors.len());
     let Some(mut client) = front.client(dispatcher).await else { return Came::InDoubt };
     let call = front.calls.fetch_add(1, Ordering::Relaxed);
-    let seen = Seen::HandedOver { call, placing: placing.clone(), dispatcher: dispatcher as u32 };
+    let seen = Seen::HandedOver {
+        call,
+        placing: placing.clone(),
+        dispatcher: dispatcher as u32,
+        task: task.name.clone(),
+    };
     front.world.capture.see(seen);
+    let mut open = Open { front, call, closed: false };
     let running = v1::Running { ask: Some(message(task, placing, true)), node };
-    match client.hand_over(running).await {
+    let came = match client.hand_over(running).await {
         Ok(words) => follow(front, call, &mut words.into_inner()).await,
         Err(_) => Came::InDoubt,
-    }
+    };
+    open.closed = true;
+    came
 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -38,6 +38,8 @@
 
 const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 const TRACKS: [&str; 3] = ["web", "index", "ledger"];
+/// The service of the copies that run all day.
+const HELD: &str = "held";
 const SPREAD: usize = 4;
 const DEDUP_WINDOW: Duration = Duration::from_secs(6);
 const COLD: Cold =
@@ -79,6 +81,7 @@
         let Day { dispatchers, .. } = self.day;
         let hall = HALLS[number % HALLS.len()];
         let kept = folder.join(format!("list-{number}.json"));
+        let rolls = folder.join(format!("rolls-{number}.redb"));
         let text = format!(
             r#"(deployment
   (listen "127.0.0.1:0") (roster "{roster}") (remembered {kept:?}) (seed {seed})
@@ -89,6 +92,7 @@
     (index (repeat deduplicated) (within hall) (window 6 s) (contract-time 1500 ms) (priority 1))
     (ledger (repeat unrepeatable) (contract-time 1500 ms) (priority 2) (spread machine) (most {SPREAD})))
   (accepts (cores 2) (memory 1.5)) (makes-room #t) (placed-when accepted) (shows-room #t) (may-probe #t)
+  (keepers 100 101 102) (rolls {rolls:?})
   (cold (lasts 6 s) (window 1 s) (offers {BEARS})) (other-hall-price 0.03))
 "#,
             seed = self.seed,
@@ -247,13 +251,24 @@
         let mut owners = Vec::new();
         let mut next = self.start;
         let mut number = 0;
+        for copy in 0..self.day.copies {
+            owners.push(self.hold(copy, until));
+        }
+        let mut roll = self.day.roll;
         loop {
+            let rolls = roll.map(|roll| self.start + roll.at);
             let trouble = troubles.peek().map(|trouble| self.start + trouble.at);
             let undo = undos.iter().map(|(at, _)| *at).min();
             let asks = (next < until).then_some(next);
-            let Some(at) = [trouble, undo, asks].into_iter().flatten().min() else { return Ok(owners) };
+            let Some(at) = [trouble, undo, asks, rolls].into_iter().flatten().min() else {
+                return Ok(owners);
+            };
             Timer::at(at).await;
-            if undo == Some(at) {
+            if rolls == Some(at)
+                && let Some(roll) = roll.take()
+            {
+                self.roll(roll).await?;
+            } else if undo == Some(at) {
                 let index = undos.iter().position(|(when, _)| *when == at).unwrap_or_default();
                 let (_, undo) = undos.swap_remove(index);
                 self.undo(undo).await?;
@@ -277,6 +292,61 @@
         }
     }
 
+    /// A copy that its owner wants until the day is over.
+    fn hold(&mut self, copy: usize, until: Instant) -> async_executor::Task<()> {
+        let task = Task {
+            name: format!("copy{copy}"),
+            service: HELD.into(),
+            track: 0,
+            track_name: TRACKS[0].into(),
+            repeat: Repeat::Idempotent,
+            cores: 0.5,
+            memory: 0.8,
+            life: Duration::from_secs(3600),
+            abandon: Duration::from_secs(5),
+            patience: u32::MAX,
+            cancels: None,
+        };
+        let own = Pcg64Mcg::seed_from_u64(self.rng.random());
+        let lives = owner::live(Arc::clone(self.front), task, own, until);
+        self.front.world.tasks.spawn(async move {
+            within(until.saturating_duration_since(Instant::now()), Box::pin(lives)).await;
+        })
+    }
+
+    /// An operator rolls the copies' program, asking one dispatcher after the other.
+    async fn roll(&mut self, roll: crate::day::Roll) -> Result<(), String> {
+        let (service, version) = (String::from(HELD), String::from("v2"));
+        let unready_most = roll.unready_most;
+        self.front.world.capture.see(Seen::Roll {
+            service: service.clone(),
+            version: version.clone(),
+            unready_most: unready_most as usize,
+            ready_for_us: roll.ready_for.as_micros() as u64,
+        });
+        let ask = v1::RollAsk {
+            service,
+            version,
+            former: "v1".into(),
+            unready_most,
+            batch: unready_most.max(1),
+            ready_for_ms: roll.ready_for.as_millis() as u64,
+            ready_within_ms: 20_000,
+            // Nodes and dispatchers may be struck meanwhile: that is not the version's fault.
+            failures_most: 1_000,
+        };
+        for dispatcher in 0..self.fleet.len() {
+            if let Some(mut client) = self.front.rolls(dispatcher).await
+                && let Some(Ok(word)) =
+                    within(Duration::from_secs(5), Box::pin(client.start(ask.clone()))).await
+                && word.into_inner().taken
+            {
+                return Ok(());
+            }
+        }
+        Err("no dispatcher has taken the roll".into())
+    }
+
     fn ask(&mut self, number: u64, until: Instant) -> async_executor::Task<()> {
         let rng = &mut self.rng;
         let draw = rng.random_range(0.0..100.0);
@@ -300,6 +370,7 @@
             memory,
             life,
             abandon: Duration::from_secs([5, 7, 7][track]),
+            patience: 8,
             cancels: cancels.then(|| Duration::from_millis(rng.random_range(0..3000))),
         };
         let own = Pcg64Mcg::seed_from_u64(rng.random());
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -24,9 +24,68 @@
     pub moves: u64,
     pub evictions: u64,
     pub fell_over: u64,
+    pub roll: Option<RollFigures>,
     pub troubles: BTreeMap<String, u64>,
 }
 
+/// How a roll went.
+#[derive(Default)]
+pub struct RollFigures {
+    pub copies: usize,
+    pub rolled: usize,
+    /// From its start to the last copy ready.
+    pub seconds: f64,
+    /// Copies over the limit, times the usual time from stopped to ready and the time to stay so.
+    pub best: f64,
+    pub unready_most: usize,
+    pub limit: usize,
+}
+
+impl RollFigures {
+    fn of(lines: &[Line]) -> Option<Self> {
+        let rolled = |line: &Line| match &line.seen {
+            Seen::Roll { service, version, unready_most, ready_for_us } => {
+                Some((line.t, service.clone(), version.clone(), *unready_most, *ready_for_us))
+            }
+            _ => None,
+        };
+        let (start, service, version, limit, ready_for) = lines.iter().find_map(rolled)?;
+        let mut own = RollFigures { limit, ..RollFigures::default() };
+        let (mut ready, mut down, mut times) = (BTreeMap::new(), HashMap::new(), Vec::new());
+        let mut last = start;
+        for Line { t, seen } in lines {
+            let Seen::Ready { task, service: of, version: runs, ready: is, .. } = seen else {
+                if matches!(seen, Seen::Cancelled { .. }) && own.rolled == own.copies && own.copies > 0 {
+                    break;
+                }
+                continue;
+            };
+            if *of != service {
+                continue;
+            }
+            if *is {
+                if *runs == version && ready.insert(task, runs.clone()).is_none_or(|old| old != version) {
+                    last = *t;
+                    times.extend(down.remove(task).map(|since: u64| (t - since) as f64 / 1e6));
+                }
+                ready.insert(task, runs.clone());
+            } else if *t > start && ready.contains_key(task) {
+                down.insert(task, *t);
+            }
+            own.copies = own.copies.max(ready.len());
+            own.rolled = ready.values().filter(|runs| **runs == version).count();
+            own.unready_most = own.unready_most.max(down.len());
+            down.retain(|task, _| ready.contains_key(task));
+        }
+        times.sort_by(f64::total_cmp);
+        let usual = times.get(times.len() / 2).copied().unwrap_or(0.0);
+        own.seconds = (last - start) as f64 / 1e6;
+        let stay = ready_for as f64 / 1e6;
+        own.best = (own.copies as f64 / limit as f64).ceil() * (usual + stay) - stay;
+        Some(own)
+    }
+}
+
 impl Table {
     pub fn of(lines: &[Line]) -> Self {
         let mut table = Table::default();
@@ -80,6 +139,7 @@
                 _ => {}
             }
         }
+        table.roll = RollFigures::of(lines);
         table.unanswered = calls.values().filter(|(_, _, answered)| !answered).count() as u64;
         if let Some(times) = times {
             let ms = |part| times.value_at_quantile(part) as f64 / 1000.0;
@@ -110,6 +170,15 @@
         writeln!(f, "moves                {}", self.moves)?;
         writeln!(f, "evicted, pushed out  {}", self.evictions)?;
         writeln!(f, "nodes fallen over    {}", self.fell_over)?;
+        if let Some(roll) = &self.roll {
+            let RollFigures { copies, rolled, seconds, best, unready_most, limit } = roll;
+            let ratio = seconds / best.max(1e-3);
+            writeln!(
+                f,
+                "roll                 {rolled} of {copies} copies in {seconds:.1} s, at best {best:.1} s: {ratio:.2}"
+            )?;
+            writeln!(f, "not ready at a time  {unready_most}, {limit} allowed")?;
+        }
         let troubles: Vec<String> =
             self.troubles.iter().map(|(name, many)| format!("{name} {many}")).collect();
         write!(
--- a/crates/lab/tests/full_path/rolls.rs
+++ b/crates/lab/tests/full_path/rolls.rs
@@ -59,6 +59,7 @@
                 memory: 1.0,
                 life: Duration::from_secs(3600),
                 abandon: Duration::from_secs(4),
+                patience: u32::MAX,
                 cancels: None,
             };
             let rng = Pcg64Mcg::seed_from_u64(number as u64);
@@ -80,8 +81,12 @@
     }
 
     async fn start(&self, dispatcher: usize, version: &str, unready_most: u32) -> v1::RollWord {
-        let seen =
-            Seen::Roll { service: "s".into(), version: version.into(), unready_most: unready_most as usize };
+        let seen = Seen::Roll {
+            service: "s".into(),
+            version: version.into(),
+            unready_most: unready_most as usize,
+            ready_for_us: 1_000_000,
+        };
         self.rigs[0].world.capture.see(seen);
         let ask = v1::RollAsk {
             service: "s".into(),
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -259,7 +259,15 @@
     script = script.dispatcher(300, D::Killed).dispatcher(310, D::Up);
     if handed {
         for call in 1..=2 {
-            script = script.see(320, Seen::HandedOver { call, placing: format!("p{call}"), dispatcher: 0 });
+            script = script.see(
+                320,
+                Seen::HandedOver {
+                    call,
+                    placing: format!("p{call}"),
+                    dispatcher: 0,
+                    task: format!("t{call}"),
+                },
+            );
         }
     }
     script = script.asks(400, 3, 2).offer(400, 3, 0, NODE).hears(401, 3, Placed);
@@ -277,3 +285,31 @@
     let why = judge(&Script::new().asks(10, 1, 0).asks(5, 2, 0).0).expect_err("unreadable");
     assert!(why.contains("line 3"), "{why}");
 }
+
+fn says_ready(script: Script, ms: u64, task: u64, ready: bool, done: bool) -> Script {
+    let (task, service, version) = (format!("t{task}"), "s".into(), "v2".into());
+    script.see(ms, Seen::Ready { node: NODE, task, service, version, ready, done })
+}
+
+/// Three copies that are ready, and a roll that lets one be down.
+fn rolling() -> Script {
+    let script = (1..=3).fold(Script::new(), |script, task| says_ready(script, 10, task, true, false));
+    let roll = Seen::Roll { service: "s".into(), version: "v2".into(), unready_most: 1, ready_for_us: 0 };
+    says_ready(script.see(20, roll), 30, 1, false, false)
+}
+
+#[test]
+fn a_roll_that_takes_two_down_where_one_may_be_is_found() {
+    says_ready(rolling(), 40, 2, false, false).breaks(6, &[7]);
+}
+
+#[test]
+fn a_roll_that_waits_for_the_first_to_be_ready_is_sound() {
+    let script = says_ready(rolling(), 40, 1, true, false);
+    says_ready(script, 50, 2, false, false).keeps_all();
+}
+
+#[test]
+fn copies_that_came_to_their_end_are_not_missing() {
+    says_ready(rolling(), 40, 2, false, true).keeps_all();
+}
