Copies that come back take slots of a roll; judge stops, not deaths, against its limit

Cause: copies lost by themselves were no matter to a roll, which went on beside them; the judge held the death of a drained node's copies against the roll, and a story took two operators one after the other for two winners.

--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -283,7 +283,7 @@
                         .detach();
                     current.set(id);
                     if let Some(conductor) = port.rolls.of(&service_name) {
-                        conductor.copy(now, &task, "");
+                        conductor.copy(now, &task, "", false);
                     }
                     Some(current)
                 }
@@ -440,7 +440,7 @@
                 return;
             };
             if let Some(conductor) = port.rolls.of(&client.ask.service) {
-                conductor.copy(now, &client.ask.task, &version);
+                conductor.copy(now, &client.ask.task, &version, false);
             }
             client.version = version;
         });
@@ -470,7 +470,7 @@
                 if !placed {
                     continue;
                 }
-                conductor.copy(now, &client.ask.task, &client.version);
+                conductor.copy(now, &client.ask.task, &client.version, false);
                 if let Some(at) = client.ready {
                     conductor.ready(at, &client.ask.task);
                 }
@@ -711,7 +711,7 @@
         client.version = self.rolls.wanted(&client.ask.service);
         (client.ready, client.stopping) = (None, false);
         if let Some(conductor) = self.rolls.of(&client.ask.service) {
-            conductor.copy(self.now, &client.ask.task, &client.version);
+            conductor.copy(self.now, &client.ask.task, &client.version, client.ask.again && !client.anew);
         }
         let shot = desk.shot(&client.ask, &asked, allocation.shots.len(), client.version.clone());
         let node = self.node(machine);
--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -64,6 +64,7 @@
         number: u32,
     },
     /// A copy says that it is ready, or is so no longer. `done`: it has come to its end and is not wanted.
+    /// `stopped`: by its dispatcher, and not by what befell it.
     Ready {
         node: u32,
         task: String,
@@ -71,6 +72,7 @@
         version: String,
         ready: bool,
         done: bool,
+        stopped: bool,
     },
     /// An operator begins a roll: from here on so many copies of the service may be not ready.
     Roll {
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -23,6 +23,8 @@
     ready: Option<Tenths>,
     /// Since when it is not.
     unready: Tenths,
+    /// It was here or elsewhere before, and is down now by no doing of a roll.
+    returning: bool,
     claim: Option<ClaimId>,
     step: Step,
 }
@@ -127,7 +129,8 @@
     }
 
     /// A copy is ours, of this version and not known to be ready: placed, being placed, or handed over.
-    pub fn copy(&mut self, now: Tenths, task: &str, version: &str) {
+    /// `returning`: its owner asks for it again after it was lost, evicted or sent away.
+    pub fn copy(&mut self, now: Tenths, task: &str, version: &str, returning: bool) {
         let own = self.claims.iter().find(|(_, own)| own.task == task);
         let (claim, step) = match own {
             Some((claim, own)) if own.won => (Some(*claim), Step::Replaced),
@@ -136,7 +139,7 @@
             None => (None, Step::Stays),
         };
         let version = if version.is_empty() { &self.roll.unversioned } else { version };
-        let copy = Copy { version: version.into(), ready: None, unready: now, claim, step };
+        let copy = Copy { version: version.into(), ready: None, unready: now, returning, claim, step };
         self.copies.insert(task.into(), copy);
     }
 
@@ -226,10 +229,11 @@
             (0..self.roll.unready_most).filter(|slot| !taken(slot)).collect()
         };
         let batch = (self.roll.batch.max(1) as usize).saturating_sub(self.claims.len()).min(free.len());
-        // Those not ready by themselves come first: while they are down they take a slot from the roll, and are
-        // replaced in passing. Then old ones that are ready.
+        // Those not ready by themselves come first: they take a slot from the roll while they are down, of the
+        // version wanted too, so that all dispatchers give way. Then old ones that are ready.
+        let down = |copy: &Copy| copy.returning && copy.ready.is_none();
         let mut next: Vec<(bool, &String)> = (self.copies.iter())
-            .filter(|(_, copy)| copy.step == Step::Stays && copy.version != wanted)
+            .filter(|(_, copy)| copy.step == Step::Stays && (copy.version != wanted || down(copy)))
             .map(|(task, copy)| (copy.ready.is_some(), task))
             .collect();
         next.sort();
