Decide what the next wish of a roll follows in crates/roll

Cause: which roll an operator's next wish follows, and its number, was decided in the dispatcher's I/O code. Change: to_follow stands beside in_force, without I/O.

--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -7,7 +7,7 @@
 use corkspan_api::v1;
 use corkspan_roll::conductor::{Conductor, Look, Votes};
 use corkspan_roll::keeper::Grant;
-use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority};
+use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority, to_follow};
 use corkspan_rpc::within;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use std::collections::BTreeMap;
@@ -432,15 +432,7 @@
         let rolls =
             told.iter().flat_map(|word| &word.kept).filter_map(|kept| kept.roll.as_ref().and_then(roll_of));
         let rolls: Vec<Roll> = rolls.filter(|roll| roll.service == service).collect();
-        let highest = rolls.iter().max_by_key(|roll| roll.number).cloned();
-        // A wish that no majority took counts for its number: the next must be above it.
-        Ok(in_force(&rolls, keepers)
-            .cloned()
-            .map(|roll| Roll {
-                number: highest.as_ref().map_or(roll.number, |highest| highest.number),
-                ..roll
-            })
-            .or(highest))
+        Ok(to_follow(&rolls, keepers))
     }
 }
 
--- a/crates/roll/src/lib.rs
+++ b/crates/roll/src/lib.rs
@@ -93,3 +93,11 @@
         told.iter().filter(|roll| majority(told.iter().filter(|other| other == roll).count(), keepers));
     agreed.max_by_key(|roll| roll.number).copied()
 }
+
+/// What the next wish follows, of what a majority of keepers tells: the roll in force, by the highest number told.
+/// A wish that no majority took counts for its number, or the next one could never be above it everywhere.
+pub fn to_follow(told: &[Roll], keepers: usize) -> Option<Roll> {
+    let highest = told.iter().max_by_key(|roll| roll.number)?;
+    let base = in_force(told, keepers).unwrap_or(highest);
+    Some(Roll { number: highest.number, ..base.clone() })
+}
--- a/crates/roll/tests/search.rs
+++ b/crates/roll/tests/search.rs
@@ -3,7 +3,7 @@
 //! search is able to find a protocol that can: turns in time, and keepers asked without a majority.
 
 use corkspan_roll::keeper::{Claimed, Grant, Keeper};
-use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority};
+use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority, to_follow};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use test_case::test_case;
 
@@ -214,6 +214,14 @@
     assert_eq!(in_force(&told[..2], KEEPERS), None, "with one keeper away nobody can tell");
 }
 
+#[test]
+fn a_wish_that_no_majority_took_is_passed_by_number_and_not_followed() {
+    let stray = Roll { version: "v9".into(), ..roll(5, 1) };
+    let next = to_follow(&[roll(4, 2), stray.clone(), roll(4, 2)], KEEPERS).expect("one in force");
+    assert_eq!((&next.version[..], next.number), ("v2", 5));
+    assert_eq!(to_follow(&[], KEEPERS), None);
+}
+
 #[test]
 fn half_is_no_majority() {
     assert!(!majority(1, 2) && majority(2, 3) && !majority(2, 4));
