Write the remembered list once a second, so that 300 dispatchers fit one host

Each dispatcher synced its list to disk after every line told; with 140 nodes' room told to 300 dispatchers each second one line at a time, that and the messages swamped a host of 4 cores.

--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -23,8 +23,10 @@
 /// Rolls in force, as JSON by service.
 const ROLLS: TableDefinition<&str, &str> = TableDefinition::new("rolls");
 
-/// Between two rounds to the keepers.
+/// Between two rounds to the keepers while a roll goes on.
 const ROUND: Duration = Duration::from_millis(300);
+/// The same while none does: hundreds of dispatchers ask the same few keepers.
+const IDLE_ROUND: Duration = Duration::from_secs(2);
 /// Services with a roll that one dispatcher follows at the most.
 const MOST: usize = 10_000;
 
@@ -163,6 +165,12 @@
         self.conductors.get(service).map_or_else(String::new, |conductor| conductor.roll().wanted().into())
     }
 
+    /// Whether any roll has steps left to take: copies of another version, slots in use, or claims of ours.
+    fn goes_on(&self) -> bool {
+        let steps = |own: &Conductor| own.claims().next().is_some() || own.has_steps();
+        self.conductors.values().any(steps) || self.held.values().any(|held| !held.is_empty())
+    }
+
     pub fn of(&mut self, service: &str) -> Option<&mut Conductor> {
         self.conductors.get_mut(service)
     }
@@ -187,7 +195,8 @@
     }
     loop {
         round(&desk).await;
-        async_io::Timer::after(ROUND).await;
+        let goes_on = desk.with_rolls(|_, rolls| rolls.goes_on());
+        async_io::Timer::after(if goes_on { ROUND } else { IDLE_ROUND }).await;
     }
 }
 
--- a/crates/dispatcher/src/roster.rs
+++ b/crates/dispatcher/src/roster.rs
@@ -2,15 +2,17 @@
 
 use crate::clock::{Clock, tenths, wall_ms};
 use crate::desk::Desk;
+use async_io::Timer;
 use corkspan::interface::*;
 use corkspan_api::v1::{self, roster_client::RosterClient};
 use corkspan_rpc::Link;
+use futures_lite::{FutureExt, future};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{info, warn};
 
 /// One line of the list, as it is kept.
@@ -53,6 +55,11 @@
     starts: BTreeMap<u32, (u64, Tenths)>,
 }
 
+/// Between two writes of the list: each is a sync of the disk, and a large cluster changes all the time.
+const BETWEEN: Duration = Duration::from_secs(1);
+/// The same where only room has changed, which is old news at the next start in any case.
+const BETWEEN_ROOM: Duration = Duration::from_secs(30);
+
 /// Kept lists larger than this are none of ours.
 const LARGEST: u64 = 64 << 20;
 
@@ -82,7 +89,9 @@
         lines.iter().filter_map(|line| self.entry(desk, line, now_ms)).collect()
     }
 
-    fn take(&mut self, desk: &Desk, listing: v1::Listing) -> (Scope, Vec<(Entry, SocketAddr)>) {
+    /// The lines as the decisions take them, and whether they tell more than room.
+    fn take(&mut self, desk: &Desk, listing: v1::Listing) -> (Scope, Vec<(Entry, SocketAddr)>, bool) {
+        let mut matters = listing.whole;
         let scope = if listing.whole { Scope::Whole } else { Scope::Changes };
         if listing.whole {
             self.lines.clear();
@@ -93,6 +102,8 @@
             match line(entry) {
                 Ok(line) => {
                     entries.extend(self.entry(desk, &line, listing.now_ms));
+                    let roomless = |line: &Line| Line { unasked: None, ..line.clone() };
+                    matters |= self.lines.get(&line.node).map(roomless) != Some(roomless(&line));
                     if line.state == Known::Gone {
                         self.lines.remove(&line.node);
                     } else {
@@ -104,7 +115,7 @@
         }
         self.starts.retain(|node, _| self.lines.contains_key(node));
         desk.count_serving(self.lines.values().filter(|line| line.state == Known::Serving).count());
-        (scope, entries)
+        (scope, entries, matters)
     }
 
     fn entry(&mut self, desk: &Desk, line: &Line, now_ms: u64) -> Option<(Entry, SocketAddr)> {
@@ -234,16 +245,37 @@
     let ask = v1::ListAsk { version: roster.version, dispatcher: desk.deployment.cluster.number as u32 };
     let mut listings = client.watch(ask).await.map_err(|why| why.message().to_string())?.into_inner();
     info!(roster = %desk.deployment.roster, version = roster.version, "watching the list");
+    // When what is known is to be on disk, and when it was written last.
+    let (mut due, mut written): (Option<Instant>, Option<Instant>) = (None, None);
     loop {
-        let listing = listings.message().await.map_err(|why| why.message().to_string())?;
-        let listing = listing.ok_or("the roster ended the watch")?;
-        let (scope, entries) = roster.take(desk, listing);
-        desk.listed(scope, &entries);
-        let Some(path) = path else { continue };
-        let kept = Roster { version: roster.version, lines: roster.lines.clone(), ..Roster::default() };
-        let path = path.to_owned();
-        if let Err(why) = blocking::unblock(move || kept.keep(&path)).await {
-            warn!(%why, "the list can't be kept on disk; a restart will know an older one");
+        let told = async {
+            let listing = listings.message().await.map_err(|why| why.message().to_string())?;
+            listing.map(Some).ok_or_else(|| "the roster ended the watch".to_string())
+        };
+        let writes = async {
+            match due {
+                Some(at) => drop(Timer::at(at).await),
+                None => future::pending().await,
+            }
+            Ok(None)
+        };
+        let told = writes.or(told).await;
+        if let Ok(Some(listing)) = told {
+            let (scope, entries, matters) = roster.take(desk, listing);
+            desk.listed(scope, &entries);
+            let apart = if matters { BETWEEN } else { BETWEEN_ROOM };
+            let at = written.map_or_else(Instant::now, |at| at + apart);
+            due = path.map(|_| due.map_or(at, |due| due.min(at)));
+            continue;
+        }
+        if let (Some(path), Some(_)) = (path, due.take()) {
+            let kept = Roster { version: roster.version, lines: roster.lines.clone(), ..Roster::default() };
+            let path = path.to_owned();
+            if let Err(why) = blocking::unblock(move || kept.keep(&path)).await {
+                warn!(%why, "the list can't be kept on disk; a restart will know an older one");
+            }
+            written = Some(Instant::now());
         }
+        told?;
     }
 }
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -343,6 +343,13 @@
         (self.copies.len(), of(&|copy| copy.version == wanted), of(&|copy| copy.ready.is_none()))
     }
 
+    /// Whether a copy here is of another version than is wanted, or not ready, while the roll goes on.
+    pub fn has_steps(&self) -> bool {
+        let wanted = self.roll.wanted();
+        let rolling = self.roll.phase == Phase::Rolling && !self.halted;
+        rolling && self.copies.values().any(|copy| copy.version != wanted || copy.ready.is_none())
+    }
+
     /// Claims that are out or held.
     pub fn claims(&self) -> impl Iterator<Item = ClaimId> {
         self.claims.keys().copied()
