--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -3,7 +3,7 @@
 use crate::facts::{Facts, tenths};
 use crate::wire::{Fault, Message};
 use corkspan::interface::*;
-use corkspan_host::{Asked, Host, Wire, service};
+use corkspan_host::{Asked, Host, Slice, Wire, service};
 use std::fmt::Write;
 
 pub struct Instance {
@@ -56,7 +56,7 @@
         let facts: Facts = serde_json::from_str(message.text("facts")?).map_err(|why| message.wrong(why))?;
         let cluster = facts.cluster().map_err(|why| message.wrong(why))?;
         // The simulator itself turns away what is beyond its cap.
-        let host = Host::new(cluster, message.get("random-seed")?, now, usize::MAX);
+        let host = Host::new(cluster, message.get("random-seed")?, now, usize::MAX, Slice::ALL);
         Ok(Instance { host, facts })
     }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -82,6 +82,10 @@
         /// Copies that may fail at one dispatcher before the roll halts.
         #[arg(long, default_value_t = 1)]
         failures_most: u32,
+        /// Start each new copy beside the old one, and stop that once the new one has stayed ready; the limit is
+        /// then on copies beside others too. What must not run twice is stopped first all the same.
+        #[arg(long)]
+        start_first: bool,
     },
     /// Tells how far a roll is, as one dispatcher sees it.
     Status { dispatcher: SocketAddr, service: String },
@@ -210,6 +214,7 @@
             ready_for_ms,
             ready_within_ms,
             failures_most,
+            start_first,
         } => called(dispatcher, async |link| {
             let ask = v1::RollAsk {
                 service,
@@ -220,6 +225,7 @@
                 ready_for_ms,
                 ready_within_ms,
                 failures_most,
+                start_first,
             };
             taken(RollsClient::new(link).start(ask).await)
         }),
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -8,10 +8,11 @@
 use corkspan::interface::*;
 use corkspan_api::v1;
 use corkspan_deployment::Deployment;
-use corkspan_host::{Asked, Host, NotTaken, Wire, service};
-use corkspan_roll::Roll;
+use corkspan_host::{Asked, Host, NotTaken, Slice, Wire, service};
+use corkspan_roll::conductor::Withdrawn;
+use corkspan_roll::{ClaimId, Roll};
 use corkspan_rpc::Tasks;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
@@ -36,6 +37,35 @@
     stopping: bool,
     /// It is being placed in the place of a copy that a roll has stopped: its owner had its answer before.
     anew: bool,
+    /// A new copy that a roll starts beside this one.
+    successor: Option<AllocationId>,
+    /// It is such a new copy, beside this one. Its owner knows nothing of it yet.
+    beside: Option<AllocationId>,
+    /// The new copy takes over as soon as this one is known to be gone.
+    retiring: bool,
+    /// Such a new copy is put away, and what is told of it no longer counts.
+    withdrawn: bool,
+}
+
+/// What a roll has left somewhere and must be known to be gone before its slot comes back.
+struct Orphan {
+    service: String,
+    task: String,
+    placings: Vec<String>,
+    /// Where it may be; anywhere, if none is told.
+    nodes: Option<Vec<MachineId>>,
+    /// Nodes that have said that it is not there.
+    told: BTreeSet<MachineId>,
+    then: Then,
+}
+
+#[derive(Clone, PartialEq, Eq)]
+enum Then {
+    /// The old one is gone, the new one has taken over.
+    Retired,
+    Withdrawn(Withdrawn),
+    /// Of an earlier life: only its claim is left, without the two.
+    Forgotten(ClaimId, rolls::Pair),
 }
 
 /// The id of an owner's allocation, as it is now.
@@ -69,6 +99,10 @@
             ready: None,
             stopping: false,
             anew: false,
+            successor: None,
+            beside: None,
+            retiring: false,
+            withdrawn: false,
         }
     }
 
@@ -107,6 +141,7 @@
     decided: Duration,
     serving: usize,
     rolls: Rolls,
+    orphans: Vec<Orphan>,
 }
 
 pub struct Inner {
@@ -149,12 +184,26 @@
         let now = clock.now();
         let store = Arc::new(rolls::Store::open(deployment.rolls.as_deref()));
         let kept = store.read();
+        // Whatever an earlier life had started beside a copy, and was killed before it had put away one of the two.
+        let orphans = kept.1.iter().filter_map(|held| {
+            let pair = held.pair.as_ref()?;
+            let old = pair.retires.then(|| pair.old.clone());
+            Some(Orphan {
+                service: held.service.clone(),
+                task: held.task.clone(),
+                placings: old.into_iter().chain([pair.new.clone()]).collect(),
+                nodes: None,
+                told: BTreeSet::new(),
+                then: Then::Forgotten(held.claim, pair.clone()),
+            })
+        });
+        let orphans: Vec<Orphan> = orphans.collect();
         Arc::new_cyclic(|desk| {
             let mut cluster = deployment.cluster.clone();
             // An offer may leave so much later than it is decided. Two windows' worth, the first late and the
             // second not, would reach a cold node closer together than they were decided.
             cluster.cold.window += deployment.bounds.connect_within;
-            let host = Host::new(cluster, seed, now, deployment.bounds.in_hand);
+            let host = Host::new(cluster, seed, now, deployment.bounds.in_hand, SLICE);
             let port = Port {
                 desk: desk.clone(),
                 now,
@@ -164,6 +213,7 @@
                 decided: Duration::ZERO,
                 serving: 0,
                 rolls: Rolls::new(deployment.cluster.number as u32, seed, now, kept),
+                orphans,
             };
             Desk {
                 inner: Mutex::new(Inner { host, port }),
@@ -358,9 +408,58 @@
         if let Some(machine) = allocation.shots.last().map(|shot| shot.machine) {
             port.stop(self, client, machine, false);
         }
+        if client.beside.is_some() {
+            return self.withdraw(id, Withdrawn::NoRoom, host, port);
+        }
+        let successor = client.successor.take();
         port.copy_gone(client, true);
         port.counters.cancelled += 1;
         host.finish(id);
+        if let Some(next) = successor {
+            self.withdraw(next, Withdrawn::NotWanted, host, port);
+        }
+    }
+
+    /// Puts a new copy away that stands beside an old one. It is told to stop until it is known to be gone.
+    fn withdraw(
+        self: &Arc<Self>,
+        id: AllocationId,
+        why: Withdrawn,
+        host: &mut Host<Client>,
+        port: &mut Port,
+    ) {
+        let Some((client, allocation)) = host.own(id) else { return };
+        let old = client.beside;
+        port.put_away(client, allocation, why);
+        host.finish(id);
+        if let Some((old, _)) = old.and_then(|old| host.own(old)) {
+            old.successor = None;
+        }
+    }
+
+    /// The new copy that stands beside this one takes its place with its owner. False where there is none that
+    /// runs.
+    fn take_over(&self, id: AllocationId, gone: bool, host: &mut Host<Client>, port: &mut Port) -> bool {
+        let Some((old, allocation)) = host.own(id) else { return false };
+        let Some(next) = old.successor else { return false };
+        let (current, hangs_up) = (old.current.clone(), old.hangs_up);
+        let (service, task, placing) =
+            (old.ask.service.clone(), old.ask.task.clone(), old.ask.placing.clone());
+        let nodes = allocation.shots.iter().map(|shot| shot.machine).collect();
+        let Some((new, allocation)) = host.own(next) else { return false };
+        let Some(machine) = allocation.shots.last().map(|shot| shot.machine) else { return false };
+        (new.beside, new.current, new.hangs_up) = (None, current, hangs_up);
+        new.current.set(next);
+        let (version, name) = (new.version.clone(), new.ask.placing.clone());
+        new.say(Said::Replaced(v1::Replaced { node: machine.0, version, placing: name }));
+        host.swap_names(id, next);
+        if gone {
+            port.retired(&service, &task);
+        } else {
+            let (placings, nodes, told) = (vec![placing], Some(nodes), BTreeSet::new());
+            port.orphans.push(Orphan { service, task, placings, nodes, told, then: Then::Retired });
+        }
+        true
     }
 
     /// A node has placed a shot. False where the shot need not be followed any longer.
@@ -375,9 +474,12 @@
                 && let Some((client, allocation)) = host.own(id)
             {
                 client.deadline = None;
+                if client.beside.is_some() {
+                    return;
+                }
                 if std::mem::take(&mut client.anew) {
-                    let version = client.version.clone();
-                    client.say(Said::Replaced(v1::Replaced { node: machine.0, version }));
+                    let (version, placing) = (client.version.clone(), client.ask.placing.clone());
+                    client.say(Said::Replaced(v1::Replaced { node: machine.0, version, placing }));
                     return;
                 }
                 port.counters.placed += 1;
@@ -402,7 +504,16 @@
     ) {
         self.with(|now, host, port| {
             let mut anew = None;
-            if let (Some(how), Some((client, allocation))) = (over, host.own(id)) {
+            if let Some((client, _)) = host.own(id)
+                && over.is_some()
+                && client.beside.is_some()
+            {
+                self.withdraw(id, Withdrawn::Failed, host, port);
+            } else if host.own(id).is_some_and(|(client, _)| over.is_some() && client.retiring)
+                && self.take_over(id, ending == Ending::Cancelled, host, port)
+            {
+                // Its owner goes on with the new one.
+            } else if let (Some(how), Some((client, allocation))) = (over, host.own(id)) {
                 // Known to be gone, since its node says so: now a copy of the version wanted may be placed.
                 if client.stopping && ending == Ending::Cancelled && !port.stopping {
                     anew = port.anew(client, allocation);
@@ -412,9 +523,13 @@
                     } else {
                         how
                     };
+                    let successor = client.successor.take();
                     port.copy_gone(client, ending == Ending::Ended);
                     client.say(Said::Ended(v1::Ended { how: how.into() }));
                     client.words.close();
+                    if let Some(next) = successor {
+                        self.withdraw(next, Withdrawn::NotWanted, host, port);
+                    }
                 }
             }
             host.returned(now, id, shot, ending, reason, over.is_some(), report, port);
@@ -436,7 +551,8 @@
     /// A copy says which version it runs: one handed over is known by that alone.
     pub fn runs(&self, id: AllocationId, version: String) {
         self.with(|now, host, port| {
-            let Some((client, _)) = host.own(id).filter(|(client, _)| client.version != version) else {
+            let other = |client: &Client| client.version != version && client.beside.is_none();
+            let Some((client, _)) = host.own(id).filter(|(client, _)| other(client)) else {
                 return;
             };
             if let Some(conductor) = port.rolls.of(&client.ask.service) {
@@ -452,6 +568,8 @@
             let Some((client, _)) = host.own(id) else { return };
             client.ready = if ready { client.ready.or(Some(now)) } else { None };
             match port.rolls.of(&client.ask.service) {
+                Some(_) if client.withdrawn => {}
+                Some(conductor) if client.beside.is_some() => conductor.grown(now, &client.ask.task, ready),
                 Some(conductor) if ready => conductor.ready(now, &client.ask.task),
                 Some(conductor) => drop(conductor.unready(now, &client.ask.task)),
                 None => {}
@@ -467,13 +585,16 @@
             port.rolls.adopt(now, roll);
             let Some(conductor) = port.rolls.of(&service).filter(|_| !known) else { return };
             for (_, client, placed) in host.all().filter(|(_, client, _)| client.ask.service == service) {
-                if !placed {
+                if !placed || client.beside.is_some() {
                     continue;
                 }
                 conductor.copy(now, &client.ask.task, &client.version, false);
                 if let Some(at) = client.ready {
                     conductor.ready(at, &client.ask.task);
                 }
+                if !self.may_run_twice(&client.ask.track) {
+                    conductor.only_once(&client.ask.task);
+                }
             }
         });
     }
@@ -489,6 +610,168 @@
         });
     }
 
+    fn may_run_twice(&self, track: &str) -> bool {
+        let index = self.deployment.tracks.iter().position(|known| known == track);
+        let track = index.and_then(|index| self.deployment.cluster.tracks.get(index));
+        track.is_some_and(|track| track.repeat == Repeat::Idempotent)
+    }
+
+    /// The two of a copy that grows: to be kept on disk before the new one is offered anywhere.
+    pub fn pair(&self, task: &str) -> Option<rolls::Pair> {
+        let mut inner = self.lock();
+        let id = inner.host.find(task)?;
+        let (client, _) = inner.host.own(id)?;
+        let (old, successor, retires) = (client.ask.placing.clone(), client.successor, client.retiring);
+        let new = successor.and_then(|next| inner.host.own(next));
+        let new = new.map_or_else(|| next_placing(&old), |(client, _)| client.ask.placing.clone());
+        Some(rolls::Pair { new, old, retires })
+    }
+
+    /// Starts a copy of the version wanted beside one that runs, by the ordinary path.
+    pub fn grow(self: &Arc<Self>, task: &str, placing: &str) {
+        self.with(|now, host, port| {
+            let Some(old) = host.find(task) else { return };
+            let successor = host.own(old).and_then(|(client, _)| client.successor);
+            let stands = |(client, _): (&mut Client, &Allocation)| !client.withdrawn;
+            if successor.and_then(|next| host.own(next)).is_some_and(stands) {
+                return;
+            }
+            let Some((client, allocation)) = host.own(old) else { return };
+            let ask = v1::Ask { placing: placing.into(), ..client.ask.clone() };
+            let Some(within) = port.rolls.of(&ask.service).map(|own| own.roll().ready_within) else { return };
+            let asked = Asked {
+                service: allocation.service,
+                track: allocation.track,
+                account: allocation.account,
+                asks: allocation.asks,
+                abandon: now + within,
+            };
+            let fresh = Client::new(ask, &client.words);
+            let fresh = Client { deadline: Some(now + within), beside: Some(old), ..fresh };
+            // A name that no owner gives: its own is taken by the old one.
+            match host.take(now, &format!("{task}\u{0}{placing}"), asked, fresh) {
+                Ok(id) => {
+                    if let Some((client, _)) = host.own(old) {
+                        client.successor = Some(id);
+                    }
+                    host.place(now, id, port);
+                }
+                Err((why, client)) => {
+                    warn!(task, %why, "no new copy can be placed beside an old one here");
+                    port.withdrawn(&client.ask.service, task, Withdrawn::NoRoom);
+                }
+            }
+        });
+    }
+
+    /// Stops an old copy whose new one has stayed ready for its time.
+    pub fn retire(self: &Arc<Self>, task: &str) {
+        let found = {
+            let mut inner = self.lock();
+            let id = inner.host.find(task);
+            id.and_then(|id| inner.host.own(id).map(|(client, _)| client.retiring = true))
+        };
+        if found.is_some() {
+            self.replace(task);
+        }
+    }
+
+    /// A new copy that could not even be begun.
+    pub fn not_grown(&self, service: &str, task: &str) {
+        self.with(|_, _, port| port.withdrawn(service, task, Withdrawn::NoRoom));
+    }
+
+    /// Puts away a new copy that is not wanted any more.
+    pub fn put_away(self: &Arc<Self>, task: &str) {
+        self.with(|_, host, port| {
+            let next = host.find(task).and_then(|id| host.own(id)).and_then(|(client, _)| client.successor);
+            if let Some(next) = next {
+                self.withdraw(next, Withdrawn::NotWanted, host, port);
+            }
+        });
+    }
+
+    /// Tells nodes of what is to be gone, each until it has answered; gives slots back whose copies are.
+    pub async fn clear_orphans(self: &Arc<Self>) {
+        let asks: Vec<(usize, MachineId, Arc<NodeLink>, Vec<v1::StopAsk>)> = {
+            let inner = self.lock();
+            let port = &inner.port;
+            let all = port.orphans.iter().enumerate().flat_map(|(index, orphan)| {
+                let here = port.nodes.iter().filter(|(machine, _)| {
+                    orphan.nodes.as_ref().is_none_or(|nodes| nodes.contains(machine))
+                        && !orphan.told.contains(machine)
+                });
+                here.map(move |(machine, node)| {
+                    // Whoever holds it by now hears that it moved, and asks again.
+                    let stop = |placing: &String| v1::StopAsk {
+                        placing: placing.clone(),
+                        task: orphan.task.clone(),
+                        moved: true,
+                    };
+                    (index, *machine, Arc::clone(node), orphan.placings.iter().map(stop).collect())
+                })
+            });
+            all.collect()
+        };
+        let calls: Vec<_> = asks
+            .into_iter()
+            .map(|(index, machine, node, stops)| {
+                let desk = Arc::clone(self);
+                let tasks = Arc::clone(&self.tasks);
+                tasks.spawn(async move {
+                    for stop in stops {
+                        shots::stop(desk.clone(), node.clone(), stop).await?;
+                    }
+                    Some((index, machine))
+                })
+            })
+            .collect();
+        let mut told = Vec::new();
+        for call in calls {
+            told.extend(call.await);
+        }
+        let forgotten = self.with(|_, _, port| {
+            for (index, machine) in told {
+                // Only this task takes any out, so the places are the same.
+                port.orphans[index].told.insert(machine);
+            }
+            let known: BTreeSet<MachineId> = port.nodes.keys().copied().collect();
+            let gone = |orphan: &Orphan| {
+                let mut all = known.iter();
+                // Before the list is known nothing is.
+                !known.is_empty()
+                    && all.all(|machine| {
+                        let else_where = orphan.nodes.as_ref().is_some_and(|nodes| !nodes.contains(machine));
+                        else_where || orphan.told.contains(machine)
+                    })
+            };
+            let (done, rest) = std::mem::take(&mut port.orphans).into_iter().partition(gone);
+            port.orphans = rest;
+            let done: Vec<Orphan> = done;
+            done.into_iter()
+                .filter_map(|orphan| match orphan.then {
+                    Then::Retired => {
+                        port.retired(&orphan.service, &orphan.task);
+                        None
+                    }
+                    Then::Withdrawn(why) => {
+                        port.withdrawn(&orphan.service, &orphan.task, why);
+                        None
+                    }
+                    Then::Forgotten(claim, pair) => Some((claim, pair)),
+                })
+                .collect::<Vec<_>>()
+        });
+        for (claim, pair) in forgotten {
+            info!(
+                old = pair.old,
+                new = pair.new,
+                "what was left of a replacing before the restart is put away"
+            );
+            rolls::forget_pair(self, claim, pair).await;
+        }
+    }
+
     /// Says it again to nodes that have not stopped a copy yet: word to them is one try each.
     pub fn stop_old_copies(self: &Arc<Self>) {
         let tasks: Vec<String> = {
@@ -611,7 +894,7 @@
                 host.returned(now, id, shot, Ending::TimedOut, None, false, None, port);
             }
             for (_, client, runs) in host.all() {
-                if runs {
+                if runs && client.beside.is_none() {
                     client.say(Said::Ended(v1::Ended { how: v1::ended::How::HandedBack.into() }));
                 }
                 client.words.close();
@@ -625,6 +908,16 @@
     }
 }
 
+/// Some 2 ms of work, and as long for the sockets.
+const SLICE: Slice = Slice { most: 32, apart: 20 };
+
+/// The name of a placing that follows this one in a roll. None of an earlier life or try may be met again: word to
+/// stop that one may still be under way.
+fn next_placing(placing: &str) -> String {
+    let (first, _) = placing.rsplit_once('~').unwrap_or((placing, ""));
+    format!("{first}~{:x}", crate::clock::wall_ms())
+}
+
 /// No owner waits longer for a placing.
 const LONGEST: Tenths = 24 * 3600 * 10_000;
 
@@ -657,13 +950,50 @@
             asks: allocation.asks,
             abandon,
         };
-        let (first, many) = client.ask.placing.rsplit_once('~').unwrap_or((&client.ask.placing, "0"));
-        let placing = format!("{first}~{}", many.parse::<u64>().unwrap_or(0) + 1);
+        let placing = next_placing(&client.ask.placing);
         let fresh = Client::new(v1::Ask { placing, ..client.ask.clone() }, &client.words);
         let (current, hangs_up) = (client.current.clone(), client.hangs_up);
         Some((asked, Client { deadline: Some(abandon), hangs_up, current, anew: true, ..fresh }))
     }
 
+    /// The old copy is gone, and the new one has its place.
+    fn retired(&mut self, service: &str, task: &str) {
+        let claims = self.rolls.of(service).map(|own| own.retired(task)).unwrap_or_default();
+        self.give_back(service, claims);
+    }
+
+    /// From here on a new copy beside an old one counts for nothing; its slot comes back when it is known to be
+    /// gone.
+    fn put_away(&mut self, client: &mut Client, allocation: &Allocation, why: Withdrawn) {
+        if std::mem::replace(&mut client.withdrawn, true) {
+            return;
+        }
+        self.orphans.push(Orphan {
+            service: client.ask.service.clone(),
+            task: client.ask.task.clone(),
+            placings: vec![client.ask.placing.clone()],
+            nodes: Some(allocation.shots.iter().map(|shot| shot.machine).collect()),
+            told: BTreeSet::new(),
+            then: Then::Withdrawn(why),
+        });
+    }
+
+    /// A new copy beside an old one is no more.
+    fn withdrawn(&mut self, service: &str, task: &str, why: Withdrawn) {
+        let now = self.now;
+        let claims = self.rolls.of(service).map(|own| own.withdrawn(now, task, why)).unwrap_or_default();
+        self.give_back(service, claims);
+    }
+
+    fn give_back(&mut self, service: &str, claims: Vec<ClaimId>) {
+        let Some(desk) = self.desk.upgrade() else { return };
+        for claim in claims {
+            let (desk, service) = (Arc::clone(&desk), service.to_string());
+            let tasks = Arc::clone(&desk.tasks);
+            tasks.spawn(async move { rolls::release(&desk, &service, claim).await }).detach();
+        }
+    }
+
     /// A copy is ours no longer. `wanted_no_more`: its owner does not come again for it.
     fn copy_gone(&mut self, client: &Client, wanted_no_more: bool) {
         let (service, task) = (&client.ask.service, &client.ask.task);
@@ -671,12 +1001,8 @@
         if !wanted_no_more {
             return conductor.died(self.now, task);
         }
-        let Some(desk) = self.desk.upgrade() else { return };
-        for claim in conductor.gone(task) {
-            let (desk, service) = (Arc::clone(&desk), service.clone());
-            let tasks = Arc::clone(&desk.tasks);
-            tasks.spawn(async move { rolls::release(&desk, &service, claim).await }).detach();
-        }
+        let claims = conductor.gone(task);
+        self.give_back(service, claims);
     }
 
     /// The final answer, unless the owner's time is already up.
@@ -710,8 +1036,11 @@
         };
         client.version = self.rolls.wanted(&client.ask.service);
         (client.ready, client.stopping) = (None, false);
-        if let Some(conductor) = self.rolls.of(&client.ask.service) {
+        if let Some(conductor) = self.rolls.of(&client.ask.service).filter(|_| client.beside.is_none()) {
             conductor.copy(self.now, &client.ask.task, &client.version, client.ask.again && !client.anew);
+            if !desk.may_run_twice(&client.ask.track) {
+                conductor.only_once(&client.ask.task);
+            }
         }
         let shot = desk.shot(&client.ask, &asked, allocation.shots.len(), client.version.clone());
         let node = self.node(machine);
@@ -724,6 +1053,10 @@
     }
 
     fn shed(&mut self, client: &mut Client, allocation: &Allocation) {
+        if client.beside.is_some() {
+            // Its owner has the old one, and knows of none other.
+            return self.put_away(client, allocation, Withdrawn::NoRoom);
+        }
         let (why, shots) = (v1::refused::Why::NoRoom.into(), allocation.shots.len() as u32);
         let text = "no machine could take it in its time".into();
         if self.answer(client, Said::Refused(v1::Refused { why, text, shots })) {
@@ -732,6 +1065,9 @@
     }
 
     fn scrap(&mut self, client: &mut Client, allocation: &Allocation) {
+        if client.beside.is_some() {
+            return self.put_away(client, allocation, Withdrawn::NoRoom);
+        }
         let shots = allocation.shots.len() as u32;
         let text = "a shot may have run, and a further one is not allowed".into();
         if self.answer(client, Said::Failed(v1::Failed { text, shots })) {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -68,6 +68,7 @@
     let path = deployment.remembered.clone();
     let bounds = deployment.bounds.clone();
     let desk = Desk::new(deployment, seed, clock, &tasks, wakes, watches);
+    let _closes = rolls::Closes(Arc::clone(&desk.store));
     let mut roster = path.as_deref().map(Roster::remembered).unwrap_or_default();
     let entries = roster.entries(&desk);
     info!(%address, remembered = entries.len(), "listening");
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -10,15 +10,16 @@
 use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority, to_follow};
 use corkspan_rpc::within;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 use tonic::{Request, Response, Status};
 use tracing::{error, info, warn};
 use v1::keep_ask::Ask;
 
-/// Claims that are out or held, as JSON of service, task and whether it is known to be won.
+/// Claims that are out or held, as JSON.
 const CLAIMS: TableDefinition<u64, &str> = TableDefinition::new("claims");
 /// Rolls in force, as JSON by service.
 const ROLLS: TableDefinition<&str, &str> = TableDefinition::new("rolls");
@@ -30,16 +31,50 @@
 /// Services with a roll that one dispatcher follows at the most.
 const MOST: usize = 10_000;
 
+/// Two copies of one task that a roll has beside each other, by their placings.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pair {
+    pub old: String,
+    pub new: String,
+    /// The old one is being stopped: either may be the one that its owner knows.
+    pub retires: bool,
+}
+
+/// A claim as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    #[serde(skip, default = "nobody")]
+    pub claim: ClaimId,
+    pub service: String,
+    pub task: String,
+    /// A majority has granted it.
+    pub won: bool,
+    pub pair: Option<Pair>,
+}
+
+fn nobody() -> ClaimId {
+    ClaimId(0)
+}
+
 /// What survives a restart.
-pub struct Store(Option<Database>);
+pub struct Store(RwLock<Option<Database>>);
+
+/// Closes the store when it goes, whoever still has a hand on the desk: the next life in this process opens it.
+pub struct Closes(pub Arc<Store>);
+
+impl Drop for Closes {
+    fn drop(&mut self) {
+        *self.0.0.write().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+}
 
 impl Store {
     /// Opens the store; one that can't be read is set aside and said, and begun anew: the keepers still hold
     /// what it held.
     pub fn open(path: Option<&Path>) -> Self {
-        let Some(path) = path else { return Store(None) };
+        let Some(path) = path else { return Store(RwLock::new(None)) };
         let why = match sound(path) {
-            Ok(database) => return Store(Some(database)),
+            Ok(database) => return Store(RwLock::new(Some(database))),
             Err(why) => why,
         };
         let aside = path.with_extension("aside");
@@ -48,10 +83,10 @@
             warn!(path = %path.display(), %why, "and can't be set aside either");
         }
         match sound(path) {
-            Ok(database) => Store(Some(database)),
+            Ok(database) => Store(RwLock::new(Some(database))),
             Err(why) => {
                 error!(path = %path.display(), why, "no store of rolls: this dispatcher takes no step of any");
-                Store(None)
+                Store(RwLock::new(None))
             }
         }
     }
@@ -60,7 +95,8 @@
         &self,
         change: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
     ) -> Result<(), String> {
-        let Some(database) = &self.0 else { return Err("there is no store".into()) };
+        let open = self.0.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(database) = &*open else { return Err("there is no store".into()) };
         let whole = || {
             let transaction = database.begin_write()?;
             change(&transaction)?;
@@ -70,10 +106,10 @@
         whole().map_err(|why| why.to_string())
     }
 
-    fn claim(&self, claim: ClaimId, service: &str, task: &str, won: bool) -> Result<(), String> {
-        let text = serde_json::to_string(&(service, task, won)).map_err(|why| why.to_string())?;
+    fn claim(&self, held: &Held) -> Result<(), String> {
+        let text = serde_json::to_string(held).map_err(|why| why.to_string())?;
         self.write(|transaction| {
-            transaction.open_table(CLAIMS)?.insert(claim.0, &text[..])?;
+            transaction.open_table(CLAIMS)?.insert(held.claim.0, &text[..])?;
             Ok(())
         })
     }
@@ -94,7 +130,8 @@
     }
 
     pub fn read(&self) -> Kept {
-        let Some(database) = &self.0 else { return Default::default() };
+        let open = self.0.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(database) = &*open else { return Default::default() };
         read(database).unwrap_or_else(|why| {
             error!(why, "the store of rolls can't be read");
             Default::default()
@@ -125,17 +162,17 @@
     }
     for line in transaction.open_table(CLAIMS).map_err(text)?.iter().map_err(text)? {
         let (claim, value) = line.map_err(text)?;
-        let (service, task, won) = serde_json::from_str(value.value()).map_err(text)?;
-        claims.push((ClaimId(claim.value()), service, task, won));
+        let held: Held = serde_json::from_str(value.value()).map_err(text)?;
+        claims.push(Held { claim: ClaimId(claim.value()), ..held });
     }
     Ok((rolls, claims))
 }
 
-/// What the store held at the start: rolls, and claims with service, task and whether they were won.
-pub type Kept = (Vec<Roll>, Vec<(ClaimId, String, String, bool)>);
+/// What the store held at the start.
+pub type Kept = (Vec<Roll>, Vec<Held>);
 
 /// Slots that keepers tell of, each with how many tell it.
-type Held = Vec<(u32, Grant, usize)>;
+type Told = Vec<(u32, Grant, usize)>;
 
 /// The rolls that a dispatcher knows of, by service.
 pub struct Rolls {
@@ -143,7 +180,7 @@
     seed: u64,
     conductors: BTreeMap<String, Conductor>,
     /// What keepers told last.
-    held: BTreeMap<String, Held>,
+    held: BTreeMap<String, Told>,
     heard: usize,
 }
 
@@ -151,7 +188,7 @@
     pub fn new(me: u32, seed: u64, now: Tenths, (rolls, claims): Kept) -> Self {
         let mut own = Rolls { me, seed, conductors: BTreeMap::new(), held: BTreeMap::new(), heard: 0 };
         rolls.into_iter().for_each(|roll| own.adopt(now, roll));
-        for (claim, service, task, won) in claims {
+        for Held { claim, service, task, won, .. } in claims {
             match own.conductors.get_mut(&service) {
                 Some(conductor) => conductor.remember(claim, &task, won),
                 None => warn!(service, task, "a claim of a roll that the store doesn't know"),
@@ -193,6 +230,8 @@
     if desk.deployment.keepers.is_empty() {
         return;
     }
+    // Apart from the rounds: a node that is out of reach must not hold them up.
+    let _clears = desk.tasks.spawn(clear_all(Arc::clone(&desk)));
     loop {
         round(&desk).await;
         let goes_on = desk.with_rolls(|_, rolls| rolls.goes_on());
@@ -200,10 +239,17 @@
     }
 }
 
+async fn clear_all(desk: Arc<Desk>) {
+    loop {
+        desk.clear_orphans().await;
+        async_io::Timer::after(ROUND).await;
+    }
+}
+
 async fn round(desk: &Arc<Desk>) {
     let told = ask_all(desk, Ask::Tell(v1::Tell {})).await;
     let keepers = desk.deployment.keepers.len();
-    let mut by_service: BTreeMap<String, (Vec<Roll>, Held)> = BTreeMap::new();
+    let mut by_service: BTreeMap<String, (Vec<Roll>, Told)> = BTreeMap::new();
     for kept in told.iter().flat_map(|word| &word.kept) {
         let Some(roll) = kept.roll.as_ref().and_then(roll_of) else { continue };
         let (rolls, held) = by_service.entry(roll.service.clone()).or_default();
@@ -271,12 +317,20 @@
         let halted = roll.with_phase(Phase::Halted(why), u64::from(desk.deployment.cluster.number as u32));
         let _ = propose(desk, halted).await;
     }
+    look.withdraw.iter().for_each(|task| desk.put_away(task));
+    for task in look.retire {
+        // On disk before the old one is stopped: a restart can't know which of the two the owner has.
+        if keep_pair(desk, service, &task, true).await.is_some() {
+            desk.retire(&task);
+        }
+    }
+    grow(desk, service, look.grow).await;
     for task in look.replace {
         desk.replace(&task);
     }
     for (claim, slot, task) in look.claims {
         let mut granted = 0;
-        if keep_claim(desk, claim, service, &task, false).await {
+        if keep_claim(desk, claim, service, &task, false, None).await {
             let dispatcher = desk.deployment.cluster.number as u32;
             let slot = v1::Slot { slot, claim: claim.0, task: task.clone(), dispatcher };
             let ask = v1::Claim { service: service.into(), number: roll.number, slot: Some(slot) };
@@ -285,7 +339,7 @@
         }
         let keepers = desk.deployment.keepers.len();
         // On disk before anything is taken down under it: a restart must know that the slot is used.
-        if majority(granted, keepers) && !keep_claim(desk, claim, service, &task, true).await {
+        if majority(granted, keepers) && !keep_claim(desk, claim, service, &task, true, None).await {
             granted = 0;
         }
         let votes = Votes { granted, keepers };
@@ -297,16 +351,56 @@
             continue;
         }
         // At once: a slot that is held and not used may be taken for one that was left behind.
-        let replace = desk.with_rolls(|now, rolls| {
-            rolls.of(service).map(|conductor| conductor.look_at_held(now)).unwrap_or_default()
+        let (grown, replace) = desk.with_rolls(|now, rolls| {
+            let both = rolls.of(service).map(|own| (own.look_to_grow(now), own.look_at_held(now)));
+            both.unwrap_or_default()
         });
+        grow(desk, service, grown).await;
         replace.into_iter().for_each(|task| desk.replace(&task));
     }
 }
 
-async fn keep_claim(desk: &Arc<Desk>, claim: ClaimId, service: &str, task: &str, won: bool) -> bool {
-    let (store, of, name) = (Arc::clone(&desk.store), service.to_string(), task.to_string());
-    let kept = blocking::unblock(move || store.claim(claim, &of, &name, won)).await;
+/// The two of an earlier life are put away: the claim alone stays on disk, unless it is used anew by now.
+pub async fn forget_pair(desk: &Arc<Desk>, claim: ClaimId, pair: Pair) {
+    let store = Arc::clone(&desk.store);
+    let kept = blocking::unblock(move || {
+        let held =
+            store.read().1.into_iter().find(|held| held.claim == claim && held.pair == Some(pair.clone()));
+        held.map_or(Ok(()), |held| store.claim(&Held { pair: None, ..held }))
+    });
+    if let Err(why) = kept.await {
+        warn!(why, "what an earlier life left is gone, and stays on disk");
+    }
+}
+
+/// Starts new copies beside old ones.
+async fn grow(desk: &Arc<Desk>, service: &str, tasks: Vec<String>) {
+    for task in tasks {
+        match keep_pair(desk, service, &task, false).await {
+            Some(pair) => desk.grow(&task, &pair.new),
+            None => desk.not_grown(service, &task),
+        }
+    }
+}
+
+/// Keeps on disk that two copies of a task are about to be beside each other, or the old one to be stopped.
+async fn keep_pair(desk: &Arc<Desk>, service: &str, task: &str, retires: bool) -> Option<Pair> {
+    let claim = desk.with_rolls(|_, rolls| rolls.of(service)?.claim_of(task))?;
+    let pair = Pair { retires, ..desk.pair(task)? };
+    keep_claim(desk, claim, service, task, true, Some(pair.clone())).await.then_some(pair)
+}
+
+async fn keep_claim(
+    desk: &Arc<Desk>,
+    claim: ClaimId,
+    service: &str,
+    task: &str,
+    won: bool,
+    pair: Option<Pair>,
+) -> bool {
+    let store = Arc::clone(&desk.store);
+    let held = Held { claim, service: service.into(), task: task.into(), won, pair };
+    let kept = blocking::unblock(move || store.claim(&held)).await;
     if let Err(why) = &kept {
         warn!(service, task, why, "a claim can't be kept on disk, and is not used");
     }
@@ -384,6 +478,7 @@
         failures_most: roll.failures_most,
         phase: phase.into(),
         why,
+        start_first: roll.order == Order::StartFirst,
     }
 }
 
@@ -399,7 +494,7 @@
         unversioned: roll.unversioned.clone(),
         unready_most: roll.unready_most,
         batch: roll.batch.max(1),
-        order: Order::StopFirst,
+        order: if roll.start_first { Order::StartFirst } else { Order::StopFirst },
         ready_for: roll.ready_for,
         ready_within: roll.ready_within,
         failures_most: roll.failures_most,
@@ -479,7 +574,7 @@
             former,
             unready_most: ask.unready_most,
             batch: ask.batch.max(1),
-            order: Order::StopFirst,
+            order: if ask.start_first { Order::StartFirst } else { Order::StopFirst },
             ready_for: ask.ready_for_ms * 10,
             ready_within: ask.ready_within_ms * 10,
             failures_most: ask.failures_most,
--- a/crates/dispatcher/src/shots.rs
+++ b/crates/dispatcher/src/shots.rs
@@ -66,7 +66,7 @@
             Some(Ok(link)) => link,
             other => {
                 debug!(machine = machine.0, why = ?other.map(Result::err), "no link");
-                return First::Back(Back::plain(Ending::Unconnected));
+                return First::Back(Back::plain(no_link(decided, latest)));
             }
         };
         // What is offered later than this is not what was decided: what a cold node bears in a window, and who
@@ -82,7 +82,8 @@
     };
     // On the heap, and gone with the first word: what follows an allocation through its life is small.
     let first = within(time_out, Box::pin(first)).await.unwrap_or_else(|| {
-        let ending = if written.load(Ordering::Relaxed) { Ending::TimedOut } else { Ending::Unconnected };
+        let ending =
+            if written.load(Ordering::Relaxed) { Ending::TimedOut } else { no_link(decided, time_out) };
         First::Back(Back::plain(ending))
     });
     drop(open);
@@ -95,6 +96,13 @@
     }
 }
 
+/// What it says of a node that no link to it came to stand. Where that is noticed long after its time was up, this
+/// process was too busy to see one stand: then it says nothing of the node, and blaming it would empty the list of
+/// a dispatcher under a burst.
+fn no_link(decided: Instant, latest: Duration) -> Ending {
+    if decided.elapsed() > latest + latest / 2 { Ending::NotSent } else { Ending::Unconnected }
+}
+
 /// Follows an allocation that was running before this dispatcher had it.
 pub async fn attend(
     desk: Arc<Desk>,
@@ -179,17 +187,20 @@
     desk.returned(id, number, ending, reason, Some(how), report);
 }
 
-/// Tells a node that an allocation is not wanted there. One try: the word is about what may be gone already.
-pub async fn stop(desk: Arc<Desk>, node: Arc<NodeLink>, stop: v1::StopAsk) {
+/// Tells a node that an allocation is not wanted there. One try: the word is about what may be gone already. None
+/// where the node has not answered.
+pub async fn stop(desk: Arc<Desk>, node: Arc<NodeLink>, stop: v1::StopAsk) -> Option<()> {
     let _call = node.call();
     let patience = desk.link_bounds.keep_alive;
     let said = within(patience, async {
         let link = node.ready(&desk.tasks, &desk.link_bounds).await.ok()?;
         client(&desk, link).stop(stop).await.ok()
     });
-    if said.await.flatten().is_none() {
+    let said = said.await.flatten();
+    if said.is_none() {
         debug!(address = %node.address, "a node could not be told to stop an allocation");
     }
+    said.map(drop)
 }
 
 pub async fn probe(desk: Arc<Desk>, machine: MachineId, node: Arc<NodeLink>) {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,7 +5,7 @@
 use corkspan::interface::*;
 use corkspan::rules::Scheduler;
 use fnv::FnvHasher;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::Hasher;
 
 /// What the caller does with the answers of the decisions. `T` is what it keeps with each allocation.
@@ -71,6 +71,20 @@
     pub placed: usize,
 }
 
+/// How many that were answered "not yet" are asked for again in one go, and the time between two goes. Thousands
+/// at once would keep a caller with sockets from reading them: then nothing is heard of the links whose word is
+/// waited for, and all are asked for again in vain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Slice {
+    pub most: usize,
+    pub apart: Tenths,
+}
+
+impl Slice {
+    /// All at once, for a caller that has nothing else to do meanwhile.
+    pub const ALL: Slice = Slice { most: usize::MAX, apart: 0 };
+}
+
 /// One instance: its decisions and what it holds.
 pub struct Host<T> {
     scheduler: Scheduler,
@@ -78,6 +92,11 @@
     by_name: HashMap<String, AllocationId>,
     /// Answered with "not yet", in the order taken.
     not_yet: Vec<AllocationId>,
+    /// Of those, the ones to be asked for again now, slice by slice.
+    again: VecDeque<AllocationId>,
+    slice: Slice,
+    /// No slice is begun before.
+    slice_at: Tenths,
     taken: u64,
     most: usize,
     /// When the earliest timer under way falls due.
@@ -86,12 +105,15 @@
 
 impl<T> Host<T> {
     /// `most` allocations are in hand at a time at the most; usize::MAX where the caller is bounded otherwise.
-    pub fn new(cluster: Cluster, seed: u64, now: Tenths, most: usize) -> Self {
+    pub fn new(cluster: Cluster, seed: u64, now: Tenths, most: usize, slice: Slice) -> Self {
         Host {
             scheduler: Scheduler::new(cluster, seed, now),
             held: BTreeMap::new(),
             by_name: HashMap::new(),
             not_yet: Vec::new(),
+            again: VecDeque::new(),
+            slice,
+            slice_at: now,
             taken: 0,
             most,
             armed: None,
@@ -231,14 +253,22 @@
                 }
             }
             if wait.ask_again {
-                for id in std::mem::take(&mut self.not_yet) {
-                    self.place(now, id, wire);
-                }
+                self.again.extend(self.not_yet.drain(..));
+            }
+            if !self.again.is_empty() && now >= self.slice_at {
+                let many = self.again.len().min(self.slice.most);
+                let slice: Vec<AllocationId> = self.again.drain(..many).collect();
+                slice.into_iter().for_each(|id| self.place(now, id, wire));
+                self.slice_at = now + self.slice.apart;
                 continue;
             }
-            let at = now + wait.time.max(1);
+            let time = match self.again.is_empty() {
+                true => wait.time,
+                false => wait.time.min(self.slice_at.saturating_sub(now)),
+            };
+            let at = now + time.max(1);
             if self.armed.is_none_or(|armed| armed > at) {
-                wire.wake(wait.time.max(1));
+                wire.wake(time.max(1));
                 self.armed = Some(at);
             }
             return;
@@ -267,6 +297,7 @@
         }
         waits.into_iter().for_each(|id| self.place(now, id, wire));
         self.not_yet.clear();
+        self.again.clear();
     }
 
     /// Those that are owed an answer while a shot of theirs is out, with the number of that shot.
@@ -279,6 +310,21 @@
         self.by_name.get(name).copied()
     }
 
+    /// Exchanges the names of two in hand: the one takes the other's place with its owner.
+    pub fn swap_names(&mut self, one: AllocationId, other: AllocationId) {
+        if !self.held.contains_key(&one) {
+            return;
+        }
+        let Some(name) = self.held.get(&other).map(|held| held.name.clone()) else { return };
+        let Some(held) = self.held.get_mut(&one) else { return };
+        let former = std::mem::replace(&mut held.name, name.clone());
+        self.by_name.insert(name, one);
+        self.by_name.insert(former.clone(), other);
+        if let Some(held) = self.held.get_mut(&other) {
+            held.name = former;
+        }
+    }
+
     /// What the caller keeps with one in hand, and the allocation.
     pub fn own(&mut self, id: AllocationId) -> Option<(&mut T, &Allocation)> {
         self.held.get_mut(&id).map(|held| (&mut held.own, &held.allocation))
--- a/crates/host/tests/stories.rs
+++ b/crates/host/tests/stories.rs
@@ -1,7 +1,7 @@
 //! What a caller relies on, one story each, against a wire that writes down what it is told.
 
 use corkspan::interface::*;
-use corkspan_host::{Asked, Host, NotTaken, Wire, service};
+use corkspan_host::{Asked, Host, NotTaken, Slice, Wire, service};
 
 const SECOND: Tenths = 10_000;
 
@@ -57,7 +57,7 @@
         cold: Cold { lasts: SECOND, window: SECOND, offers: 5.0 },
         other_hall_price: 0.0,
     };
-    let mut host = Host::new(cluster, 1, 0, most);
+    let mut host = Host::new(cluster, 1, 0, most, Slice { most: 2, apart: 20 });
     let entry = |id| Entry {
         machine: MachineId(id),
         kind: KindId(0),
@@ -113,6 +113,48 @@
     assert_eq!(host.counts(), Default::default());
 }
 
+#[test]
+fn many_that_wait_are_asked_for_again_a_few_at_a_time_and_all_of_them() {
+    let (mut host, mut wire) = (host(Repeat::Idempotent, 0, 10), Noted::default());
+    for name in ["a", "b", "c", "d", "e"] {
+        let id = host.take(0, name, asked(10 * SECOND), name).expect("room");
+        host.place(0, id, &mut wire);
+    }
+    assert_eq!((wire.said(), host.counts().not_yet), (String::new(), 5));
+    let size = Entry {
+        machine: MachineId(7),
+        kind: KindId(0),
+        hall: HallId(0),
+        cell: CellId(0),
+        state: State::Serving,
+        started: None,
+        unasked: None,
+    };
+    host.listed(Scope::Whole, &[size]);
+    let mut slices = Vec::new();
+    for now in 1..2 * SECOND {
+        host.woken(now);
+        host.rest(now, &mut wire);
+        let sent = wire.said().matches("to 7").count();
+        if sent > 0 {
+            slices.push((now, sent));
+        }
+    }
+    assert_eq!(slices.iter().map(|(_, sent)| sent).collect::<Vec<_>>(), [&2, &2, &1]);
+    assert!(slices.windows(2).all(|two| two[1].0 >= two[0].0 + 20), "with time between: {slices:?}");
+}
+
+#[test]
+fn two_that_swap_names_are_each_found_by_the_others_and_leave_only_their_own() {
+    let mut host = host(Repeat::Idempotent, 1, 10);
+    let old = host.take(0, "task", asked(SECOND), "old").expect("room");
+    let new = host.take(0, "beside", asked(SECOND), "new").expect("room");
+    host.swap_names(old, new);
+    assert_eq!((host.find("task"), host.find("beside")), (Some(new), Some(old)));
+    host.finish(old);
+    assert_eq!((host.find("task"), host.find("beside")), (Some(new), None));
+}
+
 #[test]
 fn the_name_of_a_cancelled_one_is_kept_while_its_shot_is_out() {
     let (mut host, mut wire) = (host(Repeat::Unrepeatable, 1, 10), Noted::default());
--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -80,6 +80,9 @@
         version: String,
         unready_most: usize,
         ready_for_us: u64,
+        /// New copies run beside old ones, never more than `unready_most` of them.
+        #[serde(default)]
+        start_first: bool,
     },
     Probed {
         node: u32,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -30,6 +30,7 @@
     pub at: Duration,
     pub unready_most: u32,
     pub ready_for: Duration,
+    pub start_first: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -150,11 +151,12 @@
 }
 
 fn roll(form: &Form) -> Result<Roll, Fault> {
-    let parts = form.parts(&["at", "unready-most", "ready-for"])?;
+    let parts = form.parts(&["at", "unready-most", "ready-for", "start-first"])?;
     Ok(Roll {
         at: span(parts.need("at")?, 600)?,
         unready_most: parts.need("unready-most")?.whole(1, 10_000)? as u32,
         ready_for: parts.or("ready-for", Duration::from_secs(1), |form| span(form, 600))?,
+        start_first: parts.or("start-first", false, Form::truth)?,
     })
 }
 
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -299,6 +299,8 @@
         }
         let mut found = Vec::new();
         let mut limits: HashMap<&str, usize> = HashMap::new();
+        // Whether new copies may run beside old ones, of so many tasks.
+        let mut beside: HashMap<&str, bool> = HashMap::new();
         let mut copies: HashMap<&str, BTreeMap<&str, Copy>> = HashMap::new();
         let mut tasks_of: HashMap<u64, &str> = HashMap::new();
         for (index, Line { t, seen }) in self.lines.iter().enumerate() {
@@ -312,7 +314,10 @@
                         tasks.remove(task);
                     }
                 }
-                Seen::Roll { service, unready_most, .. } => drop(limits.insert(service, *unready_most)),
+                Seen::Roll { service, unready_most, start_first, .. } => {
+                    limits.insert(service, *unready_most);
+                    beside.insert(service, *start_first);
+                }
                 Seen::Ready { task, service, ready, done, stopped, .. } => {
                     let tasks = copies.entry(service).or_default();
                     if *done {
@@ -327,6 +332,12 @@
                     let counts = |copy: &&Copy| {
                         copy.down.is_some_and(|(since, stopped)| stopped || t - since > GIVES_WAY)
                     };
+                    let twice: usize = tasks.values().map(|copy| copy.ready.saturating_sub(1)).sum();
+                    let own = limits.get(&service[..]).filter(|_| beside.get(&service[..]) == Some(&true));
+                    if *ready && own.is_some_and(|most| twice > *most) {
+                        let what = format!("{twice} copies of {service} run beside others");
+                        found.push((what, vec![index + 1]));
+                    }
                     let unready = tasks.values().filter(counts).count();
                     if *stopped && limits.get(&service[..]).is_some_and(|most| unready > *most) {
                         found.push((format!("{unready} copies of {service} are not ready"), vec![index + 1]));
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -234,10 +234,11 @@
         self.lock().up
     }
 
-    /// Whether a task is here, by its placing.
-    pub fn holds(&self, task: &str) -> Option<String> {
+    /// The copies of a task that are here, by their placings.
+    pub fn holds(&self, task: &str) -> Vec<String> {
         let state = self.lock();
-        state.guests.iter().find(|(_, guest)| guest.shot.task == task).map(|(placing, _)| placing.clone())
+        let own = state.guests.iter().filter(|(_, guest)| guest.shot.task == task);
+        own.map(|(placing, _)| placing.clone()).collect()
     }
 
     /// What nobody has asked for.
@@ -379,7 +380,11 @@
         }
         let looked = async {
             let _turn = self.look.lock().await;
-            Timer::after(self.plan.look).await;
+            // One that its dispatcher has let go of while it waited is not looked at: a node that spent its time
+            // on such would be late for all others too.
+            if !words.is_closed() {
+                Timer::after(self.plan.look).await;
+            }
             self.gate(life).await
         };
         let alive = looked.await;
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -72,9 +72,15 @@
         Some(link)
     }
 
-    /// Where a task runs, and by which placing: the truth, as the owner's own runtime would know it.
-    fn runs_at(&self, task: &str) -> Option<(u32, String)> {
-        self.nodes.iter().find_map(|node| Some((node.plan.id, node.holds(task)?)))
+    /// Where a task runs, and by which placing: the truth, as the owner's own runtime would know it. The one that
+    /// it was told of last goes before any other.
+    fn runs_at(&self, task: &str, known: &str) -> Option<(u32, String)> {
+        let copies = self
+            .nodes
+            .iter()
+            .flat_map(|node| node.holds(task).into_iter().map(|placing| (node.plan.id, placing)));
+        let copies: Vec<(u32, String)> = copies.collect();
+        copies.iter().find(|(_, placing)| placing == known).or(copies.first()).cloned()
     }
 }
 
@@ -111,7 +117,9 @@
         Repeat::Idempotent => Duration::from_millis(300),
         _ => Duration::from_secs(3),
     };
-    let mut came = ask(&front, &task, &mut asks, &mut rng).await;
+    // The placing that it was told of last.
+    let mut known = String::new();
+    let mut came = ask(&front, &task, &mut asks, &mut known, &mut rng).await;
     loop {
         came = match came {
             Came::Done => return,
@@ -121,12 +129,15 @@
                 if Instant::now() >= until || asks >= task.patience || task.cancels.is_some() {
                     return;
                 }
-                ask(&front, &task, &mut asks, &mut rng).await
+                ask(&front, &task, &mut asks, &mut known, &mut rng).await
             }
             Came::InDoubt => {
                 Timer::after(settle(&task)).await;
-                match front.runs_at(&task.name) {
-                    Some((node, placing)) => hand_over(&front, &task, node, placing, &mut rng).await,
+                match front.runs_at(&task.name, &known) {
+                    Some((node, placing)) => {
+                        known.clone_from(&placing);
+                        hand_over(&front, &task, node, placing, &mut known, &mut rng).await
+                    }
                     None => Came::AskAgain,
                 }
             }
@@ -149,11 +160,18 @@
     }
 }
 
-async fn ask(front: &Arc<Front>, task: &Task, asks: &mut u32, rng: &mut Pcg64Mcg) -> Came {
+async fn ask(
+    front: &Arc<Front>,
+    task: &Task,
+    asks: &mut u32,
+    known: &mut String,
+    rng: &mut Pcg64Mcg,
+) -> Came {
     let dispatcher = rng.random_range(0..front.doors.len());
     let Some(mut client) = front.client(dispatcher).await else { return Came::AskAgain };
     let call = front.calls.fetch_add(1, Ordering::Relaxed);
     let placing = format!("{}#{}", task.name, *asks);
+    known.clone_from(&placing);
     let first = *asks == 0;
     *asks += 1;
     front.world.capture.see(Seen::Asked(Asked {
@@ -175,7 +193,7 @@
         let patience = task.abandon + Duration::from_millis(250);
         let answer = within(patience.saturating_sub(began.elapsed()), answer(front, call, &mut words)).await;
         match answer {
-            Some(Some(Word::Placed)) => follow(front, call, &mut words).await,
+            Some(Some(Word::Placed)) => follow(front, call, &mut words, known).await,
             Some(Some(Word::Refused)) => Came::AskAgain,
             _ => Came::InDoubt,
         }
@@ -250,8 +268,11 @@
     }
 }
 
-async fn follow(front: &Front, call: u64, words: &mut Streaming<v1::Word>) -> Came {
+async fn follow(front: &Front, call: u64, words: &mut Streaming<v1::Word>, known: &mut String) -> Came {
     while let Ok(Some(v1::Word { word: Some(said) })) = words.message().await {
+        if let Said::Replaced(by) = &said {
+            known.clone_from(&by.placing);
+        }
         match hear(front, call, &said) {
             Some(Word::Ended) => return Came::Done,
             Some(Word::Evicted | Word::PushedOut | Word::SentAway | Word::Moved) => return Came::AskAgain,
@@ -262,7 +283,14 @@
     Came::InDoubt
 }
 
-async fn hand_over(front: &Arc<Front>, task: &Task, node: u32, placing: String, rng: &mut Pcg64Mcg) -> Came {
+async fn hand_over(
+    front: &Arc<Front>,
+    task: &Task,
+    node: u32,
+    placing: String,
+    known: &mut String,
+    rng: &mut Pcg64Mcg,
+) -> Came {
     let dispatcher = rng.random_range(0..front.doors.len());
     let Some(mut client) = front.client(dispatcher).await else { return Came::InDoubt };
     let call = front.calls.fetch_add(1, Ordering::Relaxed);
@@ -276,7 +304,7 @@
     let mut open = Open { front, call, closed: false };
     let running = v1::Running { ask: Some(message(task, placing, true)), node };
     let came = match client.hand_over(running).await {
-        Ok(words) => follow(front, call, &mut words.into_inner()).await,
+        Ok(words) => follow(front, call, &mut words.into_inner(), known).await,
         Err(_) => Came::InDoubt,
     };
     open.closed = true;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -328,6 +328,7 @@
             version: version.clone(),
             unready_most: unready_most as usize,
             ready_for_us: roll.ready_for.as_micros() as u64,
+            start_first: roll.start_first,
         });
         let ask = v1::RollAsk {
             service,
@@ -339,6 +340,7 @@
             ready_within_ms: 20_000,
             // Nodes and dispatchers may be struck meanwhile: that is not the version's fault.
             failures_most: 1_000,
+            start_first: roll.start_first,
         };
         for dispatcher in 0..self.fleet.len() {
             if let Some(mut client) = self.front.rolls(dispatcher).await
--- a/crates/lab/tests/full_path/hard_cases.rs
+++ b/crates/lab/tests/full_path/hard_cases.rs
@@ -123,7 +123,7 @@
         let node = placed(&mut words).await;
         rig.nodes[node as usize].cut(Duration::from_millis(20));
         assert_eq!(ended(next_of_weight(&mut words).await), How::Lost);
-        assert!(rig.nodes[node as usize].holds("a").is_some(), "it runs on");
+        assert!(!rig.nodes[node as usize].holds("a").is_empty(), "it runs on");
         let mut again = rig.hand_over(ask, node).await;
         assert_eq!(ended(next_of_weight(&mut again).await), How::Ended);
         assert_eq!(rig.offers().len(), 1, "and is not started again");
@@ -183,7 +183,7 @@
         placed(&mut first).await;
         let mut second = rig.ask(v1::Ask { placing: "a#1".into(), ..ask("a", "once") }).await;
         assert_eq!(refused(&mut second).await, Why::InHand);
-        assert!(rig.nodes.iter().any(|node| node.holds("a").is_some()), "the first runs on");
+        assert!(rig.nodes.iter().any(|node| !node.holds("a").is_empty()), "the first runs on");
     });
 }
 
@@ -193,7 +193,7 @@
         let mut words = rig.ask(ask("a", "once")).await;
         let node = placed(&mut words).await as usize;
         drop(words);
-        until(async || rig.nodes[node].holds("a").is_none()).await;
+        until(async || rig.nodes[node].holds("a").is_empty()).await;
         until(async || rig.status().await.in_hand == 0).await;
         assert_eq!(rig.status().await.cancelled, 1);
     });
@@ -207,7 +207,7 @@
         until(async || rig.offers().len() == 1).await;
         drop(words);
         until(async || rig.status().await.in_hand == 0).await;
-        assert!(rig.nodes.iter().all(|node| node.holds("a").is_none()));
+        assert!(rig.nodes.iter().all(|node| node.holds("a").is_empty()));
     });
 }
 
@@ -222,7 +222,7 @@
         drop(words);
         // Another call after it, so that the end of the first has been seen.
         placed(&mut rig.ask(ask("b", "once")).await).await;
-        assert!(rig.nodes[node].holds("a").is_some(), "its owner's call has ended as agreed");
+        assert!(!rig.nodes[node].holds("a").is_empty(), "its owner's call has ended as agreed");
     });
 }
 
--- a/crates/lab/tests/full_path/rig.rs
+++ b/crates/lab/tests/full_path/rig.rs
@@ -172,6 +172,14 @@
             .expect("killed");
     }
 
+    /// The same, and starts it again with this deployment.
+    pub async fn kill_and_restart(self, text: &str) -> Rig {
+        let (tasks, world, nodes, roster) =
+            (self.tasks.clone(), Arc::clone(&self.world), self.nodes.clone(), Arc::clone(&self.roster));
+        self.kill().await;
+        Rig::start(tasks, world, nodes, roster, text).await
+    }
+
     pub fn tell(&self, index: usize, state: v1::entry::State) {
         let node = &self.nodes[index];
         let old = self.roster.entry(node.plan.id).expect("the node is listed");
--- a/crates/lab/tests/full_path/rolls.rs
+++ b/crates/lab/tests/full_path/rolls.rs
@@ -9,7 +9,7 @@
 use corkspan_rpc::{Bounds, Link};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -81,11 +81,22 @@
     }
 
     async fn start(&self, dispatcher: usize, version: &str, unready_most: u32) -> v1::RollWord {
+        self.start_in(dispatcher, version, unready_most, false).await
+    }
+
+    async fn start_in(
+        &self,
+        dispatcher: usize,
+        version: &str,
+        unready_most: u32,
+        start_first: bool,
+    ) -> v1::RollWord {
         let seen = Seen::Roll {
             service: "s".into(),
             version: version.into(),
             unready_most: unready_most as usize,
             ready_for_us: 1_000_000,
+            start_first,
         };
         self.rigs[0].world.capture.see(seen);
         let ask = v1::RollAsk {
@@ -97,6 +108,7 @@
             ready_for_ms: 1_000,
             ready_within_ms: 3_000,
             failures_most: 1,
+            start_first,
         };
         self.rolls(dispatcher).await.start(ask).await.expect("an answer").into_inner()
     }
@@ -134,6 +146,43 @@
         (by_version, most)
     }
 
+    /// Ready copies by version now; and since the roll began, tasks without any ready copy at a time and copies
+    /// beside others, the most of each.
+    fn ready_now(&self) -> (BTreeMap<String, usize>, usize, usize) {
+        let (mut copies, mut tasks) = (BTreeMap::<(String, u32, String), usize>::new(), BTreeSet::new());
+        let (mut unready, mut beside, mut rolling) = (0, 0, false);
+        for Line { seen, .. } in self.lines() {
+            match seen {
+                Seen::Roll { .. } => rolling = true,
+                Seen::Ready { task, node, version, ready, .. } => {
+                    tasks.insert(task.clone());
+                    let many = copies.entry((task, node, version)).or_default();
+                    *many = if ready { *many + 1 } else { many.saturating_sub(1) };
+                }
+                _ => {}
+            }
+            if rolling {
+                let many = |task: &String| -> usize {
+                    copies.iter().filter(|((own, _, _), _)| own == task).map(|(_, many)| many).sum()
+                };
+                unready = unready.max(tasks.iter().filter(|task| many(task) == 0).count());
+                beside = beside.max(tasks.iter().map(|task| many(task).saturating_sub(1)).sum());
+            }
+        }
+        let mut by_version = BTreeMap::new();
+        for ((_, _, version), many) in copies.into_iter().filter(|(_, many)| *many > 0) {
+            *by_version.entry(version).or_default() += many;
+        }
+        (by_version, unready, beside)
+    }
+
+    /// Copies of each task on all nodes, whoever knows of them: one each, and no more.
+    fn one_each(&self, copies: usize) -> bool {
+        let held =
+            |task: String| self.rigs[0].nodes.iter().map(|node| node.holds(&task).len()).sum::<usize>();
+        (0..copies).all(|number| held(format!("c{number}")) == 1)
+    }
+
     fn breaches(&self) -> Vec<String> {
         // The rig has no day of its own: the limit of a roll needs no figure of one.
         let mut lines = vec![Line { t: 0, seen: Seen::Day(rules()) }];
@@ -371,3 +420,133 @@
         assert_eq!(stage.ready(), (BTreeMap::from([(String::new(), 4)]), 0));
     });
 }
+
+#[test_case(1, 40, 4, "web"; "one dispatcher")]
+#[test_case(4, 24, 3, "web"; "more dispatchers than may stand beside others")]
+fn a_roll_that_starts_first_never_has_a_copy_less(
+    dispatchers: usize,
+    copies: usize,
+    most: u32,
+    track: &'static str,
+) {
+    story(dispatchers, copies, track, async |stage| {
+        assert!(stage.start_in(0, "v2", most, true).await.taken);
+        until(async || stage.ready_now().0.get("v2") == Some(&copies)).await;
+        until(async || stage.one_each(copies)).await;
+        let (_, unready, beside) = stage.ready_now();
+        assert_eq!(unready, 0, "none was missing at any time");
+        assert!(beside >= 1 && beside <= most as usize, "{beside} stood beside others");
+        assert_eq!(stage.breaches(), [""; 0]);
+        until(async || stage.status(0).await.held.is_empty()).await;
+    });
+}
+
+#[test_case("once"; "what must never run twice")]
+#[test_case("jobs"; "what its hall lets stand once")]
+fn a_roll_that_starts_first_still_stops_first(track: &'static str) {
+    story(1, 8, track, async |stage| {
+        assert!(stage.start_in(0, "v2", 2, true).await.taken);
+        until_ready(&stage, "v2", 8).await;
+        let (_, unready, beside) = stage.ready_now();
+        assert!(beside == 0 && (1..=2).contains(&unready), "{beside} beside others, {unready} not ready");
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
+
+#[test_case(Bad::NeverReady; "that never gets ready")]
+#[test_case(Bad::DiesAfter(Duration::from_millis(300)); "that gets ready and dies")]
+fn a_bad_version_beside_the_old_one_costs_no_copy(how: Bad) {
+    story(2, 20, "web", async |stage| {
+        stage.rigs[0].world.spoil("v2", how);
+        assert!(stage.start_in(0, "v2", 4, true).await.taken);
+        until(async || stage.status(1).await.roll.is_some_and(|roll| roll.phase() == Phase::Halted)).await;
+        until(async || stage.one_each(20)).await;
+        let (ready, unready, _) = stage.ready_now();
+        assert_eq!((ready, unready), (BTreeMap::from([(String::new(), 20)]), 0), "all old ones run on");
+        until(async || stage.status(0).await.held.is_empty()).await;
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
+
+#[test_case(false; "a roll that stops first keeps to its limit")]
+#[test_case(true; "a roll that starts first halts and says so")]
+fn no_room_anywhere_for_the_new_copy(start_first: bool) {
+    story(1, 12, "web", async |stage| {
+        // Nodes that drain take nothing new; what runs there runs on.
+        stage.rigs[0].nodes.iter().for_each(|node| node.drain());
+        assert!(stage.start_in(0, "v2", 3, start_first).await.taken);
+        if start_first {
+            let halted =
+                async || stage.status(0).await.roll.is_some_and(|roll| roll.phase() == Phase::Halted);
+            until(halted).await;
+            let why = stage.status(0).await.roll.expect("there is one").why;
+            assert!(why.contains("without room") && !why.contains(" 0 without room"), "{why}");
+            assert_eq!(stage.ready_now().0, BTreeMap::from([(String::new(), 12)]));
+        } else {
+            let sent_away =
+                |line: &Line| matches!(line.seen, Seen::Heard { word: capture::Word::SentAway, .. });
+            until(async || stage.lines().iter().filter(|line| sent_away(line)).count() >= 3).await;
+            assert_eq!(stage.ready_now().0, BTreeMap::from([(String::new(), 9)]), "the others run on");
+        }
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
+
+/// What a dispatcher has just done of a roll when it is killed.
+#[derive(Clone, Copy)]
+enum Step {
+    Claimed,
+    OldStopped,
+    NewAccepted,
+    NewReady,
+}
+
+#[test_case(false, Step::Claimed; "stop first, its claim is granted")]
+#[test_case(false, Step::OldStopped; "stop first, the old copy is gone")]
+#[test_case(false, Step::NewAccepted; "stop first, the new copy is accepted")]
+#[test_case(false, Step::NewReady; "stop first, the new copy is ready")]
+#[test_case(true, Step::Claimed; "start first, its claim is granted")]
+#[test_case(true, Step::NewAccepted; "start first, the new copy is accepted")]
+#[test_case(true, Step::NewReady; "start first, the new copy is ready")]
+#[test_case(true, Step::OldStopped; "start first, the old copy is gone")]
+fn a_dispatcher_killed_at_this_step_leaves_one_copy_each(start_first: bool, step: Step) {
+    story(2, 8, "web", async |mut stage| {
+        assert!(stage.start_in(0, "v2", 2, start_first).await.taken);
+        let is_it = |line: &Line| match (&line.seen, step) {
+            (Seen::Said { word: capture::Word::Stopped, .. }, Step::OldStopped) => true,
+            (Seen::Said { word: capture::Word::Accepted, placing, .. }, Step::NewAccepted) => {
+                placing.contains('~')
+            }
+            (Seen::Ready { ready: true, version, .. }, Step::NewReady) => version == "v2",
+            _ => false,
+        };
+        match step {
+            Step::Claimed => until(async || !stage.status(0).await.held.is_empty()).await,
+            _ => until(async || stage.lines().iter().any(is_it)).await,
+        }
+        // Both at once: whoever did the step is killed with the other.
+        for number in [1, 0] {
+            let killed = stage.rigs.remove(number);
+            stage.front.open(number, None);
+            let text = deployment(killed.roster.address, &more(stage.folder.path(), number));
+            let text = text.replace("(number 0)", &format!("(number {number})"));
+            let text = text.replace("(schedulers 1)", "(schedulers 2)");
+            let again = killed.kill_and_restart(&text).await;
+            stage.front.open(number, Some(again.address));
+            stage.rigs.insert(number.min(stage.rigs.len()), again);
+        }
+        let done = async || {
+            stage.ready_now().0 == BTreeMap::from([("v2".into(), 8)])
+                && stage.one_each(8)
+                && stage.status(0).await.held.is_empty()
+        };
+        let done = corkspan_rpc::within(PATIENCE, async {
+            while !done().await {
+                async_io::Timer::after(Duration::from_millis(50)).await;
+            }
+        });
+        let done = done.await;
+        assert!(done.is_some(), "{:?} {:?}", stage.ready_now(), stage.status(0).await);
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -294,7 +294,13 @@
 /// Three copies that are ready, and a roll that lets one be down.
 fn rolling() -> Script {
     let script = (1..=3).fold(Script::new(), |script, task| says_ready(script, 10, task, true, false));
-    let roll = Seen::Roll { service: "s".into(), version: "v2".into(), unready_most: 1, ready_for_us: 0 };
+    let roll = Seen::Roll {
+        service: "s".into(),
+        version: "v2".into(),
+        unready_most: 1,
+        ready_for_us: 0,
+        start_first: false,
+    };
     says_ready(script.see(20, roll), 30, 1, false, false)
 }
 
@@ -312,7 +318,13 @@
 #[test_case(false, &[]; "at once, nobody can know")]
 #[test_case(true, &[(6, vec![7])]; "for long, the roll must have given way")]
 fn a_copy_that_died_by_itself(long_ago: bool, broken: &[(u8, Vec<usize>)]) {
-    let roll = Seen::Roll { service: "s".into(), version: "v2".into(), unready_most: 1, ready_for_us: 0 };
+    let roll = Seen::Roll {
+        service: "s".into(),
+        version: "v2".into(),
+        unready_most: 1,
+        ready_for_us: 0,
+        start_first: false,
+    };
     let script =
         (1..=3).fold(Script::new(), |script, task| says_ready(script, 10, task, true, false)).see(20, roll);
     let died = Seen::Ready {
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -1,17 +1,19 @@
 //! Decides a service's roll for one dispatcher, from its own copies and what the keepers tell.
 
 use crate::keeper::Grant;
-use crate::{ClaimId, Phase, Roll, majority};
+use crate::{ClaimId, Order, Phase, Roll, majority};
 use corkspan::interface::Tenths;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Between two looks where nothing falls due.
 const LOOK: Tenths = 5_000;
 /// After a claim that others won, so long at the least before the next; twice at the most, and longer each time.
 const BACK_OFF: Tenths = 500;
 const LONGEST_BACK_OFF: Tenths = 20_000;
+/// A copy handed over says within so long whether it is ready.
+const SAY: Tenths = 10_000;
 /// A grant whose holder has not been heard of is left alone for so many times the time to get ready.
 const FORGET: u64 = 3;
 
@@ -36,7 +38,7 @@
     won: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Step {
     /// As it is.
     Stays,
@@ -44,6 +46,10 @@
     Claims,
     /// It is being replaced: the slot is held.
     Replaced,
+    /// A new copy is under way beside it, since when, and ready since when: the slot is held.
+    Grows { version: String, since: Tenths, ready: Option<Tenths> },
+    /// The new copy has stayed ready for its time; this one is being stopped.
+    Retires { version: String, ready: Tenths },
 }
 
 /// What to set going now.
@@ -53,6 +59,12 @@
     pub claims: Vec<(ClaimId, u32, String)>,
     /// Copies to replace by the version wanted, in the order of the roll.
     pub replace: Vec<String>,
+    /// Copies beside which one of the version wanted is to be started.
+    pub grow: Vec<String>,
+    /// Copies that the new one beside them takes over from: to be stopped, and said again until they are gone.
+    pub retire: Vec<String>,
+    /// Copies whose new one beside them is to be stopped: its version is not wanted any more.
+    pub withdraw: Vec<String>,
     /// Claims to give back at all keepers.
     pub release: Vec<ClaimId>,
     /// The roll is to halt for this reason.
@@ -61,6 +73,17 @@
     pub wait: Tenths,
 }
 
+/// Why a new copy beside an old one is no more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawn {
+    /// By our own doing.
+    NotWanted,
+    /// It died, before it had taken over.
+    Failed,
+    /// No machine took it in its time.
+    NoRoom,
+}
+
 /// How a claim came out, of all keepers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Votes {
@@ -77,7 +100,11 @@
     claims: BTreeMap<ClaimId, Claim>,
     /// Claims of an earlier life that was never known to have won: nothing was taken down under them.
     unwon: Vec<ClaimId>,
+    /// Copies that must not run beside themselves, whatever the roll's order.
+    once: BTreeSet<String>,
     failures: u32,
+    /// Of those, new copies that found no room.
+    without_room: u32,
     halted: bool,
     lost_in_a_row: u32,
     claim_at: Tenths,
@@ -94,7 +121,9 @@
             copies: BTreeMap::new(),
             claims: BTreeMap::new(),
             unwon: Vec::new(),
+            once: BTreeSet::new(),
             failures: 0,
+            without_room: 0,
             halted: false,
             lost_in_a_row: 0,
             claim_at: now,
@@ -111,7 +140,7 @@
         if roll.number > self.roll.number {
             // Only a change of version begins anew: a pause must not forget what has failed.
             if roll.version != self.roll.version {
-                self.failures = 0;
+                (self.failures, self.without_room) = (0, 0);
             }
             self.halted = false;
             self.lost_in_a_row = 0;
@@ -143,6 +172,63 @@
         self.copies.insert(task.into(), copy);
     }
 
+    /// This copy must not run beside itself: it is stopped first, whatever the roll's order.
+    pub fn only_once(&mut self, task: &str) {
+        if self.copies.contains_key(task) {
+            self.once.insert(task.into());
+        }
+    }
+
+    /// The new copy beside it says that it is ready, or no longer.
+    pub fn grown(&mut self, now: Tenths, task: &str, word: bool) {
+        if let Some(Copy { step: Step::Grows { ready, .. }, .. }) = self.copies.get_mut(task) {
+            *ready = if word { ready.or(Some(now)) } else { None };
+        }
+    }
+
+    /// The new copy beside it is known to be gone, or was never placed. The claims to give back. `why`: what it
+    /// says of the version.
+    pub fn withdrawn(&mut self, now: Tenths, task: &str, why: Withdrawn) -> Vec<ClaimId> {
+        let longest = LONGEST_BACK_OFF;
+        let Some(copy) = self.copies.get_mut(task) else { return Vec::new() };
+        match copy.step {
+            // The old one is being stopped already: what follows is a replacing like any other.
+            Step::Retires { .. } => {
+                copy.step = Step::Replaced;
+                (copy.version, copy.ready, copy.unready) = (self.roll.wanted().into(), None, now);
+                self.failures += u32::from(why != Withdrawn::NotWanted);
+                Vec::new()
+            }
+            Step::Grows { .. } => {
+                copy.step = Step::Stays;
+                let claim = copy.claim.take();
+                self.failures += u32::from(why != Withdrawn::NotWanted);
+                self.without_room += u32::from(why == Withdrawn::NoRoom);
+                self.claim_at = now + longest / 2 + self.rng.random_range(0..longest / 2);
+                claim.into_iter().inspect(|claim| drop(self.claims.remove(claim))).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// The old copy is gone and the new one beside it has its place. The claims to give back.
+    pub fn retired(&mut self, task: &str) -> Vec<ClaimId> {
+        let Some(copy) = self.copies.get_mut(task) else { return Vec::new() };
+        let Step::Retires { version, ready } = &copy.step else { return Vec::new() };
+        (copy.version, copy.ready, copy.step) = (version.clone(), Some(*ready), Step::Stays);
+        copy.claim.take().into_iter().inspect(|claim| drop(self.claims.remove(claim))).collect()
+    }
+
+    /// Whether a new copy is wanted beside it.
+    pub fn grows(&self, task: &str) -> bool {
+        self.copies.get(task).is_some_and(|copy| matches!(copy.step, Step::Grows { .. }))
+    }
+
+    /// The claim under which a copy is replaced.
+    pub fn claim_of(&self, task: &str) -> Option<ClaimId> {
+        self.copies.get(task)?.claim
+    }
+
     /// By its own word.
     pub fn ready(&mut self, now: Tenths, task: &str) {
         if let Some(copy) = self.copies.get_mut(task) {
@@ -165,6 +251,7 @@
     /// The copy is not wanted any more. The claims to give back.
     pub fn gone(&mut self, task: &str) -> Vec<ClaimId> {
         self.copies.remove(task);
+        self.once.remove(task);
         let mine: Vec<ClaimId> =
             self.claims.iter().filter(|(_, own)| own.task == task).map(|(claim, _)| *claim).collect();
         mine.iter().for_each(|claim| drop(self.claims.remove(claim)));
@@ -219,6 +306,7 @@
             return look;
         }
         let wanted = self.roll.wanted().to_string();
+        look.grow = self.look_to_grow(now);
         look.replace = self.look_at_held(now);
         if now < self.claim_at {
             look.wait = look.wait.min(self.claim_at - now);
@@ -252,6 +340,24 @@
         look
     }
 
+    /// Copies beside which a new one is to be started now, of those that hold a slot. A copy that is down has
+    /// nothing to keep: it is replaced as in the other order.
+    pub fn look_to_grow(&mut self, now: Tenths) -> Vec<String> {
+        let wanted = self.roll.wanted().to_string();
+        let mut grow = Vec::new();
+        if self.roll.phase != Phase::Rolling || self.halted || self.roll.order != Order::StartFirst {
+            return grow;
+        }
+        for (task, copy) in &mut self.copies {
+            let may = copy.ready.is_some() && !self.once.contains(task);
+            if copy.step == Step::Replaced && copy.version != wanted && may {
+                copy.step = Step::Grows { version: wanted.clone(), since: now, ready: None };
+                grow.push(task.clone());
+            }
+        }
+        grow
+    }
+
     /// Copies to replace now, of those that hold a slot: of another version than is wanted, since the slot was
     /// just won, or a later wish or an undo came.
     pub fn look_at_held(&mut self, now: Tenths) -> Vec<String> {
@@ -261,6 +367,11 @@
             return replace;
         }
         for (task, copy) in &mut self.copies {
+            // One that was just handed over has not yet had its say.
+            let may_say = self.roll.order == Order::StartFirst && !self.once.contains(task);
+            if may_say && copy.ready.is_none() && now < copy.unready + SAY {
+                continue;
+            }
             if copy.step == Step::Replaced && copy.version != wanted {
                 copy.version.clone_from(&wanted);
                 (copy.ready, copy.unready) = (None, now);
@@ -273,6 +384,23 @@
     /// Copies that have stayed ready for their time give their slot back.
     fn settle(&mut self, now: Tenths, look: &mut Look) {
         let wanted = self.roll.wanted().to_string();
+        for (task, copy) in &mut self.copies {
+            match &copy.step {
+                // A later wish, an undo or a halt has come.
+                Step::Grows { version, .. } if *version != wanted => look.withdraw.push(task.clone()),
+                Step::Grows { version, ready: Some(since), .. } => {
+                    let due = since + self.roll.ready_for;
+                    if now >= due {
+                        copy.step = Step::Retires { version: version.clone(), ready: *since };
+                        look.retire.push(task.clone());
+                    } else {
+                        look.wait = look.wait.min(due - now);
+                    }
+                }
+                Step::Retires { .. } => look.retire.push(task.clone()),
+                _ => {}
+            }
+        }
         for copy in self.copies.values_mut().filter(|copy| copy.step == Step::Replaced) {
             let Some(since) = copy.ready else { continue };
             if now < since + self.roll.ready_for {
@@ -316,8 +444,13 @@
         let version = self.roll.version.clone();
         let mut late = 0;
         for copy in self.copies.values() {
-            if copy.step == Step::Replaced && copy.ready.is_none() && copy.version == version {
-                let due = copy.unready + self.roll.ready_within;
+            let since = match &copy.step {
+                Step::Replaced if copy.ready.is_none() && copy.version == version => Some(copy.unready),
+                Step::Grows { version: new, since, ready: None } if *new == version => Some(*since),
+                _ => None,
+            };
+            if let Some(since) = since {
+                let due = since + self.roll.ready_within;
                 if now >= due {
                     late += 1;
                 } else {
@@ -329,8 +462,8 @@
         if self.roll.phase == Phase::Rolling && !self.halted && failed > self.roll.failures_most {
             self.halted = true;
             let why = format!(
-                "{failed} copies of {version} failed at dispatcher {}, {late} not ready in time",
-                self.me
+                "{failed} copies of {version} failed at dispatcher {}, {late} not ready in time, {} without room",
+                self.me, self.without_room
             );
             look.halt = Some(why);
         }
