Give back a dead dispatcher's slot only when no new copy stands beside the old one

A dispatcher to which an old copy was handed over gave the dead one's slot back, since the copy was ready there, while the new copy that the dead one had begun still ran. Now every node is first told to put away all copies of the task but the one known (StopAsk.but), and nothing grows beside a copy while something of its task is still to be put away.

The table tells copies beside others and the copies' time lost; proptest: two dispatchers with clocks up to 10 s apart pass no limit in either order and finish.

--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -52,6 +52,8 @@
     service: String,
     task: String,
     placings: Vec<String>,
+    /// All other copies of the task, instead.
+    but: Option<String>,
     /// Where it may be; anywhere, if none is told.
     nodes: Option<Vec<MachineId>>,
     /// Nodes that have said that it is not there.
@@ -66,6 +68,8 @@
     Withdrawn(Withdrawn),
     /// Of an earlier life: only its claim is left, without the two.
     Forgotten(ClaimId, rolls::Pair),
+    /// A claim of another, dead or gone, goes back.
+    Cleared(ClaimId),
 }
 
 /// The id of an owner's allocation, as it is now.
@@ -192,6 +196,7 @@
                 service: held.service.clone(),
                 task: held.task.clone(),
                 placings: old.into_iter().chain([pair.new.clone()]).collect(),
+                but: None,
                 nodes: None,
                 told: BTreeSet::new(),
                 then: Then::Forgotten(held.claim, pair.clone()),
@@ -457,7 +462,15 @@
             port.retired(&service, &task);
         } else {
             let (placings, nodes, told) = (vec![placing], Some(nodes), BTreeSet::new());
-            port.orphans.push(Orphan { service, task, placings, nodes, told, then: Then::Retired });
+            port.orphans.push(Orphan {
+                service,
+                task,
+                placings,
+                but: None,
+                nodes,
+                told,
+                then: Then::Retired,
+            });
         }
         true
     }
@@ -627,6 +640,11 @@
         Some(rolls::Pair { new, old, retires })
     }
 
+    /// Whether a copy of this task is still to be known to be gone.
+    pub fn puts_away(&self, task: &str) -> bool {
+        self.lock().port.orphans.iter().any(|orphan| orphan.task == task)
+    }
+
     /// Starts a copy of the version wanted beside one that runs, by the ordinary path.
     pub fn grow(self: &Arc<Self>, task: &str, placing: &str) {
         self.with(|now, host, port| {
@@ -691,10 +709,38 @@
         });
     }
 
+    /// Has every node put away what a dead dispatcher may have begun beside our copy.
+    pub fn clear(&self, service: &str, task: &str, claim: ClaimId) {
+        self.with(|_, host, port| {
+            let Some((client, _)) = host.find(task).and_then(|id| host.own(id)) else { return };
+            if port.orphans.iter().any(|orphan| orphan.then == Then::Cleared(claim)) {
+                return;
+            }
+            port.orphans.push(Orphan {
+                service: service.into(),
+                task: task.into(),
+                placings: Vec::new(),
+                but: Some(client.ask.placing.clone()),
+                nodes: None,
+                told: BTreeSet::new(),
+                then: Then::Cleared(claim),
+            });
+        });
+    }
+
     /// Tells nodes of what is to be gone, each until it has answered; gives slots back whose copies are.
     pub async fn clear_orphans(self: &Arc<Self>) {
         let asks: Vec<(usize, MachineId, Arc<NodeLink>, Vec<v1::StopAsk>)> = {
-            let inner = self.lock();
+            let mut inner = self.lock();
+            let Inner { host, port } = &mut *inner;
+            // A copy that has another placing by now is not to be stopped by word of the one before.
+            port.orphans.retain(|orphan| {
+                let own = host.find(&orphan.task).and_then(|id| host.own(id));
+                orphan
+                    .but
+                    .as_ref()
+                    .is_none_or(|but| own.is_some_and(|(client, _)| client.ask.placing == *but))
+            });
             let port = &inner.port;
             let all = port.orphans.iter().enumerate().flat_map(|(index, orphan)| {
                 let here = port.nodes.iter().filter(|(machine, _)| {
@@ -707,8 +753,16 @@
                         placing: placing.clone(),
                         task: orphan.task.clone(),
                         moved: true,
+                        but: String::new(),
                     };
-                    (index, *machine, Arc::clone(node), orphan.placings.iter().map(stop).collect())
+                    let mut stops: Vec<v1::StopAsk> = orphan.placings.iter().map(stop).collect();
+                    stops.extend(orphan.but.iter().map(|but| v1::StopAsk {
+                        placing: String::new(),
+                        task: orphan.task.clone(),
+                        moved: true,
+                        but: but.clone(),
+                    }));
+                    (index, *machine, Arc::clone(node), stops)
                 })
             });
             all.collect()
@@ -759,6 +813,13 @@
                         None
                     }
                     Then::Forgotten(claim, pair) => Some((claim, pair)),
+                    Then::Cleared(claim) => {
+                        if let Some(conductor) = port.rolls.of(&orphan.service) {
+                            conductor.cleared(claim);
+                        }
+                        port.give_back(&orphan.service, vec![claim]);
+                        None
+                    }
                 })
                 .collect::<Vec<_>>()
         });
@@ -935,7 +996,8 @@
 
     fn stop(&mut self, desk: &Arc<Desk>, client: &Client, machine: MachineId, moved: bool) {
         let Some(node) = self.node(machine) else { return };
-        let stop = v1::StopAsk { placing: client.ask.placing.clone(), task: client.ask.task.clone(), moved };
+        let (placing, task) = (client.ask.placing.clone(), client.ask.task.clone());
+        let stop = v1::StopAsk { placing, task, moved, but: String::new() };
         desk.tasks.spawn(shots::stop(desk.clone(), node, stop)).detach();
     }
 
@@ -972,6 +1034,7 @@
             service: client.ask.service.clone(),
             task: client.ask.task.clone(),
             placings: vec![client.ask.placing.clone()],
+            but: None,
             nodes: Some(allocation.shots.iter().map(|shot| shot.machine).collect()),
             told: BTreeSet::new(),
             then: Then::Withdrawn(why),
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -312,6 +312,9 @@
     for claim in look.release {
         release(desk, service, claim).await;
     }
+    for (claim, task) in look.clear {
+        desk.clear(service, &task, claim);
+    }
     if let Some(why) = look.halt {
         warn!(service, version = roll.version, why, "the roll halts");
         let halted = roll.with_phase(Phase::Halted(why), u64::from(desk.deployment.cluster.number as u32));
@@ -376,6 +379,10 @@
 /// Starts new copies beside old ones.
 async fn grow(desk: &Arc<Desk>, service: &str, tasks: Vec<String>) {
     for task in tasks {
+        if desk.puts_away(&task) {
+            desk.with_rolls(|_, rolls| rolls.of(service).map(|conductor| conductor.grow_later(&task)));
+            continue;
+        }
         match keep_pair(desk, service, &task, false).await {
             Some(pair) => desk.grow(&task, &pair.new),
             None => desk.not_grown(service, &task),
--- /dev/null
+++ b/crates/lab/days/roll-start-first.sexp
@@ -0,0 +1,13 @@
+; The same roll as roll.sexp, each new copy ready before its old one is stopped.
+(day
+  (length 40 s)
+  (dispatchers 20)
+  (nodes 12)
+  (rate 20)
+  (life 2 s)
+  (copies 100)
+  (roll (at 4 s) (unready-most 10) (ready-for 1 s) (start-first #t))
+  (troubles
+    (kill-dispatchers (at 6 s) (for 1 s) (many 3))
+    (kill-dispatchers (at 9 s) (for 2 s) (many 4))
+    (drain-nodes (at 12 s) (for 20 s))))
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -670,6 +670,12 @@
         let was_here = state.guests.contains_key(&ask.placing);
         let how = if ask.moved { v1::over::How::Moved } else { v1::over::How::Stopped };
         self.0.end(&mut state, &ask.placing, how);
+        if ask.placing.is_empty() && !ask.but.is_empty() {
+            let others =
+                state.guests.iter().filter(|(name, own)| own.shot.task == ask.task && **name != ask.but);
+            let others: Vec<String> = others.map(|(name, _)| name.clone()).collect();
+            others.iter().for_each(|name| self.0.end(&mut state, name, how));
+        }
         Ok(Response::new(v1::StopWord { was_here }))
     }
 
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -39,7 +39,7 @@
 const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 const TRACKS: [&str; 3] = ["web", "index", "ledger"];
 /// The service of the copies that run all day.
-const HELD: &str = "held";
+pub const HELD: &str = "held";
 const SPREAD: usize = 4;
 const DEDUP_WINDOW: Duration = Duration::from_secs(6);
 const COLD: Cold =
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -1,6 +1,7 @@
 //! A day in figures, from its capture.
 
 use crate::capture::*;
+use crate::play::HELD;
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -25,6 +26,7 @@
     pub evictions: u64,
     pub fell_over: u64,
     pub roll: Option<RollFigures>,
+    pub copies: Option<CopyFigures>,
     pub troubles: BTreeMap<String, u64>,
 }
 
@@ -38,44 +40,66 @@
     /// Copies over the limit, times the usual time from stopped to ready and the time to stay so.
     pub best: f64,
     pub unready_most: usize,
+    /// New copies beside old ones at a time.
+    pub beside_most: usize,
     pub limit: usize,
 }
 
 impl RollFigures {
     fn of(lines: &[Line]) -> Option<Self> {
         let rolled = |line: &Line| match &line.seen {
-            Seen::Roll { service, version, unready_most, ready_for_us, .. } => {
-                Some((line.t, service.clone(), version.clone(), *unready_most, *ready_for_us))
+            Seen::Roll { service, version, unready_most, ready_for_us, start_first } => {
+                Some((line.t, service.clone(), version.clone(), *unready_most, *ready_for_us, *start_first))
             }
             _ => None,
         };
-        let (start, service, version, limit, ready_for) = lines.iter().find_map(rolled)?;
+        let (start, service, version, limit, ready_for, beside) = lines.iter().find_map(rolled)?;
         let mut own = RollFigures { limit, ..RollFigures::default() };
-        let (mut ready, mut down, mut times) = (BTreeMap::new(), HashMap::new(), Vec::new());
-        let mut last = start;
+        // Ready copies of each task, as node and version; since when it has none; when one was offered to a node.
+        let mut ready: BTreeMap<&str, Vec<(u32, &str)>> = BTreeMap::new();
+        let (mut down, mut offered) = (HashMap::<&str, u64>::new(), HashMap::new());
+        let (mut times, mut last) = (Vec::new(), start);
+        let mut calls = std::collections::BTreeSet::new();
         for Line { t, seen } in lines {
-            let Seen::Ready { task, service: of, version: runs, ready: is, .. } = seen else {
-                if matches!(seen, Seen::Cancelled { .. }) && own.rolled == own.copies && own.copies > 0 {
-                    break;
+            let (task, node, runs, is) = match seen {
+                Seen::Offered { node, placing, service: of, .. } if *of == service => {
+                    let task = placing.split('#').next().unwrap_or_default();
+                    offered.insert((*node, task), *t);
+                    continue;
+                }
+                Seen::Asked(asked) if asked.service == service => {
+                    calls.insert(asked.call);
+                    continue;
                 }
-                continue;
+                // The day is over: its owners want them no longer.
+                Seen::Cancelled { call } if calls.contains(call) => break,
+                Seen::Ready { task, node, service: of, version, ready, .. } if *of == service => {
+                    (&task[..], *node, &version[..], *ready)
+                }
+                _ => continue,
             };
-            if *of != service {
-                continue;
-            }
-            if *is {
-                if *runs == version && ready.insert(task, runs.clone()).is_none_or(|old| old != version) {
+            let copies = ready.entry(task).or_default();
+            if is {
+                if runs == version && copies.iter().all(|(_, other)| *other != version) {
                     last = *t;
-                    times.extend(down.remove(task).map(|since: u64| (t - since) as f64 / 1e6));
+                    let since =
+                        if beside { offered.get(&(node, task)).copied() } else { down.get(task).copied() };
+                    times.extend(since.map(|since| (t - since) as f64 / 1e6));
+                }
+                down.remove(task);
+                copies.push((node, runs));
+            } else {
+                copies.retain(|other| *other != (node, runs));
+                if copies.is_empty() && *t > start {
+                    down.insert(task, *t);
                 }
-                ready.insert(task, runs.clone());
-            } else if *t > start && ready.contains_key(task) {
-                down.insert(task, *t);
             }
-            own.copies = own.copies.max(ready.len());
-            own.rolled = ready.values().filter(|runs| **runs == version).count();
+            own.copies = ready.len();
+            let new = |copies: &&Vec<(u32, &str)>| copies.iter().any(|(_, runs)| *runs == version);
+            own.rolled = ready.values().filter(new).count();
             own.unready_most = own.unready_most.max(down.len());
-            down.retain(|task, _| ready.contains_key(task));
+            let more = ready.values().map(|copies| copies.len().saturating_sub(1)).sum();
+            own.beside_most = own.beside_most.max(if *t > start { more } else { 0 });
         }
         times.sort_by(f64::total_cmp);
         let usual = times.get(times.len() / 2).copied().unwrap_or(0.0);
@@ -86,6 +110,60 @@
     }
 }
 
+/// The copies that run all day: how much of their time none was ready.
+#[derive(Default)]
+pub struct CopyFigures {
+    pub copies: usize,
+    pub lost_s: f64,
+    pub all_s: f64,
+}
+
+impl CopyFigures {
+    /// From when all are ready for the first time until their owners want them no longer.
+    fn of(lines: &[Line]) -> Option<Self> {
+        let mut held = BTreeMap::<u64, &str>::new();
+        let mut ready: BTreeMap<&str, i64> = BTreeMap::new();
+        let all: std::collections::BTreeSet<&str> = (lines.iter())
+            .filter_map(|line| match &line.seen {
+                Seen::Asked(asked) if asked.service == HELD => Some(&asked.task[..]),
+                _ => None,
+            })
+            .collect();
+        if all.is_empty() {
+            return None;
+        }
+        let (mut own, mut since) = (CopyFigures { copies: all.len(), ..CopyFigures::default() }, None);
+        for Line { t, seen } in lines {
+            match seen {
+                Seen::Asked(asked) if asked.service == HELD => drop(held.insert(asked.call, &asked.task)),
+                Seen::HandedOver { call, task, .. } if all.contains(&task[..]) => {
+                    held.insert(*call, task);
+                }
+                Seen::Ready { task, service, ready: is, .. } if *service == HELD => {
+                    own.until(*t, &mut since, &ready);
+                    *ready.entry(task).or_default() += if *is { 1 } else { -1 };
+                    if since.is_none() && ready.values().filter(|many| **many > 0).count() == all.len() {
+                        since = Some(*t);
+                    }
+                }
+                Seen::Cancelled { call } if held.contains_key(call) => {
+                    own.until(*t, &mut since, &ready);
+                    break;
+                }
+                _ => {}
+            }
+        }
+        Some(own)
+    }
+
+    fn until(&mut self, t: u64, since: &mut Option<u64>, ready: &BTreeMap<&str, i64>) {
+        let Some(from) = since.as_mut() else { return };
+        let seconds = (t - std::mem::replace(from, t)) as f64 / 1e6;
+        self.lost_s += seconds * ready.values().filter(|many| **many <= 0).count() as f64;
+        self.all_s += seconds * self.copies as f64;
+    }
+}
+
 impl Table {
     pub fn of(lines: &[Line]) -> Self {
         let mut table = Table::default();
@@ -140,6 +218,7 @@
             }
         }
         table.roll = RollFigures::of(lines);
+        table.copies = CopyFigures::of(lines);
         table.unanswered = calls.values().filter(|(_, _, answered)| !answered).count() as u64;
         if let Some(times) = times {
             let ms = |part| times.value_at_quantile(part) as f64 / 1000.0;
@@ -171,13 +250,17 @@
         writeln!(f, "evicted, pushed out  {}", self.evictions)?;
         writeln!(f, "nodes fallen over    {}", self.fell_over)?;
         if let Some(roll) = &self.roll {
-            let RollFigures { copies, rolled, seconds, best, unready_most, limit } = roll;
+            let RollFigures { copies, rolled, seconds, best, unready_most, beside_most, limit } = roll;
             let ratio = seconds / best.max(1e-3);
             writeln!(
                 f,
                 "roll                 {rolled} of {copies} copies in {seconds:.1} s, at best {best:.1} s: {ratio:.2}"
             )?;
-            writeln!(f, "not ready at a time  {unready_most}, {limit} allowed")?;
+            writeln!(f, "not ready at a time  {unready_most}, {limit} allowed; beside others {beside_most}")?;
+        }
+        if let Some(CopyFigures { copies, lost_s, all_s }) = &self.copies {
+            let part = 100.0 * lost_s / all_s.max(1e-3);
+            writeln!(f, "copies' time lost    {lost_s:.1} of {all_s:.0} s of {copies} copies, {part:.2}%")?;
         }
         let troubles: Vec<String> =
             self.troubles.iter().map(|(name, many)| format!("{name} {many}")).collect();
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -340,6 +340,22 @@
     assert_eq!(says_ready(script.see(30, died), later, 2, false, false).broken(), broken);
 }
 
+#[test_case(3, &[]; "as many as may be")]
+#[test_case(2, &[(6, vec![6])]; "one more")]
+fn copies_beside_others(most: usize, broken: &[(u8, Vec<usize>)]) {
+    let unready_most = most - 1;
+    let roll = Seen::Roll {
+        service: "s".into(),
+        version: "v2".into(),
+        unready_most,
+        ready_for_us: 0,
+        start_first: true,
+    };
+    let script = (1..=2).fold(Script::new(), |script, task| says_ready(script, 10, task, true, false));
+    let script = says_ready(script.see(20, roll), 30, 1, true, false);
+    assert_eq!(says_ready(script, 40, 2, true, false).broken(), broken);
+}
+
 #[test]
 fn copies_that_came_to_their_end_are_not_missing() {
     says_ready(rolling(), 40, 2, false, true).keeps_all();
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -67,6 +67,9 @@
     pub withdraw: Vec<String>,
     /// Claims to give back at all keepers.
     pub release: Vec<ClaimId>,
+    /// Claims of others, dead or gone, under which a new copy may still stand beside ours of this task: to be given
+    /// back once every node has put such a one away, as told by [`Conductor::cleared`].
+    pub clear: Vec<(ClaimId, String)>,
     /// The roll is to halt for this reason.
     pub halt: Option<String>,
     /// Until the next look.
@@ -108,6 +111,8 @@
     halted: bool,
     lost_in_a_row: u32,
     claim_at: Tenths,
+    /// Claims that are being cleared, and for which task.
+    clearing: BTreeMap<ClaimId, String>,
     /// Grants that nobody was heard to use, and since when.
     idle: BTreeMap<ClaimId, Tenths>,
 }
@@ -127,6 +132,7 @@
             halted: false,
             lost_in_a_row: 0,
             claim_at: now,
+            clearing: BTreeMap::new(),
             idle: BTreeMap::new(),
         }
     }
@@ -219,6 +225,18 @@
         copy.claim.take().into_iter().inspect(|claim| drop(self.claims.remove(claim))).collect()
     }
 
+    /// Something is still to be put away before a new one may stand beside it: its turn comes again.
+    pub fn grow_later(&mut self, task: &str) {
+        if let Some(copy) = self.copies.get_mut(task).filter(|copy| matches!(copy.step, Step::Grows { .. })) {
+            copy.step = Step::Replaced;
+        }
+    }
+
+    /// No node has any copy left that was begun under this claim of another.
+    pub fn cleared(&mut self, claim: ClaimId) {
+        self.clearing.remove(&claim);
+    }
+
     /// Whether a new copy is wanted beside it.
     pub fn grows(&self, task: &str) -> bool {
         self.copies.get(task).is_some_and(|copy| matches!(copy.step, Step::Grows { .. }))
@@ -321,6 +339,7 @@
         // version wanted too, so that all dispatchers give way. Then old ones that are ready.
         let down = |copy: &Copy| copy.returning && copy.ready.is_none();
         let mut next: Vec<(bool, &String)> = (self.copies.iter())
+            .filter(|(task, _)| !self.clearing.values().any(|other| other == *task))
             .filter(|(_, copy)| copy.step == Step::Stays && (copy.version != wanted || down(copy)))
             .map(|(task, copy)| (copy.ready.is_some(), task))
             .collect();
@@ -369,7 +388,7 @@
         for (task, copy) in &mut self.copies {
             // One that was just handed over has not yet had its say.
             let may_say = self.roll.order == Order::StartFirst && !self.once.contains(task);
-            if may_say && copy.ready.is_none() && now < copy.unready + SAY {
+            if may_say && (copy.ready.is_some() || now < copy.unready + SAY) {
                 continue;
             }
             if copy.step == Step::Replaced && copy.version != wanted {
@@ -422,9 +441,12 @@
         let told = |claim: &ClaimId| held.iter().any(|(_, grant, _)| grant.claim == *claim);
         let copies = &self.copies;
         self.claims.retain(|claim, own| copies.contains_key(&own.task) || told(claim));
+        self.clearing.retain(|claim, task| copies.contains_key(task) && told(claim));
         self.idle.retain(|claim, _| held.iter().any(|(_, grant, _)| grant.claim == *claim));
         for (_, grant, _) in held.iter().filter(|(_, grant, _)| !self.claims.contains_key(&grant.claim)) {
-            if look.release.contains(&grant.claim) {
+            if look.release.contains(&grant.claim)
+                || look.clear.iter().any(|(claim, _)| *claim == grant.claim)
+            {
                 continue;
             }
             let settled = self.copies.get(&grant.task).is_some_and(|copy| {
@@ -433,7 +455,11 @@
             // A claim of ours that we don't know: a lost one that a keeper granted late, or an earlier life's.
             let mine = grant.dispatcher == self.me && !self.copies.contains_key(&grant.task);
             let since = *self.idle.entry(grant.claim).or_insert(now);
-            if settled || mine && now >= since + FORGET * self.roll.ready_within {
+            if settled && self.roll.order == Order::StartFirst && !self.once.contains(&grant.task) {
+                // That ours is ready says nothing of one that its holder had begun beside it.
+                self.clearing.insert(grant.claim, grant.task.clone());
+                look.clear.push((grant.claim, grant.task.clone()));
+            } else if settled || mine && now >= since + FORGET * self.roll.ready_within {
                 look.release.push(grant.claim);
             }
         }
--- a/crates/roll/tests/conductor.rs
+++ b/crates/roll/tests/conductor.rs
@@ -1,7 +1,7 @@
 //! What one dispatcher decides of a roll, whatever comes in whatever order.
 
-use corkspan_roll::conductor::{Conductor, Look, Votes};
-use corkspan_roll::keeper::Grant;
+use corkspan_roll::conductor::{Conductor, Look, Votes, Withdrawn};
+use corkspan_roll::keeper::{Claimed, Grant, Keeper};
 use corkspan_roll::{ClaimId, Order, Phase, Roll};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -252,7 +252,178 @@
     ]
 }
 
+/// One old copy, and a won slot under which a new one is to stand beside it.
+fn grows() -> (Conductor, ClaimId, String) {
+    let mut conductor = Conductor::new(0, 1, Roll { order: Order::StartFirst, ..roll(1, "v2") }, 0);
+    conductor.copy(0, "c0", "v1", false);
+    conductor.ready(0, "c0");
+    let (claim, _, task) = conductor.look(0, &[]).claims[0].clone();
+    assert!(conductor.claimed(0, claim, WON));
+    assert_eq!(conductor.look_to_grow(0), std::slice::from_ref(&task));
+    assert!(conductor.look_at_held(0).is_empty(), "the old one is left alone");
+    (conductor, claim, task)
+}
+
+#[test]
+fn an_old_copy_is_retired_only_after_the_new_one_has_stayed_ready() {
+    let (mut conductor, claim, task) = grows();
+    conductor.grown(SECOND, &task, true);
+    conductor.grown(2 * SECOND, &task, false);
+    conductor.grown(3 * SECOND, &task, true);
+    assert!(conductor.look(4 * SECOND, &[]).retire.is_empty(), "its time began anew");
+    let look = conductor.look(5 * SECOND, &[]);
+    assert_eq!(
+        (look.retire, look.release),
+        (vec![task.clone()], vec![]),
+        "its slot is held until it is gone"
+    );
+    assert_eq!(conductor.look(6 * SECOND, &[]).retire, std::slice::from_ref(&task), "said again until then");
+    assert_eq!(conductor.retired(&task), [claim]);
+    assert_eq!(conductor.counts(), (1, 1, 0));
+}
+
+#[test_case::test_case(Withdrawn::Failed; "it died")]
+#[test_case::test_case(Withdrawn::NoRoom; "it found no room")]
+fn a_new_copy_that_comes_to_nothing_costs_its_slot_alone(why: Withdrawn) {
+    let (mut conductor, claim, task) = grows();
+    assert_eq!(conductor.withdrawn(SECOND, &task, why), [claim]);
+    assert_eq!(conductor.counts(), (1, 0, 0), "the old one is ready as before");
+    let look = conductor.look(SECOND, &[]);
+    assert!(look.claims.is_empty() && look.halt.is_none(), "not at once again; one failure may be");
+    let look = conductor.look(4 * SECOND, &[]);
+    assert!(conductor.claimed(4 * SECOND, look.claims[0].0, WON));
+    assert_eq!(conductor.look_to_grow(4 * SECOND).len(), 1);
+    conductor.withdrawn(5 * SECOND, &task, why);
+    let halt = conductor.look(9 * SECOND, &[]).halt.expect("the second is one too many");
+    assert_eq!(halt.contains("2 without room"), why == Withdrawn::NoRoom, "{halt}");
+}
+
+#[test]
+fn an_undo_puts_the_new_copy_away_and_keeps_the_old() {
+    let (mut conductor, claim, task) = grows();
+    conductor.grown(SECOND, &task, true);
+    conductor.adopt(conductor.roll().undone(1));
+    let look = conductor.look(9 * SECOND, &[]);
+    assert_eq!((look.withdraw, look.retire), (vec![task.clone()], vec![]));
+    assert_eq!(conductor.withdrawn(9 * SECOND, &task, Withdrawn::NotWanted), [claim]);
+    assert!(conductor.look(20 * SECOND, &[]).claims.is_empty(), "it is what is wanted");
+}
+
+#[test]
+fn a_copy_that_must_run_once_is_stopped_first_in_either_order() {
+    let mut conductor = Conductor::new(0, 1, Roll { order: Order::StartFirst, ..roll(1, "v2") }, 0);
+    conductor.copy(0, "c0", "v1", false);
+    conductor.only_once("c0");
+    conductor.ready(0, "c0");
+    let claim = conductor.look(0, &[]).claims[0].0;
+    assert!(conductor.claimed(0, claim, WON));
+    assert!(conductor.look_to_grow(0).is_empty());
+    assert_eq!(conductor.look_at_held(0), ["c0"]);
+}
+
+#[test]
+fn an_old_copy_that_dies_beside_its_new_one_leaves_the_slot_to_what_comes() {
+    let (mut conductor, claim, task) = grows();
+    conductor.died(SECOND, &task);
+    assert!(conductor.withdrawn(SECOND, &task, Withdrawn::NotWanted).is_empty(), "the slot is still in use");
+    conductor.copy(2 * SECOND, &task, "v2", true);
+    conductor.ready(2 * SECOND, &task);
+    let held = [(0, grant(claim, &task), 3)];
+    assert!(conductor.look(3 * SECOND, &held).release.is_empty());
+    assert_eq!(conductor.look(4 * SECOND, &held).release, [claim]);
+}
+
 proptest! {
+    /// Two dispatchers whose clocks are apart, with keepers between them: whatever the order, and however late
+    /// word comes, never more are down or beside others than the roll lets be, and in the end all are replaced.
+    #[test]
+    fn clocks_apart_pass_no_limit(
+        apart in 0u64..100_000,
+        start_first in any::<bool>(),
+        turns in prop::collection::vec((0usize..2, 0u64..3_000), 200..400),
+    ) {
+        let order = if start_first { Order::StartFirst } else { Order::StopFirst };
+        let wish = Roll { order, failures_most: 1_000, ..roll(1, "v2") };
+        let mut keepers = vec![Keeper::default(); 3];
+        keepers.iter_mut().for_each(|keeper| drop(keeper.propose(wish.clone()).cloned()));
+        let mut own: Vec<Conductor> = (0..2).map(|me| {
+            let now = me as u64 * apart;
+            let mut conductor = Conductor::new(me, u64::from(me) + 1, wish.clone(), now);
+            for number in 0..3 {
+                let task = format!("d{me}c{number}");
+                conductor.copy(now, &task, "v1", false);
+                conductor.ready(now, &task);
+            }
+            conductor
+        }).collect();
+        // Copies under way and when they get ready, by the true time.
+        let mut under_way: BTreeMap<String, u64> = BTreeMap::new();
+        let (mut time, mut most) = (0, 0);
+        // After the turns drawn, both in turn until all is done.
+        let rest = (0..600).map(|turn| (turn % 2, 1_000));
+        for (who, later) in turns.into_iter().chain(rest) {
+            time += later;
+            let now = time + who as u64 * apart;
+            let mine: Vec<String> = under_way.iter()
+                .filter(|(task, at)| task.starts_with(&format!("d{who}")) && **at <= time)
+                .map(|(task, _)| task.clone()).collect();
+            for task in mine {
+                if own[who].grows(&task) {
+                    own[who].grown(now, &task, true);
+                } else {
+                    own[who].ready(now, &task);
+                }
+            }
+            let mut told: Vec<(u32, Grant, usize)> = Vec::new();
+            for (slot, grant) in keepers.iter().flat_map(|keeper| keeper.services()).flat_map(|kept| &kept.slots) {
+                match told.iter_mut().find(|(other, own, _)| other == slot && own == grant) {
+                    Some((_, _, many)) => *many += 1,
+                    None => told.push((*slot, grant.clone(), 1)),
+                }
+            }
+            let look = own[who].look(now, &told);
+            prop_assert!(look.halt.is_none() && look.withdraw.is_empty());
+            let mut release = look.release;
+            for task in look.retire {
+                under_way.remove(&task);
+                release.extend(own[who].retired(&task));
+            }
+            for (claim, slot, task) in look.claims {
+                let granted = keepers.iter_mut().filter_map(|keeper| {
+                    let grant = Grant { claim, task: task.clone(), dispatcher: who as u32 };
+                    (keeper.claim("s", 1, slot, grant) == Claimed::Granted).then_some(())
+                }).count();
+                if !own[who].claimed(now, claim, Votes { granted, keepers: 3 }) {
+                    release.push(claim);
+                }
+            }
+            let mut taken = look.replace;
+            taken.extend(look.grow);
+            taken.extend(own[who].look_to_grow(now));
+            taken.extend(own[who].look_at_held(now));
+            for task in taken {
+                if !own[who].grows(&task) {
+                    own[who].copy(now, &task, "v2", false);
+                }
+                under_way.insert(task, time + 5_000);
+            }
+            for claim in release {
+                keepers.iter_mut().for_each(|keeper| keeper.release("s", claim));
+                if !start_first {
+                    let held: Vec<String> = own.iter().flat_map(|own| {
+                        under_way.keys().filter(|task| own.claim_of(task).is_some()).cloned().collect::<Vec<_>>()
+                    }).collect();
+                    under_way.retain(|task, _| held.contains(task));
+                }
+            }
+            most = most.max(under_way.len());
+            prop_assert!(most <= 2, "{most} at a time where 2 may be");
+        }
+        let left: Vec<_> = own.iter().map(Conductor::counts).collect();
+        prop_assert_eq!(left, vec![(3, 3, 0), (3, 3, 0)], "all are replaced in the end");
+        prop_assert!(most >= 1);
+    }
+
     /// A copy is taken down only under a claim that was won and not given back, one claim a copy, and never more
     /// than the batch at a time, whatever happens meanwhile.
     #[test]
