--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -3,7 +3,7 @@
 use crate::capture::*;
 use crate::play::HELD;
 use hdrhistogram::Histogram;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
 #[derive(Default)]
@@ -59,7 +59,7 @@
         let mut ready: BTreeMap<&str, Vec<(u32, &str)>> = BTreeMap::new();
         let (mut down, mut offered) = (HashMap::<&str, u64>::new(), HashMap::new());
         let (mut times, mut last) = (Vec::new(), start);
-        let mut calls = std::collections::BTreeSet::new();
+        let (mut calls, mut once) = (BTreeSet::new(), BTreeSet::new());
         for Line { t, seen } in lines {
             let (task, node, runs, is) = match seen {
                 Seen::Offered { node, placing, service: of, .. } if *of == service => {
@@ -80,7 +80,8 @@
             };
             let copies = ready.entry(task).or_default();
             if is {
-                if runs == version && copies.iter().all(|(_, other)| *other != version) {
+                // One that comes back later, since its node was struck, was rolled before.
+                if runs == version && once.insert(task) {
                     last = *t;
                     let since =
                         if beside { offered.get(&(node, task)).copied() } else { down.get(task).copied() };
@@ -123,7 +124,7 @@
     fn of(lines: &[Line]) -> Option<Self> {
         let mut held = BTreeMap::<u64, &str>::new();
         let mut ready: BTreeMap<&str, i64> = BTreeMap::new();
-        let all: std::collections::BTreeSet<&str> = (lines.iter())
+        let all: BTreeSet<&str> = (lines.iter())
             .filter_map(|line| match &line.seen {
                 Seen::Asked(asked) if asked.service == HELD => Some(&asked.task[..]),
                 _ => None,
