Set a store of rolls aside that was cut short, instead of going down with it

A store cut short anywhere made redb assert, and the dispatcher panic at its start. What panics there is caught and the file set aside and said, like any other torn one.

Stories of the store: a kill after each of its six writes leaves all that was written and nothing else; cut at any sixteenth it is whole or set aside, never guessed at (panicked before); one that can't be written says so.

--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -106,7 +106,7 @@
         whole().map_err(|why| why.to_string())
     }
 
-    fn claim(&self, held: &Held) -> Result<(), String> {
+    pub fn claim(&self, held: &Held) -> Result<(), String> {
         let text = serde_json::to_string(held).map_err(|why| why.to_string())?;
         self.write(|transaction| {
             transaction.open_table(CLAIMS)?.insert(held.claim.0, &text[..])?;
@@ -114,14 +114,14 @@
         })
     }
 
-    fn release(&self, claim: ClaimId) -> Result<(), String> {
+    pub fn release(&self, claim: ClaimId) -> Result<(), String> {
         self.write(|transaction| {
             transaction.open_table(CLAIMS)?.remove(claim.0)?;
             Ok(())
         })
     }
 
-    fn roll(&self, roll: &Roll) -> Result<(), String> {
+    pub fn roll(&self, roll: &Roll) -> Result<(), String> {
         let text = serde_json::to_string(roll).map_err(|why| why.to_string())?;
         self.write(|transaction| {
             transaction.open_table(ROLLS)?.insert(&roll.service[..], &text[..])?;
@@ -141,6 +141,12 @@
 
 /// A database whose tables all read as they should.
 fn sound(path: &Path) -> Result<Database, String> {
+    // redb asserts that a file is as long as its header says, and would take the dispatcher down with a torn one.
+    let opened = std::panic::catch_unwind(|| open_sound(path));
+    opened.unwrap_or_else(|_| Err("it is not whole".into()))
+}
+
+fn open_sound(path: &Path) -> Result<Database, String> {
     let text = |why: redb::Error| why.to_string();
     let database = Database::create(path).map_err(|why| text(why.into()))?;
     let transaction = database.begin_write().map_err(|why| text(why.into()))?;
--- /dev/null
+++ b/crates/dispatcher/tests/store.rs
@@ -0,0 +1,92 @@
+//! The store of rolls, killed at each of its steps and torn.
+
+use corkspan_dispatcher::rolls::{Held, Pair, Store};
+use corkspan_roll::{ClaimId, Order, Phase, Roll};
+use std::path::Path;
+
+fn roll() -> Roll {
+    Roll {
+        service: "s".into(),
+        number: 1,
+        asker: 1,
+        version: "v2".into(),
+        former: "v1".into(),
+        unversioned: "v1".into(),
+        unready_most: 2,
+        batch: 2,
+        order: Order::StartFirst,
+        ready_for: 10_000,
+        ready_within: 10_000,
+        failures_most: 1,
+        phase: Phase::Rolling,
+    }
+}
+
+fn held(claim: u64, won: bool, pair: Option<bool>) -> Held {
+    let pair = pair.map(|retires| Pair { old: "c#0".into(), new: "c#0~1".into(), retires });
+    Held { claim: ClaimId(claim), service: "s".into(), task: format!("c{claim}"), won, pair }
+}
+
+type Write = fn(&Store) -> Result<(), String>;
+
+/// All that a replacing writes, in its order, and the rolls and claims that the store holds after each.
+fn steps() -> Vec<(Write, usize, Vec<Held>)> {
+    vec![
+        (|store| store.roll(&roll()), 1, vec![]),
+        (|store| store.claim(&held(7, false, None)), 1, vec![held(7, false, None)]),
+        (|store| store.claim(&held(7, true, None)), 1, vec![held(7, true, None)]),
+        (|store| store.claim(&held(7, true, Some(false))), 1, vec![held(7, true, Some(false))]),
+        (|store| store.claim(&held(7, true, Some(true))), 1, vec![held(7, true, Some(true))]),
+        (|store| store.release(ClaimId(7)), 1, vec![]),
+    ]
+}
+
+fn read(path: &Path) -> (Vec<Roll>, Vec<Held>) {
+    Store::open(Some(path)).read()
+}
+
+#[test]
+fn a_kill_after_any_write_leaves_all_that_was_written_and_nothing_else() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("rolls.redb");
+    let store = Store::open(Some(&path));
+    for (index, (step, rolls, claims)) in steps().into_iter().enumerate() {
+        step(&store).expect("written");
+        // What is in the file while the process still has it open is what a kill leaves.
+        let left = folder.path().join(format!("left-{index}.redb"));
+        std::fs::copy(&path, &left).expect("copied");
+        let (told, held) = read(&left);
+        assert_eq!((told.len(), held), (rolls, claims), "after write {index}");
+        assert!(told.iter().all(|told| *told == roll()));
+    }
+}
+
+#[test]
+fn a_store_cut_short_anywhere_is_whole_or_set_aside_but_never_guessed_at() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("rolls.redb");
+    let store = Store::open(Some(&path));
+    steps().into_iter().take(4).for_each(|(step, _, _)| step(&store).expect("written"));
+    drop(store);
+    let whole = std::fs::read(&path).expect("read");
+    let all = (vec![roll()], vec![held(7, true, Some(false))]);
+    assert_eq!(read(&path), all);
+    let mut aside = 0;
+    for part in 0..16 {
+        let cut = folder.path().join(format!("cut-{part}.redb"));
+        std::fs::write(&cut, &whole[..whole.len() * part / 16]).expect("written");
+        let told = read(&cut);
+        let set_aside = cut.with_extension("aside").exists();
+        aside += usize::from(set_aside);
+        assert!(told == all && !set_aside || told == (vec![], vec![]), "part {part}: {told:?}");
+    }
+    assert!(aside >= 8, "most cuts are noticed: {aside}");
+}
+
+#[test]
+fn a_store_that_can_not_be_written_says_so() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let store = Store::open(Some(&folder.path().join("missing").join("rolls.redb")));
+    assert!(store.claim(&held(7, false, None)).is_err() && store.roll(&roll()).is_err());
+    assert_eq!(store.read(), (vec![], vec![]));
+}
