--- a/crates/host/tests/stories.rs
+++ b/crates/host/tests/stories.rs
@@ -58,7 +58,12 @@
         other_hall_price: 0.0,
     };
     let mut host = Host::new(cluster, 1, 0, most, Slice { most: 2, apart: 20 });
-    let entry = |id| Entry {
+    host.listed(Scope::Remembered, &(0..machines).map(entry).collect::<Vec<_>>());
+    host
+}
+
+fn entry(id: u32) -> Entry {
+    Entry {
         machine: MachineId(id),
         kind: KindId(0),
         hall: HallId(0),
@@ -66,9 +71,7 @@
         state: State::Serving,
         started: None,
         unasked: None,
-    };
-    host.listed(Scope::Remembered, &(0..machines).map(entry).collect::<Vec<_>>());
-    host
+    }
 }
 
 fn asked(abandon: Tenths) -> Asked {
@@ -121,16 +124,7 @@
         host.place(0, id, &mut wire);
     }
     assert_eq!((wire.said(), host.counts().not_yet), (String::new(), 5));
-    let size = Entry {
-        machine: MachineId(7),
-        kind: KindId(0),
-        hall: HallId(0),
-        cell: CellId(0),
-        state: State::Serving,
-        started: None,
-        unasked: None,
-    };
-    host.listed(Scope::Whole, &[size]);
+    host.listed(Scope::Whole, &[entry(7)]);
     let mut slices = Vec::new();
     for now in 1..2 * SECOND {
         host.woken(now);
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -291,16 +291,14 @@
     script.see(ms, Seen::Ready { node: NODE, task, service, version, ready, done, stopped: !ready && !done })
 }
 
+fn roll(unready_most: usize, start_first: bool) -> Seen {
+    Seen::Roll { service: "s".into(), version: "v2".into(), unready_most, ready_for_us: 0, start_first }
+}
+
 /// Three copies that are ready, and a roll that lets one be down.
 fn rolling() -> Script {
     let script = (1..=3).fold(Script::new(), |script, task| says_ready(script, 10, task, true, false));
-    let roll = Seen::Roll {
-        service: "s".into(),
-        version: "v2".into(),
-        unready_most: 1,
-        ready_for_us: 0,
-        start_first: false,
-    };
+    let roll = roll(1, false);
     says_ready(script.see(20, roll), 30, 1, false, false)
 }
 
@@ -318,13 +316,7 @@
 #[test_case(false, &[]; "at once, nobody can know")]
 #[test_case(true, &[(6, vec![7])]; "for long, the roll must have given way")]
 fn a_copy_that_died_by_itself(long_ago: bool, broken: &[(u8, Vec<usize>)]) {
-    let roll = Seen::Roll {
-        service: "s".into(),
-        version: "v2".into(),
-        unready_most: 1,
-        ready_for_us: 0,
-        start_first: false,
-    };
+    let roll = roll(1, false);
     let script =
         (1..=3).fold(Script::new(), |script, task| says_ready(script, 10, task, true, false)).see(20, roll);
     let died = Seen::Ready {
@@ -343,14 +335,7 @@
 #[test_case(3, &[]; "as many as may be")]
 #[test_case(2, &[(6, vec![6])]; "one more")]
 fn copies_beside_others(most: usize, broken: &[(u8, Vec<usize>)]) {
-    let unready_most = most - 1;
-    let roll = Seen::Roll {
-        service: "s".into(),
-        version: "v2".into(),
-        unready_most,
-        ready_for_us: 0,
-        start_first: true,
-    };
+    let roll = roll(most - 1, true);
     let script = (1..=2).fold(Script::new(), |script, task| says_ready(script, 10, task, true, false));
     let script = says_ready(script.see(20, roll), 30, 1, true, false);
     assert_eq!(says_ready(script, 40, 2, true, false).broken(), broken);
