Check the deployment by one schema, all faults at once; decide streamed versions

Change: crates/deployment turns a text into plain data and checks it against one JSON Schema (jsonschema), for the file and for versions; faults carry their places.

--- /dev/null
+++ b/crates/control/src/publisher.rs
@@ -0,0 +1,117 @@
+//! A control service's end of the stream: its versions, and what it knows of each subscriber.
+
+use crate::subscriber::{Push, Said, Version};
+use corkspan_deployment::version::{Stamp, Texts};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Versions that are remembered. A subscriber that runs an older one is sent the whole, and turns it down unless it
+/// is told of as one in the line.
+const HISTORY: usize = 1_000;
+const SUBSCRIBERS: usize = 100_000;
+
+#[derive(Clone, Debug, Default)]
+struct Subscriber {
+    running: Option<Stamp>,
+    /// Of the push sent last on its stream, and which it was.
+    nonce: u64,
+    sent: Option<Stamp>,
+    refused: Option<(Stamp, Vec<String>)>,
+    whole: bool,
+}
+
+/// What a reply was worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    Counted,
+    /// It answers an older push than the last: what it says of it is passed over.
+    Older,
+    Unknown,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Publisher {
+    /// In their order; stamps alone for all but the newest, whose texts all changes are made from.
+    versions: VecDeque<(Version, bool)>,
+    subscribers: BTreeMap<u32, Subscriber>,
+    nonces: u64,
+}
+
+impl Publisher {
+    /// The next version. Its number is one more than the highest there is, of this service or told by a subscriber:
+    /// a service that lost its state must not count from 1 again.
+    pub fn publish(&mut self, texts: Texts, cuts: bool) -> Stamp {
+        let told = self.subscribers.values().filter_map(|own| own.running).map(|running| running.number);
+        let number = told.chain(self.newest().map(|stamp| stamp.number)).max().unwrap_or(0) + 1;
+        let stamp = Stamp { number, digest: texts.digest() };
+        self.versions.push_back((Version { stamp, texts }, cuts));
+        if self.versions.len() > HISTORY {
+            self.versions.pop_front();
+        }
+        stamp
+    }
+
+    pub fn newest(&self) -> Option<Stamp> {
+        self.versions.back().map(|(version, _)| version.stamp)
+    }
+
+    /// A subscriber opens a stream and tells what it runs. Nothing of an earlier stream counts any more.
+    pub fn opened(&mut self, who: u32, running: Stamp) {
+        if self.subscribers.len() < SUBSCRIBERS || self.subscribers.contains_key(&who) {
+            let fresh = Subscriber { running: Some(running), ..Subscriber::default() };
+            self.subscribers.insert(who, fresh);
+        }
+    }
+
+    /// A reply, with what runs there now.
+    pub fn heard(&mut self, who: u32, nonce: u64, said: &Said, running: Stamp) -> Heard {
+        let Some(own) = self.subscribers.get_mut(&who) else { return Heard::Unknown };
+        // That it runs is so, whichever push it answers.
+        own.running = Some(running);
+        if nonce != own.nonce {
+            return Heard::Older;
+        }
+        match (said, own.sent) {
+            (Said::Refused(why), Some(sent)) => own.refused = Some((sent, why.clone())),
+            (Said::WantsWhole, _) => (own.whole, own.sent) = (true, None),
+            _ => {}
+        }
+        Heard::Counted
+    }
+
+    /// What to push to it now, if it hasn't got the newest and hasn't turned it down.
+    pub fn push_for(&mut self, who: u32) -> Option<Push> {
+        let (newest, cuts) = self.versions.back()?;
+        let own = self.subscribers.get_mut(&who)?;
+        let running = own.running?;
+        if own.sent == Some(newest.stamp) || running == newest.stamp {
+            return None;
+        }
+        let theirs = self.versions.iter().find(|(version, _)| version.stamp == running);
+        let theirs = theirs.map(|(version, _)| version);
+        let parent = self.versions.iter().rev().nth(1).map(|(version, _)| version.stamp);
+        let mut follows: Vec<Stamp> = theirs.map(|version| version.stamp).into_iter().chain(parent).collect();
+        follows.dedup();
+        let base = theirs.filter(|_| !own.whole);
+        let (changes, removed) = match base {
+            Some(base) => base.texts.changes_to(&newest.texts),
+            None => (newest.texts.clone(), Vec::new()),
+        };
+        self.nonces += 1;
+        (own.nonce, own.sent, own.whole) = (self.nonces, Some(newest.stamp), false);
+        Some(Push {
+            nonce: self.nonces,
+            stamp: newest.stamp,
+            follows,
+            onto: base.map(|version| version.stamp),
+            changes,
+            removed,
+            cuts: *cuts,
+        })
+    }
+
+    /// What a subscriber runs, as it told last, and what it turned down last.
+    pub fn told(&self, who: u32) -> Option<(Stamp, Option<&(Stamp, Vec<String>)>)> {
+        let own = self.subscribers.get(&who)?;
+        Some((own.running?, own.refused.as_ref()))
+    }
+}
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -1,13 +1,19 @@
 //! The deployment file that a dispatcher reads at start. Its grammar is written down in docs/deployment.md.
 
+mod plain;
+pub mod schema;
 pub mod sexp;
+pub mod version;
 
 use corkspan::interface::*;
-use sexp::{Fault, Form};
-use std::net::SocketAddr;
+use ipnet::IpNet;
+use schema::Of;
+use sexp::{Fault, Faults, Form, Parts};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
+use version::Texts;
 
-/// Everything a dispatcher is told at start.
+/// Everything a dispatcher is told: its own file, and what a streamed version has changed since.
 #[derive(Clone, Debug)]
 pub struct Deployment {
     /// Where clients ask.
@@ -19,6 +25,9 @@
     /// Nodes that keep the rolls, the same at every dispatcher, and where our own claims are kept.
     pub keepers: Vec<MachineId>,
     pub rolls: Option<PathBuf>,
+    /// Control services that stream versions, and where the last good one is kept.
+    pub control: Vec<SocketAddr>,
+    pub versions: Option<PathBuf>,
     /// What the decisions are handed; its lists are in the order of the names below.
     pub cluster: Cluster,
     pub halls: Vec<String>,
@@ -26,6 +35,10 @@
     pub tracks: Vec<String>,
     pub accounts: Vec<String>,
     pub bounds: Bounds,
+    /// Networks whose addresses may connect as clients; all where none is named.
+    pub allow: Vec<IpNet>,
+    /// What it shares with the others, as written.
+    pub texts: Texts,
 }
 
 /// What a dispatcher holds at the most, and how long it waits.
@@ -55,93 +68,138 @@
 
 impl Deployment {
     /// Reads and checks a file.
-    pub fn load(path: &Path) -> Result<Self, Fault> {
+    pub fn load(path: &Path) -> Result<Self, Faults> {
         Self::read(&path.display().to_string(), &sexp::load(path)?)
     }
 
     /// Reads and checks a text; `file` is its name in messages.
-    pub fn read(file: &str, text: &str) -> Result<Self, Fault> {
-        sexp::with_form(file, text, "deployment", |form| {
-            let parts = form.parts(&[
-                "listen",
-                "roster",
-                "remembered",
-                "keepers",
-                "rolls",
-                "seed",
-                "hall",
-                "number",
-                "schedulers",
-                "halls",
-                "kinds",
-                "tracks",
-                "accounts",
-                "accepts",
-                "makes-room",
-                "shots",
-                "placed-when",
-                "shows-room",
-                "may-probe",
-                "ask-list",
-                "cold",
-                "other-hall-price",
-                "bounds",
-            ])?;
-            let halls = names(parts.need("halls")?.words()?);
-            if halls.is_empty() {
-                return Err(parts.need("halls")?.fault("names no hall"));
-            }
-            let kind_forms = parts.need("kinds")?.own_names()?;
-            let kinds = kind_forms.iter().map(Form::cores_and_memory).collect::<Result<Vec<_>, _>>()?;
-            let kind_names = names(kind_forms.iter().map(|kind| kind.name).collect());
-            if kinds.is_empty() {
-                return Err(parts.need("kinds")?.fault("names no kind"));
-            }
-            let track_forms = parts.need("tracks")?.own_names()?;
-            let tracks = track_forms.iter().map(|form| track(form, &kind_names));
-            let tracks = tracks.collect::<Result<Vec<_>, _>>()?;
-            if tracks.is_empty() {
-                return Err(parts.need("tracks")?.fault("names no track"));
-            }
-            let account_forms = parts.or("accounts", Vec::new(), Form::own_names)?;
-            let accounts = account_forms.iter().map(account).collect::<Result<Vec<_>, _>>()?;
-            let schedulers = parts.need("schedulers")?.whole(1, 100_000)? as usize;
-            let number = parts.need("number")?.whole(0, 99_999)? as usize;
-            if number >= schedulers {
-                let why = format!("{number} is beyond the {schedulers} schedulers, counted from 0");
-                return Err(parts.need("number")?.fault(why));
-            }
+    pub fn read(file: &str, text: &str) -> Result<Self, Faults> {
+        schema::check(Of::File, file, text)?;
+        let known: Vec<&str> = schema::local().chain(schema::shared()).collect();
+        let read = sexp::with_form(file, text, "deployment", |form| {
+            let parts = form.parts(&known)?;
+            let shared = Shared::read(&parts)?;
             let cluster = Cluster {
-                hall: HallId(parts.need("hall")?.one_of(&halls)?),
-                number,
-                schedulers,
-                kinds,
-                tracks,
-                accounts,
-                accepts: parts.need("accepts")?.cores_and_memory()?,
-                makes_room: parts.or("makes-room", false, Form::truth)?,
-                shots: parts.or("shots", 3, |form| Ok(form.whole(1, 100)? as usize))?,
-                placed_runs: parts.need("placed-when")?.one_of(&["accepted", "running"])? == 1,
-                shows_room: parts.or("shows-room", false, Form::truth)?,
-                may_probe: parts.or("may-probe", false, Form::truth)?,
-                ask_list: Some(parts.or("ask-list", 100_000, Form::time)?),
-                cold: cold(parts.need("cold")?)?,
-                other_hall_price: parts.or("other-hall-price", 0.0, Form::amount)?,
+                hall: HallId(parts.need("hall")?.one_of(&shared.halls)?),
+                number: parts.need("number")?.whole(0, 99_999)? as usize,
+                ..shared.cluster
             };
+            let control = parts.or("control", Vec::new(), |form| {
+                let texts = form.texts()?.into_iter();
+                texts.map(|(text, fault)| text.parse().map_err(|_| fault)).collect::<Result<Vec<_>, _>>()
+            })?;
             Ok(Deployment {
                 listen: address(parts.need("listen")?)?,
                 roster: address(parts.need("roster")?)?,
                 remembered: parts.find("remembered").map(Form::text).transpose()?.map(PathBuf::from),
                 keepers: parts.or("keepers", Vec::new(), keepers)?,
                 rolls: parts.find("rolls").map(Form::text).transpose()?.map(PathBuf::from),
+                control,
+                versions: parts.find("versions").map(Form::text).transpose()?.map(PathBuf::from),
                 seed: parts.or("seed", 0, |form| form.whole(0, u64::MAX))?,
                 cluster,
-                halls,
-                kinds: kind_names,
-                tracks: names(track_forms.iter().map(|form| form.name).collect()),
-                accounts: names(account_forms.iter().map(|form| form.name).collect()),
-                bounds: parts.find("bounds").map_or(Ok(Bounds::default()), bounds)?,
+                halls: shared.halls,
+                kinds: shared.kinds,
+                tracks: shared.tracks,
+                accounts: shared.accounts,
+                bounds: shared.bounds,
+                allow: shared.allow,
+                texts: shared.texts,
             })
+        });
+        Ok(read?)
+    }
+
+    /// The same dispatcher with what a streamed version says instead of the shared parts of its file. Ids are as
+    /// that version alone would give them.
+    pub fn with_version(&self, name: &str, texts: &Texts) -> Result<Self, Faults> {
+        let text = texts.whole();
+        schema::check(Of::Version, name, &text)?;
+        let known: Vec<&str> = schema::shared().collect();
+        let read = sexp::with_form(name, &text, "deployment", |form| {
+            let parts = form.parts(&known)?;
+            let shared = Shared::read(&parts)?;
+            let hall = &self.halls[self.cluster.hall.0];
+            let position = shared.halls.iter().position(|known| known == hall);
+            let lacks =
+                || parts.need("halls").map(|form| form.fault(format!("lacks `{hall}`, where this one is")));
+            let hall = match position {
+                Some(position) => HallId(position),
+                None => return Err(lacks()?),
+            };
+            let cluster = Cluster { hall, number: self.cluster.number, ..shared.cluster };
+            Ok(Deployment {
+                cluster,
+                halls: shared.halls,
+                kinds: shared.kinds,
+                tracks: shared.tracks,
+                accounts: shared.accounts,
+                bounds: shared.bounds,
+                allow: shared.allow,
+                texts: shared.texts,
+                ..self.clone()
+            })
+        });
+        Ok(read?)
+    }
+
+    /// Whether a client may connect from this address.
+    pub fn allows(&self, address: IpAddr) -> bool {
+        let address = address.to_canonical();
+        self.allow.is_empty() || self.allow.iter().any(|network| network.contains(&address))
+    }
+}
+
+/// What all dispatchers share.
+struct Shared {
+    /// Its hall and number are no one's.
+    cluster: Cluster,
+    halls: Vec<String>,
+    kinds: Vec<String>,
+    tracks: Vec<String>,
+    accounts: Vec<String>,
+    bounds: Bounds,
+    allow: Vec<IpNet>,
+    texts: Texts,
+}
+
+impl Shared {
+    fn read(parts: &Parts) -> Result<Self, Fault> {
+        let halls = names(parts.need("halls")?.words()?);
+        let kind_forms = parts.need("kinds")?.own_names()?;
+        let kinds = kind_forms.iter().map(Form::cores_and_memory).collect::<Result<Vec<_>, _>>()?;
+        let kind_names = names(kind_forms.iter().map(|kind| kind.name).collect());
+        let track_forms = parts.need("tracks")?.own_names()?;
+        let tracks = track_forms.iter().map(|form| track(form, &kind_names));
+        let account_forms = parts.or("accounts", Vec::new(), Form::own_names)?;
+        let cluster = Cluster {
+            hall: HallId(0),
+            number: 0,
+            schedulers: parts.need("schedulers")?.whole(1, 100_000)? as usize,
+            kinds,
+            tracks: tracks.collect::<Result<Vec<_>, _>>()?,
+            accounts: account_forms.iter().map(account).collect::<Result<Vec<_>, _>>()?,
+            accepts: parts.need("accepts")?.cores_and_memory()?,
+            makes_room: parts.or("makes-room", false, Form::truth)?,
+            shots: parts.or("shots", 3, |form| Ok(form.whole(1, 100)? as usize))?,
+            placed_runs: parts.need("placed-when")?.one_of(&["accepted", "running"])? == 1,
+            shows_room: parts.or("shows-room", false, Form::truth)?,
+            may_probe: parts.or("may-probe", false, Form::truth)?,
+            ask_list: Some(parts.or("ask-list", 100_000, Form::time)?),
+            cold: cold(parts.need("cold")?)?,
+            other_hall_price: parts.or("other-hall-price", 0.0, Form::amount)?,
+        };
+        Ok(Shared {
+            cluster,
+            halls,
+            kinds: kind_names,
+            tracks: names(track_forms.iter().map(|form| form.name).collect()),
+            accounts: names(account_forms.iter().map(|form| form.name).collect()),
+            bounds: parts.find("bounds").map_or(Ok(Bounds::default()), bounds)?,
+            allow: parts.or("allow", Vec::new(), allow)?,
+            texts: schema::shared()
+                .filter_map(|name| Some((name.to_string(), parts.find(name)?.written())))
+                .collect(),
         })
     }
 }
@@ -174,6 +232,17 @@
     text.parse().map_err(|_| form.fault(format!("`{text}` is no address with a port")))
 }
 
+/// `(allow "127.0.0.0/8" "::1")`
+fn allow(form: &Form) -> Result<Vec<IpNet>, Fault> {
+    let texts = form.texts()?.into_iter();
+    let network = |text: &str| text.parse().ok().or_else(|| text.parse().ok().map(IpAddr::into));
+    let networks = texts.map(|(text, fault)| {
+        let why = format!("`{text}` is no address and no network");
+        network(text).ok_or(Fault { why, ..fault })
+    });
+    networks.collect()
+}
+
 fn keepers(form: &Form) -> Result<Vec<MachineId>, Fault> {
     let ids = form.wholes(u64::from(u32::MAX))?;
     Ok(ids.into_iter().map(|id| MachineId(id as u32)).collect())
--- a/crates/deployment/src/sexp.rs
+++ b/crates/deployment/src/sexp.rs
@@ -4,6 +4,7 @@
 
 use corkspan::interface::Tenths;
 use lexpr::datum::Ref;
+use std::collections::BTreeSet;
 use std::path::Path;
 
 /// What is wrong with a file, and where.
@@ -17,6 +18,48 @@
     pub why: String,
 }
 
+/// All that is wrong with a text, or as much of it as is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults {
+    pub told: Vec<Fault>,
+    /// There are more.
+    pub more: bool,
+}
+
+impl Faults {
+    /// In the order of their places, so many at the most.
+    pub fn of(mut faults: Vec<Fault>, most: usize) -> Self {
+        faults.sort_by(|a, b| (a.line, a.column, &a.part, &a.why).cmp(&(b.line, b.column, &b.part, &b.why)));
+        faults.dedup();
+        let more = faults.len() > most;
+        faults.truncate(most);
+        Faults { told: faults, more }
+    }
+}
+
+impl From<Fault> for Faults {
+    fn from(fault: Fault) -> Self {
+        Faults { told: vec![fault], more: false }
+    }
+}
+
+impl std::fmt::Display for Faults {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        for (index, fault) in self.told.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{fault}")?;
+        }
+        if self.more {
+            write!(f, "\nand more")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
+
 /// The largest file that is read.
 pub const LARGEST: u64 = 4 << 20;
 
@@ -37,6 +80,35 @@
     String::from_utf8(bytes).map_err(|why| fault(why.to_string()))
 }
 
+/// Values in one text at the most.
+const MOST: usize = 40_000;
+
+/// Parses a text of one datum. Lists are chains that the library takes apart by recursion: one of a million values
+/// would overflow the stack, so more than may be are turned down unread. What stands in texts and comments counts too.
+pub fn datum(file: &str, text: &str) -> Result<lexpr::Datum, Fault> {
+    let fault =
+        |line, column, why: String| Fault { file: file.into(), line, column, part: "file".into(), why };
+    if text.len() as u64 > LARGEST {
+        return Err(fault(1, 1, format!("{} bytes; {LARGEST} is the most", text.len())));
+    }
+    let (mut values, mut within) = (0, false);
+    for byte in text.bytes() {
+        let ends = byte.is_ascii_whitespace() || b"()[]{}\"'`,;|#".contains(&byte);
+        values += usize::from(ends && !byte.is_ascii_whitespace()) + usize::from(!ends && !within);
+        within = !ends;
+    }
+    // Of a form both ends were counted.
+    if values > 2 * MOST {
+        return Err(fault(1, 1, format!("more than {MOST} values")));
+    }
+    // From a reader: over a text in memory the library counts lines anew for each value, and 4 MB take hours.
+    lexpr::datum::from_reader(text.as_bytes()).map_err(|why| {
+        let place = why.location();
+        let (line, column) = place.map_or((1, 1), |place| (place.line(), place.column() + 1));
+        fault(line, column, why.to_string())
+    })
+}
+
 /// Reads a text that holds exactly one form of this name, and hands it to `use_it`.
 pub fn with_form<T>(
     file: &str,
@@ -44,12 +116,7 @@
     name: &str,
     use_it: impl FnOnce(&Form) -> Result<T, Fault>,
 ) -> Result<T, Fault> {
-    let fault = |line, column, why: String| Fault { file: file.into(), line, column, part: name.into(), why };
-    let datum = lexpr::datum::from_str(text).map_err(|why| {
-        let place = why.location();
-        let (line, column) = place.map_or((1, 1), |place| (place.line(), place.column() + 1));
-        fault(line, column, why.to_string())
-    })?;
+    let datum = datum(file, text)?;
     let form = Form::read(file, name, datum.as_ref())?;
     if form.name != name {
         return Err(form.fault(format!("`({name} …)` must stand here, not `({} …)`", form.name)));
@@ -86,10 +153,9 @@
     /// The forms within, each of a name that is known here and none twice.
     pub fn parts(&self, known: &[&str]) -> Result<Parts<'a>, Fault> {
         let parts = self.all(known)?;
-        for (index, part) in parts.iter().enumerate() {
-            if parts[..index].iter().any(|other| other.name == part.name) {
-                return Err(part.fault("stands here twice"));
-            }
+        let mut seen = BTreeSet::new();
+        if let Some(part) = parts.iter().find(|part| !seen.insert(part.name)) {
+            return Err(part.fault("stands here twice"));
         }
         Ok(Parts { form: self.clone(), parts })
     }
@@ -106,10 +172,9 @@
     /// The forms within, whose names are names that the file gives, none twice.
     pub fn own_names(&self) -> Result<Vec<Form<'a>>, Fault> {
         let parts = self.named()?;
-        for (index, part) in parts.iter().enumerate() {
-            if parts[..index].iter().any(|other| other.name == part.name) {
-                return Err(part.fault(format!("a second `{}`", part.name)));
-            }
+        let mut seen = BTreeSet::new();
+        if let Some(part) = parts.iter().find(|part| !seen.insert(part.name)) {
+            return Err(part.fault(format!("a second `{}`", part.name)));
         }
         Ok(parts)
     }
@@ -148,10 +213,10 @@
 
     /// `(name word word …)`, none twice.
     pub fn words(&self) -> Result<Vec<&'a str>, Fault> {
-        let mut words = Vec::new();
+        let (mut words, mut seen) = (Vec::new(), BTreeSet::new());
         for &at in &self.rest {
             let word = at.value().as_symbol().ok_or_else(|| self.fault_in(at, "a word"))?;
-            if words.contains(&word) {
+            if !seen.insert(word) {
                 return Err(fault_at(self.file, at, &self.path, format!("a second `{word}`")));
             }
             words.push(word);
@@ -204,11 +269,11 @@
     /// `(name 3 5 8)`: whole numbers up to this, none twice.
     pub fn wholes(&self, most: u64) -> Result<Vec<u64>, Fault> {
         let what = format!("a whole number from 0 to {most}");
-        let mut wholes = Vec::new();
+        let (mut wholes, mut seen) = (Vec::new(), BTreeSet::new());
         for &at in &self.rest {
             let value = at.value().as_u64().filter(|value| *value <= most);
             let value = value.ok_or_else(|| self.fault_in(at, &what))?;
-            if wholes.contains(&value) {
+            if !seen.insert(value) {
                 return Err(fault_at(self.file, at, &self.path, format!("a second {value}")));
             }
             wholes.push(value);
@@ -216,6 +281,25 @@
         Ok(wholes)
     }
 
+    /// `(name "text" "text" …)`, none twice.
+    pub fn texts(&self) -> Result<Vec<(&'a str, Fault)>, Fault> {
+        let (mut texts, mut seen) = (Vec::new(), BTreeSet::new());
+        for &at in &self.rest {
+            let text = at.value().as_str().ok_or_else(|| self.fault_in(at, "a text in quotes"))?;
+            let fault = |why: &str| fault_at(self.file, at, &self.path, format!("`{text}` {why}"));
+            if !seen.insert(text) {
+                return Err(fault("stands here twice"));
+            }
+            texts.push((text, fault("is none")));
+        }
+        Ok(texts)
+    }
+
+    /// The form as it would be written without comments, on one line.
+    pub fn written(&self) -> String {
+        self.at.value().to_string()
+    }
+
     /// `(name 600 ms)`, `(name 14 s)` or `(name 2 min)`: whole tenths of a millisecond, rounded down, a year at
     /// the most.
     pub fn time(&self) -> Result<Tenths, Fault> {
--- /dev/null
+++ b/crates/deployment/src/version.rs
@@ -0,0 +1,121 @@
+//! What names one version of the shared parts: its number, and a digest of what it says.
+
+use crate::schema;
+use crate::sexp::{Faults, with_form};
+use sha2::{Digest as _, Sha256};
+use std::collections::BTreeMap;
+
+/// The shared parts by name, each written as one form without comments.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Texts(BTreeMap<String, String>);
+
+impl FromIterator<(String, String)> for Texts {
+    fn from_iter<I: IntoIterator<Item = (String, String)>>(parts: I) -> Self {
+        Texts(parts.into_iter().collect())
+    }
+}
+
+impl Texts {
+    /// The shared parts of a `(deployment …)`, as a file or a version has them; what is each dispatcher's own is
+    /// left out. Only its form is checked.
+    pub fn of(file: &str, text: &str) -> Result<Self, Faults> {
+        let read = with_form(file, text, "deployment", |form| {
+            let known: Vec<&str> = schema::local().chain(schema::shared()).collect();
+            let parts = form.parts(&known)?;
+            let written = |name: &str| Some((name.to_string(), parts.find(name)?.written()));
+            Ok(schema::shared().filter_map(written).collect())
+        });
+        Ok(read?)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.0.iter().map(|(name, text)| (&name[..], &text[..]))
+    }
+
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.get(name).map(String::as_str)
+    }
+
+    /// These with some parts changed and some taken away.
+    pub fn changed(&self, changes: &Texts, removed: &[String]) -> Texts {
+        let mut parts = self.0.clone();
+        removed.iter().for_each(|name| drop(parts.remove(name)));
+        parts.extend(changes.0.iter().map(|(name, text)| (name.clone(), text.clone())));
+        Texts(parts)
+    }
+
+    /// What leads from these to those: changed and new parts, and the names of those that are gone.
+    pub fn changes_to(&self, later: &Texts) -> (Texts, Vec<String>) {
+        let changed = later.0.iter().filter(|(name, text)| self.0.get(*name) != Some(*text));
+        let removed = self.0.keys().filter(|name| !later.0.contains_key(*name));
+        (
+            Texts(changed.map(|(name, text)| (name.clone(), text.clone())).collect()),
+            removed.cloned().collect(),
+        )
+    }
+
+    /// All as one form, a part a line.
+    pub fn whole(&self) -> String {
+        let mut whole = String::from("(deployment");
+        self.0.values().for_each(|text| {
+            whole.push_str("\n  ");
+            whole.push_str(text);
+        });
+        whole.push_str(")\n");
+        whole
+    }
+
+    /// SHA-256 over names and texts, the same wherever the same is said.
+    pub fn digest(&self) -> Digest {
+        let mut hasher = Sha256::new();
+        for (name, text) in &self.0 {
+            for piece in [name, text] {
+                hasher.update((piece.len() as u64).to_be_bytes());
+                hasher.update(piece.as_bytes());
+            }
+        }
+        Digest(hasher.finalize().into())
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// None where it is not 64 hexadecimal digits.
+    pub fn read(text: &str) -> Option<Self> {
+        let mut bytes = [0; 32];
+        if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return None;
+        }
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(Digest(bytes))
+    }
+}
+
+impl std::fmt::Display for Digest {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl std::fmt::Debug for Digest {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        self.0[..4].iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// A version's number and what it says, by digest. Number 0 is a dispatcher's own file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Stamp {
+    pub number: u64,
+    pub digest: Digest,
+}
+
+impl std::fmt::Display for Stamp {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{} ({:?})", self.number, self.digest)
+    }
+}
--- a/crates/deployment/tests/faults.rs
+++ b/crates/deployment/tests/faults.rs
@@ -2,6 +2,10 @@
 
 use corkspan::interface::*;
 use corkspan_deployment::Deployment;
+use corkspan_deployment::schema::{self, Of};
+use corkspan_deployment::version::Texts;
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 const SOUND: &str = r#"(deployment
@@ -38,25 +42,25 @@
     assert_eq!(read.bounds, Default::default());
 }
 
-#[test_case("(kind small)", "(kind huge)", "d.sexp:8:", "jobs/kind: `huge` is none of: small"; "unknown kind")]
+#[test_case("(kind small)", "(kind huge)", "d.sexp:8:", "tracks/jobs/kind: `huge` is none of: small"; "unknown kind")]
 #[test_case("(hall a)", "(hall c)", "d.sexp:4:", "hall: `c` is none of: a, b"; "unknown hall")]
-#[test_case("(cores 8)", "(cores -8)", "d.sexp:5:", "0 or more"; "negative amount")]
+#[test_case("(cores 8)", "(cores -8)", "d.sexp:5:", "kinds/small/cores: must be above 0"; "negative amount")]
 #[test_case("(cores 8)", "(cores 0)", "d.sexp:5:", "above 0"; "an amount of zero")]
 #[test_case("(offers 29)", "(offers +inf.0)", "d.sexp:13:", "cold/offers"; "an amount without end")]
-#[test_case("(jobs (", "(web (", "d.sexp:8:", "a second `web`"; "duplicate id")]
-#[test_case("(halls a b)", "(halls a a)", "d.sexp:4:", "a second `a`"; "duplicate hall")]
+#[test_case("(jobs (", "(web (", "d.sexp:8:", "tracks/web: stands here twice"; "duplicate id")]
+#[test_case("(halls a b)", "(halls a a)", "d.sexp:4:", "halls: names one twice"; "duplicate hall")]
 #[test_case("(number 1)", "(number 3)", "d.sexp:4:", "beyond the 3 schedulers"; "number beyond the count")]
-#[test_case("(window 6 s)", "(window 6 h)", "d.sexp:8:", "ms, s or min"; "unknown unit")]
-#[test_case("(window 6 s)", "", "d.sexp:8:", "jobs: lacks `(window …)`"; "deduplicated without a window")]
+#[test_case("(window 6 s)", "(window 6 h)", "d.sexp:8:", "ms, s, min"; "unknown unit")]
+#[test_case("(window 6 s)", "", "d.sexp:8:", "tracks/jobs: lacks `(window …)`"; "deduplicated without a window")]
 #[test_case("(repeat idempotent)", "(repeat idempotent) (window 6 s)", "d.sexp:7:", "only beside"; "a window without use")]
 #[test_case("(most 2)", "", "d.sexp:8:", "lacks `(most …)`"; "spread without a most")]
 #[test_case("(listen \"127.0.0.1:0\")", "(listen \"here\")", "d.sexp:2:", "no address"; "no address")]
-#[test_case("(placed-when running)", "(placed-when soon)", "d.sexp:12:", "none of: accepted, running"; "unknown word")]
-#[test_case("(placed-when running)", "(placed-when running) (polish 3)", "d.sexp:12:", "unknown; known here"; "unknown part")]
+#[test_case("(placed-when running)", "(placed-when soon)", "d.sexp:12:", "one of: accepted, running"; "unknown word")]
+#[test_case("(placed-when running)", "(placed-when running) (polish 3)", "d.sexp:12:", "polish: unknown here"; "unknown part")]
 #[test_case("(hall a)", "(hall a) (hall b)", "d.sexp:4:", "stands here twice"; "a part twice")]
 #[test_case("(placed-when running)", "(placed-when running) (bounds (message 3))", "d.sexp:12:", "bounds/message"; "a bound out of range")]
 #[test_case("(deployment", "(day", "d.sexp:1:", "`(deployment …)` must stand here"; "another file")]
-#[test_case("(offers 29)))", "(offers 29))", "d.sexp:", "deployment"; "cut off")]
+#[test_case("(offers 29)))", "(offers 29))", "d.sexp:13:", "EOF"; "cut off")]
 fn is_told_with_its_place(from: &str, to: &str, place: &str, why: &str) {
     let fault = fault(from, to);
     assert!(fault.starts_with(place), "{fault}");
@@ -74,3 +78,139 @@
     let fault = Deployment::load(std::path::Path::new("no/such.sexp")).map(drop).expect_err("missing");
     assert!(fault.to_string().starts_with("no/such.sexp:1:1: file:"));
 }
+
+#[test]
+fn all_that_is_wrong_is_told_at_once_in_the_order_of_the_text() {
+    let text = SOUND.replace("(cores 8)", "(cores -8)").replace("(window 6 s)", "(window 6 h)");
+    let text = text.replace("(hall a)", "(hall z)").replace("(offers 29)", "(polish)");
+    let faults = Deployment::read("d.sexp", &text).map(drop).expect_err("faults").told;
+    let told: Vec<(usize, &str)> = faults.iter().map(|fault| (fault.line, &fault.part[..])).collect();
+    let wanted =
+        [(4, "hall"), (5, "kinds/small/cores"), (8, "tracks/jobs/window"), (13, "cold"), (13, "cold/polish")];
+    assert_eq!(told, wanted);
+}
+
+fn shared() -> Texts {
+    Texts::of("d.sexp", SOUND).expect("sound")
+}
+
+fn version(changes: &str) -> Texts {
+    let changes = Texts::of("v", &format!("(deployment {changes})")).expect("a form");
+    shared().changed(&changes, &[])
+}
+
+#[test]
+fn a_version_changes_what_is_shared_and_leaves_the_rest() {
+    let file = Deployment::read("d.sexp", SOUND).expect("sound");
+    let changed =
+        file.with_version("v2", &version("(shots 5) (allow \"10.0.0.0/8\" \"::1\")")).expect("sound");
+    assert_eq!((changed.cluster.shots, changed.cluster.number, changed.listen), (5, 1, file.listen));
+    let allows = |text: &str| changed.allows(text.parse().expect("an address"));
+    assert!(allows("10.9.8.7") && allows("::1") && allows("::ffff:10.0.0.1") && !allows("127.0.0.1"));
+    assert!(file.allows("127.0.0.1".parse().expect("an address")));
+    let back = changed.with_version("v3", &shared()).expect("sound");
+    assert_eq!((back.cluster.shots, back.texts.digest()), (3, file.texts.digest()));
+}
+
+#[test_case("(allow \"10.0.0.0/40\")", "no address and no network"; "a network that is none")]
+#[test_case("(halls b)", "lacks `a`, where this one is"; "its own hall gone")]
+#[test_case("(tracks)", "tracks"; "no tracks")]
+fn a_version_that_can_not_be_read_is_told_why(changes: &str, why: &str) {
+    let file = Deployment::read("d.sexp", SOUND).expect("sound");
+    let fault = file.with_version("v2", &version(changes)).map(drop).expect_err("a fault").to_string();
+    assert!(fault.starts_with("v2:") && fault.contains(why), "{fault}");
+}
+
+#[test]
+fn what_is_each_dispatchers_own_is_turned_down_in_a_version() {
+    let texts =
+        shared().changed(&[("number".to_string(), "(number 7)".to_string())].into_iter().collect(), &[]);
+    let file = Deployment::read("d.sexp", SOUND).expect("sound");
+    let fault = file.with_version("v2", &texts).map(drop).expect_err("a fault").to_string();
+    assert!(fault.contains("number: is each dispatcher's own"), "{fault}");
+}
+
+#[test]
+fn a_digest_tells_texts_apart_and_not_how_they_are_written() {
+    let spaced = SOUND.replace(" (", "   ; a comment\n (");
+    let of = |text: &str| Texts::of("d", text).expect("sound").digest();
+    assert_eq!(of(SOUND), of(&spaced));
+    assert_ne!(of(SOUND), of(&SOUND.replace("(offers 29)", "(offers 28)")));
+    // What is each one's own is no part of it.
+    assert_eq!(of(SOUND), of(&SOUND.replace("(number 1)", "(number 2)")));
+}
+
+#[test]
+fn changes_lead_from_one_version_to_the_other() {
+    let (one, other) = (version("(shots 5) (makes-room #t)"), version("(shots 7) (may-probe #t)"));
+    let (changes, removed) = one.changes_to(&other);
+    assert_eq!(one.changed(&changes, &removed), other);
+    assert_eq!((changes.iter().count(), removed), (2, vec!["makes-room".to_string()]));
+}
+
+#[test_case("(a)"; "parts without end")]
+#[test_case("(tracks (a (repeat idempotent)))"; "tracks without end")]
+#[test_case("x "; "words without end")]
+#[test_case("((("; "lists without end")]
+#[test_case("\\"; "an escape without end")]
+fn four_megabytes_of_it_are_refused_in_bounded_time(piece: &str) {
+    let began = Instant::now();
+    let text = format!("(deployment {})", piece.repeat((4 << 20) / piece.len() - 8));
+    let faults = Deployment::read("d.sexp", &text).map(drop).expect_err("faults");
+    assert!(faults.told.len() <= 50, "{} faults", faults.told.len());
+    // Some tenths of a second here; a check that grows with the square of it would take hours.
+    assert!(began.elapsed() < Duration::from_secs(60), "{:?}", began.elapsed());
+    assert!(Deployment::read("d.sexp", &"(a".repeat(3 << 20)).is_err(), "5 MB and more");
+}
+
+#[test]
+fn as_many_values_as_may_be_are_read_on_a_small_stack() {
+    let accounts: String = (0..9_900).map(|number| format!("(a{number} (share-cores 1)) ")).collect();
+    let text = SOUND.replace("(accounts ", &format!("(accounts {accounts}"));
+    let read = std::thread::Builder::new().stack_size(1 << 20);
+    let read = read.spawn(move || Deployment::read("d.sexp", &text).map(|read| read.accounts.len()));
+    assert_eq!(read.expect("a thread").join().expect("no overflow"), Ok(9_902));
+    let words = format!("(deployment (halls {}))", "x ".repeat(79_000));
+    let thread = std::thread::Builder::new();
+    let read = thread.spawn(move || Deployment::read("d.sexp", &words).is_err());
+    assert!(read.expect("a thread").join().expect("no overflow"));
+}
+
+/// Pieces from which texts are put together that are nearly right.
+fn piece() -> impl Strategy<Value = String> {
+    let words = "[\\[(){}\"'`;#.a-z0-9 +-]{0,6}";
+    prop_oneof![
+        3 => prop::sample::select(SOUND.split_inclusive([' ', ')']).map(String::from).collect::<Vec<_>>()),
+        1 => words.prop_map(String::from),
+        1 => Just("(tracks (w (repeat unrepeatable) (contract-time 1e400 s)))".to_string()),
+        1 => any::<f64>().prop_map(|value| format!("(cores {value:?})")),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_text_makes_the_reader_panic_and_whatever_the_schema_lets_through_is_read(
+        pieces in prop::collection::vec(piece(), 0..30),
+        at in 0..SOUND.len(),
+        cut in 0..40usize,
+    ) {
+        let put_together: String = pieces.concat();
+        let end = (at + cut).min(SOUND.len());
+        let mended = format!("{}{put_together}{}", &SOUND[..at], &SOUND[end..]);
+        for text in [put_together, mended] {
+            let read = Deployment::read("d.sexp", &text);
+            let checked = schema::check(Of::File, "d.sexp", &text);
+            if let Err(faults) = &read {
+                prop_assert!(!faults.told.is_empty());
+            }
+            // The reader may know more (a word for a text), never less.
+            prop_assert!(checked.is_ok() || read.is_err());
+            let file = Deployment::read("d.sexp", SOUND).expect("sound");
+            if let Ok(texts) = Texts::of("v", &text) {
+                let _ = file.with_version("v", &texts);
+            }
+        }
+    }
+}
