Bear a disk that fills up during a roll, and claims given back right before a kill

Cause: redb takes nothing more after one failed write, so a disk full for a moment ended all rolls at that dispatcher until its next start; and starting first it counted as a failure of the version. A claim given back at the keepers but not yet on disk when the dispatcher was killed was used again by its next life: with a later roll begun, a copy went down without a slot.

Change: the store is opened anew at the next write after a failed one; a claim remembered counts once a majority of the keepers tells that it holds, and is dropped once that can't be.

--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -184,9 +184,10 @@
         tasks: &Tasks,
         wakes: async_channel::Sender<Instant>,
         watches: async_channel::Sender<()>,
+        store: rolls::Store,
     ) -> Arc<Self> {
         let now = clock.now();
-        let store = Arc::new(rolls::Store::open(deployment.rolls.as_deref()));
+        let store = Arc::new(store);
         let kept = store.read();
         // Whatever an earlier life had started beside a copy, and was killed before it had put away one of the two.
         let orphans = kept.1.iter().filter_map(|held| {
@@ -696,7 +697,8 @@
 
     /// A new copy that could not even be begun.
     pub fn not_grown(&self, service: &str, task: &str) {
-        self.with(|_, _, port| port.withdrawn(service, task, Withdrawn::NoRoom));
+        // That it can't be kept on disk says nothing of the version: it must not halt the roll.
+        self.with(|_, _, port| port.withdrawn(service, task, Withdrawn::NotWanted));
     }
 
     /// Puts away a new copy that is not wanted any more.
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -56,6 +56,18 @@
     deployment: Deployment,
     ready: impl FnOnce(SocketAddr),
     stop: impl Future<Output = ()>,
+) -> Result<(), Failure> {
+    let store = rolls::Store::open(deployment.rolls.as_deref());
+    run_over(store, tasks, deployment, ready, stop).await
+}
+
+/// The same over a store of rolls of the caller's.
+pub async fn run_over(
+    store: rolls::Store,
+    tasks: Tasks,
+    deployment: Deployment,
+    ready: impl FnOnce(SocketAddr),
+    stop: impl Future<Output = ()>,
 ) -> Result<(), Failure> {
     let address = deployment.listen;
     let listener = TcpListener::bind(address).await.map_err(|why| Failure::Listen { address, why })?;
@@ -67,7 +79,7 @@
     let (watches, asked) = async_channel::bounded(1);
     let path = deployment.remembered.clone();
     let bounds = deployment.bounds.clone();
-    let desk = Desk::new(deployment, seed, clock, &tasks, wakes, watches);
+    let desk = Desk::new(deployment, seed, clock, &tasks, wakes, watches, store);
     let _closes = rolls::Closes(Arc::clone(&desk.store));
     let mut roster = path.as_deref().map(Roster::remembered).unwrap_or_default();
     let entries = roster.entries(&desk);
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -56,15 +56,21 @@
     ClaimId(0)
 }
 
+/// Opens the database of a store, as often as it takes.
+type Opens = Box<dyn Fn() -> Result<Database, String> + Send + Sync>;
+
 /// What survives a restart.
-pub struct Store(RwLock<Option<Database>>);
+pub struct Store {
+    open: RwLock<Option<Database>>,
+    opens: Opens,
+}
 
 /// Closes the store when it goes, whoever still has a hand on the desk: the next life in this process opens it.
 pub struct Closes(pub Arc<Store>);
 
 impl Drop for Closes {
     fn drop(&mut self) {
-        *self.0.0.write().unwrap_or_else(PoisonError::into_inner) = None;
+        *self.0.open.write().unwrap_or_else(PoisonError::into_inner) = None;
     }
 }
 
@@ -72,38 +78,58 @@
     /// Opens the store; one that can't be read is set aside and said, and begun anew: the keepers still hold
     /// what it held.
     pub fn open(path: Option<&Path>) -> Self {
-        let Some(path) = path else { return Store(RwLock::new(None)) };
-        let why = match sound(path) {
-            Ok(database) => return Store(RwLock::new(Some(database))),
-            Err(why) => why,
+        let Some(path) = path.map(Path::to_owned) else {
+            let opens = Box::new(|| Err("there is no store".into()));
+            return Store { open: RwLock::new(None), opens };
         };
-        let aside = path.with_extension("aside");
-        warn!(path = %path.display(), why, "the store of rolls can't be read; set aside");
-        if let Err(why) = std::fs::rename(path, &aside) {
-            warn!(path = %path.display(), %why, "and can't be set aside either");
-        }
-        match sound(path) {
-            Ok(database) => Store(RwLock::new(Some(database))),
-            Err(why) => {
-                error!(path = %path.display(), why, "no store of rolls: this dispatcher takes no step of any");
-                Store(RwLock::new(None))
+        if let Err(why) = sound(|| Ok(Database::create(&path)?)) {
+            let aside = path.with_extension("aside");
+            warn!(path = %path.display(), why, "the store of rolls can't be read; set aside");
+            if let Err(why) = std::fs::rename(&path, &aside) {
+                warn!(path = %path.display(), %why, "and can't be set aside either");
             }
         }
+        Store::over(move || Ok(Database::create(&path)?))
+    }
+
+    /// A store over what `opens` opens, now and after each failed write.
+    pub fn over(opens: impl Fn() -> Result<Database, redb::Error> + Send + Sync + 'static) -> Self {
+        let opens: Opens = Box::new(move || sound(&opens));
+        let open = opens();
+        if let Err(why) = &open {
+            error!(why, "no store of rolls: this dispatcher takes no step of any");
+        }
+        Store { open: RwLock::new(open.ok()), opens }
     }
 
+    /// A database whose disk was full for a moment takes nothing more for good, so it is opened anew at the next
+    /// write: each writer tries once, and says what stood in its way.
     fn write(
         &self,
         change: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
     ) -> Result<(), String> {
-        let open = self.0.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(database) = &*open else { return Err("there is no store".into()) };
-        let whole = || {
-            let transaction = database.begin_write()?;
-            change(&transaction)?;
-            transaction.commit()?;
-            Ok::<(), redb::Error>(())
+        if self.open.read().unwrap_or_else(PoisonError::into_inner).is_none() {
+            let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
+            if open.is_none() {
+                *open = Some((self.opens)()?);
+                info!("the store of rolls can be written again");
+            }
+        }
+        let written = {
+            let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+            let Some(database) = &*open else { return Err("there is no store".into()) };
+            let whole = || {
+                let transaction = database.begin_write()?;
+                change(&transaction)?;
+                transaction.commit()?;
+                Ok::<(), redb::Error>(())
+            };
+            whole()
         };
-        whole().map_err(|why| why.to_string())
+        written.map_err(|why| {
+            *self.open.write().unwrap_or_else(PoisonError::into_inner) = None;
+            why.to_string()
+        })
     }
 
     pub fn claim(&self, held: &Held) -> Result<(), String> {
@@ -130,7 +156,7 @@
     }
 
     pub fn read(&self) -> Kept {
-        let open = self.0.read().unwrap_or_else(PoisonError::into_inner);
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
         let Some(database) = &*open else { return Default::default() };
         read(database).unwrap_or_else(|why| {
             error!(why, "the store of rolls can't be read");
@@ -140,15 +166,15 @@
 }
 
 /// A database whose tables all read as they should.
-fn sound(path: &Path) -> Result<Database, String> {
+fn sound(open: impl Fn() -> Result<Database, redb::Error>) -> Result<Database, String> {
     // redb asserts that a file is as long as its header says, and would take the dispatcher down with a torn one.
-    let opened = std::panic::catch_unwind(|| open_sound(path));
+    let opened = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| open_sound(open)));
     opened.unwrap_or_else(|_| Err("it is not whole".into()))
 }
 
-fn open_sound(path: &Path) -> Result<Database, String> {
+fn open_sound(open: impl Fn() -> Result<Database, redb::Error>) -> Result<Database, String> {
     let text = |why: redb::Error| why.to_string();
-    let database = Database::create(path).map_err(|why| text(why.into()))?;
+    let database = open().map_err(text)?;
     let transaction = database.begin_write().map_err(|why| text(why.into()))?;
     transaction.open_table(CLAIMS).map_err(|why| text(why.into()))?;
     transaction.open_table(ROLLS).map_err(|why| text(why.into()))?;
@@ -304,7 +330,10 @@
         let held = &rolls.held;
         let all = rolls.conductors.iter_mut().map(|(service, conductor)| {
             let held = held.get(service).map_or(&[][..], |held| &held[..]);
-            (service.clone(), conductor.roll().clone(), conductor.look(now, held))
+            let gone = conductor.recall(held, rolls.heard, keepers);
+            let mut look = conductor.look(now, held);
+            look.release.extend(gone);
+            (service.clone(), conductor.roll().clone(), look)
         });
         all.collect()
     });
--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -6,6 +6,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+/// A time that is never up.
+pub fn unending() -> u64 {
+    u64::MAX
+}
+
 /// One line: µs since the day's start, and what was seen.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Line {
@@ -49,6 +54,10 @@
         number: u32,
         dispatcher: u32,
         service: String,
+        #[serde(default)]
+        task: String,
+        #[serde(default)]
+        version: String,
     },
     /// A node says a word on an offer, whether it gets through or not.
     Said {
@@ -83,6 +92,12 @@
         /// New copies run beside old ones, never more than `unready_most` of them.
         #[serde(default)]
         start_first: bool,
+        /// A copy fails that is not ready after so long, or dies within `ready_for_us`; more than `failures_most`
+        /// at one dispatcher halt the roll.
+        #[serde(default = "unending")]
+        ready_within_us: u64,
+        #[serde(default)]
+        failures_most: usize,
     },
     Probed {
         node: u32,
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -26,8 +26,8 @@
     }
 }
 
-/// The brief's five, and the limit of a roll.
-pub const NAMES: [&str; 6] = ["lost", "twice", "drains", "cold", "spread", "unready"];
+/// The brief's five, the limit of a roll, and that a failed one halts by itself.
+pub const NAMES: [&str; 7] = ["lost", "twice", "drains", "cold", "spread", "unready", "halts"];
 
 /// One call of an owner.
 struct Call<'a> {
@@ -54,6 +54,42 @@
     over: Option<u64>,
 }
 
+/// A new copy of a roll.
+struct New<'a> {
+    dispatcher: u32,
+    task: &'a str,
+    accepted: u64,
+    ready: Option<u64>,
+    failed: Option<u64>,
+    line: usize,
+    /// It is gone, for whatever reason.
+    over: bool,
+}
+
+/// A roll as its operator asked for it, and what came of it.
+struct Rolled<'a> {
+    version: &'a str,
+    ready_for: u64,
+    ready_within: u64,
+    failures_most: usize,
+    copies: Vec<New<'a>>,
+    halts: bool,
+}
+
+impl Rolled<'_> {
+    /// Whether it must have halted by now: more than may have failed at one dispatcher, and that `within` ago.
+    fn halted(&mut self, now: u64, within: u64) {
+        for copy in self.copies.iter_mut().filter(|copy| !copy.over && copy.ready.is_none()) {
+            let due = copy.accepted.saturating_add(self.ready_within);
+            copy.failed = copy.failed.or((now >= due).then_some(due));
+        }
+        let long_ago = |copy: &&New| copy.failed.is_some_and(|at| now >= at + within);
+        let at =
+            |which: u32| self.copies.iter().filter(|copy| copy.dispatcher == which).filter(long_ago).count();
+        self.halts |= self.copies.iter().any(|copy| at(copy.dispatcher) > self.failures_most);
+    }
+}
+
 /// All broken rules of a capture, or what makes it unreadable.
 pub fn judge(lines: &[Line]) -> Result<Vec<Breach>, String> {
     let Some(Line { seen: Seen::Day(rules), .. }) = lines.first() else {
@@ -68,6 +104,7 @@
     judge.cold();
     judge.spread();
     judge.unready();
+    judge.halts();
     judge.breaches.sort_by_key(|breach| (breach.rule, breach.lines.first().copied()));
     Ok(judge.breaches)
 }
@@ -349,6 +386,90 @@
         found.into_iter().for_each(|(what, lines)| self.breach(6, what, lines));
     }
 
+    /// Once more new copies than may have failed at one dispatcher, the roll halts: some time after that no copy of
+    /// another version is stopped any more, unless an operator begins anew.
+    fn halts(&mut self) {
+        const HALTS_WITHIN: u64 = 5_000_000;
+        let mut found = Vec::new();
+        let mut rolls: HashMap<&str, Rolled> = HashMap::new();
+        // By node and placing: task, service, version and dispatcher of what was offered last.
+        let mut offered: HashMap<(u32, &str), (&str, &str, &str, u32)> = HashMap::new();
+        for (index, Line { t, seen }) in self.lines.iter().enumerate() {
+            match seen {
+                Seen::Roll { service, version, ready_for_us, ready_within_us, failures_most, .. } => {
+                    let rolled = Rolled {
+                        version,
+                        ready_for: *ready_for_us,
+                        ready_within: *ready_within_us,
+                        failures_most: *failures_most,
+                        copies: Vec::new(),
+                        halts: false,
+                    };
+                    rolls.insert(service, rolled);
+                }
+                Seen::Offered { node, placing, dispatcher, service, task, version, .. } => {
+                    offered.insert((*node, placing), (task, service, version, *dispatcher));
+                }
+                Seen::Said { node, placing, word: Word::Accepted, .. } => {
+                    let Some((task, service, version, dispatcher)) = offered.get(&(*node, &placing[..]))
+                    else {
+                        continue;
+                    };
+                    let Some(rolled) = rolls.get_mut(service).filter(|rolled| rolled.version == *version)
+                    else {
+                        continue;
+                    };
+                    rolled.copies.push(New {
+                        dispatcher: *dispatcher,
+                        task,
+                        accepted: *t,
+                        ready: None,
+                        failed: None,
+                        line: index + 1,
+                        over: false,
+                    });
+                }
+                Seen::Dispatcher { dispatcher, state: DispatcherState::Killed | DispatcherState::Broke } => {
+                    // What it has counted goes with it, unless it had the time to halt.
+                    for rolled in rolls.values_mut() {
+                        rolled.halted(*t, HALTS_WITHIN);
+                        rolled.copies.retain(|copy| copy.dispatcher != *dispatcher);
+                    }
+                }
+                Seen::Ready { task, service, version, ready, done, stopped, .. } => {
+                    let Some(rolled) = rolls.get_mut(&service[..]) else { continue };
+                    rolled.halted(*t, HALTS_WITHIN);
+                    if version != rolled.version {
+                        if rolled.halts && *stopped && !*ready {
+                            let shown = rolled.copies.iter().filter(|copy| copy.failed.is_some());
+                            let lines = shown.map(|copy| copy.line).chain([index + 1]).collect();
+                            found.push((
+                                format!("{task} of {service} is stopped by a roll that failed"),
+                                lines,
+                            ));
+                        }
+                        continue;
+                    }
+                    let ready_for = rolled.ready_for;
+                    let own = rolled.copies.iter_mut().rev().find(|copy| copy.task == task && !copy.over);
+                    let Some(copy) = own else { continue };
+                    if *ready {
+                        // Late, but no longer missing.
+                        (copy.ready, copy.failed) = (Some(*t), None);
+                    } else {
+                        let settled = copy.ready.is_some_and(|since| *t >= since + ready_for);
+                        copy.over = true;
+                        if !*stopped && !*done && !settled {
+                            copy.failed = copy.failed.or(Some(*t));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        found.into_iter().for_each(|(what, lines)| self.breach(7, what, lines));
+    }
+
     fn hall(&self, node: u32) -> Option<&str> {
         self.rules.nodes.iter().find(|home| home.node == node).map(|home| &home.hall[..])
     }
@@ -439,7 +560,7 @@
             self.calls.values().map(|call| (&call.asked.placing[..], &call.asked.service[..])).collect();
         for Line { seen, .. } in self.lines {
             let (node, placing, number, dispatcher, service) = match seen {
-                Seen::Offered { node, placing, number, dispatcher, service } => {
+                Seen::Offered { node, placing, number, dispatcher, service, .. } => {
                     (node, placing, number, dispatcher, service)
                 }
                 Seen::Dispatcher { dispatcher, state: DispatcherState::Up } => {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod capture;
 pub mod day;
+pub mod disk;
 pub mod judge;
 pub mod measure;
 pub mod node;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -351,6 +351,8 @@
             number: shot.number,
             dispatcher: shot.dispatcher,
             service: shot.service.clone(),
+            task: shot.task.clone(),
+            version: shot.version.clone(),
         });
         let mut state = self.lock();
         let now = Instant::now();
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -329,6 +329,8 @@
             unready_most: unready_most as usize,
             ready_for_us: roll.ready_for.as_micros() as u64,
             start_first: roll.start_first,
+            ready_within_us: READY_WITHIN.as_micros() as u64,
+            failures_most: FAILURES_MOST as usize,
         });
         let ask = v1::RollAsk {
             service,
@@ -337,9 +339,8 @@
             unready_most,
             batch: unready_most.max(1),
             ready_for_ms: roll.ready_for.as_millis() as u64,
-            ready_within_ms: 20_000,
-            // Nodes and dispatchers may be struck meanwhile: that is not the version's fault.
-            failures_most: 1_000,
+            ready_within_ms: READY_WITHIN.as_millis() as u64,
+            failures_most: FAILURES_MOST,
             start_first: roll.start_first,
         };
         for dispatcher in 0..self.fleet.len() {
@@ -499,6 +500,11 @@
     }
 }
 
+/// A copy of a day's roll may take so long to get ready.
+const READY_WITHIN: Duration = Duration::from_secs(20);
+/// Nodes and dispatchers may be struck during a day's roll: that is not the version's fault.
+const FAILURES_MOST: u32 = 1_000;
+
 /// A dispatcher's process.
 struct Dispatcher {
     number: usize,
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -48,7 +48,7 @@
 impl RollFigures {
     fn of(lines: &[Line]) -> Option<Self> {
         let rolled = |line: &Line| match &line.seen {
-            Seen::Roll { service, version, unready_most, ready_for_us, start_first } => {
+            Seen::Roll { service, version, unready_most, ready_for_us, start_first, .. } => {
                 Some((line.t, service.clone(), version.clone(), *unready_most, *ready_for_us, *start_first))
             }
             _ => None,
--- a/crates/lab/tests/full_path/main.rs
+++ b/crates/lab/tests/full_path/main.rs
@@ -3,3 +3,4 @@
 mod hard_cases;
 mod rig;
 mod rolls;
+mod stores;
--- a/crates/lab/tests/full_path/rig.rs
+++ b/crates/lab/tests/full_path/rig.rs
@@ -5,6 +5,7 @@
 use corkspan_api::v1::{self, placement_client::PlacementClient, word::Word};
 use corkspan_deployment::Deployment;
 use corkspan_dispatcher::Failure;
+use corkspan_dispatcher::rolls::Store;
 use corkspan_lab::capture::{Capture, Line, Seen};
 use corkspan_lab::node::{Cold, Node, Plan, World};
 use corkspan_lab::roster::Roster;
@@ -37,11 +38,19 @@
     /// More text for the deployment: bounds, where the list is remembered.
     pub more: String,
     pub roster_away: bool,
+    /// A store of rolls other than the deployment's.
+    pub store: Option<Store>,
 }
 
 impl Default for Layout {
     fn default() -> Self {
-        Layout { nodes: 2, look: Duration::from_millis(3), more: String::new(), roster_away: false }
+        Layout {
+            nodes: 2,
+            look: Duration::from_millis(3),
+            more: String::new(),
+            roster_away: false,
+            store: None,
+        }
     }
 }
 
@@ -86,7 +95,7 @@
             roster.away(None);
         }
         let text = deployment(roster_address, &layout.more);
-        let rig = Rig::start(tasks, world, nodes, roster, &text).await;
+        let rig = Rig::start_over(layout.store, tasks, world, nodes, roster, &text).await;
         if !layout.roster_away {
             rig.until_serving(u64::from(layout.nodes)).await;
         }
@@ -105,6 +114,17 @@
         nodes: Vec<Arc<Node>>,
         roster: Arc<Roster>,
         text: &str,
+    ) -> Rig {
+        Rig::start_over(None, tasks, world, nodes, roster, text).await
+    }
+
+    async fn start_over(
+        store: Option<Store>,
+        tasks: Tasks,
+        world: Arc<World>,
+        nodes: Vec<Arc<Node>>,
+        roster: Arc<Roster>,
+        text: &str,
     ) -> Rig {
         let deployment = Deployment::read("rig", text).unwrap_or_else(|why| panic!("{why}"));
         let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -118,7 +138,8 @@
         let (kill, killed) = async_channel::bounded::<()>(1);
         std::thread::spawn(move || {
             let own = Tasks::default();
-            let run = corkspan_dispatcher::run(own.clone(), deployment, ready_call, stopped);
+            let store = store.unwrap_or_else(|| Store::open(deployment.rolls.as_deref()));
+            let run = corkspan_dispatcher::run_over(store, own.clone(), deployment, ready_call, stopped);
             // Dropped with all its tasks where it is killed: its sockets close, and it says nothing more.
             let killed = async {
                 let _ = killed.recv().await;
--- a/crates/lab/tests/full_path/rolls.rs
+++ b/crates/lab/tests/full_path/rolls.rs
@@ -3,6 +3,7 @@
 use crate::rig::*;
 use corkspan_api::v1::{self, roll::Phase, rolls_client::RollsClient};
 use corkspan_lab::capture::{self, Line, NodeState, Repeat, Seen};
+use corkspan_lab::disk::{self, Full};
 use corkspan_lab::judge::judge;
 use corkspan_lab::node::Bad;
 use corkspan_lab::owner::{Front, Task, live};
@@ -97,6 +98,8 @@
             unready_most: unready_most as usize,
             ready_for_us: 1_000_000,
             start_first,
+            ready_within_us: 3_000_000,
+            failures_most: 1,
         };
         self.rigs[0].world.capture.see(seen);
         let ask = v1::RollAsk {
@@ -550,3 +553,35 @@
         assert_eq!(stage.breaches(), [""; 0]);
     });
 }
+
+#[test_case(false; "that stops first")]
+#[test_case(true; "that starts first")]
+fn a_disk_that_fills_up_in_the_middle_of_a_roll(start_first: bool) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let full = Full::default();
+    let store = disk::store(folder.path().join("rolls-0.redb"), &full);
+    let more = more(folder.path(), 0);
+    let layout = Layout { nodes: 10, more, store: Some(store), ..Layout::default() };
+    Rig::run(layout, async |rig| {
+        let stage = Stage::set(rig, folder, 1, 12, "web").await;
+        assert!(stage.start_in(0, "v2", 2, start_first).await.taken);
+        until(async || stage.ready_now().0.contains_key("v2")).await;
+        full.set(true);
+        // Nothing is begun. What was begun comes to its end, or stands beside an old copy until there is room.
+        let claims = async || stage.status(0).await.held;
+        if start_first {
+            async_io::Timer::after(Duration::from_millis(2_000)).await;
+        } else {
+            until(async || stage.ready_now().0.values().sum::<usize>() == 12 && claims().await.is_empty())
+                .await;
+        }
+        let before = stage.ready_now().0;
+        async_io::Timer::after(Duration::from_millis(1_000)).await;
+        assert_eq!(stage.ready_now().0, before, "no step without a disk");
+        assert!(before["v2"] < 12, "the roll was not over: {before:?}");
+        full.set(false);
+        until(async || stage.ready_now().0.get("v2") == Some(&12) && stage.one_each(12)).await;
+        until(async || claims().await.is_empty()).await;
+        assert_eq!(stage.breaches(), [""; 0]);
+    });
+}
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -52,8 +52,9 @@
     }
 
     fn offer(self, ms: u64, call: u64, number: u32, node: u32) -> Self {
-        let (placing, service) = (format!("p{call}"), "s".into());
-        self.see(ms, Seen::Offered { node, placing, number, dispatcher: 0, service })
+        let (placing, task, service) = (format!("p{call}"), format!("t{call}"), "s".into());
+        let version = "v2".into();
+        self.see(ms, Seen::Offered { node, placing, number, dispatcher: 0, service, task, version })
     }
 
     fn says(self, ms: u64, call: u64, number: u32, node: u32, word: Word) -> Self {
@@ -292,7 +293,15 @@
 }
 
 fn roll(unready_most: usize, start_first: bool) -> Seen {
-    Seen::Roll { service: "s".into(), version: "v2".into(), unready_most, ready_for_us: 0, start_first }
+    Seen::Roll {
+        service: "s".into(),
+        version: "v2".into(),
+        unready_most,
+        ready_for_us: 0,
+        start_first,
+        ready_within_us: 3_000_000,
+        failures_most: 0,
+    }
 }
 
 /// Three copies that are ready, and a roll that lets one be down.
@@ -345,3 +354,29 @@
 fn copies_that_came_to_their_end_are_not_missing() {
     says_ready(rolling(), 40, 2, false, true).keeps_all();
 }
+
+/// A copy of what ran before the roll says that it is ready, or that it was stopped.
+fn old(script: Script, ms: u64, task: u64, ready: bool) -> Script {
+    let (task, service, version) = (format!("t{task}"), "s".into(), String::new());
+    script.see(ms, Seen::Ready { node: NODE, task, service, version, ready, done: false, stopped: !ready })
+}
+
+#[test_case(8_900, &[]; "a little later, it may not have been heard of")]
+#[test_case(9_000, &[(7, vec![7, 8])]; "long after, the roll should have halted")]
+fn a_roll_goes_on_after_a_copy_that_never_got_ready(ms: u64, broken: &[(u8, Vec<usize>)]) {
+    let script = old(old(Script::new(), 10, 1, true), 11, 2, true).see(20, roll(2, false));
+    let script = old(script, 30, 1, false).offer(990, 1, 0, NODE).says(1_000, 1, 0, NODE, Accepted);
+    assert_eq!(old(script, ms, 2, false).broken(), broken);
+}
+
+#[test_case(false, &[(7, vec![7, 9])]; "and its dispatcher lives, the roll should have halted")]
+#[test_case(true, &[]; "and its dispatcher dies with what it counted, it may go on")]
+fn a_copy_died_right_after_it_got_ready(dies: bool, broken: &[(u8, Vec<usize>)]) {
+    let script = old(old(Script::new(), 10, 1, true), 11, 2, true).see(20, roll(2, false));
+    let script = old(script, 30, 1, false).offer(990, 1, 0, NODE).says(1_000, 1, 0, NODE, Accepted);
+    let (task, service, version) = ("t1".into(), "s".into(), "v2".into());
+    let died = Seen::Ready { node: NODE, task, service, version, ready: false, done: false, stopped: false };
+    let script = script.see(1_100, died);
+    let script = if dies { script.dispatcher(1_200, D::Killed).dispatcher(1_300, D::Up) } else { script };
+    assert_eq!(old(script, 9_000, 2, false).broken(), broken);
+}
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -105,6 +105,8 @@
     unwon: Vec<ClaimId>,
     /// Copies that must not run beside themselves, whatever the roll's order.
     once: BTreeSet<String>,
+    /// Claims of an earlier life of which it is not known yet whether they still hold their slots.
+    recalled: BTreeSet<ClaimId>,
     failures: u32,
     /// Of those, new copies that found no room.
     without_room: u32,
@@ -127,6 +129,7 @@
             claims: BTreeMap::new(),
             unwon: Vec::new(),
             once: BTreeSet::new(),
+            recalled: BTreeSet::new(),
             failures: 0,
             without_room: 0,
             halted: false,
@@ -154,15 +157,46 @@
         }
     }
 
-    /// Takes a claim back from an earlier life of ours. One that was known to be won goes on holding its slot.
+    /// Takes a claim back from an earlier life of ours. One that was known to be won is used again once
+    /// [`Conductor::recall`] finds that it still holds its slot: it may have been given back just before the end.
     pub fn remember(&mut self, claim: ClaimId, task: &str, won: bool) {
         if won {
-            self.claims.insert(claim, Claim { task: task.into(), won });
+            self.claims.insert(claim, Claim { task: task.into(), won: false });
+            self.recalled.insert(claim);
         } else {
             self.unwon.push(claim);
         }
     }
 
+    /// What became of the claims of an earlier life, by the slots that `heard` of the keepers tell of. Those that
+    /// hold nothing any more, to be given back.
+    pub fn recall(&mut self, held: &[(u32, Grant, usize)], heard: usize, keepers: usize) -> Vec<ClaimId> {
+        let mut gone = Vec::new();
+        for claim in self.recalled.clone() {
+            let told = held.iter().filter(|(_, grant, _)| grant.claim == claim).map(|(_, _, many)| *many);
+            let told = told.max().unwrap_or(0);
+            let holds = majority(told, keepers);
+            if !holds && majority(told + keepers.saturating_sub(heard), keepers) {
+                // Those that were not heard decide.
+                continue;
+            }
+            self.recalled.remove(&claim);
+            let copy = self.copies.values_mut().find(|copy| copy.claim == Some(claim));
+            match self.claims.get_mut(&claim) {
+                Some(own) if holds => {
+                    own.won = true;
+                    copy.into_iter().for_each(|copy| copy.step = Step::Replaced);
+                }
+                _ => {
+                    self.claims.remove(&claim);
+                    copy.into_iter().for_each(|copy| (copy.claim, copy.step) = (None, Step::Stays));
+                    gone.push(claim);
+                }
+            }
+        }
+        gone
+    }
+
     /// A copy is ours, of this version and not known to be ready: placed, being placed, or handed over.
     /// `returning`: its owner asks for it again after it was lost, evicted or sent away.
     pub fn copy(&mut self, now: Tenths, task: &str, version: &str, returning: bool) {
--- a/crates/roll/tests/conductor.rs
+++ b/crates/roll/tests/conductor.rs
@@ -5,6 +5,7 @@
 use corkspan_roll::{ClaimId, Order, Phase, Roll};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
+use test_case::test_case;
 
 const SECOND: u64 = 10_000;
 const WON: Votes = Votes { granted: 2, keepers: 3 };
@@ -192,13 +193,37 @@
     assert_eq!(conductor.look(30 * SECOND, &left).release, [ClaimId(9)]);
 }
 
-#[test]
-fn a_claim_remembered_goes_on_with_its_copy() {
+/// One copy is old, and one of an earlier life's claims was known to be won for it.
+fn remembers() -> Conductor {
     let mut conductor = conductor(0);
     conductor.remember(ClaimId(9), "x", true);
     conductor.copy(0, "x", "v1", false);
-    let look = conductor.look(0, &[(0, grant(ClaimId(9), "x"), 3)]);
-    assert_eq!((look.replace, look.claims), (vec!["x".to_string()], Vec::new()), "without a second claim");
+    conductor
+}
+
+#[test_case(3, 3, true; "all keepers tell it")]
+#[test_case(2, 2, true; "a majority tells it, one is out of reach")]
+#[test_case(1, 2, false; "one tells it, one is out of reach")]
+fn a_claim_remembered_goes_on_with_its_copy_once_it_is_known_to_hold(told: usize, heard: usize, holds: bool) {
+    let mut conductor = remembers();
+    let held = [(0, grant(ClaimId(9), "x"), told)];
+    assert!(conductor.look(0, &held).replace.is_empty(), "not before the keepers were asked");
+    assert!(conductor.recall(&held, heard, 3).is_empty());
+    let look = conductor.look(0, &held);
+    assert_eq!((!look.replace.is_empty(), look.claims), (holds, Vec::new()), "without a second claim");
+}
+
+#[test_case(0, 3; "nobody tells it")]
+#[test_case(0, 2; "nobody tells it, one is out of reach")]
+#[test_case(1, 3; "one didn't hear that it was given back")]
+fn a_claim_given_back_right_before_a_kill_takes_nothing_down(told: usize, heard: usize) {
+    let mut conductor = remembers();
+    let held = [(0, grant(ClaimId(9), "x"), told)];
+    let held = if told == 0 { &held[..0] } else { &held[..] };
+    assert_eq!(conductor.recall(held, heard, 3), [ClaimId(9)]);
+    let look = conductor.look(0, held);
+    assert!(look.replace.is_empty());
+    assert_eq!(look.claims.len(), 1, "it is claimed anew, as any other");
 }
 
 #[test]
