--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,9 +2,12 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use corkspan_api::v1::{
-    self, placement_client::PlacementClient, rolls_client::RollsClient, word::Word as Said,
+    self, placement_client::PlacementClient, rolls_client::RollsClient, versions_client::VersionsClient,
+    word::Word as Said,
 };
-use corkspan_deployment::Deployment;
+use corkspan_deployment::version::Texts;
+use corkspan_deployment::{Deployment, schema, sexp};
+use corkspan_dispatcher::control::RUNNING;
 use corkspan_rpc::{Bounds, Link, Tasks, within};
 use futures_lite::future;
 use std::ffi::OsString;
@@ -13,6 +16,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tracing_subscriber::fmt::format::{Writer, format};
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::registry::LookupSpan;
 
 /// A cluster scheduler that fills machines by likely use, not by asks.
 #[derive(Parser)]
@@ -47,6 +53,17 @@
         #[command(subcommand)]
         call: Roll,
     },
+    /// Prints the JSON Schema of the deployment file, or of streamed versions.
+    Schema {
+        /// Of versions instead: what all dispatchers share.
+        #[arg(long)]
+        version_only: bool,
+    },
+    /// Streamed versions of the deployment.
+    Control {
+        #[command(subcommand)]
+        call: Control,
+    },
     /// Prints what a dispatcher holds and has answered.
     Status {
         /// Where the dispatcher listens.
@@ -54,6 +71,14 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Control {
+    /// Tells which version is in force, what was turned down last, and why.
+    Status { dispatcher: SocketAddr },
+    /// Prints the shared parts in force that a file or version would change. Ends with 1 where there are any.
+    Diff { dispatcher: SocketAddr, file: PathBuf },
+}
+
 #[derive(Subcommand)]
 enum Roll {
     /// Begins a roll, unless another stands in its way.
@@ -151,6 +176,8 @@
         }
         Call::Place(place) => called(place.dispatcher, |link| ask(PlacementClient::new(link), place)),
         Call::Status { dispatcher } => called(dispatcher, |link| status(PlacementClient::new(link))),
+        Call::Schema { version_only } => schema(version_only),
+        Call::Control { call } => control(call),
         Call::Roll { call } => roll(call),
     };
     match result {
@@ -170,8 +197,8 @@
     let deployment = Deployment::load(&file).map_err(text)?;
     let to = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
     match log {
-        Log::Text => to.init(),
-        Log::Json => to.json().init(),
+        Log::Text => to.event_format(Versioned { inner: format(), json: false }).init(),
+        Log::Json => to.json().event_format(Versioned { inner: format().json(), json: true }).init(),
     }
     let ready = |address| {
         // Whoever started it on port 0 reads here where it listens; that nobody reads is no harm.
@@ -181,6 +208,36 @@
     corkspan_dispatcher::serve(deployment, ready).map_err(text)
 }
 
+/// Log lines that begin with the number of the version in force: what a line tells of was decided by it.
+struct Versioned<F> {
+    inner: F,
+    json: bool,
+}
+
+impl<S, N, F> FormatEvent<S, N> for Versioned<F>
+where
+    S: tracing::Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+    F: FormatEvent<S, N>,
+{
+    fn format_event(
+        &self,
+        context: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
+        event: &tracing::Event<'_>,
+    ) -> std::fmt::Result {
+        let version = RUNNING.load(std::sync::atomic::Ordering::Relaxed);
+        if !self.json {
+            write!(writer, "v{version} ")?;
+            return self.inner.format_event(context, writer, event);
+        }
+        let mut line = String::new();
+        self.inner.format_event(context, Writer::new(&mut line), event)?;
+        let rest = line.strip_prefix('{').unwrap_or(&line);
+        write!(writer, "{{\"version\":{version},{rest}")
+    }
+}
+
 /// Runs one call of a client to its end.
 fn called<F: Future<Output = Result<(), String>>>(
     dispatcher: SocketAddr,
@@ -250,6 +307,61 @@
     }
 }
 
+fn schema(version_only: bool) -> Result<(), String> {
+    let of = if version_only { schema::Of::Version } else { schema::Of::File };
+    let text = serde_json::to_string_pretty(&schema::published(of)).map_err(text)?;
+    // Whoever pipes it into a pager may close it early.
+    let _ = writeln!(std::io::stdout(), "{text}");
+    Ok(())
+}
+
+fn control(call: Control) -> Result<(), String> {
+    let status = async |link| {
+        let status = VersionsClient::new(link).max_decoding_message_size(16 << 20);
+        let mut status = status;
+        let status = within(Duration::from_secs(5), status.status(v1::VersionStatusAsk {})).await;
+        let status = status.ok_or("no answer within 5 s")?.map_err(|why| why.message().to_string())?;
+        Ok::<_, String>(status.into_inner())
+    };
+    match call {
+        Control::Status { dispatcher } => called(dispatcher, async |link| {
+            let told = status(link).await?;
+            let name = |stamp: &Option<v1::Stamp>| match stamp {
+                Some(stamp) if stamp.number > 0 => {
+                    format!("{} ({})", stamp.number, stamp.digest.get(..8).unwrap_or_default())
+                }
+                _ => "its own file".into(),
+            };
+            println!("in force: {}{}", name(&told.running), if told.on_trial { ", on trial" } else { "" });
+            println!("last good: {}", name(&told.good));
+            let service = if told.service.is_empty() { "none" } else { &told.service };
+            println!("control service: {service}");
+            let v1::VersionStatus { applied, refused, superseded, .. } = told;
+            println!("applied {applied}, turned down {refused}, passed over {superseded}");
+            told.given_up.iter().for_each(|stamp| println!("given up: {}", name(&Some(stamp.clone()))));
+            if told.refused_last.is_some() {
+                println!("turned down last: {}", name(&told.refused_last));
+                told.why.iter().for_each(|why| println!("  {why}"));
+            }
+            Ok(())
+        }),
+        Control::Diff { dispatcher, file } => called(dispatcher, async |link| {
+            let path = file.display().to_string();
+            let next = Texts::of(&path, &sexp::load(&file).map_err(text)?).map_err(text)?;
+            let now = Texts::of("in force", &status(link).await?.text).map_err(text)?;
+            let (changes, removed) = now.changes_to(&next);
+            for name in removed.iter().map(String::as_str).chain(changes.iter().map(|(name, _)| name)) {
+                now.get(name).iter().for_each(|text| println!("- {text}"));
+                next.get(name).iter().for_each(|text| println!("+ {text}"));
+            }
+            match removed.len() + changes.iter().count() {
+                0 => Ok(()),
+                many => Err(format!("{many} parts differ")),
+            }
+        }),
+    }
+}
+
 fn taken(word: Result<tonic::Response<v1::RollWord>, tonic::Status>) -> Result<(), String> {
     let word = word.map_err(|why| why.message().to_string())?.into_inner();
     match word.stands {
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -109,9 +109,13 @@
         })
     }
 
-    /// What a subscriber runs, as it told last, and what it turned down last.
-    pub fn told(&self, who: u32) -> Option<(Stamp, Option<&(Stamp, Vec<String>)>)> {
-        let own = self.subscribers.get(&who)?;
-        Some((own.running?, own.refused.as_ref()))
+    /// What a subscriber runs, as it told last.
+    pub fn running(&self, who: u32) -> Option<Stamp> {
+        self.subscribers.get(&who)?.running
+    }
+
+    /// What a subscriber turned down last on the stream that stands, and why.
+    pub fn turned_down(&self, who: u32) -> Option<&(Stamp, Vec<String>)> {
+        self.subscribers.get(&who)?.refused.as_ref()
     }
 }
--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -149,7 +149,7 @@
     }
 
     /// Takes the push that waits.
-    pub fn next(&mut self) -> Option<Push> {
+    pub fn take(&mut self) -> Option<Push> {
         self.waits.take()
     }
 
--- /dev/null
+++ b/crates/dispatcher/src/control.rs
@@ -0,0 +1,406 @@
+//! The stream of versions: pushes read, answers written, what is in force changed. What is decided stands in
+//! `corkspan_control`.
+
+use crate::clock::{duration, tenths};
+use crate::desk::Desk;
+use crate::versions;
+use corkspan_api::v1::{self, control_client::ControlClient};
+use corkspan_control::{Admitted, Counts, Kept, Pace, Push, Retry, Said, Subscriber};
+use corkspan_deployment::Deployment;
+use corkspan_deployment::version::{Digest, Stamp, Texts};
+use corkspan_rpc::Link;
+use futures_lite::{FutureExt, future};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tonic::{Request, Response, Status};
+use tracing::{info, warn};
+use v1::told::Answer;
+
+/// Between two looks at how a version on trial does.
+const LOOK: Duration = Duration::from_millis(500);
+/// Answers that wait for a service to read them; then the stream is given up.
+const ANSWERS: usize = 10_000;
+/// Bytes of one push at the most.
+const PUSH: usize = 8 << 20;
+
+/// The number of the version in force, for log lines: one process has one dispatcher.
+pub static RUNNING: AtomicU64 = AtomicU64::new(0);
+
+/// What a dispatcher knows of its versions.
+pub struct Versions {
+    state: Mutex<State>,
+    /// The file as it was read at start: what a version does not say is as it says.
+    file: Deployment,
+    path: Option<PathBuf>,
+    /// One step at a time is decided, kept on disk and put in force: a trial's end must not overtake a version that
+    /// takes its place.
+    step: async_lock::Mutex<()>,
+}
+
+struct State {
+    subscriber: Subscriber,
+    service: Option<SocketAddr>,
+    applied: u64,
+    refused: u64,
+    superseded: u64,
+    refused_last: Option<(Stamp, Vec<String>)>,
+}
+
+impl Versions {
+    /// Reads what an earlier life kept, and the deployment that is in force by it.
+    pub fn start(file: Deployment, now: corkspan::interface::Tenths) -> (Self, Deployment) {
+        let path = file.versions.clone();
+        let mut kept = path.as_deref().map(versions::read).unwrap_or_default();
+        let mut start = loop {
+            let (subscriber, changed) = Subscriber::start(file.texts.clone(), kept.clone(), now);
+            let (stamp, texts) = subscriber.running();
+            let in_force = match stamp.number {
+                0 => Ok(file.clone()),
+                _ => file.with_version(&format!("version {}", stamp.number), texts),
+            };
+            match in_force {
+                Ok(in_force) => break (subscriber, changed, in_force),
+                // The file, or this program, has changed since: what no longer fits is not guessed at.
+                Err(why) => {
+                    warn!(version = stamp.number, %why, "the kept version does not fit; the one before is taken");
+                    kept = match kept.trial.take() {
+                        Some(_) => kept,
+                        None => Kept { good: None, ..kept },
+                    };
+                }
+            }
+        };
+        if let (Some(path), Some(changed)) = (&path, start.1.take())
+            && let Err(why) = versions::keep(path, &changed)
+        {
+            warn!(path = %path.display(), %why, "that this version was started under once more can't be kept");
+        }
+        let (subscriber, in_force) = (start.0, start.2);
+        RUNNING.store(subscriber.running().0.number, Ordering::Relaxed);
+        let state =
+            State { subscriber, service: None, applied: 0, refused: 0, superseded: 0, refused_last: None };
+        (Versions { state: Mutex::new(state), file, path, step: async_lock::Mutex::new(()) }, in_force)
+    }
+
+    fn with<R>(&self, call: impl FnOnce(&mut State) -> R) -> R {
+        call(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// On disk before it is in force.
+    async fn keep(&self, kept: &Kept) -> Result<(), String> {
+        let Some(path) = self.path.clone() else { return Ok(()) };
+        let kept = kept.clone();
+        blocking::unblock(move || versions::keep(&path, &kept)).await.map_err(|why| why.to_string())
+    }
+
+    /// The deployment that these parts make of the file.
+    fn deployment(&self, stamp: Stamp, texts: &Texts) -> Result<Deployment, Vec<String>> {
+        if stamp.number == 0 {
+            return Ok(self.file.clone());
+        }
+        let read = self.file.with_version(&format!("version {}", stamp.number), texts);
+        read.map_err(|faults| faults.to_string().lines().map(String::from).collect())
+    }
+
+    pub fn status(&self) -> v1::VersionStatus {
+        self.with(|state| {
+            let (running, texts) = state.subscriber.running();
+            let kept = state.subscriber.kept();
+            let (refused_last, why) = state.refused_last.clone().unzip();
+            v1::VersionStatus {
+                running: Some(message(running)),
+                on_trial: state.subscriber.on_trial(),
+                good: kept.good.as_ref().map(|version| message(version.stamp)),
+                service: state.service.map(|service| service.to_string()).unwrap_or_default(),
+                text: texts.whole(),
+                given_up: kept.given_up.iter().copied().map(message).collect(),
+                applied: state.applied,
+                refused: state.refused,
+                superseded: state.superseded,
+                refused_last: refused_last.map(message),
+                why: why.unwrap_or_default(),
+            }
+        })
+    }
+}
+
+pub fn message(stamp: Stamp) -> v1::Stamp {
+    v1::Stamp { number: stamp.number, digest: stamp.digest.to_string() }
+}
+
+pub fn stamp(message: &v1::Stamp) -> Option<Stamp> {
+    Some(Stamp { number: message.number, digest: Digest::read(&message.digest)? })
+}
+
+/// None where its stamps are none.
+fn push_of(push: v1::Push) -> Option<Push> {
+    Some(Push {
+        nonce: push.nonce,
+        stamp: stamp(push.stamp.as_ref()?).filter(|stamp| stamp.number > 0)?,
+        follows: push.follows.iter().filter_map(stamp).collect(),
+        onto: match &push.onto {
+            Some(onto) => Some(stamp(onto)?),
+            None => None,
+        },
+        changes: push.parts.into_iter().collect(),
+        removed: push.removed,
+        cuts: push.cuts,
+    })
+}
+
+fn counts(desk: &Desk) -> Counts {
+    let (asked, refused) = desk.asked_and_refused();
+    Counts { asked, refused }
+}
+
+/// Answers on one stream.
+struct Answers {
+    to: async_channel::Sender<v1::Told>,
+    dispatcher: u32,
+}
+
+impl Answers {
+    /// False where the service does not read.
+    fn say(&self, versions: &Versions, nonce: u64, said: &Said) -> bool {
+        let (running, on_trial) = versions.with(|state| {
+            match said {
+                Said::Applied => state.applied += 1,
+                Said::Refused(_) => state.refused += 1,
+                Said::Superseded(_) => state.superseded += 1,
+                Said::Running | Said::WantsWhole => {}
+            }
+            (state.subscriber.running().0, state.subscriber.on_trial())
+        });
+        let (answer, why, superseded_by) = match said {
+            Said::Applied => (Answer::Applied, Vec::new(), 0),
+            Said::Running => (Answer::Running, Vec::new(), 0),
+            Said::Refused(why) => (Answer::Refused, why.clone(), 0),
+            Said::Superseded(by) => (Answer::Superseded, Vec::new(), *by),
+            Said::WantsWhole => (Answer::WantsWhole, Vec::new(), 0),
+        };
+        let told = v1::Told {
+            dispatcher: self.dispatcher,
+            running: Some(message(running)),
+            nonce,
+            answer: answer.into(),
+            why,
+            superseded_by,
+            on_trial,
+        };
+        self.to.try_send(told).is_ok()
+    }
+
+    /// What runs, unasked.
+    fn tell(&self, versions: &Versions, answer: Answer, why: Vec<String>) -> bool {
+        let (running, on_trial) =
+            versions.with(|state| (state.subscriber.running().0, state.subscriber.on_trial()));
+        let (dispatcher, running) = (self.dispatcher, Some(message(running)));
+        let told =
+            v1::Told { dispatcher, running, answer: answer.into(), why, on_trial, ..v1::Told::default() };
+        self.to.try_send(told).is_ok()
+    }
+}
+
+/// Streams from one control service after the other, for as long as it is polled, and watches over trials.
+pub async fn run(desk: Arc<Desk>) {
+    let services = desk.deployment().control.clone();
+    // Whoever streams is told of a version that was given up.
+    let (gave_up, given_up) = async_channel::bounded::<String>(1);
+    let watch = watch(Arc::clone(&desk), gave_up);
+    let stream = async {
+        if services.is_empty() {
+            return future::pending().await;
+        }
+        let number = desk.deployment().cluster.number;
+        let mut retry = Retry::new(desk.clock.now() ^ (number as u64) << 32);
+        // Hundreds that start at once don't all come at once.
+        async_io::Timer::after(duration(retry.wait(0)) / 4).await;
+        for service in services.iter().cycle() {
+            let mut began = None;
+            let ended = stream(&desk, *service, &given_up, &mut began).await;
+            desk.versions.with(|state| {
+                state.service = None;
+                state.subscriber.broke();
+            });
+            let stood = began.map_or(0, |began: Instant| tenths(began.elapsed()));
+            let wait = retry.wait(stood);
+            warn!(%service, why = ended, again_in_ms = wait / 10, "no stream of versions; the one in force stays");
+            async_io::Timer::after(duration(wait)).await;
+        }
+    };
+    watch.or(stream).await;
+}
+
+async fn stream(
+    desk: &Arc<Desk>,
+    service: SocketAddr,
+    given_up: &async_channel::Receiver<String>,
+    began: &mut Option<Instant>,
+) -> String {
+    let link = match Link::open(&desk.tasks, service, &desk.link_bounds).await {
+        Ok(link) => link,
+        Err(why) => return why.to_string(),
+    };
+    let (to, from) = async_channel::bounded(ANSWERS);
+    let answers = Answers { to, dispatcher: desk.deployment().cluster.number as u32 };
+    answers.tell(&desk.versions, Answer::Nothing, Vec::new());
+    let mut client = ControlClient::new(link).max_decoding_message_size(PUSH);
+    // Its first push may be long in coming, but that it takes the stream is not.
+    let opened =
+        corkspan_rpc::within(desk.link_bounds.connect_within * 4, Box::pin(client.stream(from))).await;
+    let mut pushes = match opened {
+        Some(Ok(pushes)) => pushes.into_inner(),
+        Some(Err(why)) => return why.message().to_string(),
+        None => return "it does not take the stream in time".into(),
+    };
+    *began = Some(Instant::now());
+    desk.versions.with(|state| state.service = Some(service));
+    info!(%service, "versions are streamed from here");
+    loop {
+        let pace = desk.versions.with(|state| state.subscriber.pace(desk.clock.now()));
+        if pace == Pace::Now {
+            // What has come meanwhile passes over what waits.
+            while let Some(push) = future::poll_once(pushes.message()).await {
+                if let Err(why) = take(desk, &answers, push) {
+                    return why;
+                }
+            }
+            let Some(push) = desk.versions.with(|state| state.subscriber.take()) else { continue };
+            let said = apply(desk, &push).await;
+            if let Said::Refused(why) = &said {
+                warn!(version = push.stamp.number, ?why, "a version is turned down");
+                desk.versions.with(|state| state.refused_last = Some((push.stamp, why.clone())));
+            }
+            if !answers.say(&desk.versions, push.nonce, &said) {
+                return "it does not read its answers".into();
+            }
+            continue;
+        }
+        let pushed = async { Some(pushes.message().await) };
+        let due = async {
+            match pace {
+                Pace::Wait(time) => drop(async_io::Timer::after(duration(time)).await),
+                _ => future::pending().await,
+            }
+            None
+        };
+        let gave_up = async {
+            if let Ok(why) = given_up.recv().await {
+                answers.tell(&desk.versions, Answer::GaveUp, vec![why]);
+            }
+            None
+        };
+        if let Some(push) = pushed.or(due).or(gave_up).await
+            && let Err(why) = take(desk, &answers, push)
+        {
+            return why;
+        }
+    }
+}
+
+/// A message of the stream, or its end.
+fn take(desk: &Desk, answers: &Answers, push: Result<Option<v1::Push>, Status>) -> Result<(), String> {
+    let push = push.map_err(|why| why.message().to_string())?.ok_or("the service ended the stream")?;
+    let nonce = push.nonce;
+    let Some(push) = push_of(push) else {
+        let said =
+            Said::Refused(vec!["its stamp is none: a number above 0 and 64 hexadecimal digits".into()]);
+        let read = answers.say(&desk.versions, nonce, &said);
+        return read.then_some(()).ok_or_else(|| "it does not read its answers".into());
+    };
+    if let Some((passed, said)) = desk.versions.with(|state| state.subscriber.heard(push))
+        && !answers.say(&desk.versions, passed, &said)
+    {
+        return Err("it does not read its answers".into());
+    }
+    Ok(())
+}
+
+async fn apply(desk: &Desk, push: &Push) -> Said {
+    let versions = &desk.versions;
+    let _step = versions.step.lock().await;
+    let texts = match versions.with(|state| state.subscriber.admit(push)) {
+        Admitted::Answer(said) => return said,
+        Admitted::Check(texts) => texts,
+    };
+    let next = match versions.deployment(push.stamp, &texts) {
+        Ok(next) => next,
+        Err(why) => return Said::Refused(why),
+    };
+    let why = desk.obstacles(&next, push.cuts);
+    if !why.is_empty() {
+        return Said::Refused(why);
+    }
+    let kept = versions.with(|state| state.subscriber.to_keep(push.stamp, texts));
+    if let Err(why) = versions.keep(&kept).await {
+        return Said::Refused(vec![format!("it can't be kept on disk: {why}")]);
+    }
+    if !desk.put_in_force(next) {
+        // Not in force, so it must not be on disk either.
+        let former = versions.with(|state| state.subscriber.kept().clone());
+        if let Err(why) = versions.keep(&former).await {
+            warn!(why, "a version that is not in force stays on disk");
+        }
+        return Said::Refused(vec![
+            "more names have come and gone than are kept; a restart is needed".into(),
+        ]);
+    }
+    versions.with(|state| state.subscriber.applied(desk.clock.now(), kept, counts(desk)));
+    RUNNING.store(push.stamp.number, Ordering::Relaxed);
+    info!(number = push.stamp.number, digest = ?push.stamp.digest, "a version is in force, on trial");
+    Said::Applied
+}
+
+/// Looks at the version on trial again and again.
+async fn watch(desk: Arc<Desk>, gave_up: async_channel::Sender<String>) {
+    loop {
+        async_io::Timer::after(LOOK).await;
+        let versions = &desk.versions;
+        let _step = versions.step.lock().await;
+        let now = desk.clock.now();
+        let Some((kept, why)) = versions.with(|state| state.subscriber.watch(now, counts(&desk))) else {
+            continue;
+        };
+        let before = versions.with(|state| state.subscriber.running().0);
+        if let Some(why) = &why {
+            // In force before it is on disk: what does harm must not go on because a disk is full.
+            let version = kept.good.as_ref().map(|good| (good.stamp, good.texts.clone()));
+            let back = match &version {
+                Some((stamp, texts)) => versions.deployment(*stamp, texts),
+                None => Ok(versions.file.clone()),
+            };
+            if !back.is_ok_and(|back| desk.put_in_force(back)) {
+                warn!(why, "the version does harm, and the one before does not fit any more");
+                continue;
+            }
+        }
+        if let Err(why) = versions.keep(&kept).await {
+            warn!(why, "how a trial came out can't be kept on disk; a restart tries that version again");
+        }
+        versions.with(|state| {
+            state.subscriber.decided(desk.clock.now(), kept, counts(&desk));
+            RUNNING.store(state.subscriber.running().0.number, Ordering::Relaxed);
+        });
+        match why {
+            Some(why) => {
+                warn!(number = before.number, why, "a version is given up for the last good one");
+                let _ = gave_up.force_send(why);
+            }
+            None => info!(number = before.number, "a version has stood its trial"),
+        }
+    }
+}
+
+/// What operators ask.
+#[derive(Clone)]
+pub struct Operators(pub Arc<Desk>);
+
+#[tonic::async_trait]
+impl v1::versions_server::Versions for Operators {
+    async fn status(&self, _: Request<v1::VersionStatusAsk>) -> Result<Response<v1::VersionStatus>, Status> {
+        Ok(Response::new(self.0.versions.status()))
+    }
+}
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -2,11 +2,13 @@
 //! reads a message calls in here directly; the answers leave as messages before the call returns.
 
 use crate::clock::{Clock, duration};
+use crate::control::Versions;
 use crate::links::{Counted, NodeLink};
 use crate::rolls::{self, Rolls};
 use crate::shots;
 use corkspan::interface::*;
 use corkspan_api::v1;
+use corkspan_control::change;
 use corkspan_deployment::Deployment;
 use corkspan_host::{Asked, Host, NotTaken, Slice, Wire, service};
 use corkspan_roll::conductor::Withdrawn;
@@ -14,7 +16,7 @@
 use corkspan_rpc::Tasks;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak};
 use std::time::{Duration, Instant};
 use tracing::{debug, info, warn};
 use v1::word::Word as Said;
@@ -156,7 +158,9 @@
 pub struct Desk {
     inner: Mutex<Inner>,
     pub clock: Clock,
-    pub deployment: Deployment,
+    /// What is in force. Changed under the books' lock alone, so never between a decision and what it is made by.
+    in_force: RwLock<Arc<Deployment>>,
+    pub versions: Versions,
     pub link_bounds: corkspan_rpc::Bounds,
     pub tasks: Tasks,
     /// When to look again.
@@ -187,6 +191,7 @@
         store: rolls::Store,
     ) -> Arc<Self> {
         let now = clock.now();
+        let (versions, deployment) = Versions::start(deployment, now);
         let store = Arc::new(store);
         let kept = store.read();
         // Whatever an earlier life had started beside a copy, and was killed before it had put away one of the two.
@@ -205,11 +210,7 @@
         });
         let orphans: Vec<Orphan> = orphans.collect();
         Arc::new_cyclic(|desk| {
-            let mut cluster = deployment.cluster.clone();
-            // An offer may leave so much later than it is decided. Two windows' worth, the first late and the
-            // second not, would reach a cold node closer together than they were decided.
-            cluster.cold.window += deployment.bounds.connect_within;
-            let host = Host::new(cluster, seed, now, deployment.bounds.in_hand, SLICE);
+            let host = Host::new(cluster(&deployment), seed, now, deployment.bounds.in_hand, SLICE);
             let port = Port {
                 desk: desk.clone(),
                 now,
@@ -225,7 +226,8 @@
                 inner: Mutex::new(Inner { host, port }),
                 clock,
                 link_bounds: crate::links::bounds(&deployment.bounds),
-                deployment,
+                in_force: RwLock::new(Arc::new(deployment)),
+                versions,
                 tasks: Arc::clone(tasks),
                 wakes,
                 watches,
@@ -235,6 +237,34 @@
         })
     }
 
+    pub fn deployment(&self) -> Arc<Deployment> {
+        Arc::clone(&self.in_force.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Why this one can't take the place of the one in force.
+    pub fn obstacles(&self, next: &Deployment, cuts: bool) -> Vec<String> {
+        let by_track = self.lock().host.by_track();
+        let in_use = |track| by_track.get(&track).copied().unwrap_or(0);
+        change::obstacles(&self.deployment(), next, cuts, in_use)
+    }
+
+    /// Puts it in force between two decisions. False where it can't be, and the former stays.
+    pub fn put_in_force(&self, next: Deployment) -> bool {
+        self.with(|now, host, _| {
+            let by_track = host.by_track();
+            let in_use = |track| by_track.get(&track).copied().unwrap_or(0);
+            let Some(next) = change::with_ids(&self.deployment(), next, in_use) else { return false };
+            host.adopt(now, cluster(&next), next.bounds.in_hand);
+            *self.in_force.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
+            true
+        })
+    }
+
+    pub fn asked_and_refused(&self) -> (u64, u64) {
+        let inner = self.lock();
+        (inner.port.counters.asked, inner.port.counters.refused)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         // A panic under the lock would leave the books in doubt: go down with it rather than guess.
         self.inner.lock().expect("the desk's books are whole")
@@ -254,7 +284,7 @@
 
     /// An owner asks. The answer is among the words, at once or later.
     pub fn ask(self: &Arc<Self>, ask: v1::Ask, hangs_up: Option<Duration>) -> Taken {
-        let (words, heard) = async_channel::bounded(self.deployment.bounds.words_a_client);
+        let (words, heard) = async_channel::bounded(self.deployment().bounds.words_a_client);
         let taken = Taken { words: heard, id: None, open: Arc::clone(&self.calls) };
         let refuse = |why: v1::refused::Why, text: String| {
             let word = v1::Refused { why: why.into(), text, shots: 0 };
@@ -267,7 +297,7 @@
             refuse(v1::refused::Why::Stopping, "this dispatcher is about to stop".into());
             return taken;
         }
-        if Arc::strong_count(&self.calls) > self.deployment.bounds.calls as usize {
+        if Arc::strong_count(&self.calls) > self.deployment().bounds.calls as usize {
             refuse(v1::refused::Why::TooMany, "as many calls as may be are open".into());
             return taken;
         }
@@ -292,7 +322,7 @@
             }
         };
         // A dispatcher that stands still can't answer: so the decisions are told of less time than there is.
-        let ahead = self.deployment.bounds.answer_ahead.min(left / 2);
+        let ahead = self.deployment().bounds.answer_ahead.min(left / 2);
         let asked = Asked { abandon: now + left - ahead, ..asked };
         let task = ask.task.clone();
         let hangs_up = hangs_up.map(|after| now + crate::clock::tenths(after));
@@ -314,7 +344,7 @@
 
     /// An owner hands over an allocation that already runs.
     pub fn hand_over(self: &Arc<Self>, running: v1::Running) -> Taken {
-        let (words, heard) = async_channel::bounded(self.deployment.bounds.words_a_client);
+        let (words, heard) = async_channel::bounded(self.deployment().bounds.words_a_client);
         let open = Arc::clone(&self.calls);
         let refuse = |why: v1::refused::Why, text: String| {
             let word = v1::Refused { why: why.into(), text, shots: 0 };
@@ -354,9 +384,13 @@
 
     /// What an ask is to the decisions, or what is wrong with it. Its abandon time is not set.
     fn asked(&self, now: Tenths, ask: &v1::Ask) -> Result<Asked, String> {
-        let index = |names: &[String], name: &str| names.iter().position(|known| known == name);
-        let track = index(&self.deployment.tracks, &ask.track);
-        let account = match (&ask.account[..], &self.deployment.accounts[..]) {
+        // A row without a name is of one that is gone.
+        let index = |names: &[String], name: &str| {
+            names.iter().position(|known| known == name).filter(|_| !name.is_empty())
+        };
+        let deployment = self.deployment();
+        let track = index(&deployment.tracks, &ask.track);
+        let account = match (&ask.account[..], &deployment.accounts[..]) {
             ("", _) | (_, []) => Some(0),
             (name, names) => index(names, name),
         };
@@ -389,8 +423,8 @@
             cores: ask.cores,
             memory: ask.memory,
             life_ms: ask.life_ms,
-            dispatcher: self.deployment.cluster.number as u32,
-            priority: u32::from(self.deployment.cluster.tracks[asked.track.0].priority),
+            dispatcher: self.deployment().cluster.number as u32,
+            priority: u32::from(self.deployment().cluster.tracks[asked.track.0].priority),
             version,
         }
     }
@@ -598,15 +632,17 @@
             let service = roll.service.clone();
             port.rolls.adopt(now, roll);
             let Some(conductor) = port.rolls.of(&service).filter(|_| !known) else { return };
-            for (_, client, placed) in host.all().filter(|(_, client, _)| client.ask.service == service) {
-                if !placed || client.beside.is_some() {
-                    continue;
-                }
+            let copies = host.all().filter(|(_, client, placed)| {
+                *placed && client.ask.service == service && client.beside.is_none()
+            });
+            let copies: Vec<AllocationId> = copies.map(|(id, _, _)| id).collect();
+            for id in copies {
+                let Some((client, allocation)) = host.own(id) else { continue };
                 conductor.copy(now, &client.ask.task, &client.version, false);
                 if let Some(at) = client.ready {
                     conductor.ready(at, &client.ask.task);
                 }
-                if !self.may_run_twice(&client.ask.track) {
+                if !self.may_run_twice(allocation.track) {
                     conductor.only_once(&client.ask.task);
                 }
             }
@@ -624,10 +660,9 @@
         });
     }
 
-    fn may_run_twice(&self, track: &str) -> bool {
-        let index = self.deployment.tracks.iter().position(|known| known == track);
-        let track = index.and_then(|index| self.deployment.cluster.tracks.get(index));
-        track.is_some_and(|track| track.repeat == Repeat::Idempotent)
+    fn may_run_twice(&self, track: TrackId) -> bool {
+        let deployment = self.deployment();
+        deployment.cluster.tracks.get(track.0).is_some_and(|track| track.repeat == Repeat::Idempotent)
     }
 
     /// The two of a copy that grows: to be kept on disk before the new one is offered anywhere.
@@ -876,7 +911,7 @@
             if scope == Scope::Whole {
                 port.nodes.retain(|id, _| entries.iter().any(|(entry, _)| entry.machine == *id));
             }
-            let dispatcher = self.deployment.cluster.number as u32;
+            let dispatcher = self.deployment().cluster.number as u32;
             for (entry, address) in entries {
                 match port.nodes.get(&entry.machine) {
                     Some(node) if node.address == *address => {}
@@ -906,10 +941,10 @@
     pub fn status(&self) -> v1::StatusWord {
         let inner = self.lock();
         let (counts, port) = (inner.host.counts(), &inner.port);
-        let idle = duration(self.deployment.bounds.idle_close);
+        let idle = duration(self.deployment().bounds.idle_close);
         v1::StatusWord {
-            number: self.deployment.cluster.number as u32,
-            schedulers: self.deployment.cluster.schedulers as u32,
+            number: self.deployment().cluster.number as u32,
+            schedulers: self.deployment().cluster.schedulers as u32,
             in_hand: counts.in_hand as u64,
             not_yet: counts.not_yet as u64,
             shots_out: counts.shots_out as u64,
@@ -930,7 +965,7 @@
     /// Closes links that nothing has crossed for a while.
     pub fn close_idle(&self) {
         let nodes: Vec<Arc<NodeLink>> = self.lock().port.nodes.values().cloned().collect();
-        let idle = duration(self.deployment.bounds.idle_close);
+        let idle = duration(self.deployment().bounds.idle_close);
         for node in nodes {
             node.close_idle(idle);
         }
@@ -971,6 +1006,14 @@
     }
 }
 
+/// What the decisions are handed. An offer may leave `connect_within` later than it is decided: two windows' worth,
+/// the first late and the second not, would reach a cold node closer together than they were decided.
+fn cluster(deployment: &Deployment) -> Cluster {
+    let mut cluster = deployment.cluster.clone();
+    cluster.cold.window += deployment.bounds.connect_within;
+    cluster
+}
+
 /// Some 2 ms of work, and as long for the sockets.
 const SLICE: Slice = Slice { most: 32, apart: 20 };
 
@@ -1103,13 +1146,13 @@
         (client.ready, client.stopping) = (None, false);
         if let Some(conductor) = self.rolls.of(&client.ask.service).filter(|_| client.beside.is_none()) {
             conductor.copy(self.now, &client.ask.task, &client.version, client.ask.again && !client.anew);
-            if !desk.may_run_twice(&client.ask.track) {
+            if !desk.may_run_twice(allocation.track) {
                 conductor.only_once(&client.ask.task);
             }
         }
         let shot = desk.shot(&client.ask, &asked, allocation.shots.len(), client.version.clone());
         let node = self.node(machine);
-        let most = desk.deployment.bounds.offers_a_node;
+        let most = desk.deployment().bounds.offers_a_node;
         let open: Option<Counted> = node.as_ref().and_then(|node| node.offer(most));
         let (id, number, decided) = (allocation.id, allocation.shots.len(), Instant::now());
         let offer = shots::Offer { id, number, machine, node, open, decided };
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -4,16 +4,20 @@
 
 mod clients;
 pub mod clock;
+pub mod control;
 mod desk;
 mod links;
 pub mod rolls;
 mod roster;
 mod shots;
+pub mod versions;
 
 use async_io::Timer;
 use async_net::TcpListener;
 use clients::Clients;
-use corkspan_api::v1::{placement_server::PlacementServer, rolls_server::RollsServer};
+use corkspan_api::v1::{
+    placement_server::PlacementServer, rolls_server::RollsServer, versions_server::VersionsServer,
+};
 use corkspan_deployment::Deployment;
 use corkspan_rpc::Tasks;
 use desk::Desk;
@@ -86,16 +90,23 @@
     info!(%address, remembered = entries.len(), "listening");
     desk.listed(corkspan::interface::Scope::Remembered, &entries);
 
-    let service = Both {
+    let service = All {
         placement: PlacementServer::new(Clients(Arc::clone(&desk))).max_decoding_message_size(bounds.message),
         rolls: RollsServer::new(rolls::Operators(Arc::clone(&desk)))
             .max_decoding_message_size(bounds.message),
+        versions: VersionsServer::new(control::Operators(Arc::clone(&desk)))
+            .max_decoding_message_size(bounds.message),
+    };
+    let admits = {
+        let desk = Arc::clone(&desk);
+        move |address| desk.deployment().allows(address)
     };
-    let serving = corkspan_rpc::serve(listener, service, desk.link_bounds.clone());
+    let serving = corkspan_rpc::serve_to(admits, listener, service, desk.link_bounds.clone());
     let background = [
         tasks.spawn(wake(Arc::clone(&desk), waking)),
         tasks.spawn(roster::run(Arc::clone(&desk), roster, asked, path)),
         tasks.spawn(rolls::run(Arc::clone(&desk))),
+        tasks.spawn(control::run(Arc::clone(&desk))),
         tasks.spawn(sweep(Arc::clone(&desk), clock::duration(bounds.idle_close) / 4)),
     ];
     ready(address);
@@ -152,14 +163,15 @@
     }
 }
 
-/// The two services on one listener, told apart by their path.
+/// The services on one listener, told apart by their path.
 #[derive(Clone)]
-struct Both {
+struct All {
     placement: PlacementServer<Clients>,
     rolls: RollsServer<rolls::Operators>,
+    versions: VersionsServer<control::Operators>,
 }
 
-impl tower_service::Service<http::Request<tonic::body::Body>> for Both {
+impl tower_service::Service<http::Request<tonic::body::Body>> for All {
     type Response = http::Response<tonic::body::Body>;
     type Error = std::convert::Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
@@ -169,8 +181,11 @@
     }
 
     fn call(&mut self, request: http::Request<tonic::body::Body>) -> Self::Future {
-        if request.uri().path().starts_with("/corkspan.v1.Rolls/") {
+        let path = request.uri().path();
+        if path.starts_with("/corkspan.v1.Rolls/") {
             self.rolls.call(request)
+        } else if path.starts_with("/corkspan.v1.Versions/") {
+            self.versions.call(request)
         } else {
             self.placement.call(request)
         }
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -259,7 +259,7 @@
 
 /// Goes round the keepers again and again, for as long as it is polled.
 pub async fn run(desk: Arc<Desk>) {
-    if desk.deployment.keepers.is_empty() {
+    if desk.deployment().keepers.is_empty() {
         return;
     }
     // Apart from the rounds: a node that is out of reach must not hold them up.
@@ -280,7 +280,7 @@
 
 async fn round(desk: &Arc<Desk>) {
     let told = ask_all(desk, Ask::Tell(v1::Tell {})).await;
-    let keepers = desk.deployment.keepers.len();
+    let keepers = desk.deployment().keepers.len();
     let mut by_service: BTreeMap<String, (Vec<Roll>, Told)> = BTreeMap::new();
     for kept in told.iter().flat_map(|word| &word.kept) {
         let Some(roll) = kept.roll.as_ref().and_then(roll_of) else { continue };
@@ -352,7 +352,7 @@
     }
     if let Some(why) = look.halt {
         warn!(service, version = roll.version, why, "the roll halts");
-        let halted = roll.with_phase(Phase::Halted(why), u64::from(desk.deployment.cluster.number as u32));
+        let halted = roll.with_phase(Phase::Halted(why), u64::from(desk.deployment().cluster.number as u32));
         let _ = propose(desk, halted).await;
     }
     look.withdraw.iter().for_each(|task| desk.put_away(task));
@@ -369,13 +369,13 @@
     for (claim, slot, task) in look.claims {
         let mut granted = 0;
         if keep_claim(desk, claim, service, &task, false, None).await {
-            let dispatcher = desk.deployment.cluster.number as u32;
+            let dispatcher = desk.deployment().cluster.number as u32;
             let slot = v1::Slot { slot, claim: claim.0, task: task.clone(), dispatcher };
             let ask = v1::Claim { service: service.into(), number: roll.number, slot: Some(slot) };
             let words = ask_all(desk, Ask::Claim(ask)).await;
             granted = words.iter().filter(|word| word.granted).count();
         }
-        let keepers = desk.deployment.keepers.len();
+        let keepers = desk.deployment().keepers.len();
         // On disk before anything is taken down under it: a restart must know that the slot is used.
         if majority(granted, keepers) && !keep_claim(desk, claim, service, &task, true, None).await {
             granted = 0;
@@ -468,12 +468,12 @@
         .flat_map(|word| &word.kept)
         .filter_map(|kept| kept.roll.as_ref().and_then(roll_of))
         .collect();
-    in_force(&stands, desk.deployment.keepers.len()).cloned()
+    in_force(&stands, desk.deployment().keepers.len()).cloned()
 }
 
 /// Asks all keepers at once; what those say that answer within a link's time.
 async fn ask_all(desk: &Arc<Desk>, ask: Ask) -> Vec<v1::KeepWord> {
-    let calls: Vec<_> = (desk.deployment.keepers.iter())
+    let calls: Vec<_> = (desk.deployment().keepers.iter())
         .filter_map(|keeper| desk.node(*keeper))
         .map(|node| {
             let (desk, ask) = (Arc::clone(desk), v1::KeepAsk { ask: Some(ask.clone()) });
@@ -569,7 +569,7 @@
 
     /// The roll in force as a majority of the keepers tells it now, not as we heard last.
     async fn stands(&self, service: &str) -> Result<Option<Roll>, Status> {
-        let keepers = self.0.deployment.keepers.len();
+        let keepers = self.0.deployment().keepers.len();
         let told = ask_all(&self.0, Ask::Tell(v1::Tell {})).await;
         if !majority(told.len(), keepers) {
             let text = format!("{} of {keepers} keepers answer; a majority is needed", told.len());
@@ -587,7 +587,7 @@
     async fn start(&self, request: Request<v1::RollAsk>) -> Result<Response<v1::RollWord>, Status> {
         let ask = request.into_inner();
         let wrong = |why: &str| Err(Status::invalid_argument(why));
-        if self.0.deployment.keepers.is_empty() {
+        if self.0.deployment().keepers.is_empty() {
             return Err(Status::failed_precondition("the deployment names no keepers"));
         }
         if ask.service.is_empty() || ask.version.is_empty() || ask.service.len().max(ask.version.len()) > 256
@@ -645,7 +645,7 @@
 
     async fn status(&self, request: Request<v1::RollStatusAsk>) -> Result<Response<v1::RollStatus>, Status> {
         let service = request.into_inner().service;
-        let keepers = self.0.deployment.keepers.len() as u32;
+        let keepers = self.0.deployment().keepers.len() as u32;
         Ok(Response::new(self.0.with_rolls(|_, rolls| {
             let held = rolls.held.get(&service).into_iter().flatten();
             let held = held.map(|(slot, grant, _)| v1::Slot {
@@ -672,5 +672,5 @@
 
 /// Tells two who ask at once apart.
 fn asker(desk: &Desk) -> u64 {
-    desk.clock.now().rotate_left(24) ^ desk.deployment.cluster.number as u64
+    desk.clock.now().rotate_left(24) ^ desk.deployment().cluster.number as u64
 }
--- a/crates/dispatcher/src/roster.rs
+++ b/crates/dispatcher/src/roster.rs
@@ -121,7 +121,7 @@
     fn entry(&mut self, desk: &Desk, line: &Line, now_ms: u64) -> Option<(Entry, SocketAddr)> {
         let index = |names: &[String], name: &str| names.iter().position(|known| known == name);
         let (kind, hall) =
-            (index(&desk.deployment.kinds, &line.kind), index(&desk.deployment.halls, &line.hall));
+            (index(&desk.deployment().kinds, &line.kind), index(&desk.deployment().halls, &line.hall));
         let (Some(kind), Some(hall)) = (kind, hall) else {
             warn!(
                 node = line.node,
@@ -238,13 +238,13 @@
 }
 
 async fn watch(desk: &Arc<Desk>, roster: &mut Roster, path: Option<&Path>) -> Result<(), String> {
-    let link = Link::open(&desk.tasks, desk.deployment.roster, &desk.link_bounds).await;
+    let link = Link::open(&desk.tasks, desk.deployment().roster, &desk.link_bounds).await;
     let link = link.map_err(|why| why.to_string())?;
     // A list is longer than a message of a client may be.
     let mut client = RosterClient::new(link).max_decoding_message_size(LARGEST as usize);
-    let ask = v1::ListAsk { version: roster.version, dispatcher: desk.deployment.cluster.number as u32 };
+    let ask = v1::ListAsk { version: roster.version, dispatcher: desk.deployment().cluster.number as u32 };
     let mut listings = client.watch(ask).await.map_err(|why| why.message().to_string())?.into_inner();
-    info!(roster = %desk.deployment.roster, version = roster.version, "watching the list");
+    info!(roster = %desk.deployment().roster, version = roster.version, "watching the list");
     // When what is known is to be on disk, and when it was written last.
     let (mut due, mut written): (Option<Instant>, Option<Instant>) = (None, None);
     loop {
--- a/crates/dispatcher/src/shots.rs
+++ b/crates/dispatcher/src/shots.rs
@@ -132,7 +132,7 @@
     loop {
         match words.message().await {
             Ok(Some(v1::Said { said: Some(said), load })) => match said {
-                Word::Accepted(_) if !desk.deployment.cluster.placed_runs => return First::Placed(words),
+                Word::Accepted(_) if !desk.deployment().cluster.placed_runs => return First::Placed(words),
                 Word::Running(_) => return First::Placed(words),
                 Word::Refused(turned) => {
                     let back = Back::plain(Ending::Refused);
--- /dev/null
+++ b/crates/dispatcher/src/versions.rs
@@ -0,0 +1,123 @@
+//! The last good version on disk, and the one on trial: written before either is in force. The file before is kept
+//! beside, so that a torn one costs one step and no guess.
+
+use corkspan_control::{Kept, Version};
+use corkspan_deployment::version::{Digest, Stamp, Texts};
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+use tracing::warn;
+
+/// Files larger than this are none of ours.
+const LARGEST: u64 = 64 << 20;
+
+#[derive(Serialize, Deserialize)]
+struct File {
+    /// Over the text of the body.
+    sum: String,
+    body: String,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Body {
+    good: Option<Whole>,
+    trial: Option<(Whole, u32)>,
+    given_up: Vec<(u64, String)>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Whole {
+    number: u64,
+    digest: String,
+    parts: Vec<(String, String)>,
+}
+
+impl Whole {
+    fn of(version: &Version) -> Self {
+        let parts = version.texts.iter().map(|(name, text)| (name.into(), text.into())).collect();
+        Whole { number: version.stamp.number, digest: version.stamp.digest.to_string(), parts }
+    }
+
+    fn version(self) -> Option<Version> {
+        let stamp = stamp(self.number, &self.digest)?;
+        let texts: Texts = self.parts.into_iter().collect();
+        (texts.digest() == stamp.digest).then_some(Version { stamp, texts })
+    }
+}
+
+fn stamp(number: u64, digest: &str) -> Option<Stamp> {
+    Some(Stamp { number, digest: Digest::read(digest)? })
+}
+
+fn sum(text: &str) -> String {
+    let texts: Texts = [(String::new(), text.to_string())].into_iter().collect();
+    texts.digest().to_string()
+}
+
+fn before(path: &Path) -> PathBuf {
+    path.with_extension("before")
+}
+
+/// Writes it beside the one that stands, which becomes the one before.
+pub fn keep(path: &Path, kept: &Kept) -> std::io::Result<()> {
+    let body = Body {
+        good: kept.good.as_ref().map(Whole::of),
+        trial: kept.trial.as_ref().map(|(version, starts)| (Whole::of(version), *starts)),
+        given_up: kept.given_up.iter().map(|stamp| (stamp.number, stamp.digest.to_string())).collect(),
+    };
+    let body = serde_json::to_string(&body)?;
+    let new = path.with_extension("new");
+    let file = std::fs::File::create(&new)?;
+    let mut writer = std::io::BufWriter::new(&file);
+    serde_json::to_writer(&mut writer, &File { sum: sum(&body), body })?;
+    std::io::Write::flush(&mut writer)?;
+    drop(writer);
+    file.sync_all()?;
+    // A kill in between leaves the one before, and none: reading falls back to it.
+    if path.exists() {
+        std::fs::rename(path, before(path))?;
+    }
+    std::fs::rename(&new, path)?;
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
+    std::fs::File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+}
+
+/// What an earlier life kept. A file that can't be read is set aside and said, and the one before is taken.
+pub fn read(path: &Path) -> Kept {
+    match read_one(path) {
+        Ok(Some(kept)) => return kept,
+        Ok(None) => {}
+        Err(why) => {
+            let aside = path.with_extension("aside");
+            warn!(path = %path.display(), why, "the kept version can't be read; set aside, and the one before taken");
+            if let Err(why) = std::fs::rename(path, &aside) {
+                warn!(path = %path.display(), %why, "and can't be set aside either");
+            }
+        }
+    }
+    let before = before(path);
+    read_one(&before).map(Option::unwrap_or_default).unwrap_or_else(|why| {
+        warn!(path = %before.display(), why, "nor can the one before; the deployment file is in force");
+        Kept::default()
+    })
+}
+
+fn read_one(path: &Path) -> Result<Option<Kept>, String> {
+    match std::fs::metadata(path) {
+        Err(why) if why.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(why) => return Err(why.to_string()),
+        Ok(data) if data.len() > LARGEST => return Err(format!("{} bytes", data.len())),
+        Ok(_) => {}
+    }
+    let text = std::fs::read(path).map_err(|why| why.to_string())?;
+    let file: File = serde_json::from_slice(&text).map_err(|why| why.to_string())?;
+    if file.sum != sum(&file.body) {
+        return Err("its sum is wrong".into());
+    }
+    let body: Body = serde_json::from_str(&file.body).map_err(|why| why.to_string())?;
+    let wrong = || "a version in it is not what its digest says".to_string();
+    let good = body.good.map(|whole| whole.version().ok_or_else(wrong)).transpose()?;
+    let trial =
+        body.trial.map(|(whole, starts)| Ok::<_, String>((whole.version().ok_or_else(wrong)?, starts)));
+    let given_up = body.given_up.iter().filter_map(|(number, digest)| stamp(*number, digest)).collect();
+    Ok(Some(Kept { good, trial: trial.transpose()?, given_up }))
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -120,6 +120,19 @@
         }
     }
 
+    /// Other figures are in force from here on. Ids of tracks and accounts in hand must mean what they meant.
+    pub fn adopt(&mut self, now: Tenths, cluster: Cluster, most: usize) {
+        self.scheduler.adopt(now, cluster);
+        self.most = most;
+    }
+
+    /// How many in hand are of each track; none where there is no such track among them.
+    pub fn by_track(&self) -> BTreeMap<TrackId, usize> {
+        let mut counts = BTreeMap::new();
+        self.held.values().for_each(|held| *counts.entry(held.allocation.track).or_default() += 1);
+        counts
+    }
+
     /// Takes an allocation into hand. It is not yet placed: [`Host::place`] is the next call.
     pub fn take(
         &mut self,
--- /dev/null
+++ b/crates/lab/src/control.rs
@@ -0,0 +1,222 @@
+//! A stand-in control service: streams what its books say to each subscriber, or what a story puts on the wire, and
+//! keeps every reply.
+
+use crate::node::World;
+use async_net::TcpListener;
+use corkspan_api::v1::{self, control_server};
+use corkspan_control::{Heard, Publisher, Push, Said};
+use corkspan_deployment::version::{Digest, Stamp, Texts};
+use corkspan_rpc::Tasks;
+use futures_lite::{Stream, StreamExt};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use tonic::{Request, Response, Status, Streaming};
+use v1::told::Answer;
+
+/// A reply or another word of a subscriber.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub told: v1::Told,
+    /// What the books say of it.
+    pub heard: Heard,
+    pub at: std::time::Instant,
+}
+
+#[derive(Default)]
+struct State {
+    books: Publisher,
+    /// Ways to the subscribers whose streams stand.
+    open: BTreeMap<u32, async_channel::Sender<v1::Push>>,
+    replies: Vec<Reply>,
+    /// Pushes go out as stories say alone.
+    scripted: bool,
+    opened: usize,
+    /// What the books had pushed.
+    pushes: Vec<v1::Push>,
+}
+
+/// One control service. Clones share it.
+#[derive(Clone)]
+pub struct Control {
+    state: Arc<Mutex<State>>,
+    pub address: SocketAddr,
+}
+
+/// Keeps it up; dropped, its links break.
+pub struct Up(#[allow(dead_code)] async_executor::Task<()>);
+
+/// Pushes that wait for a subscriber to read them.
+const WAITING: usize = 100_000;
+
+impl Control {
+    pub async fn up(world: &World) -> std::io::Result<(Control, Up)> {
+        Control::up_at(world, "127.0.0.1:0").await
+    }
+
+    pub async fn up_at(world: &World, address: &str) -> std::io::Result<(Control, Up)> {
+        let listener = TcpListener::bind(address).await?;
+        let control = Control { state: Arc::default(), address: listener.local_addr()? };
+        let up = control.serve(world, listener);
+        Ok((control, up))
+    }
+
+    /// The same service with its books, on its former address, after it was away.
+    pub async fn up_again(&self, world: &World) -> std::io::Result<Up> {
+        let listener = TcpListener::bind(self.address).await?;
+        Ok(self.serve(world, listener))
+    }
+
+    fn serve(&self, world: &World, listener: TcpListener) -> Up {
+        let service = control_server::ControlServer::new(Service(self.clone(), Arc::clone(&world.tasks)));
+        let tasks = &world.tasks;
+        Up(tasks.spawn(async move {
+            corkspan_rpc::serve(listener, service, corkspan_rpc::Bounds::default()).await;
+        }))
+    }
+
+    fn with<R>(&self, call: impl FnOnce(&mut State) -> R) -> R {
+        call(&mut self.state.lock().expect("no one panics over the books"))
+    }
+
+    /// From here on only what [`Control::send`] is told goes out.
+    pub fn scripted(&self) {
+        self.with(|state| state.scripted = true);
+    }
+
+    /// The next version, streamed to all.
+    pub fn publish(&self, texts: Texts, cuts: bool) -> Stamp {
+        self.with(|state| {
+            let stamp = state.books.publish(texts, cuts);
+            state.flush();
+            stamp
+        })
+    }
+
+    /// Puts a push on one subscriber's stream, whatever the books say. False where none stands.
+    pub fn send(&self, who: u32, push: v1::Push) -> bool {
+        self.with(|state| state.open.get(&who).is_some_and(|open| open.try_send(push).is_ok()))
+    }
+
+    /// Ends all streams.
+    pub fn hang_up(&self) {
+        self.with(|state| state.open.clear());
+    }
+
+    pub fn replies(&self) -> Vec<Reply> {
+        self.with(|state| state.replies.clone())
+    }
+
+    pub fn pushes(&self) -> Vec<v1::Push> {
+        self.with(|state| state.pushes.clone())
+    }
+
+    /// The last reply to this push.
+    pub fn reply_to(&self, nonce: u64) -> Option<v1::Told> {
+        self.with(|state| {
+            let replies = state.replies.iter().rev();
+            replies.map(|reply| &reply.told).find(|told| told.nonce == nonce).cloned()
+        })
+    }
+
+    /// What each subscriber told last of what runs there.
+    pub fn running(&self, who: u32) -> Option<Stamp> {
+        self.with(|state| state.books.running(who))
+    }
+
+    /// Streams that were opened ever.
+    pub fn opened(&self) -> usize {
+        self.with(|state| state.opened)
+    }
+}
+
+impl State {
+    fn flush(&mut self) {
+        if self.scripted {
+            return;
+        }
+        let State { books, open, pushes, .. } = self;
+        open.retain(|who, open| {
+            if let Some(push) = books.push_for(*who) {
+                pushes.push(message(&push));
+                // One that does not read loses its stream, and tells anew what it runs.
+                return open.try_send(message(&push)).is_ok();
+            }
+            !open.is_closed()
+        });
+    }
+}
+
+pub fn stamp_message(stamp: Stamp) -> v1::Stamp {
+    v1::Stamp { number: stamp.number, digest: stamp.digest.to_string() }
+}
+
+pub fn stamp_of(message: &v1::Stamp) -> Option<Stamp> {
+    Some(Stamp { number: message.number, digest: Digest::read(&message.digest)? })
+}
+
+pub fn message(push: &Push) -> v1::Push {
+    v1::Push {
+        nonce: push.nonce,
+        stamp: Some(stamp_message(push.stamp)),
+        follows: push.follows.iter().copied().map(stamp_message).collect(),
+        onto: push.onto.map(stamp_message),
+        parts: push.changes.iter().map(|(name, text)| (name.into(), text.into())).collect(),
+        removed: push.removed.clone(),
+        cuts: push.cuts,
+    }
+}
+
+fn said(told: &v1::Told) -> Said {
+    match told.answer() {
+        Answer::Applied => Said::Applied,
+        Answer::Refused => Said::Refused(told.why.clone()),
+        Answer::Superseded => Said::Superseded(told.superseded_by),
+        Answer::WantsWhole => Said::WantsWhole,
+        Answer::Nothing | Answer::Running | Answer::GaveUp => Said::Running,
+    }
+}
+
+struct Service(Control, Tasks);
+
+#[tonic::async_trait]
+impl control_server::Control for Service {
+    type StreamStream = Pin<Box<dyn Stream<Item = Result<v1::Push, Status>> + Send>>;
+
+    async fn stream(
+        &self,
+        request: Request<Streaming<v1::Told>>,
+    ) -> Result<Response<Self::StreamStream>, Status> {
+        let mut tells = request.into_inner();
+        let first = tells.message().await?.ok_or_else(|| Status::invalid_argument("nothing is told"))?;
+        let who = first.dispatcher;
+        let running = first.running.as_ref().and_then(stamp_of);
+        let running = running.ok_or_else(|| Status::invalid_argument("it does not tell what it runs"))?;
+        let (to, from) = async_channel::bounded(WAITING);
+        let control = self.0.clone();
+        control.with(|state| {
+            state.replies.push(Reply { told: first, heard: Heard::Counted, at: std::time::Instant::now() });
+            state.opened += 1;
+            state.books.opened(who, running);
+            state.open.insert(who, to);
+            state.flush();
+        });
+        let replies = async move {
+            while let Ok(Some(told)) = tells.message().await {
+                control.with(|state| {
+                    let heard = match told.running.as_ref().and_then(stamp_of) {
+                        Some(running) => {
+                            state.books.heard(told.dispatcher, told.nonce, &said(&told), running)
+                        }
+                        None => Heard::Unknown,
+                    };
+                    state.replies.push(Reply { told, heard, at: std::time::Instant::now() });
+                    state.flush();
+                });
+            }
+        };
+        self.1.spawn(replies).detach();
+        Ok(Response::new(Box::pin(from.map(Ok))))
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! dispatchers, and the judge of what crossed the sockets. Figures from here are from stand-ins, not machines.
 
 pub mod capture;
+pub mod control;
 pub mod day;
 pub mod disk;
 pub mod judge;
--- a/crates/lab/tests/full_path/main.rs
+++ b/crates/lab/tests/full_path/main.rs
@@ -4,3 +4,4 @@
 mod rig;
 mod rolls;
 mod stores;
+mod versions;
--- /dev/null
+++ b/crates/lab/tests/full_path/versions.rs
@@ -0,0 +1,365 @@
+//! Versions streamed to a running dispatcher over real sockets. What is in force is read by another way than the
+//! stream: asks of tracks that only one version names, and the operators' status.
+
+use crate::rig::*;
+use corkspan_api::v1::{self, refused::Why, told::Answer, versions_client::VersionsClient, word::Word};
+use corkspan_control::Push;
+use corkspan_deployment::version::{Stamp, Texts};
+use corkspan_lab::control::{Control, Up, message, stamp_of};
+use corkspan_rpc::{Bounds, Link};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::path::Path;
+use std::time::Duration;
+use test_case::test_case;
+
+/// A rig whose dispatcher takes its versions from a control service.
+struct Stage {
+    rig: Rig,
+    control: Control,
+    up: Option<Up>,
+    folder: tempfile::TempDir,
+}
+
+fn more(control: &Control, folder: &Path) -> String {
+    let kept = folder.join("versions.json");
+    format!("(accounts (one (share-cores 100))) (control \"{}\") (versions {kept:?})", control.address)
+}
+
+fn story<F: Future<Output = ()>>(story: impl FnOnce(Stage) -> F) {
+    Rig::run(Layout::default(), async |rig| {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (control, up) = Control::up(&rig.world).await.expect("a port");
+        let text = deployment(rig.roster.address, &more(&control, folder.path()));
+        let rig = rig.kill_and_restart(&text).await;
+        rig.until_serving(2).await;
+        let stage = Stage { rig, control, up: Some(up), folder };
+        until(async || stage.control.opened() == 1).await;
+        story(stage).await;
+    });
+}
+
+impl Stage {
+    fn file(&self) -> String {
+        deployment(self.rig.roster.address, &more(&self.control, self.folder.path()))
+    }
+
+    /// The file's shared parts, with these changed.
+    fn texts(&self, changes: &str) -> Texts {
+        let shared = Texts::of("file", &self.file()).expect("sound");
+        shared.changed(&Texts::of("changes", &format!("(deployment {changes})")).expect("forms"), &[])
+    }
+
+    /// The file's, with more tracks.
+    fn with_tracks(&self, names: &[&str]) -> Texts {
+        let texts = self.texts("");
+        let tracks = texts.get("tracks").expect("there are");
+        let more = names.iter().map(|name| format!(" ({name} (repeat idempotent) (contract-time 300 ms))"));
+        let tracks = format!("{}{})", &tracks[..tracks.len() - 1], more.collect::<String>());
+        texts.changed(&[("tracks".to_string(), tracks)].into_iter().collect(), &[])
+    }
+
+    async fn status(&self) -> v1::VersionStatus {
+        let bounds = Bounds { connect_within: PATIENCE, ..Bounds::default() };
+        let link = Link::open(&self.rig.tasks, self.rig.address, &bounds).await.expect("it listens");
+        VersionsClient::new(link).status(v1::VersionStatusAsk {}).await.expect("a status").into_inner()
+    }
+
+    async fn in_force(&self) -> u64 {
+        self.status().await.running.map_or(u64::MAX, |running| running.number)
+    }
+
+    async fn until_in_force(&self, stamp: Stamp) {
+        until(async || self.in_force().await == stamp.number).await;
+    }
+
+    /// The reply to a push put on the stream as it is.
+    async fn reply(&self, push: &Push) -> v1::Told {
+        assert!(self.control.send(0, message(push)), "a stream stands");
+        until(async || self.control.reply_to(push.nonce).is_some()).await;
+        self.control.reply_to(push.nonce).expect("it is there")
+    }
+
+    /// Whether asks of this track are taken.
+    async fn knows(&self, track: &str, task: &str) -> bool {
+        let mut words = self.rig.ask(ask(task, track)).await;
+        match next(&mut words).await {
+            Some(Word::Placed(_)) => true,
+            Some(Word::Refused(refused)) if refused.why() == Why::BadAsk => false,
+            other => panic!("placed or unknown is expected, not {other:?}"),
+        }
+    }
+
+    async fn restart(self) -> Stage {
+        let text = self.file();
+        let rig = self.rig.kill_and_restart(&text).await;
+        Stage { rig, ..self }
+    }
+}
+
+fn push(nonce: u64, number: u64, texts: &Texts, follows: &[Stamp]) -> Push {
+    let stamp = Stamp { number, digest: texts.digest() };
+    let (changes, follows) = (texts.clone(), follows.to_vec());
+    Push { nonce, stamp, follows, onto: None, changes, removed: Vec::new(), cuts: false }
+}
+
+#[test]
+fn a_sound_version_takes_effect_and_is_acknowledged_and_the_next_comes_as_changes() {
+    story(async |stage| {
+        assert!(!stage.knows("extra", "a").await);
+        let one = stage.control.publish(stage.with_tracks(&["extra"]), false);
+        stage.until_in_force(one).await;
+        assert!(stage.knows("extra", "b").await);
+        until(async || stage.control.running(0) == Some(one)).await;
+        let two = stage.control.publish(stage.with_tracks(&["extra", "other"]), false);
+        stage.until_in_force(two).await;
+        assert!(stage.knows("other", "c").await && stage.knows("extra", "d").await);
+        let pushes = stage.control.pushes();
+        assert!(
+            pushes[0].onto.is_none() && pushes[1].onto.is_some() && pushes[1].parts.len() == 1,
+            "tracks alone: {pushes:?}"
+        );
+    });
+}
+
+#[test]
+fn bad_versions_change_nothing_and_each_is_told_why() {
+    story(async |stage| {
+        stage.control.scripted();
+        let sound = stage.with_tracks(&["extra"]);
+        let first = push(1, 5, &sound, &[]);
+        assert_eq!(stage.reply(&first).await.answer(), Answer::Applied);
+        let five = first.stamp;
+        let broken = stage.texts("(shots 0) (cold (lasts 1 s) (window 1 s) (offers -1))");
+        let wrong_digest = Push { changes: stage.texts("(shots 4)"), ..push(3, 7, &sound, &[five]) };
+        let foreign =
+            sound.changed(&[("listen".into(), "(listen \"127.0.0.1:1\")".into())].into_iter().collect(), &[]);
+        let cut = stage
+            .with_tracks(&["extra"])
+            .changed(&Texts::of("c", "(deployment (bounds (in-hand 100)))").expect("a form"), &[]);
+        let halls = sound.changed(&Texts::of("c", "(deployment (halls a b c))").expect("a form"), &[]);
+        for (push, why) in [
+            (push(2, 6, &broken, &[five]), "shots: must be 1 or more"),
+            (push(12, 6, &broken, &[five]), "cold/offers: must be 0 or more"),
+            (wrong_digest, "digest"),
+            (push(4, 4, &sound, &[five]), "stale"),
+            (push(5, 5, &stage.texts(""), &[five]), "same number"),
+            (push(6, 6, &stage.texts("(shots 4)"), &[]), "split"),
+            (push(7, 6, &foreign, &[five]), "listen: is each dispatcher's own"),
+            (push(8, 6, &cut, &[five]), "bounds/in-hand: cut from 20000 to 100"),
+            (push(9, 6, &halls, &[five]), "halls: a change needs a restart"),
+        ] {
+            let told = stage.reply(&push).await;
+            assert_eq!(told.answer(), Answer::Refused, "{why}");
+            assert!(told.why.iter().any(|line| line.contains(why)), "{why}: {:?}", told.why);
+            assert_eq!(told.running.as_ref().and_then(stamp_of), Some(five), "the last good one stays");
+        }
+        assert!(stage.knows("extra", "a").await);
+        let again = stage.reply(&push(10, 5, &sound, &[])).await;
+        assert_eq!(again.answer(), Answer::Running, "a repeat is harmless");
+        let meant = Push { cuts: true, ..push(11, 6, &cut, &[five]) };
+        assert_eq!(stage.reply(&meant).await.answer(), Answer::Applied, "meant");
+        let onto = Push { onto: Some(five), ..push(13, 7, &sound, &[meant.stamp]) };
+        assert_eq!(stage.reply(&onto).await.answer(), Answer::WantsWhole, "changes to another version");
+        let status = stage.status().await;
+        assert_eq!((status.applied, status.refused), (2, 9));
+    });
+}
+
+#[test]
+fn a_track_in_use_is_not_taken_away_and_what_is_in_hand_runs_on() {
+    story(async |stage| {
+        let one = stage.control.publish(stage.with_tracks(&["extra"]), false);
+        stage.until_in_force(one).await;
+        let mut words = stage.rig.ask(ask("held", "extra")).await;
+        placed(&mut words).await;
+        let gone = stage.control.publish(stage.texts("(shots 4)"), true);
+        until(async || stage.status().await.refused == 1).await;
+        let status = stage.status().await;
+        assert_eq!(status.refused_last.and_then(|last| stamp_of(&last)), Some(gone));
+        assert!(status.why[0].contains("tracks/extra: removed, and 1 allocations"), "{:?}", status.why);
+        // What shrinks below what is placed stops nothing that runs.
+        let small = stage.with_tracks(&["extra"]).changed(
+            &Texts::of("c", "(deployment (accounts (one (share-cores 0.5))))").expect("a form"),
+            &[],
+        );
+        let small = stage.control.publish(small, true);
+        stage.until_in_force(small).await;
+        let mut more = stage.rig.ask(ask("more", "extra")).await;
+        placed(&mut more).await;
+        assert_eq!(stage.rig.status().await.running, 2, "both run");
+        drop((words, more));
+        until(async || stage.rig.status().await.in_hand == 0).await;
+        let gone = stage.control.publish(stage.texts("(shots 4)"), true);
+        stage.until_in_force(gone).await;
+        assert!(!stage.knows("extra", "late").await);
+    });
+}
+
+#[test]
+fn the_service_gone_the_last_version_stays_and_the_stream_comes_back() {
+    story(async |mut stage| {
+        let one = stage.control.publish(stage.with_tracks(&["extra"]), false);
+        stage.until_in_force(one).await;
+        drop(stage.up.take());
+        until(async || stage.status().await.service.is_empty()).await;
+        assert!(stage.knows("extra", "a").await);
+        let two = stage.control.publish(stage.with_tracks(&["extra", "other"]), false);
+        stage.up = Some(stage.control.up_again(&stage.rig.world).await.expect("its port"));
+        stage.until_in_force(two).await;
+        let first = stage.control.replies().into_iter().rev().find(|reply| reply.told.nonce == 0);
+        let told = first.and_then(|reply| reply.told.running).and_then(|running| stamp_of(&running));
+        assert_eq!(told, Some(one), "a new stream says what runs");
+    });
+}
+
+#[test]
+fn a_restart_without_a_service_runs_on_the_last_version_and_a_torn_file_on_the_one_before() {
+    story(async |mut stage| {
+        let one = stage.control.publish(stage.with_tracks(&["one"]), false);
+        stage.until_in_force(one).await;
+        let two = stage.control.publish(stage.with_tracks(&["one", "two"]), false);
+        stage.until_in_force(two).await;
+        drop(stage.up.take());
+        let stage = stage.restart().await;
+        assert_eq!(stage.in_force().await, two.number);
+        stage.rig.until_serving(2).await;
+        assert!(stage.knows("two", "a").await);
+        // The start counted itself, so two files say two; torn, the one before does; both torn, the file does.
+        let path = stage.folder.path().join("versions.json");
+        let whole = std::fs::read(&path).expect("kept");
+        std::fs::write(&path, &whole[..whole.len() / 2]).expect("torn");
+        let stage = stage.restart().await;
+        assert!(stage.folder.path().join("versions.aside").exists());
+        assert_eq!(stage.in_force().await, two.number);
+        for name in ["versions.json", "versions.before"] {
+            std::fs::write(stage.folder.path().join(name), "{}").expect("torn");
+        }
+        let stage = stage.restart().await;
+        assert_eq!(stage.in_force().await, 0, "the deployment file");
+    });
+}
+
+#[test]
+fn a_version_that_can_not_be_kept_on_disk_is_not_in_force() {
+    story(async |stage| {
+        let one = stage.control.publish(stage.with_tracks(&["one"]), false);
+        stage.until_in_force(one).await;
+        let path = stage.folder.path().join("versions.new");
+        // Where a folder stands no file can be made, whoever tries.
+        std::fs::create_dir(&path).expect("made");
+        stage.control.publish(stage.with_tracks(&["one", "two"]), false);
+        until(async || stage.status().await.refused == 1).await;
+        assert!(stage.status().await.why[0].contains("can't be kept on disk"));
+        assert!(stage.knows("one", "a").await && !stage.knows("two", "b").await);
+        std::fs::remove_dir(&path).expect("removed");
+        let three = stage.control.publish(stage.with_tracks(&["one", "three"]), false);
+        stage.until_in_force(three).await;
+    });
+}
+
+#[test]
+fn a_version_that_refuses_what_was_served_is_given_up_by_itself_and_not_taken_again() {
+    story(async |stage| {
+        for number in 0..60 {
+            assert!(stage.knows("web", &format!("before-{number}")).await);
+        }
+        until(async || stage.rig.status().await.in_hand == 0).await;
+        let texts = stage.texts("(tracks (jobs (repeat idempotent) (contract-time 1 s)))");
+        let bad = stage.control.publish(texts.clone(), true);
+        stage.until_in_force(bad).await;
+        let mut number = 0;
+        until(async || {
+            number += 1;
+            let _ = stage.knows("web", &format!("during-{number}")).await;
+            stage.in_force().await == 0
+        })
+        .await;
+        assert!(number >= 50, "not before there is enough to tell by: {number}");
+        assert!(stage.knows("web", "after").await);
+        let gave_up = |told: &v1::Told| told.answer() == Answer::GaveUp;
+        until(async || stage.control.replies().iter().any(|reply| gave_up(&reply.told))).await;
+        let replies = stage.control.replies();
+        let told = replies.iter().map(|reply| &reply.told).find(|told| gave_up(told)).expect("told");
+        assert!(told.why[0].contains("% of"), "{:?}", told.why);
+        stage.control.scripted();
+        let again = stage.reply(&push(999, bad.number, &texts, &[])).await;
+        assert!(again.why.iter().any(|why| why.contains("given up")), "{:?}", again.why);
+        let stage = stage.restart().await;
+        assert_eq!(stage.in_force().await, 0, "nor after a restart");
+    });
+}
+
+#[test]
+fn an_address_that_is_not_allowed_gets_no_link() {
+    story(async |stage| {
+        let closed = stage.texts("(allow \"10.0.0.0/8\")");
+        let closed = stage.control.publish(closed, false);
+        until(async || stage.control.running(0) == Some(closed)).await;
+        let bounds = Bounds { connect_within: Duration::from_secs(2), ..Bounds::default() };
+        let call = async {
+            let link = Link::open(&stage.rig.tasks, stage.rig.address, &bounds).await.ok()?;
+            VersionsClient::new(link).status(v1::VersionStatusAsk {}).await.ok()
+        };
+        assert!(call.await.is_none(), "turned away");
+        let open = stage.control.publish(stage.texts("(allow \"127.0.0.0/8\")"), false);
+        until(async || stage.control.running(0) == Some(open)).await;
+        stage.until_in_force(open).await;
+    });
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+#[test_case(3; "seed 3")]
+fn of_thousands_in_any_order_with_kills_what_is_in_force_is_what_was_acknowledged_last(seed: u64) {
+    story(async |mut stage| {
+        stage.control.scripted();
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        // As the exchange should have it: the version acknowledged last.
+        let mut acknowledged = Stamp { number: 0, digest: stage.texts("").digest() };
+        let mut nonce = 0;
+        for round in 0..8 {
+            let sent: Vec<Push> = (0..50)
+                .map(|_| {
+                    nonce += 1;
+                    let number = acknowledged.number.saturating_sub(2) + rng.random_range(0..40);
+                    let texts = match rng.random_range(0..4) {
+                        0 => stage.texts("(shots 0)"),
+                        1 => stage.texts("(halls a b c)"),
+                        _ => stage.with_tracks(&[&format!("t{}", rng.random_range(0..9))]),
+                    };
+                    let follows = if rng.random_range(0..5) > 0 { vec![acknowledged] } else { Vec::new() };
+                    Push { cuts: true, ..push(nonce, number.max(1), &texts, &follows) }
+                })
+                .collect();
+            for push in &sent {
+                assert!(stage.control.send(0, message(push)));
+            }
+            until(async || sent.iter().all(|push| stage.control.reply_to(push.nonce).is_some())).await;
+            let replies = stage.control.replies();
+            let applied = replies.iter().rev().find(|reply| {
+                reply.told.answer() == Answer::Applied
+                    && sent.iter().any(|push| push.nonce == reply.told.nonce)
+            });
+            if let Some(applied) = applied {
+                acknowledged = applied.told.running.as_ref().and_then(stamp_of).expect("a stamp");
+            }
+            for push in &sent {
+                let told = stage.control.reply_to(push.nonce).expect("answered");
+                let sound =
+                    push.changes.get("shots").is_none() && push.changes.get("halls") == Some("(halls a b)");
+                assert!(sound || told.answer() != Answer::Applied, "an unsound one in force");
+            }
+            let status = stage.status().await;
+            assert_eq!(status.running.as_ref().and_then(stamp_of), Some(acknowledged), "round {round}");
+            let texts = Texts::of("in force", &status.text).expect("sound");
+            assert_eq!(texts.digest(), acknowledged.digest);
+            if round % 3 == 2 {
+                let opened = stage.control.opened();
+                stage = stage.restart().await;
+                assert_eq!(stage.in_force().await, acknowledged.number, "after a kill");
+                until(async || stage.control.opened() > opened).await;
+            }
+        }
+    });
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,7 +11,7 @@
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
@@ -129,6 +129,24 @@
 
 /// Serves a tonic service on a listener until the future is dropped; its links are cut with it.
 pub async fn serve<S>(listener: TcpListener, service: S, bounds: Bounds) -> std::io::Error
+where
+    S: Service<http::Request<Body>, Response = http::Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    S::Future: Send + 'static,
+{
+    serve_to(|_| true, listener, service, bounds).await
+}
+
+/// The same to peers at such addresses alone; others are closed unread.
+pub async fn serve_to<S>(
+    admits: impl Fn(IpAddr) -> bool,
+    listener: TcpListener,
+    service: S,
+    bounds: Bounds,
+) -> std::io::Error
 where
     S: Service<http::Request<Body>, Response = http::Response<Body>, Error = Infallible>
         + Clone
@@ -143,7 +161,8 @@
     let accept = async {
         loop {
             let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+                Ok((stream, peer)) if admits(peer.ip()) => stream,
+                Ok(_) => continue,
                 // Out of file descriptors, or a peer gone before it was taken: the listener itself is sound.
                 Err(why)
                     if why.raw_os_error() == Some(24)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -108,6 +108,18 @@
         }
     }
 
+    /// Other figures are in force from here on, for the same kinds and halls. What was learnt stays; so do the ids
+    /// of tracks and accounts that allocations in hand have.
+    pub fn adopt(&mut self, now: Tenths, cluster: Cluster) {
+        // Offers older than the former window are forgotten: as after a restart, a longer one is waited for first.
+        if cluster.cold.window > self.cluster.cold.window {
+            self.born = now;
+        }
+        self.cluster = cluster;
+        (self.crowded, self.view.taken) = (None, None);
+        self.ask_at = Some(now);
+    }
+
     /// Where to send this allocation, or not yet, or never.
     pub fn place(&mut self, now: Tenths, allocation: &Allocation) -> Placement {
         if now + MARGIN >= allocation.abandon || allocation.shots.len() >= self.cluster.shots {
