--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -76,6 +76,7 @@
     Now,
 }
 
+#[derive(Clone, Debug)]
 pub struct Subscriber {
     file: Stamp,
     file_texts: Texts,
@@ -189,9 +190,16 @@
         Admitted::Check(whole)
     }
 
-    /// It was found sound and is to take effect: what must be on disk first.
-    pub fn to_keep(&self, stamp: Stamp, texts: Texts) -> Kept {
-        Kept { trial: Some((Version { stamp, texts }, 0)), ..self.kept.clone() }
+    /// It was found sound and is to take effect: what must be on disk first. The one on trial that it takes the place
+    /// of counts as good if it did no harm to as many asks as tell anything.
+    pub fn to_keep(&self, now: Tenths, counts: Counts, stamp: Stamp, texts: Texts) -> Kept {
+        let mut kept = self.kept.clone();
+        let trial = kept.trial.replace((Version { stamp, texts }, 0));
+        let stood = self.trial.as_ref().is_some_and(|trial| trial.does_no_harm(now, counts));
+        if let Some((version, _)) = trial.filter(|_| stood) {
+            kept.good = Some(version);
+        }
+        kept
     }
 
     /// It is on disk and takes effect now.
--- a/crates/control/src/trial.rs
+++ b/crates/control/src/trial.rs
@@ -75,6 +75,12 @@
         Trial { began: now, from: counts, usual: self.usual }
     }
 
+    /// As many asks as tell anything, and no harm.
+    pub fn does_no_harm(&self, now: Tenths, counts: Counts) -> bool {
+        let asked = counts.asked.saturating_sub(self.from.asked) as f64;
+        asked >= TELLING && !matches!(self.verdict(now, counts), Verdict::Harm(_))
+    }
+
     pub fn verdict(&self, now: Tenths, counts: Counts) -> Verdict {
         let asked = counts.asked.saturating_sub(self.from.asked) as f64;
         let refused = counts.refused.saturating_sub(self.from.refused) as f64;
--- /dev/null
+++ b/crates/control/tests/stories.rs
@@ -0,0 +1,203 @@
+//! What a dispatcher does about versions, one story for each failure.
+
+use corkspan::interface::*;
+use corkspan_control::{Admitted, Counts, Kept, Pace, Push, Retry, Said, Subscriber, change};
+use corkspan_deployment::Deployment;
+use corkspan_deployment::version::{Stamp, Texts};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const SECOND: Tenths = 10_000;
+
+fn texts(number: u64) -> Texts {
+    [("shots".to_string(), format!("(shots {number})"))].into_iter().collect()
+}
+
+fn push(nonce: u64, number: u64, follows: &[Stamp]) -> Push {
+    let changes = texts(number);
+    let stamp = Stamp { number, digest: changes.digest() };
+    Push { nonce, stamp, follows: follows.to_vec(), onto: None, changes, removed: Vec::new(), cuts: false }
+}
+
+fn subscriber() -> Subscriber {
+    Subscriber::start(texts(0), Kept::default(), 0).0
+}
+
+/// Puts a version in force.
+fn takes(own: &mut Subscriber, now: Tenths, number: u64, counts: Counts) -> Stamp {
+    let running = own.running().0;
+    let push = push(number, number, &[running]);
+    assert!(matches!(own.admit(&push), Admitted::Check(_)));
+    let kept = own.to_keep(now, counts, push.stamp, push.changes);
+    own.applied(now, kept, counts);
+    push.stamp
+}
+
+fn counts(asked: u64, refused: u64) -> Counts {
+    Counts { asked, refused }
+}
+
+#[test]
+fn of_a_flood_the_newest_is_looked_at_and_each_other_is_told_so() {
+    let mut own = subscriber();
+    takes(&mut own, 0, 1, Counts::default());
+    assert_eq!(own.heard(push(10, 2, &[])), None);
+    assert_eq!(own.heard(push(11, 4, &[])), Some((10, Said::Superseded(11))));
+    assert_eq!(own.heard(push(12, 3, &[])), Some((12, Said::Superseded(11))), "late, and older");
+    assert_eq!(own.pace(100), Pace::Wait(400));
+    assert_eq!(own.pace(500), Pace::Now);
+    assert_eq!(own.take().map(|push| push.nonce), Some(11));
+    assert_eq!(own.pace(500), Pace::Idle);
+}
+
+#[test]
+fn what_waits_of_a_broken_stream_is_not_looked_at() {
+    let mut own = subscriber();
+    own.heard(push(10, 2, &[]));
+    own.broke();
+    assert_eq!(own.take(), None);
+}
+
+#[test]
+fn a_version_under_which_the_dispatcher_ends_again_and_again_is_given_up() {
+    let mut own = subscriber();
+    let one = takes(&mut own, 0, 1, Counts::default());
+    let two = takes(&mut own, 40 * SECOND, 2, counts(100, 0));
+    let mut kept = own.kept().clone();
+    assert_eq!(kept.good.as_ref().map(|good| good.stamp), Some(one), "it did no harm to a hundred asks");
+    for start in 0..3 {
+        let (own, changed) = Subscriber::start(texts(0), kept.clone(), 0);
+        kept = changed.expect("each start is counted on disk");
+        assert_eq!(own.running().0, if start < 2 { two } else { one });
+    }
+    let (own, changed) = Subscriber::start(texts(0), kept, 0);
+    assert_eq!(changed, None);
+    assert_eq!(
+        own.admit(&push(9, 2, &[one])),
+        Admitted::Answer(Said::Refused(vec![format!(
+            "version {two} was given up here; a next one is needed"
+        )]))
+    );
+    assert!(matches!(own.admit(&push(9, 3, &[one])), Admitted::Check(_)));
+}
+
+#[test_case(20, 0, 12; "from few, much more")]
+#[test_case(1_000, 500, 40; "from half, nearly all")]
+fn asks_refused_far_more_often_than_before_give_the_version_up(asked: u64, refused: u64, spared: u64) {
+    let mut own = subscriber();
+    assert_eq!(own.watch(SECOND, counts(asked, refused)), None);
+    takes(&mut own, SECOND, 1, counts(asked, refused));
+    let some = counts(asked + 49, refused + 49);
+    assert_eq!(own.watch(2 * SECOND, some), None, "not enough to tell by");
+    let all = counts(asked + 400, refused + 400 - spared);
+    let (kept, why) = own.watch(2 * SECOND, all).expect("it is decided");
+    assert!(why.expect("with a reason").contains("of 400 asks refused in 1.0 s"));
+    own.decided(2 * SECOND, kept, all);
+    assert_eq!((own.running().0.number, own.on_trial()), (0, false));
+}
+
+#[test_case(1_000, 500, 1_000, 600; "of a crowded hour, a little more")]
+#[test_case(0, 0, 0, 0; "no asks at all, for long")]
+#[test_case(100, 0, 100, 5; "some refusals")]
+fn a_version_that_does_no_harm_is_good_after_its_trial(asked: u64, refused: u64, more: u64, turned: u64) {
+    let mut own = subscriber();
+    own.watch(SECOND, counts(asked, refused));
+    let one = takes(&mut own, SECOND, 1, counts(asked, refused));
+    let after = counts(asked + more, refused + turned);
+    assert_eq!(own.watch(30 * SECOND, after), None, "not yet");
+    let (kept, why) = own.watch(151 * SECOND, after).expect("decided");
+    assert_eq!((kept.good.as_ref().map(|good| good.stamp), why), (Some(one), None));
+}
+
+#[test]
+fn the_measure_of_a_version_that_takes_a_bad_ones_place_is_from_before_both() {
+    let mut own = subscriber();
+    own.watch(SECOND, counts(1_000, 0));
+    takes(&mut own, SECOND, 1, counts(1_000, 0));
+    takes(&mut own, 2 * SECOND, 2, counts(1_040, 40));
+    let (_, why) = own.watch(3 * SECOND, counts(1_140, 140)).expect("decided");
+    assert!(why.expect("a reason").contains("0% before"));
+}
+
+proptest! {
+    #[test]
+    fn hundreds_that_lost_a_service_at_once_come_back_spread(seed in any::<u64>(), fails in 1..6u32) {
+        let waits = (0..300u64).map(|own| {
+            let mut retry = Retry::new(seed ^ own << 32);
+            (0..fails).map(|_| retry.wait(0)).last().unwrap_or(0)
+        });
+        let mut seconds: BTreeMap<Tenths, usize> = BTreeMap::new();
+        waits.for_each(|wait| *seconds.entry(wait / SECOND).or_default() += 1);
+        let span = (5_000u64 << fails).min(200_000) / SECOND;
+        let most = seconds.values().max().copied().unwrap_or(0);
+        prop_assert!(most <= (300 / span.max(1) as usize) * 2 + 60, "{seconds:?}");
+    }
+}
+
+const FILE: &str = r#"(deployment (listen "127.0.0.1:0") (roster "127.0.0.1:7000") (hall a) (number 1)
+  (schedulers 3) (halls a b) (kinds (small (cores 8) (memory 16)))
+  (tracks (web (repeat idempotent) (contract-time 600 ms)) (once (repeat unrepeatable) (contract-time 1 s)))
+  (accounts (one (share-cores 10)) (two)) (accepts (cores 2) (memory 1.5)) (placed-when running)
+  (cold (lasts 14 s) (window 1 s) (offers 29)))"#;
+
+fn file() -> Deployment {
+    Deployment::read("d", FILE).unwrap_or_else(|why| panic!("{why}"))
+}
+
+fn next(from: &str, to: &str) -> Deployment {
+    assert!(FILE.contains(from));
+    let texts = Texts::of("v", &FILE.replace(from, to)).expect("a form");
+    file().with_version("v", &texts).unwrap_or_else(|why| panic!("{why}"))
+}
+
+#[test_case("(offers 29)", "(offers 10)", "cold/offers: cut from 29 to 10"; "cold offers")]
+#[test_case("(share-cores 10)", "(share-cores 4)", "accounts/one: cut"; "a share")]
+#[test_case("(two)", "(two (share-cores 4))", ""; "a share where there was none")]
+#[test_case("(one (share-cores 10)) ", "", "accounts/one: cut"; "an account gone")]
+#[test_case("(cores 2)", "(cores 0.2)", "accepts/cores: cut"; "a slip of the point")]
+#[test_case("(cores 2)", "(cores 1)", ""; "half is borne")]
+fn limits_cut_deep_need_the_mark_of_intent(from: &str, to: &str, why: &str) {
+    let next = next(from, to);
+    let told = change::obstacles(&file(), &next, false, |_| 0);
+    assert_eq!(told.first().map_or("", |told| &told[..why.len().min(told.len())]), why);
+    assert_eq!(change::obstacles(&file(), &next, true, |_| 0), [""; 0]);
+}
+
+#[test_case("(schedulers 3)", "(schedulers 4)", "schedulers: a change needs a restart"; "how many there are")]
+#[test_case("(cores 8)", "(cores 9)", "kinds: a change needs a restart"; "a kind")]
+#[test_case("(placed-when running)", "(placed-when accepted)", "placed-when: a change needs a restart"; "what placed means")]
+fn what_needs_a_restart_is_turned_down(from: &str, to: &str, why: &str) {
+    assert_eq!(change::obstacles(&file(), &next(from, to), true, |_| 0), [why]);
+}
+
+#[test]
+fn ids_stay_with_their_names_whatever_the_order() {
+    let tracks = "(tracks (once (repeat unrepeatable) (contract-time 1 s)) (new (repeat idempotent) (contract-time 1 s)) (web (repeat idempotent) (contract-time 700 ms)))";
+    let from = &FILE[FILE.find("(tracks").expect("there")..FILE.find("\n  (accounts").expect("there")];
+    let ids = change::with_ids(&file(), next(from, tracks), |_| 1).expect("room");
+    assert_eq!(ids.tracks, ["web", "once", "new"]);
+    assert_eq!(ids.cluster.tracks[0].contract_time, 7_000);
+}
+
+#[test]
+fn a_track_whose_promise_changes_leaves_what_is_in_hand_under_the_old_one() {
+    let loose = next("(once (repeat unrepeatable)", "(once (repeat idempotent)");
+    let ids = change::with_ids(&file(), loose, |track| usize::from(track == TrackId(1))).expect("room");
+    assert_eq!(ids.tracks, ["web", "", "once"]);
+    assert_eq!(ids.cluster.tracks[1].repeat, Repeat::Unrepeatable);
+    assert_eq!(ids.cluster.tracks[2].repeat, Repeat::Idempotent);
+    // Once nothing is of it any more, the row is another's.
+    let strict = next("(accepts", "(accepts");
+    let ids = change::with_ids(&ids, strict, |track| usize::from(track == TrackId(2))).expect("room");
+    assert_eq!(ids.tracks, ["web", "once", ""]);
+}
+
+#[test]
+fn an_account_that_is_gone_keeps_its_row_and_bears_nothing_more() {
+    let ids = change::with_ids(&file(), next("(one (share-cores 10)) ", ""), |_| 0).expect("room");
+    assert_eq!(
+        (&ids.accounts[..], ids.cluster.accounts[0].share_cores),
+        (&["".into(), "two".into()][..], Some(0.0))
+    );
+}
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -334,7 +334,8 @@
     if !why.is_empty() {
         return Said::Refused(why);
     }
-    let kept = versions.with(|state| state.subscriber.to_keep(push.stamp, texts));
+    let (now, counted) = (desk.clock.now(), counts(desk));
+    let kept = versions.with(|state| state.subscriber.to_keep(now, counted, push.stamp, texts));
     if let Err(why) = versions.keep(&kept).await {
         return Said::Refused(vec![format!("it can't be kept on disk: {why}")]);
     }
