--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -86,11 +86,13 @@
         if own.sent == Some(newest.stamp) || running == newest.stamp {
             return None;
         }
-        let theirs = self.versions.iter().find(|(version, _)| version.stamp == running);
-        let theirs = theirs.map(|(version, _)| version);
-        let parent = self.versions.iter().rev().nth(1).map(|(version, _)| version.stamp);
-        let mut follows: Vec<Stamp> = theirs.map(|version| version.stamp).into_iter().chain(parent).collect();
-        follows.dedup();
+        let at = self.versions.iter().position(|(version, _)| version.stamp == running);
+        let theirs = at.map(|at| &self.versions[at].0);
+        // All from theirs on: those that are on their way may be in force there by the time that it reads this.
+        let first = at.unwrap_or(self.versions.len().saturating_sub(2));
+        let before = self.versions.len() - 1;
+        let follows =
+            self.versions.range(first.min(before)..before).map(|(version, _)| version.stamp).collect();
         let base = theirs.filter(|_| !own.whole);
         let (changes, removed) = match base {
             Some(base) => base.texts.changes_to(&newest.texts),
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -113,6 +113,10 @@
     /// The same dispatcher with what a streamed version says instead of the shared parts of its file. Ids are as
     /// that version alone would give them.
     pub fn with_version(&self, name: &str, texts: &Texts) -> Result<Self, Faults> {
+        // A part under another's name would be changed and taken away with that.
+        for (part, text) in texts.iter() {
+            sexp::with_form(&format!("{name}, {part}"), text, part, |_| Ok(()))?;
+        }
         let text = texts.whole();
         schema::check(Of::Version, name, &text)?;
         let known: Vec<&str> = schema::shared().collect();
--- a/crates/deployment/src/plain.rs
+++ b/crates/deployment/src/plain.rs
@@ -1,7 +1,7 @@
 //! A text as plain data, as the schema sees it: a form whose rest are forms is an object, any other an array of
 //! its atoms. Each value's place in the text is kept, so that what the schema finds can be told with it.
 
-use crate::sexp::{Fault, datum};
+use crate::sexp::{Fault, datum, with_room};
 use lexpr::datum::Ref;
 use serde_json::{Map, Number, Value};
 use std::collections::BTreeMap;
@@ -20,6 +20,10 @@
 impl Plain {
     /// Reads a text that holds one form.
     pub fn read(file: &str, text: &str) -> Result<Plain, Fault> {
+        with_room(file, || Plain::read_here(file, text))
+    }
+
+    fn read_here(file: &str, text: &str) -> Result<Plain, Fault> {
         let datum = datum(file, text)?;
         let mut plain = Plain {
             name: String::new(),
--- a/crates/deployment/src/sexp.rs
+++ b/crates/deployment/src/sexp.rs
@@ -83,9 +83,26 @@
 /// Values in one text at the most.
 const MOST: usize = 40_000;
 
-/// Parses a text of one datum. Lists are chains that the library takes apart by recursion: one of a million values
-/// would overflow the stack, so more than may be are turned down unread. What stands in texts and comments counts too.
-pub fn datum(file: &str, text: &str) -> Result<lexpr::Datum, Fault> {
+/// Room for as many values as may be, unoptimised too.
+const STACK: usize = 64 << 20;
+
+/// Runs what holds a datum. Lists are chains that the library takes apart by recursion: long ones need more stack than
+/// a thread usually has, whoever calls.
+pub(crate) fn with_room<T: Send>(
+    file: &str,
+    call: impl FnOnce() -> Result<T, Fault> + Send,
+) -> Result<T, Fault> {
+    let fault = |why: String| Fault { file: file.into(), line: 1, column: 1, part: "file".into(), why };
+    std::thread::scope(|scope| {
+        let thread = std::thread::Builder::new().stack_size(STACK).spawn_scoped(scope, call);
+        let joined = thread.map_err(|why| fault(format!("no thread to read it: {why}")))?.join();
+        joined.unwrap_or_else(|_| Err(fault("the reader broke on it".into())))
+    })
+}
+
+/// Parses a text of one datum, within [`with_room`]. More values than may be are turned down unread. What stands in
+/// texts and comments counts too.
+pub(crate) fn datum(file: &str, text: &str) -> Result<lexpr::Datum, Fault> {
     let fault =
         |line, column, why: String| Fault { file: file.into(), line, column, part: "file".into(), why };
     if text.len() as u64 > LARGEST {
@@ -110,7 +127,16 @@
 }
 
 /// Reads a text that holds exactly one form of this name, and hands it to `use_it`.
-pub fn with_form<T>(
+pub fn with_form<T: Send>(
+    file: &str,
+    text: &str,
+    name: &str,
+    use_it: impl FnOnce(&Form) -> Result<T, Fault> + Send,
+) -> Result<T, Fault> {
+    with_room(file, || read_form(file, text, name, use_it))
+}
+
+fn read_form<T>(
     file: &str,
     text: &str,
     name: &str,
--- a/crates/deployment/tests/faults.rs
+++ b/crates/deployment/tests/faults.rs
@@ -130,6 +130,16 @@
     assert!(fault.contains("number: is each dispatcher's own"), "{fault}");
 }
 
+#[test_case("(cold (lasts 1 s) (window 1 s) (offers 2))", "`(shots …)` must stand here"; "another part")]
+#[test_case("(shots 3) (may-probe #t)", "trailing"; "two parts")]
+#[test_case("(shots", "EOF"; "half a part")]
+fn a_part_that_is_not_what_its_name_says_is_turned_down(text: &str, why: &str) {
+    let texts = shared().changed(&[("shots".to_string(), text.to_string())].into_iter().collect(), &[]);
+    let file = Deployment::read("d.sexp", SOUND).expect("sound");
+    let fault = file.with_version("v2", &texts).map(drop).expect_err("a fault").to_string();
+    assert!(fault.starts_with("v2, shots:1:") && fault.contains(why), "{fault}");
+}
+
 #[test]
 fn a_digest_tells_texts_apart_and_not_how_they_are_written() {
     let spaced = SOUND.replace(" (", "   ; a comment\n (");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod node;
 pub mod owner;
 pub mod play;
+pub mod pushes;
 pub mod roster;
 pub mod table;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! `corkspan-lab`: days of trouble, their judge, and measurements.
 
 use clap::{Parser, Subcommand};
-use corkspan_lab::{capture, day::Day, judge, measure::Measure, play::Play, table::Table};
+use corkspan_lab::{capture, day::Day, judge, measure::Measure, play::Play, pushes::Pushes, table::Table};
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -53,6 +53,27 @@
         #[arg(long, default_value_t = 3000)]
         held: usize,
     },
+    /// Streams versions to dispatchers: random exchanges with kills, a flood, time to effect, returns, and placing
+    /// meanwhile beside placing without.
+    Versions {
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Of each round of placing.
+        #[arg(long, default_value_t = 2.0)]
+        seconds: f64,
+        /// Dispatchers for the time from push to effect.
+        #[arg(long, default_value_t = 100)]
+        instances: usize,
+        /// Dispatchers that lose their service at once.
+        #[arg(long, default_value_t = 300)]
+        returns: usize,
+        /// Of random exchanges.
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// Versions of each.
+        #[arg(long, default_value_t = 1000)]
+        versions: usize,
+    },
     /// The program itself, as days start it.
     #[command(hide = true, disable_help_flag = true)]
     Corkspan {
@@ -83,6 +104,12 @@
             let rounds = rounds.clamp(1, 1_000);
             Measure { program, rounds, seconds, at_once, nodes, held }.run()
         }),
+        Call::Versions { rounds, seconds, instances, returns, seeds, versions } => {
+            own().and_then(|program| {
+                let rounds = rounds.clamp(1, 1_000);
+                Pushes { program, rounds, seconds, instances, returns, seeds, versions }.run()
+            })
+        }
         Call::Judge { capture } => judge_file(&capture),
         Call::Corkspan { line } => {
             return corkspan_cli::run(std::iter::once("corkspan".into()).chain(line));
