Claim again what a keeper gone for good leaves undecided; begin the load generator

Cause: after a kill, a claim of which one keeper tells while another is gone for good was neither known to hold nor known to be lost, so its copy would have stayed as it was for good.

--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -330,9 +330,10 @@
         let held = &rolls.held;
         let all = rolls.conductors.iter_mut().map(|(service, conductor)| {
             let held = held.get(service).map_or(&[][..], |held| &held[..]);
-            let gone = conductor.recall(held, rolls.heard, keepers);
+            let recalled = conductor.recall(held, rolls.heard, keepers);
             let mut look = conductor.look(now, held);
-            look.release.extend(gone);
+            look.release.extend(recalled.gone);
+            look.claims.extend(recalled.again);
             (service.clone(), conductor.roll().clone(), look)
         });
         all.collect()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod day;
 pub mod disk;
 pub mod judge;
+pub mod loads;
 pub mod measure;
 pub mod node;
 pub mod owner;
--- /dev/null
+++ b/crates/lab/src/loads.rs
@@ -0,0 +1,136 @@
+//! The load generator against what it is to be trusted with: its own error, and a dispatcher that stands still.
+
+use crate::capture::Capture;
+use crate::measure::{self, Measure, Process, Prompt};
+use crate::node::World;
+use crate::roster::Roster;
+use async_io::Timer;
+use corkspan_api::v1::{self, word::Word};
+use corkspan_load::plan::Plan;
+use corkspan_load::run::{Loop, run};
+use corkspan_load::tally::Report;
+use corkspan_rpc::Tasks;
+use futures_lite::{Stream, future, stream};
+use hdrhistogram::Histogram;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tonic::{Request, Response, Status};
+
+/// Sends a load on this thread.
+pub fn send(
+    plan: Plan,
+    to: &[SocketAddr],
+    how: Loop,
+    tell: impl FnMut(Duration, usize),
+) -> Result<Report, String> {
+    let tasks = Tasks::default();
+    let sent = run(&tasks, plan, to, how, Instant::now(), tell);
+    future::block_on(tasks.run(sent)).map_err(|why| why.to_string())
+}
+
+fn plan(phases: &str, life_ms: u64) -> Result<Plan, String> {
+    let text = format!(
+        "(load (spacing even) (phases {phases})
+           (kinds (web (cores 0.1) (memory 0.1) (life {life_ms} ms) (abandon-time 8 s))))"
+    );
+    Plan::read("the plan", &text, Path::new("")).map_err(|why| why.to_string())
+}
+
+/// Answers at once, and keeps when each ask came.
+#[derive(Clone, Default)]
+struct Catch(Arc<Mutex<Vec<(usize, Instant)>>>);
+
+type Words = Pin<Box<dyn Stream<Item = Result<v1::Word, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl v1::placement_server::Placement for Catch {
+    type PlaceStream = Words;
+    type HandOverStream = Words;
+
+    async fn place(&self, request: Request<v1::Ask>) -> Result<Response<Words>, Status> {
+        let at = Instant::now();
+        let number = request.get_ref().task.rsplit('-').next().and_then(|number| number.parse().ok());
+        let number = number.ok_or_else(|| Status::invalid_argument("no number"))?;
+        self.0.lock().expect("no one panics over the times").push((number, at));
+        let words = [Word::Placed(v1::Placed { node: 0, shots: 1 })];
+        Ok(Response::new(Box::pin(stream::iter(words.map(|word| Ok(v1::Word { word: Some(word) }))))))
+    }
+
+    async fn hand_over(&self, _: Request<v1::Running>) -> Result<Response<Words>, Status> {
+        Err(Status::unimplemented("it holds nothing"))
+    }
+
+    async fn status(&self, _: Request<v1::StatusAsk>) -> Result<Response<v1::StatusWord>, Status> {
+        Ok(Response::new(v1::StatusWord::default()))
+    }
+}
+
+/// How far from their intended times asks arrive at a server that does nothing else.
+pub fn error(rate: u32) -> Result<String, String> {
+    let catch = Catch::default();
+    let served = catch.clone();
+    let to = [measure::apart(|| v1::placement_server::PlacementServer::new(served))?];
+    let plan = plan(&format!("(constant (for 5 s) (rate {rate}))"), 1)?;
+    let intended: Vec<Duration> = plan.shape.arrivals(plan.seed).collect();
+    let tasks = Tasks::default();
+    let began = Instant::now() + Duration::from_millis(200);
+    let sent = run(&tasks, plan, &to, Loop::Open, began, |_, _| {});
+    let report = future::block_on(tasks.run(sent)).map_err(|why| why.to_string())?;
+    let mut off = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(|why| why.to_string())?;
+    let caught = catch.0.lock().expect("no one panics over the times");
+    for (number, at) in &*caught {
+        let due = began + *intended.get(*number).ok_or("an ask that was not meant")?;
+        off.saturating_record(at.saturating_duration_since(due).as_micros() as u64 + 1);
+    }
+    let us = |quantile| off.value_at_quantile(quantile);
+    Ok(format!(
+        "{rate} asks/s: {} of {} arrived, {:.1} a second sent; late by p50 {} us, p99 {} us, most {} us; {}",
+        caught.len(),
+        intended.len(),
+        report.sent_a_second,
+        us(0.5),
+        us(0.99),
+        us(1.0),
+        if report.behind { "it fell behind" } else { "it kept up" }
+    ))
+}
+
+/// A dispatcher that stands still for so long in the middle of a load: what the load tells, and what one owner that
+/// waits for its answers tells of the same time.
+pub fn stalled(program: &[OsString], pause: Duration) -> Result<(Report, Report), String> {
+    let node = measure::apart(|| v1::node_server::NodeServer::new(Prompt))?;
+    let tasks = Tasks::default();
+    let whole = async {
+        let text = |why: std::io::Error| why.to_string();
+        let world = World::new(Capture::new(None).map_err(text)?, &tasks, None);
+        let (roster, address) = Roster::up(&world).await.map_err(text)?;
+        for id in 0..8 {
+            roster.change(Duration::ZERO, measure::entry(id, node));
+        }
+        let folder = tempfile::tempdir().map_err(text)?;
+        let file = folder.path().join("dispatcher.sexp");
+        let process = Process::start_in(program, &file, &measure::deployment(address, ""))?;
+        let measure =
+            Measure { program: program.to_vec(), rounds: 1, seconds: 1.0, at_once: 1, nodes: 8, held: 0 };
+        measure.until_ready(&tasks, process.address).await?;
+        let began = Instant::now();
+        let phases = format!("(constant (for {} ms) (rate 100))", 2 * pause.as_millis() + 1_000);
+        let to = [process.address];
+        let open = run(&tasks, plan(&phases, 1)?, &to, Loop::Open, began, |_, _| {});
+        let closed = run(&tasks, plan(&phases, 1)?, &to, Loop::Closed(1), began, |_, _| {});
+        let still = async {
+            Timer::at(began + Duration::from_millis(500)).await;
+            process.stand_still(true)?;
+            Timer::after(pause).await;
+            process.stand_still(false)
+        };
+        let ((open, closed), still) = future::zip(future::zip(open, closed), still).await;
+        still?;
+        Ok((open.map_err(|why| why.to_string())?, closed.map_err(|why| why.to_string())?))
+    };
+    future::block_on(tasks.run(whole))
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,9 @@
 //! `corkspan-lab`: days of trouble, their judge, and measurements.
 
 use clap::{Parser, Subcommand};
-use corkspan_lab::{capture, day::Day, judge, measure::Measure, play::Play, pushes::Pushes, table::Table};
+use corkspan_lab::{
+    capture, day::Day, judge, loads, measure::Measure, play::Play, pushes::Pushes, table::Table,
+};
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -74,6 +76,28 @@
         #[arg(long, default_value_t = 1000)]
         versions: usize,
     },
+    /// Sends open-loop load to dispatchers, and keeps what came of it; see docs/load.md.
+    Load {
+        /// The load file.
+        file: PathBuf,
+        /// Where dispatchers listen; asks go to one after the other.
+        #[arg(required = true)]
+        to: Vec<std::net::SocketAddr>,
+        /// So many owners that wait for their answers instead, for comparison alone.
+        #[arg(long)]
+        closed: Option<usize>,
+        /// A folder for report.json and report.svg.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Measures the load generator itself: intended against captured arrivals, and a dispatcher that stands still.
+    LoadError {
+        /// Asks a second of each round.
+        #[arg(long, value_delimiter = ',', default_value = "50,500,5000")]
+        rates: Vec<u32>,
+        #[arg(long, default_value_t = 1500)]
+        pause_ms: u64,
+    },
     /// The program itself, as days start it.
     #[command(hide = true, disable_help_flag = true)]
     Corkspan {
@@ -110,6 +134,16 @@
                 Pushes { program, rounds, seconds, instances, returns, seeds, versions }.run()
             })
         }
+        Call::Load { file, to, closed, out } => load(&file, &to, closed, out.as_deref()),
+        Call::LoadError { rates, pause_ms } => own().and_then(|program| {
+            for rate in rates {
+                println!("{}", loads::error(rate)?);
+            }
+            let (open, closed) = loads::stalled(&program, std::time::Duration::from_millis(pause_ms))?;
+            println!("a dispatcher that stands still for {pause_ms} ms, open loop:\n{open}");
+            println!("the same, at the same time, by one owner that waits for its answers:\n{closed}");
+            Ok(())
+        }),
         Call::Judge { capture } => judge_file(&capture),
         Call::Corkspan { line } => {
             return corkspan_cli::run(std::iter::once("corkspan".into()).chain(line));
@@ -124,6 +158,35 @@
     }
 }
 
+fn load(
+    file: &Path,
+    to: &[std::net::SocketAddr],
+    closed: Option<usize>,
+    out: Option<&Path>,
+) -> Result<(), String> {
+    use corkspan_load::run::Loop;
+    let plan = corkspan_load::plan::Plan::load(file).map_err(|why| why.to_string())?;
+    let lasts = plan.shape.lasts();
+    // Said now: a load that is lost at its end for want of a folder is dear.
+    if let Some(out) = out {
+        std::fs::create_dir_all(out).map_err(|why| format!("{}: {why}", out.display()))?;
+    }
+    let how = closed.map_or(Loop::Open, Loop::Closed);
+    let tell = |at: std::time::Duration, asks: usize| {
+        let left = lasts.saturating_sub(at).as_secs();
+        eprintln!("{} s of {}, {asks} asks, {left} s left", at.as_secs(), lasts.as_secs());
+    };
+    let report = loads::send(plan, to, how, tell)?;
+    print!("{report}");
+    if let Some(out) = out {
+        let text = serde_json::to_string_pretty(&report).map_err(|why| why.to_string())?;
+        let path = out.join("report.json");
+        std::fs::write(&path, text).map_err(|why| format!("{}: {why}", path.display()))?;
+        corkspan_load::plot::draw(&report, &out.join("report.svg"))?;
+    }
+    Ok(())
+}
+
 /// The dispatcher built in, as a process of its own.
 fn own() -> Result<Vec<OsString>, String> {
     let own = std::env::current_exe().map_err(|why| why.to_string())?;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -346,6 +346,13 @@
         Ok(Process { child, address, _folder: None })
     }
 
+    /// Stands still, or goes on.
+    pub fn stand_still(&self, still: bool) -> Result<(), String> {
+        let signal = if still { rustix::process::Signal::STOP } else { rustix::process::Signal::CONT };
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).map_err(|why| why.to_string())
+    }
+
     /// KiB, as the kernel counts them.
     fn resident(&self) -> Result<u64, String> {
         let path = format!("/proc/{}/status", self.child.id());
--- a/crates/lab/tests/full_path/main.rs
+++ b/crates/lab/tests/full_path/main.rs
@@ -1,6 +1,7 @@
 //! The dispatcher between owners, nodes and roster, all over real sockets on loopback.
 
 mod hard_cases;
+mod loads;
 mod rig;
 mod rolls;
 mod stores;
--- /dev/null
+++ b/crates/load/src/plan.rs
@@ -0,0 +1,142 @@
+//! The load file: an S-expression. docs/load.md has its grammar.
+
+use crate::mix::Kind;
+use crate::shape::{Phase, Shape, Spacing};
+use corkspan_deployment::sexp::{self, Fault, Form};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Asks of one load at the most.
+const MOST: f64 = 50_000_000.0;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub shape: Shape,
+    pub kinds: Vec<Kind>,
+    pub seed: u64,
+    /// Asks under way at a time; what is due beyond them is counted as not sent.
+    pub under_way: usize,
+    /// Links to each dispatcher.
+    pub links: usize,
+}
+
+impl Plan {
+    pub fn load(path: &Path) -> Result<Plan, Fault> {
+        let folder = path.parent().unwrap_or(Path::new("")).to_path_buf();
+        Plan::read(&path.display().to_string(), &sexp::load(path)?, &folder)
+    }
+
+    /// `folder`: where recorded times are looked for.
+    pub fn read(file: &str, text: &str, folder: &Path) -> Result<Plan, Fault> {
+        sexp::with_form(file, text, "load", |form| {
+            let parts =
+                form.parts(&["phases", "spacing", "recorded", "kinds", "seed", "under-way", "links"])?;
+            let shape = match (parts.find("phases"), parts.find("recorded")) {
+                (Some(phases), None) => {
+                    let spacing = parts.or("spacing", 1, |form| form.one_of(&["even", "poisson"]))?;
+                    Shape::Phases(self::phases(phases)?, [Spacing::Even, Spacing::Poisson][spacing])
+                }
+                (None, Some(recorded)) => Shape::Recorded(self::recorded(recorded, folder)?),
+                _ => return Err(form.fault("needs either `(phases …)` or `(recorded …)`")),
+            };
+            let forms = parts.need("kinds")?.own_names()?;
+            let kinds = forms.iter().map(kind).collect::<Result<Vec<_>, _>>()?;
+            if kinds.is_empty() {
+                return Err(parts.need("kinds")?.fault("names no kind"));
+            }
+            Ok(Plan {
+                shape,
+                kinds,
+                seed: parts.or("seed", 1, |form| form.whole(0, u64::MAX))?,
+                under_way: parts.or("under-way", 20_000, |form| Ok(form.whole(1, 1_000_000)? as usize))?,
+                links: parts.or("links", 4, |form| Ok(form.whole(1, 1_000)? as usize))?,
+            })
+        })
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        let name = |kind: &Kind| match &kind.account[..] {
+            "" => kind.track.clone(),
+            account => format!("{} of {account}", kind.track),
+        };
+        self.kinds.iter().map(name).collect()
+    }
+}
+
+fn span(form: &Form) -> Result<Duration, Fault> {
+    Ok(Duration::from_micros(form.time()? * 100))
+}
+
+fn phases(form: &Form) -> Result<Vec<Phase>, Fault> {
+    let mut asks = 0.0;
+    let mut phases = Vec::new();
+    for form in form.all(&["constant", "ramp", "burst"])? {
+        let phase = match form.name {
+            "constant" => {
+                let parts = form.parts(&["for", "rate"])?;
+                let rate = parts.need("rate")?.amount()?;
+                Phase { lasts: span(parts.need("for")?)?, from: rate, to: rate, at_once: 0 }
+            }
+            "ramp" => {
+                let parts = form.parts(&["for", "from", "to"])?;
+                let (from, to) = (parts.need("from")?.amount()?, parts.need("to")?.amount()?);
+                Phase { lasts: span(parts.need("for")?)?, from, to, at_once: 0 }
+            }
+            _ => {
+                let parts = form.parts(&["asks"])?;
+                let asks = parts.need("asks")?.whole(1, 1_000_000)? as u32;
+                Phase { lasts: Duration::ZERO, from: 0.0, to: 0.0, at_once: asks }
+            }
+        };
+        asks += (phase.from + phase.to) / 2.0 * phase.lasts.as_secs_f64() + f64::from(phase.at_once);
+        if asks > MOST {
+            return Err(form.fault(format!("comes to more than {MOST} asks")));
+        }
+        phases.push(phase);
+    }
+    match phases.is_empty() {
+        true => Err(form.fault("names no phase")),
+        false => Ok(phases),
+    }
+}
+
+fn kind(form: &Form) -> Result<Kind, Fault> {
+    let parts = form.parts(&["account", "services", "weight", "cores", "memory", "life", "abandon-time"])?;
+    Ok(Kind {
+        track: form.name.into(),
+        account: parts.or("account", String::new(), |form| Ok(form.word()?.to_string()))?,
+        services: parts.or("services", 10, |form| Ok(form.whole(1, 1_000_000)? as u32))?,
+        weight: parts.or("weight", 1.0, Form::above_zero)?,
+        cores: parts.need("cores")?.above_zero()?,
+        memory: parts.need("memory")?.above_zero()?,
+        life_ms: parts.need("life")?.time()? / 10,
+        abandon_ms: (parts.need("abandon-time")?.time()? / 10).max(1),
+    })
+}
+
+/// `(recorded "times.csv")`: a column `ms` of times, in order.
+fn recorded(form: &Form, folder: &Path) -> Result<Vec<Duration>, Fault> {
+    let path: PathBuf = folder.join(form.text()?);
+    let fault = |why: String| form.fault(format!("{}: {why}", path.display()));
+    let mut reader = csv::Reader::from_path(&path).map_err(|why| fault(why.to_string()))?;
+    let headers = reader.headers().map_err(|why| fault(why.to_string()))?;
+    let column = headers.iter().position(|name| name.trim() == "ms");
+    let column = column.ok_or_else(|| fault("lacks a column `ms`".into()))?;
+    let mut times: Vec<Duration> = Vec::new();
+    for record in reader.records() {
+        let record = record.map_err(|why| fault(why.to_string()))?;
+        let line = record.position().map_or(0, csv::Position::line);
+        let text = record.get(column).unwrap_or_default().trim();
+        let ms = text.parse::<f64>().ok().filter(|ms| (0.0..=1e12).contains(ms));
+        let ms = ms.ok_or_else(|| fault(format!("line {line}: `{text}` is no time in ms")))?;
+        let time = Duration::from_secs_f64(ms / 1_000.0);
+        if times.last().is_some_and(|last| *last > time) {
+            return Err(fault(format!("line {line}: before the line above it")));
+        }
+        if times.len() as f64 >= MOST {
+            return Err(fault(format!("more than {MOST} times")));
+        }
+        times.push(time);
+    }
+    Ok(times)
+}
--- /dev/null
+++ b/crates/load/tests/stories.rs
@@ -0,0 +1,144 @@
+//! When asks go out and what is counted of them, one story for each way that a load can lie.
+
+use corkspan_load::mix::{Kind, Mix};
+use corkspan_load::plan::Plan;
+use corkspan_load::shape::{Phase, Shape, Spacing};
+use corkspan_load::tally::{Fate, Shot, Tally};
+use proptest::prelude::*;
+use std::path::Path;
+use std::time::Duration;
+use test_case::test_case;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn phase(seconds: u64, from: f64, to: f64) -> Phase {
+    Phase { lasts: Duration::from_secs(seconds), from, to, at_once: 0 }
+}
+
+fn times(phases: Vec<Phase>, spacing: Spacing) -> Vec<Duration> {
+    Shape::Phases(phases, spacing).arrivals(7).collect()
+}
+
+#[test]
+fn a_step_takes_its_new_rate_at_once() {
+    let times = times(vec![phase(2, 50.0, 50.0), phase(2, 5_000.0, 5_000.0)], Spacing::Even);
+    let before = times.iter().filter(|at| **at < ms(2_000)).count();
+    assert!((99..=100).contains(&before), "{before}");
+    assert!((10_098..=10_100).contains(&times.len()), "{}", times.len());
+}
+
+#[test]
+fn a_ramp_comes_to_the_mean_of_its_rates_and_most_of_it_late() {
+    let times = times(vec![phase(10, 0.0, 200.0)], Spacing::Even);
+    let half = times.iter().filter(|at| **at < ms(5_000)).count();
+    assert!((999..=1_000).contains(&times.len()) && (249..=251).contains(&half), "{half} of {}", times.len());
+}
+
+#[test]
+fn a_burst_comes_all_at_its_moment() {
+    let burst = Phase { lasts: Duration::ZERO, from: 0.0, to: 0.0, at_once: 300 };
+    let times = times(vec![phase(1, 10.0, 10.0), burst, phase(1, 10.0, 10.0)], Spacing::Even);
+    let then = times.iter().filter(|at| **at == ms(1_000)).count();
+    assert!((300..=301).contains(&then), "{then}, with the last before it");
+}
+
+proptest! {
+    #[test]
+    fn arrivals_are_in_order_within_their_time_and_as_many_as_meant(
+        rates in prop::collection::vec((0.0..500.0f64, 0.0..500.0f64, 1..4u64, 0..50u32), 1..6),
+        seed in any::<u64>(),
+    ) {
+        let phases: Vec<Phase> = rates.iter().map(|&(from, to, seconds, at_once)| {
+            Phase { lasts: Duration::from_secs(seconds), from, to, at_once }
+        }).collect();
+        let meant: f64 = phases.iter().map(|own| {
+            (own.from + own.to) / 2.0 * own.lasts.as_secs_f64() + f64::from(own.at_once)
+        }).sum();
+        for spacing in [Spacing::Even, Spacing::Poisson] {
+            let shape = Shape::Phases(phases.clone(), spacing);
+            let times: Vec<Duration> = shape.arrivals(seed).collect();
+            prop_assert!(times.is_sorted());
+            prop_assert!(times.last().is_none_or(|last| *last <= shape.lasts() + ms(1)));
+            let off = (times.len() as f64 - meant).abs();
+            let slack = if spacing == Spacing::Even { rates.len() as f64 + 1.0 } else { 6.0 * meant.sqrt() + 6.0 };
+            prop_assert!(off <= slack, "{} for {meant}", times.len());
+            prop_assert_eq!(shape.arrivals(seed).collect::<Vec<_>>(), times, "the same again");
+        }
+    }
+}
+
+#[test]
+fn kinds_come_by_their_weight() {
+    let kind = |track: &str, weight| Kind {
+        track: track.into(),
+        account: String::new(),
+        services: 3,
+        weight,
+        cores: 1.0,
+        memory: 1.0,
+        life_ms: 1,
+        abandon_ms: 1,
+    };
+    let kinds = [kind("often", 99.0), kind("seldom", 1.0)];
+    let mut mix = Mix::new(&kinds, 1);
+    let seldom = (0..10_000).filter(|_| mix.draw().0 == 1).count();
+    assert!((60..150).contains(&seldom), "{seldom}");
+}
+
+fn shot(intended: u64, sent: u64, answered: u64, fate: Fate) -> Shot {
+    Shot { kind: 0, intended: ms(intended), sent: ms(sent), answered: ms(answered), fate }
+}
+
+#[test]
+fn an_ask_that_leaves_late_is_counted_from_when_it_was_meant_to() {
+    let mut tally = Tally::new(1);
+    (0..100).for_each(|at| tally.count(&shot(at * 10, 1_000, 1_005, Fate::Placed)));
+    let report = tally.report(&["web".into()], ms(1_000));
+    let own = &report.kinds[0];
+    assert!(own.from_intended.p50 > 500_000 && own.from_sent.most < 5_100, "{own:?}");
+    assert!(report.behind, "and the generator says that it was late");
+}
+
+#[test]
+fn what_was_never_answered_or_never_sent_is_not_left_out() {
+    let mut tally = Tally::new(1);
+    (0..98).for_each(|at| tally.count(&shot(at, at, at + 1, Fate::Placed)));
+    tally.count(&shot(98, 98, 8_098, Fate::Unanswered));
+    tally.count(&shot(99, 99, 99, Fate::NotSent));
+    let report = tally.report(&["web".into()], ms(100));
+    assert!(report.kinds[0].from_intended.most >= 7_990_000);
+    assert!(report.behind && report.kinds[0].fates[&Fate::NotSent] == 1);
+    assert!(report.to_string().contains("FELL BEHIND"));
+}
+
+const PLAN: &str = "(load (phases (constant (for 1 s) (rate 50))) (kinds (web (cores 1) (memory 1) (life 1 s) (abandon-time 4 s))))";
+
+#[test_case("(rate 50)", "(rate -1)", "0 or more"; "a rate below zero")]
+#[test_case("(rate 50)", "(rate 100000000)", "more than 50000000 asks"; "a rate without end")]
+#[test_case("(life 1 s)", "", "lacks `(life …)`"; "no life")]
+#[test_case("(phases", "(recorded \"no.csv\") (phases", "either"; "two shapes")]
+#[test_case("(phases (constant (for 1 s) (rate 50)))", "(recorded \"no.csv\")", "no.csv"; "no such file")]
+fn a_plan_that_is_none_is_told_with_its_place(from: &str, to: &str, why: &str) {
+    let fault =
+        Plan::read("p", &PLAN.replace(from, to), Path::new("")).map(drop).expect_err("a fault").to_string();
+    assert!(fault.starts_with("p:1:") && fault.contains(why), "{fault}");
+}
+
+#[test_case("ms\n0\n5.5\n7\n", Ok(3); "in order")]
+#[test_case("ms\r\n0\r\n5\r\n", Ok(2); "with the line ends of others")]
+#[test_case("ms\n5\n4\n", Err("line 3: before the line above it"); "out of order")]
+#[test_case("ms\n5\nx\n", Err("line 3: `x` is no time"); "no time")]
+#[test_case("s\n5\n", Err("lacks a column"); "no column")]
+fn recorded_times(text: &str, wanted: Result<usize, &str>) {
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::write(folder.path().join("times.csv"), text).expect("written");
+    let plan = PLAN.replace("(phases (constant (for 1 s) (rate 50)))", "(recorded \"times.csv\")");
+    let read = Plan::read("p", &plan, folder.path()).map_err(|why| why.to_string());
+    match (read, wanted) {
+        (Ok(plan), Ok(many)) => assert_eq!(plan.shape.arrivals(1).count(), many),
+        (Err(why), Err(wanted)) => assert!(why.contains(wanted), "{why}"),
+        (read, wanted) => panic!("{read:?}, not {wanted:?}"),
+    }
+}
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -76,6 +76,14 @@
     pub wait: Tenths,
 }
 
+/// What became of claims of an earlier life.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Recalled {
+    pub gone: Vec<ClaimId>,
+    /// To be sent to all keepers once more, as the same claims: claim, slot and task.
+    pub again: Vec<(ClaimId, u32, String)>,
+}
+
 /// Why a new copy beside an old one is no more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withdrawn {
@@ -168,20 +176,27 @@
         }
     }
 
-    /// What became of the claims of an earlier life, by the slots that `heard` of the keepers tell of. Those that
-    /// hold nothing any more, to be given back.
-    pub fn recall(&mut self, held: &[(u32, Grant, usize)], heard: usize, keepers: usize) -> Vec<ClaimId> {
-        let mut gone = Vec::new();
+    /// What became of the claims of an earlier life, by the slots that `heard` of the keepers tell of: claims that
+    /// hold nothing any more, to be given back, and such as must be claimed again to know, with slot and task. Where
+    /// a keeper is gone for good, waiting for its word would leave their copies as they are for good.
+    pub fn recall(&mut self, held: &[(u32, Grant, usize)], heard: usize, keepers: usize) -> Recalled {
+        let mut recalled = Recalled::default();
         for claim in self.recalled.clone() {
-            let told = held.iter().filter(|(_, grant, _)| grant.claim == claim).map(|(_, _, many)| *many);
-            let told = told.max().unwrap_or(0);
-            let holds = majority(told, keepers);
-            if !holds && majority(told + keepers.saturating_sub(heard), keepers) {
-                // Those that were not heard decide.
+            let told = held.iter().filter(|(_, grant, _)| grant.claim == claim);
+            let told = told.map(|(slot, _, many)| (*many, *slot)).max();
+            let many = told.map_or(0, |(many, _)| many);
+            let holds = majority(many, keepers);
+            let copy = self.copies.values_mut().find(|copy| copy.claim == Some(claim));
+            if !holds && majority(many + keepers.saturating_sub(heard), keepers) {
+                if let (Some(_), Some((_, slot))) = (copy, told)
+                    && let Some(own) = self.claims.get(&claim)
+                {
+                    recalled.again.push((claim, slot, own.task.clone()));
+                    self.recalled.remove(&claim);
+                }
                 continue;
             }
             self.recalled.remove(&claim);
-            let copy = self.copies.values_mut().find(|copy| copy.claim == Some(claim));
             match self.claims.get_mut(&claim) {
                 Some(own) if holds => {
                     own.won = true;
@@ -190,11 +205,11 @@
                 _ => {
                     self.claims.remove(&claim);
                     copy.into_iter().for_each(|copy| (copy.claim, copy.step) = (None, Step::Stays));
-                    gone.push(claim);
+                    recalled.gone.push(claim);
                 }
             }
         }
-        gone
+        recalled
     }
 
     /// A copy is ours, of this version and not known to be ready: placed, being placed, or handed over.
