--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -79,6 +79,9 @@
             warn!(path = %path.display(), %why, "that this version was started under once more can't be kept");
         }
         let (subscriber, in_force) = (start.0, start.2);
+        if kept.trial.is_some() && !subscriber.on_trial() {
+            warn!("a version on trial is given up: this dispatcher was started under it again and again");
+        }
         RUNNING.store(subscriber.running().0.number, Ordering::Relaxed);
         let state =
             State { subscriber, service: None, applied: 0, refused: 0, superseded: 0, refused_last: None };
