Compare kept runs of two variants pair by pair, with a plain verdict

Change: crates/load decides better, worse or can't tell from paired differences drawn anew 4,000 times, for p50, p99 and the part not placed; corkspan-lab compare reads kept runs. One bounded read serves the kept list and versions.

--- a/crates/dispatcher/src/roster.rs
+++ b/crates/dispatcher/src/roster.rs
@@ -184,13 +184,7 @@
 }
 
 fn read(path: &Path) -> Result<Option<Kept>, String> {
-    match std::fs::metadata(path) {
-        Err(why) if why.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-        Err(why) => return Err(why.to_string()),
-        Ok(data) if data.len() > LARGEST => return Err(format!("{} bytes", data.len())),
-        Ok(_) => {}
-    }
-    let text = std::fs::read(path).map_err(|why| why.to_string())?;
+    let Some(text) = crate::versions::bounded(path)? else { return Ok(None) };
     let kept: Kept = serde_json::from_slice(&text).map_err(|why| why.to_string())?;
     if kept.sum != sum(&kept.lines) {
         return Err("its sum is wrong".into());
--- a/crates/dispatcher/src/versions.rs
+++ b/crates/dispatcher/src/versions.rs
@@ -101,14 +101,18 @@
     })
 }
 
-fn read_one(path: &Path) -> Result<Option<Kept>, String> {
+/// A file of ours whole, if there is one; one that is larger than any of ours is not read.
+pub fn bounded(path: &Path) -> Result<Option<Vec<u8>>, String> {
     match std::fs::metadata(path) {
-        Err(why) if why.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-        Err(why) => return Err(why.to_string()),
-        Ok(data) if data.len() > LARGEST => return Err(format!("{} bytes", data.len())),
-        Ok(_) => {}
+        Err(why) if why.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(why) => Err(why.to_string()),
+        Ok(data) if data.len() > LARGEST => Err(format!("{} bytes", data.len())),
+        Ok(_) => std::fs::read(path).map(Some).map_err(|why| why.to_string()),
     }
-    let text = std::fs::read(path).map_err(|why| why.to_string())?;
+}
+
+fn read_one(path: &Path) -> Result<Option<Kept>, String> {
+    let Some(text) = bounded(path)? else { return Ok(None) };
     let file: File = serde_json::from_slice(&text).map_err(|why| why.to_string())?;
     if file.sum != sum(&file.body) {
         return Err("its sum is wrong".into());
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -90,6 +90,15 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Compares kept runs of two variants, pair by pair: each pair is of the same load.
+    Compare {
+        /// Folders of the old variant, as `load --out` wrote them.
+        #[arg(long, required = true, num_args = 1..)]
+        old: Vec<PathBuf>,
+        /// Folders of the new one, in the same order.
+        #[arg(long, required = true, num_args = 1..)]
+        new: Vec<PathBuf>,
+    },
     /// Measures the load generator itself: intended against captured arrivals, and a dispatcher that stands still.
     LoadError {
         /// Asks a second of each round.
@@ -135,6 +144,7 @@
             })
         }
         Call::Load { file, to, closed, out } => load(&file, &to, closed, out.as_deref()),
+        Call::Compare { old, new } => compare(&old, &new),
         Call::LoadError { rates, pause_ms } => own().and_then(|program| {
             for rate in rates {
                 println!("{}", loads::error(rate)?);
@@ -187,6 +197,40 @@
     Ok(())
 }
 
+fn compare(old: &[PathBuf], new: &[PathBuf]) -> Result<(), String> {
+    use corkspan_load::compare::{Figure, compare};
+    if old.len() != new.len() {
+        return Err(format!("{} old runs and {} new ones are no pairs", old.len(), new.len()));
+    }
+    let read = |folder: &PathBuf| {
+        let path = folder.join("report.json");
+        let place = |why: String| format!("{}: {why}", path.display());
+        let text = std::fs::read(&path).map_err(|why| place(why.to_string()))?;
+        let report: corkspan_load::tally::Report =
+            serde_json::from_slice(&text).map_err(|why| place(why.to_string()))?;
+        if report.behind {
+            eprintln!("{}: its generator fell behind", path.display());
+        }
+        Ok::<_, String>(report)
+    };
+    let old = old.iter().map(read).collect::<Result<Vec<_>, _>>()?;
+    let new = new.iter().map(read).collect::<Result<Vec<_>, _>>()?;
+    for figure in Figure::ALL {
+        let pairs: Vec<(f64, f64)> =
+            std::iter::zip(&old, &new).map(|(old, new)| (figure.of(old), figure.of(new))).collect();
+        let told = compare(&pairs, 1);
+        println!(
+            "{:<28} {:+10.3}, from {:+.3} to {:+.3}: {:?}",
+            figure.name(),
+            told.difference,
+            told.from,
+            told.to,
+            told.verdict
+        );
+    }
+    Ok(())
+}
+
 /// The dispatcher built in, as a process of its own.
 fn own() -> Result<Vec<OsString>, String> {
     let own = std::env::current_exe().map_err(|why| why.to_string())?;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! [`shape`] says when, [`mix`] what, [`tally`] what came of it, all without I/O; [`run`] sends.
 
+pub mod compare;
 pub mod mix;
 pub mod plan;
 pub mod plot;
--- a/crates/load/tests/stories.rs
+++ b/crates/load/tests/stories.rs
@@ -1,10 +1,13 @@
 //! When asks go out and what is counted of them, one story for each way that a load can lie.
 
+use corkspan_load::compare::{Verdict, compare};
 use corkspan_load::mix::{Kind, Mix};
 use corkspan_load::plan::Plan;
 use corkspan_load::shape::{Phase, Shape, Spacing};
 use corkspan_load::tally::{Fate, Shot, Tally};
 use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::path::Path;
 use std::time::Duration;
 use test_case::test_case;
@@ -142,3 +145,27 @@
         (read, wanted) => panic!("{read:?}, not {wanted:?}"),
     }
 }
+
+#[test_case(10.0, Verdict::Worse; "10 more on each")]
+#[test_case(-10.0, Verdict::Better; "10 less on each")]
+#[test_case(0.0, Verdict::CanNotTell; "the same")]
+fn a_difference_is_told_apart_from_days_that_differ_far_more(more: f64, verdict: Verdict) {
+    // Days between 100 and 500, each variant off by up to 5 of its own.
+    let noise = |at: usize| ((at * 7919) % 11) as f64 - 5.0;
+    let pairs: Vec<(f64, f64)> = (0..10)
+        .map(|day| (100.0 + 44.0 * day as f64, 100.0 + 44.0 * day as f64 + more + noise(day)))
+        .collect();
+    assert_eq!(compare(&pairs, 1).verdict, verdict);
+    assert_eq!(compare(&pairs[..4], 1).verdict, Verdict::CanNotTell, "four days tell nothing");
+}
+
+#[test]
+fn two_equal_variants_are_seldom_told_apart() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let told = (0..200).filter(|&round| {
+        let pairs: Vec<(f64, f64)> = (0..10).map(|_| (rng.random::<f64>(), rng.random::<f64>())).collect();
+        compare(&pairs, round).verdict != Verdict::CanNotTell
+    });
+    let told = told.count();
+    assert!(told <= 30, "{told} of 200, where 10 are meant to be");
+}
