Tell columns as they stand since texts are read by a reader

Cause: the library's reader has looked at a value's first byte where it tells its place, the reader over memory has not: every column was one too far since that change.

Change: columns are taken as they come; two stories hold the exact column.

--- a/crates/deployment/src/plain.rs
+++ b/crates/deployment/src/plain.rs
@@ -63,7 +63,7 @@
 
     fn value(&mut self, at: Ref, rest: &[Ref], pointer: String, depth: usize) -> Value {
         let start = at.span().start();
-        self.places.insert(pointer.clone(), (start.line(), start.column() + 1));
+        self.places.insert(pointer.clone(), (start.line(), start.column().max(1)));
         if depth > DEEPEST {
             self.faults.push(self.fault(&pointer, "nested too deep".into()));
             return Value::Null;
@@ -77,7 +77,7 @@
                     if forms.contains_key(name) {
                         let start = each.span().start();
                         let fault = self.fault(&within, "stands here twice".into());
-                        let (line, column) = (start.line(), start.column() + 1);
+                        let (line, column) = (start.line(), start.column().max(1));
                         self.faults.push(Fault { line, column, ..fault });
                         continue;
                     }
@@ -87,7 +87,7 @@
                 None => {
                     let within = format!("{pointer}/{index}");
                     let start = each.span().start();
-                    self.places.insert(within.clone(), (start.line(), start.column() + 1));
+                    self.places.insert(within.clone(), (start.line(), start.column().max(1)));
                     match atom(each) {
                         Some(value) => atoms.push(value),
                         None => {
--- a/crates/deployment/src/sexp.rs
+++ b/crates/deployment/src/sexp.rs
@@ -118,10 +118,11 @@
     if values > 2 * MOST {
         return Err(fault(1, 1, format!("more than {MOST} values")));
     }
-    // From a reader: over a text in memory the library counts lines anew for each value, and 4 MB take hours.
+    // From a reader: over a text in memory the library counts lines anew for each value, and 4 MB take hours. It has
+    // looked at a value's first byte where it tells its place: so columns come counted from 1.
     lexpr::datum::from_reader(text.as_bytes()).map_err(|why| {
         let place = why.location();
-        let (line, column) = place.map_or((1, 1), |place| (place.line(), place.column() + 1));
+        let (line, column) = place.map_or((1, 1), |place| (place.line(), place.column().max(1)));
         fault(line, column, why.to_string())
     })
 }
@@ -383,5 +384,5 @@
 
 fn fault_at(file: &str, at: Ref, part: &str, why: String) -> Fault {
     let start = at.span().start();
-    Fault { file: file.into(), line: start.line(), column: start.column() + 1, part: part.into(), why }
+    Fault { file: file.into(), line: start.line(), column: start.column().max(1), part: part.into(), why }
 }
--- a/crates/deployment/tests/faults.rs
+++ b/crates/deployment/tests/faults.rs
@@ -42,8 +42,8 @@
     assert_eq!(read.bounds, Default::default());
 }
 
-#[test_case("(kind small)", "(kind huge)", "d.sexp:8:", "tracks/jobs/kind: `huge` is none of: small"; "unknown kind")]
-#[test_case("(hall a)", "(hall c)", "d.sexp:4:", "hall: `c` is none of: a, b"; "unknown hall")]
+#[test_case("(kind small)", "(kind huge)", "d.sexp:8:88: ", "tracks/jobs/kind: `huge` is none of: small"; "unknown kind")]
+#[test_case("(hall a)", "(hall c)", "d.sexp:4:9: ", "hall: `c` is none of: a, b"; "unknown hall")]
 #[test_case("(cores 8)", "(cores -8)", "d.sexp:5:", "kinds/small/cores: must be above 0"; "negative amount")]
 #[test_case("(cores 8)", "(cores 0)", "d.sexp:5:", "above 0"; "an amount of zero")]
 #[test_case("(offers 29)", "(offers +inf.0)", "d.sexp:13:", "cold/offers"; "an amount without end")]
