Provoke a full disk and a dead first service for versions; move a choice out of I/O

And what to fall back to where a kept version no longer fits was chosen in the code that reads the file.

--- a/crates/control/src/subscriber.rs
+++ b/crates/control/src/subscriber.rs
@@ -29,6 +29,16 @@
     pub given_up: Vec<Stamp>,
 }
 
+impl Kept {
+    /// What is left where the newest version in it no longer fits the file: the one before, at last the file alone.
+    pub fn before_newest(mut self) -> Kept {
+        if self.trial.take().is_none() {
+            self.good = None;
+        }
+        self
+    }
+}
+
 /// A push as it comes from the stream, its content unread.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Push {
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -66,10 +66,7 @@
                 // The file, or this program, has changed since: what no longer fits is not guessed at.
                 Err(why) => {
                     warn!(version = stamp.number, %why, "the kept version does not fit; the one before is taken");
-                    kept = match kept.trial.take() {
-                        Some(_) => kept,
-                        None => Kept { good: None, ..kept },
-                    };
+                    kept = kept.before_newest();
                 }
             }
         };
--- a/crates/lab/tests/full_path/versions.rs
+++ b/crates/lab/tests/full_path/versions.rs
@@ -197,6 +197,19 @@
     });
 }
 
+#[test]
+fn of_two_services_the_one_that_answers_streams() {
+    story(async |stage| {
+        let text = stage.file().replace("(control ", "(control \"127.0.0.1:1\" ");
+        let opened = stage.control.opened();
+        let rig = stage.rig.kill_and_restart(&text).await;
+        let stage = Stage { rig, ..stage };
+        until(async || stage.control.opened() > opened).await;
+        let one = stage.control.publish(stage.with_tracks(&["extra"]), false);
+        stage.until_in_force(one).await;
+    });
+}
+
 #[test]
 fn the_service_gone_the_last_version_stays_and_the_stream_comes_back() {
     story(async |mut stage| {
@@ -263,19 +276,23 @@
     });
 }
 
-#[test]
-fn a_version_that_can_not_be_kept_on_disk_is_not_in_force() {
+#[test_case(false; "no file can be made")]
+#[test_case(true; "the disk is full")]
+fn a_version_that_can_not_be_kept_on_disk_is_not_in_force(full: bool) {
     story(async |stage| {
         let one = stage.control.publish(stage.with_tracks(&["one"]), false);
         stage.until_in_force(one).await;
         let path = stage.folder.path().join("versions.new");
-        // Where a folder stands no file can be made, whoever tries.
-        std::fs::create_dir(&path).expect("made");
+        // Where a folder stands no file can be made, whoever tries; the other is a disk without room.
+        match full {
+            true => std::os::unix::fs::symlink("/dev/full", &path).expect("made"),
+            false => std::fs::create_dir(&path).expect("made"),
+        }
         stage.control.publish(stage.with_tracks(&["one", "two"]), false);
         until(async || stage.status().await.refused == 1).await;
         assert!(stage.status().await.why[0].contains("can't be kept on disk"));
         assert!(stage.knows("one", "a").await && !stage.knows("two", "b").await);
-        std::fs::remove_dir(&path).expect("removed");
+        if full { std::fs::remove_file(&path) } else { std::fs::remove_dir(&path) }.expect("removed");
         let three = stage.control.publish(stage.with_tracks(&["one", "three"]), false);
         stage.until_in_force(three).await;
     });
