Tell the settings in force from what the decisions were handed

Cause: the status that stories and random exchanges compare with the last acknowledgement was read from the same books as the acknowledgement, so a version answered and not put in force would have passed.

Change: the status takes its text from the deployment in force at the desk.

--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -105,9 +105,10 @@
         read.map_err(|faults| faults.to_string().lines().map(String::from).collect())
     }
 
-    pub fn status(&self) -> v1::VersionStatus {
+    /// `in_force` is what the decisions were handed: told from there, and not from what was answered on the stream.
+    pub fn status(&self, in_force: &Deployment) -> v1::VersionStatus {
         self.with(|state| {
-            let (running, texts) = state.subscriber.running();
+            let running = state.subscriber.running().0;
             let kept = state.subscriber.kept();
             let (refused_last, why) = state.refused_last.clone().unzip();
             v1::VersionStatus {
@@ -115,7 +116,7 @@
                 on_trial: state.subscriber.on_trial(),
                 good: kept.good.as_ref().map(|version| message(version.stamp)),
                 service: state.service.map(|service| service.to_string()).unwrap_or_default(),
-                text: texts.whole(),
+                text: in_force.texts.whole(),
                 given_up: kept.given_up.iter().copied().map(message).collect(),
                 applied: state.applied,
                 refused: state.refused,
@@ -402,6 +403,6 @@
 #[tonic::async_trait]
 impl v1::versions_server::Versions for Operators {
     async fn status(&self, _: Request<v1::VersionStatusAsk>) -> Result<Response<v1::VersionStatus>, Status> {
-        Ok(Response::new(self.0.versions.status()))
+        Ok(Response::new(self.0.versions.status(&self.0.deployment())))
     }
 }
