--- a/crates/benchlink/src/instance.rs
+++ b/crates/benchlink/src/instance.rs
@@ -1,8 +1,8 @@
 //! One dispatcher on the simulator's wire: lines to calls on the host, its answers to lines.
 
-use crate::facts::{Facts, tenths};
 use crate::wire::{Fault, Message};
 use corkspan::interface::*;
+use corkspan_facts::{Facts, tenths};
 use corkspan_host::{Asked, Host, Slice, Wire, service};
 use std::fmt::Write;
 
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,11 +1,10 @@
 //! Runs corkspan's decisions on the simulator's wire: lines in, calls on the decisions, lines out.
 
-mod facts;
 mod instance;
 mod wire;
 
 use corkspan::interface::*;
-use facts::tenths;
+use corkspan_facts::tenths;
 use instance::Instance;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -41,6 +41,12 @@
         #[arg(long, default_value = "info")]
         level: tracing::Level,
     },
+    /// Runs a dispatcher on the platform's protocol, by the file that NODE_CONFIG names, until SIGTERM.
+    Platform {
+        /// The least level that is logged.
+        #[arg(long, default_value = "info")]
+        level: tracing::Level,
+    },
     /// Checks a deployment file and says what is wrong with it.
     Check {
         /// The deployment file.
@@ -171,6 +177,7 @@
     };
     let result = match line.call {
         Call::Serve { file, log, level } => serve(file, log, level),
+        Call::Platform { level } => platform(level),
         Call::Check { file } => {
             Deployment::load(&file).map(|_| println!("{}: sound", file.display())).map_err(text)
         }
@@ -208,6 +215,12 @@
     corkspan_dispatcher::serve(deployment, ready).map_err(text)
 }
 
+fn platform(level: tracing::Level) -> Result<(), String> {
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+    let file = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG names no file")?;
+    corkspan_platform::serve(std::path::Path::new(&file)).map_err(text)
+}
+
 /// Log lines that begin with the number of the version in force: what a line tells of was decided by it.
 struct Versioned<F> {
     inner: F,
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -3,7 +3,6 @@
 //! into messages; docs/dispatcher.md says how and why.
 
 mod clients;
-pub mod clock;
 pub mod control;
 mod desk;
 mod links;
@@ -20,6 +19,8 @@
 };
 use corkspan_deployment::Deployment;
 use corkspan_rpc::Tasks;
+pub use corkspan_runtime::clock;
+use corkspan_runtime::{Signal, signals};
 use desk::Desk;
 use futures_lite::{FutureExt, StreamExt, future};
 use roster::Roster;
@@ -45,8 +46,7 @@
 /// Runs a dispatcher on this thread until a signal asks it to stop and everything in hand has its answer.
 /// `ready` is called with the address that it listens on, once it does.
 pub fn serve(deployment: Deployment, ready: impl FnOnce(SocketAddr)) -> Result<(), Failure> {
-    use async_signal::{Signal, Signals};
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(Failure::Signals)?;
+    let mut signals = signals([Signal::Term, Signal::Int]).map_err(Failure::Signals)?;
     let stop = async move {
         signals.next().await;
     };
@@ -103,7 +103,10 @@
     };
     let serving = corkspan_rpc::serve_to(admits, listener, service, desk.link_bounds.clone());
     let background = [
-        tasks.spawn(wake(Arc::clone(&desk), waking)),
+        tasks.spawn(corkspan_runtime::wake(waking, {
+            let desk = Arc::clone(&desk);
+            move || desk.woken()
+        })),
         tasks.spawn(roster::run(Arc::clone(&desk), roster, asked, path)),
         tasks.spawn(rolls::run(Arc::clone(&desk))),
         tasks.spawn(control::run(Arc::clone(&desk))),
@@ -132,29 +135,6 @@
     }
 }
 
-/// The one timer.
-async fn wake(desk: Arc<Desk>, waking: async_channel::Receiver<Instant>) {
-    let mut due: Option<Instant> = None;
-    loop {
-        let told = async { waking.recv().await.ok().map(Some) };
-        let woken = async {
-            match due {
-                Some(at) => drop(Timer::at(at).await),
-                None => future::pending().await,
-            }
-            Some(None)
-        };
-        match told.or(woken).await {
-            Some(Some(at)) => due = Some(due.map_or(at, |other| other.min(at))),
-            Some(None) => {
-                due = None;
-                desk.woken();
-            }
-            None => return,
-        }
-    }
-}
-
 /// Closes links that are idle.
 async fn sweep(desk: Arc<Desk>, every: Duration) {
     loop {
--- a/crates/benchlink/src/facts.rs
+++ b/crates/facts/src/lib.rs
@@ -1,4 +1,4 @@
-//! The settings of the first message, and what the decisions are handed of them.
+//! The settings that an instance is handed at its start, and what the decisions are handed of them.
 
 use corkspan::interface::*;
 use serde::Deserialize;
@@ -13,10 +13,10 @@
     pub zones: Vec<String>,
     pub skus: Vec<String>,
     #[serde(default)]
-    pub tenants: Vec<serde_json::Value>,
+    pub tenants: Vec<Tenant>,
     discovery: String,
     family_info: Family,
-    limits: Limits,
+    pub limits: Limits,
     rules: Rules,
     penalties: Penalties,
 }
@@ -24,12 +24,20 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Class {
+    #[serde(default)]
+    pub name: String,
     effect: String,
     dedup_scope: Option<String>,
     on_time_us: u64,
     memory_span_us: Option<u64>,
 }
 
+#[derive(Deserialize)]
+pub struct Tenant {
+    #[serde(default)]
+    pub name: String,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Family {
@@ -53,9 +61,13 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
-struct Limits {
+pub struct Limits {
     max_attempts: usize,
     probes: bool,
+    /// A connection without traffic is closed after so long; none where there is no such limit.
+    pub idle_close_us: Option<u64>,
+    /// So long a connection may take to come up.
+    pub connect_timeout_us: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -115,6 +127,20 @@
         })
     }
 
+    /// Whether repeats of the class are known by a key.
+    pub fn keyed(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|class| class.effect == "token")
+    }
+
+    /// The most that any machine accepts in all.
+    pub fn largest(&self) -> Option<Amount> {
+        let family = &self.family_info;
+        let kinds = std::iter::zip(&family.kind_cores, &family.kind_memory);
+        let sizes = kinds.map(|(&cores, &memory)| Amount { cores, memory });
+        let largest = sizes.reduce(|one, other| one.most(other))?;
+        Some(largest * Amount { cores: family.admit_cores, memory: family.accepts_memory })
+    }
+
     fn track(&self, index: usize) -> Result<Track, String> {
         let (class, family) = (&self.classes[index], &self.family_info);
         let lacks = |part: &str| format!("{part} has no entry for class {index}");
--- /dev/null
+++ b/crates/platform-wire/src/lib.rs
@@ -0,0 +1,58 @@
+//! The platform's protocol without I/O: bytes in, messages or typed faults out, and back. Every reader is fed
+//! piece by piece, keeps no more than one message and says at once when what it reads can't become one.
+
+pub mod feed;
+pub mod file;
+pub mod node;
+pub mod owner;
+
+/// No message holds more.
+pub const LONGEST: usize = 16 * 1024;
+
+/// What can't be read as messages at all: nothing after it on the connection can be trusted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Garbled {
+    #[error("a message of {0} bytes, where at most {LONGEST} may be")]
+    TooLong(usize),
+    #[error("a message of {0} bytes is too short for its type and id")]
+    TooShort(usize),
+    #[error("no message has the type {0}")]
+    Type(u8),
+    #[error("parameter {0} runs past the end of its message")]
+    Cut(u8),
+    #[error("parameter {0} stands twice in a message")]
+    Twice(u8),
+    #[error("no line of JSON as nodes send it: {0}")]
+    Line(String),
+    #[error("not what a control feed sends: {0}")]
+    Feed(String),
+}
+
+/// A message that could be read, with something in it that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unusable {
+    #[error("no {0}")]
+    Lacks(&'static str),
+    #[error("`{text}` is no {what}")]
+    Unreadable { what: &'static str, text: String },
+}
+
+impl Unusable {
+    /// Quotes no more than the beginning of what it was given.
+    fn unreadable(what: &'static str, text: &str) -> Self {
+        Unusable::Unreadable { what, text: text.chars().take(40).collect() }
+    }
+}
+
+/// A load report: pairs of name and value, set apart by semicolons.
+pub fn report(text: &str) -> Result<Vec<(&str, f64)>, Unusable> {
+    text.split(';')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| {
+            let value = pair.split_once(':').and_then(|(name, value)| Some((name, value.parse().ok()?)));
+            value
+                .filter(|(_, value): &(&str, f64)| value.is_finite())
+                .ok_or_else(|| Unusable::unreadable("load", pair))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/platform-wire/src/node.rs
@@ -0,0 +1,125 @@
+//! Nodes' messages: one JSON object a line.
+
+use crate::{Garbled, LONGEST};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    Open,
+    Trying,
+    Ready,
+    Close,
+    Closed,
+    Probe,
+    Probed,
+    Event,
+    Relocate,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Value {
+    Text(String),
+    Number(f64),
+}
+
+impl Value {
+    pub fn number(&self) -> Option<f64> {
+        match self {
+            Value::Number(number) => Some(*number),
+            Value::Text(text) => text.parse().ok().filter(|number: &f64| number.is_finite()),
+        }
+    }
+
+    pub fn text(&self) -> Option<&str> {
+        match self {
+            Value::Text(text) => Some(text),
+            Value::Number(_) => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    #[serde(rename = "msg")]
+    pub kind: Kind,
+    #[serde(with = "hex")]
+    pub sid: u64,
+    #[serde(default)]
+    pub attrs: BTreeMap<String, Value>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub code: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<String>,
+}
+
+impl Message {
+    pub fn new(kind: Kind, sid: u64) -> Self {
+        Message { kind, sid, attrs: BTreeMap::new(), code: None, text: None }
+    }
+
+    pub fn code(self, code: u32) -> Self {
+        Message { code: Some(code), ..self }
+    }
+
+    pub fn attr(&self, name: &str) -> Option<&Value> {
+        self.attrs.get(name)
+    }
+
+    /// As a line; none where it would be longer than any may be.
+    pub fn line(&self) -> Option<Vec<u8>> {
+        let mut line = serde_json::to_vec(self).ok()?;
+        line.push(b'\n');
+        (line.len() <= LONGEST).then_some(line)
+    }
+}
+
+mod hex {
+    use serde::de::Error;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(id: &u64, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(&format_args!("{id:016x}"))
+    }
+
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<u64, D::Error> {
+        let text = std::borrow::Cow::<str>::deserialize(from)?;
+        if text.len() != 16 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(D::Error::custom("an id is 16 hex digits"));
+        }
+        u64::from_str_radix(&text, 16).map_err(D::Error::custom)
+    }
+}
+
+/// Makes messages of the bytes of one connection.
+#[derive(Default)]
+pub struct Reader {
+    bytes: Vec<u8>,
+    at: usize,
+}
+
+impl Reader {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..self.at);
+        self.at = 0;
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next whole message. A line that never ends is told as soon as it is too long.
+    pub fn next(&mut self) -> Result<Option<Message>, Garbled> {
+        let bytes = &self.bytes[self.at..];
+        let end = bytes.iter().take(LONGEST + 1).position(|&byte| byte == b'\n');
+        let Some(end) = end else {
+            return if bytes.len() > LONGEST { Err(Garbled::TooLong(bytes.len())) } else { Ok(None) };
+        };
+        let message = serde_json::from_slice(&bytes[..end]).map_err(|why| Garbled::Line(why.to_string()))?;
+        self.at += end + 1;
+        Ok(Some(message))
+    }
+
+    pub fn midway(&self) -> bool {
+        self.at < self.bytes.len()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/nodes.rs
@@ -0,0 +1,273 @@
+//! The nodes by name and address, what stands on them, and the connections to them.
+
+use crate::desk::LinkId;
+use crate::outbox::{Inbox, Outbox, outbox};
+use corkspan::interface::*;
+use corkspan_facts::Facts;
+use corkspan_platform_wire::feed::{Member, Members, Phase};
+use corkspan_platform_wire::node;
+use fnv::FnvHasher;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use tracing::warn;
+
+/// Connections to one node at the most.
+const A_NODE: usize = 24;
+
+struct Node {
+    name: String,
+    address: SocketAddr,
+    started: u64,
+    standing: BTreeSet<AllocationId>,
+}
+
+#[derive(Default)]
+pub struct Nodes {
+    nodes: BTreeMap<MachineId, Node>,
+}
+
+/// What a change to the list comes to.
+#[derive(Default)]
+pub struct Listed {
+    pub entries: Vec<Entry>,
+    pub gone: Vec<MachineId>,
+    /// With the moment of the new start.
+    pub restarted: Vec<(MachineId, Tenths)>,
+}
+
+/// The id of a node comes from its name alone, so that it is the same at every dispatcher.
+fn machine(name: &str) -> MachineId {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    let hash = hasher.finish();
+    MachineId((hash ^ hash >> 32) as u32)
+}
+
+impl Nodes {
+    pub fn find(&self, name: &str) -> Option<MachineId> {
+        let id = machine(name);
+        self.nodes.get(&id).filter(|node| node.name == name).map(|_| id)
+    }
+
+    pub fn address(&self, machine: MachineId) -> Option<SocketAddr> {
+        self.nodes.get(&machine).map(|node| node.address)
+    }
+
+    pub fn stands(&mut self, machine: MachineId, id: AllocationId) {
+        if let Some(node) = self.nodes.get_mut(&machine) {
+            node.standing.insert(id);
+        }
+    }
+
+    pub fn stands_no_more(&mut self, machine: MachineId, id: AllocationId) {
+        if let Some(node) = self.nodes.get_mut(&machine) {
+            node.standing.remove(&id);
+        }
+    }
+
+    pub fn standing(&self, machine: MachineId) -> Vec<AllocationId> {
+        self.nodes.get(&machine).into_iter().flat_map(|node| node.standing.iter().copied()).collect()
+    }
+
+    pub fn holds(&self, machine: MachineId) -> bool {
+        self.nodes.get(&machine).is_some_and(|node| !node.standing.is_empty())
+    }
+
+    /// Those on which tasks stand and to which no connection stands: nothing could be heard of them.
+    pub fn unheard(&self, links: &Links) -> Vec<MachineId> {
+        let held = self.nodes.iter().filter(|(_, node)| !node.standing.is_empty());
+        held.map(|(&id, _)| id).filter(|&id| links.of(id).is_empty()).collect()
+    }
+
+    pub fn listed(&mut self, members: &Members, facts: &Facts) -> Listed {
+        let mut listed = Listed::default();
+        if members.complete {
+            let told = |id: &MachineId| members.members.iter().any(|member| machine(&member.id) == *id);
+            listed.gone = self.nodes.keys().copied().filter(|id| !told(id)).collect();
+        }
+        for member in &members.members {
+            let Some(entry) = self.entry(member, facts) else {
+                warn!(member.id, "a node of a kind or in a place that the settings don't name is left out");
+                continue;
+            };
+            listed.entries.push(entry);
+            let id = entry.machine;
+            if entry.state == State::Gone {
+                listed.gone.push(id);
+                continue;
+            }
+            let node = self.nodes.entry(id).or_insert_with(|| Node {
+                name: member.id.clone(),
+                address: member.host_port,
+                started: member.up_since_ms,
+                standing: BTreeSet::new(),
+            });
+            node.address = member.host_port;
+            if std::mem::replace(&mut node.started, member.up_since_ms) != member.up_since_ms {
+                listed.restarted.push((id, member.up_since_ms.saturating_mul(10)));
+            }
+        }
+        listed
+    }
+
+    /// A node that has gone is forgotten once nothing stands there.
+    pub fn forget(&mut self, machine: MachineId) {
+        self.nodes.remove(&machine);
+    }
+
+    fn entry(&self, member: &Member, facts: &Facts) -> Option<Entry> {
+        let id = machine(&member.id);
+        let stranger = self.nodes.get(&id).is_some_and(|node| node.name != member.id);
+        Some(Entry {
+            machine: id,
+            kind: KindId(facts.skus.iter().position(|kind| *kind == member.flavor)?),
+            hall: HallId(facts.zones.iter().position(|zone| *zone == member.locality)?),
+            cell: CellId(member.cell),
+            state: match member.phase {
+                Phase::Active => State::Serving,
+                Phase::Leaving => State::Draining,
+                Phase::Left => State::Gone,
+            },
+            started: (member.up_since_ms > 0).then(|| member.up_since_ms.saturating_mul(10)),
+            unasked: member.unasked.map(|(cores, memory)| Amount { cores, memory }),
+        })
+        .filter(|_| !stranger)
+    }
+}
+
+/// A connection to a node.
+pub struct Link {
+    pub machine: MachineId,
+    to: Outbox,
+    up: bool,
+    /// Something has been written on it, if only in part.
+    pub wrote: bool,
+    /// No further set-up is to be sent on it.
+    retired: bool,
+    pub open: BTreeSet<AllocationId>,
+    used: Tenths,
+}
+
+pub struct Links {
+    links: BTreeMap<LinkId, Link>,
+    by_machine: BTreeMap<MachineId, BTreeSet<LinkId>>,
+    opened: u64,
+    most: usize,
+    connect_within: Tenths,
+    idle: Tenths,
+}
+
+impl Links {
+    pub fn new(most: usize, connect_within: Tenths, idle: Tenths) -> Self {
+        Links { links: BTreeMap::new(), by_machine: BTreeMap::new(), opened: 0, most, connect_within, idle }
+    }
+
+    pub fn of(&self, machine: MachineId) -> Vec<LinkId> {
+        let links = self.by_machine.get(&machine).into_iter().flatten().copied();
+        links.filter(|link| !self.links[link].retired).collect()
+    }
+
+    /// None where as many as may be are open.
+    pub fn open(&mut self, machine: MachineId, now: Tenths) -> Option<(LinkId, Inbox, Tenths)> {
+        let there = self.by_machine.get(&machine).map_or(0, BTreeSet::len);
+        if self.links.len() >= self.most || there >= A_NODE {
+            return None;
+        }
+        self.opened += 1;
+        let id = LinkId(self.opened);
+        let (to, inbox) = outbox();
+        let open = BTreeSet::new();
+        self.links.insert(id, Link { machine, to, up: false, wrote: false, retired: false, open, used: now });
+        self.by_machine.entry(machine).or_default().insert(id);
+        Some((id, inbox, self.connect_within))
+    }
+
+    /// One that nothing is open on, so that if it breaks nothing else breaks with it.
+    pub fn free(&self, machine: MachineId, now: Tenths) -> Option<LinkId> {
+        let links = self.of(machine).into_iter().map(|id| (id, &self.links[&id]));
+        let free = links.filter(|(_, link)| link.up && link.open.is_empty() && link.used + self.idle > now);
+        free.max_by_key(|(_, link)| link.used).map(|(id, _)| id)
+    }
+
+    pub fn least(&self, machine: MachineId) -> Option<LinkId> {
+        self.of(machine).into_iter().min_by_key(|id| self.links[id].open.len())
+    }
+
+    pub fn begin(&mut self, id: LinkId, allocation: AllocationId, now: Tenths) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.open.insert(allocation);
+            link.used = now;
+        }
+    }
+
+    pub fn done(&mut self, id: LinkId, allocation: AllocationId, now: Tenths) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.open.remove(&allocation);
+            link.used = now;
+        }
+    }
+
+    pub fn up(&mut self, id: LinkId, now: Tenths) {
+        if let Some(link) = self.links.get_mut(&id) {
+            (link.up, link.used) = (true, now);
+        }
+    }
+
+    pub fn writes(&mut self, id: LinkId) {
+        self.links.get_mut(&id).into_iter().for_each(|link| link.wrote = true);
+    }
+
+    pub fn wrote(&self, id: LinkId) -> bool {
+        self.links.get(&id).is_some_and(|link| link.wrote)
+    }
+
+    pub fn stands(&self, id: LinkId) -> bool {
+        self.links.get(&id).is_some_and(|link| link.up && !link.retired)
+    }
+
+    /// The machine at its other end; none where the connection is done with.
+    pub fn heard(&mut self, id: LinkId, now: Tenths) -> Option<MachineId> {
+        let link = self.links.get_mut(&id)?;
+        link.used = now;
+        Some(link.machine)
+    }
+
+    pub fn send(&mut self, id: LinkId, message: &node::Message) -> bool {
+        let line = message.line();
+        line.is_some_and(|line| self.links.get(&id).is_some_and(|link| link.to.send(line)))
+    }
+
+    pub fn retire(&mut self, id: LinkId) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.retired = true;
+            if link.open.is_empty() {
+                self.remove(id);
+            }
+        }
+    }
+
+    /// Closes it once all is written.
+    pub fn remove(&mut self, id: LinkId) -> Option<Link> {
+        let link = self.links.remove(&id)?;
+        if let Some(links) = self.by_machine.get_mut(&link.machine) {
+            links.remove(&id);
+            if links.is_empty() {
+                self.by_machine.remove(&link.machine);
+            }
+        }
+        Some(link)
+    }
+
+    /// All that have been idle for long, but one to each machine that something stands on.
+    pub fn close_idle(&mut self, now: Tenths, nodes: &Nodes) {
+        let idle = |link: &Link| link.open.is_empty() && (link.retired || link.used + self.idle <= now);
+        let ids: Vec<(LinkId, MachineId)> =
+            self.links.iter().filter(|(_, link)| idle(link)).map(|(&id, link)| (id, link.machine)).collect();
+        for (id, machine) in ids {
+            if self.links[&id].retired || !nodes.holds(machine) || self.of(machine).len() > 1 {
+                self.remove(id);
+            }
+        }
+    }
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -20,8 +20,7 @@
 use tonic::body::Body;
 use tower_service::Service;
 
-/// The executor that carries all tasks of a process.
-pub type Tasks = Arc<Executor<'static>>;
+pub use corkspan_runtime::{Tasks, Within, within};
 
 /// Why a link did not come to stand. Nothing was sent on it.
 #[derive(Debug, thiserror::Error)]
@@ -257,33 +256,3 @@
         Box::pin(self.inner.call(request.map(Body::new)))
     }
 }
-
-/// The value, or none if it takes longer.
-pub fn within<F: Future>(time: Duration, value: F) -> Within<F> {
-    Within { value, timer: Timer::after(time) }
-}
-
-pin_project_lite::pin_project! {
-    /// See [`within`]. Written out: an async block would hold the value's state twice, and states of gRPC calls
-    /// are large.
-    pub struct Within<F> {
-        #[pin]
-        value: F,
-        #[pin]
-        timer: Timer,
-    }
-}
-
-impl<F: Future> Future for Within<F> {
-    type Output = Option<F::Output>;
-
-    /// The value first: an answer that is there when we look late is an answer.
-    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
-        let this = self.project();
-        match (this.value.poll(cx), this.timer.poll(cx)) {
-            (Poll::Ready(value), _) => Poll::Ready(Some(value)),
-            (Poll::Pending, Poll::Ready(_)) => Poll::Ready(None),
-            (Poll::Pending, Poll::Pending) => Poll::Pending,
-        }
-    }
-}
