--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -631,8 +631,10 @@
             None => Some(0),
             Some(name) => facts.tenants.iter().position(|tenant| tenant.name == *name),
         };
-        if set_up.left_ms == 0 && set_up.at.is_none() || set_up.left_ms > LONGEST {
-            return Err(format!("no owner waits for {} ms", set_up.left_ms));
+        // A task that stands already has no deadline: what is told as time left there means nothing.
+        let left_ms = if set_up.at.is_some() { LONGEST } else { set_up.left_ms };
+        if left_ms == 0 || left_ms > LONGEST {
+            return Err(format!("no owner waits for {left_ms} ms"));
         }
         if [&set_up.name, &set_up.service].iter().any(|text| text.len() > 256) {
             return Err("a name of over 256 bytes".into());
@@ -646,7 +648,7 @@
         if !facts.largest().is_some_and(|largest| asks.within(largest)) {
             return Err(format!("{} cores and {} of memory fit on no machine", asks.cores, asks.memory));
         }
-        let left = set_up.left_ms * 10;
+        let left = left_ms * 10;
         Ok(Asked {
             service: service(&set_up.service),
             track: TrackId(track),
@@ -804,6 +806,8 @@
             (node::Kind::Close, found) => {
                 self.links.send(link, &node::Message::new(node::Kind::Closed, message.sid));
                 let (code, load) = (message.code.unwrap_or(0), load(&message));
+                let (stage, note) = (found.map(|(_, _, stage)| stage), message.attr("note"));
+                debug!(task = sid(message.sid), ?machine, code, ?stage, ?note, ?load, "closed by its node");
                 match found {
                     Some((id, out, Stage::Asked)) => {
                         let ending = match code {
@@ -875,6 +879,7 @@
         placing.description = String::new();
         let (to, task) = (placing.owner, placing.task);
         self.nodes.stands(out.machine, id);
+        debug!(task = sid(task), machine = ?out.machine, after = now - out.sent, "placed");
         self.say(to, Kind::Answer, task, &[(owner::DESCRIPTION, description.as_bytes())]);
     }
 
@@ -941,10 +946,13 @@
         self.links.begin(link, id, self.now);
         placing.out = Some(Out { number, machine, link: Some(link), sent: self.now });
         self.due.insert((self.now + time_out, Due::Shot(id, number)));
+        let Placing { task, class, .. } = placing;
+        debug!(task = sid(*task), ?machine, number, class, time_out, "sent");
     }
 
     fn shed(&mut self, placing: &mut Placing, allocation: &Allocation) {
         if self.answer(placing, allocation.id, Stage::Over) {
+            debug!(task = sid(placing.task), shots = ?allocation.shots, "shed");
             let cause = [owner::CAUSE_REFUSED];
             self.say(placing.owner, Kind::Release, placing.task, &[(owner::CAUSE, &cause)]);
         }
@@ -952,12 +960,14 @@
 
     fn scrap(&mut self, placing: &mut Placing, allocation: &Allocation) {
         if self.answer(placing, allocation.id, Stage::Over) {
+            debug!(task = sid(placing.task), shots = ?allocation.shots, "scrapped");
             let cause = [owner::CAUSE_FAILED];
             self.say(placing.owner, Kind::Release, placing.task, &[(owner::CAUSE, &cause)]);
         }
     }
 
     fn relocate(&mut self, placing: &mut Placing, allocation: &Allocation) {
+        debug!(task = sid(placing.task), "moved away");
         if self.stood(placing) {
             self.say_over(placing.owner, Kind::Move, placing.task, &[]);
             self.due.insert((self.now + CUT_WITHIN, Due::Cut(allocation.id)));
