Hold errors and single breaks not against machines; pass over ids that no dispatcher gave

The trace shows 107 errors from nodes at one dispatcher, nearly all for bad clients' set-ups, each sent to three machines; every error shut a machine for 1 s or more (Scheduler::after in src/rules.rs), so that good allocations waited. It also shows 30 connections to nodes closed over a line whose id is not 16 hex digits (crates/platform-wire/src/node.rs): an answer ahead of the good one, which was lost with the connection. Ruled out: CPU (0.04 s in the busiest second), descriptors.

Change: an error counts against its machine once another machine has placed the same allocation; of breaks before the answer the second in a row counts; a further shot avoids machines where a copy may stand; an unknown id is passed over.

--- a/crates/platform-wire/src/node.rs
+++ b/crates/platform-wire/src/node.rs
@@ -45,8 +45,10 @@
 pub struct Message {
     #[serde(rename = "msg")]
     pub kind: Kind,
+    /// None where the id is none that a dispatcher could have given: it stands for no task of ours, and the rest
+    /// of the connection is sound all the same.
     #[serde(with = "hex")]
-    pub sid: u64,
+    pub sid: Option<u64>,
     #[serde(default)]
     pub attrs: BTreeMap<String, Value>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -57,7 +59,7 @@
 
 impl Message {
     pub fn new(kind: Kind, sid: u64) -> Self {
-        Message { kind, sid, attrs: BTreeMap::new(), code: None, text: None }
+        Message { kind, sid: Some(sid), attrs: BTreeMap::new(), code: None, text: None }
     }
 
     pub fn code(self, code: u32) -> Self {
@@ -77,19 +79,16 @@
 }
 
 mod hex {
-    use serde::de::Error;
     use serde::{Deserialize, Deserializer, Serializer};
 
-    pub fn serialize<S: Serializer>(id: &u64, to: S) -> Result<S::Ok, S::Error> {
-        to.collect_str(&format_args!("{id:016x}"))
+    pub fn serialize<S: Serializer>(id: &Option<u64>, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(&format_args!("{:016x}", id.unwrap_or(0)))
     }
 
-    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<u64, D::Error> {
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<Option<u64>, D::Error> {
         let text = std::borrow::Cow::<str>::deserialize(from)?;
-        if text.len() != 16 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            return Err(D::Error::custom("an id is 16 hex digits"));
-        }
-        u64::from_str_radix(&text, 16).map_err(D::Error::custom)
+        let hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        Ok(u64::from_str_radix(&text, 16).ok().filter(|_| hex))
     }
 }
 
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -780,15 +780,16 @@
         machine: MachineId,
         message: node::Message,
     ) -> bool {
+        let Some(task) = message.sid else { return true };
         if message.kind == node::Kind::Probed {
-            if let Some((machine, _)) = self.tests.remove(&message.sid) {
-                self.due.retain(|(_, due)| *due != Due::Test(message.sid));
+            if let Some((machine, _)) = self.tests.remove(&task) {
+                self.due.retain(|(_, due)| *due != Due::Test(task));
                 let ending = if message.code == Some(1) { Ending::Ended } else { Ending::Error };
                 host.probed(now, machine, ending, load(&message));
             }
             return true;
         }
-        let found = host.find(&sid(message.sid)).and_then(|id| {
+        let found = host.find(&sid(task)).and_then(|id| {
             let (placing, _) = host.own(id)?;
             let out = placing.out.filter(|out| out.machine == machine)?;
             Some((id, out, placing.stage))
@@ -800,14 +801,14 @@
             }
             // One that was given up meanwhile: nobody waits for it.
             (node::Kind::Ready, None) => {
-                let message = node::Message::new(node::Kind::Close, message.sid);
+                let message = node::Message::new(node::Kind::Close, task);
                 self.links.send(link, &message.code(u32::from(owner::CAUSE_GIVEN_UP)));
             }
             (node::Kind::Close, found) => {
-                self.links.send(link, &node::Message::new(node::Kind::Closed, message.sid));
+                self.links.send(link, &node::Message::new(node::Kind::Closed, task));
                 let (code, load) = (message.code.unwrap_or(0), load(&message));
                 let (stage, note) = (found.map(|(_, _, stage)| stage), message.attr("note"));
-                debug!(task = sid(message.sid), ?machine, code, ?stage, ?note, ?load, "closed by its node");
+                debug!(task = sid(task), ?machine, code, ?stage, ?note, ?load, "closed by its node");
                 match found {
                     Some((id, out, Stage::Asked)) => {
                         let ending = match code {
@@ -946,8 +947,8 @@
         self.links.begin(link, id, self.now);
         placing.out = Some(Out { number, machine, link: Some(link), sent: self.now });
         self.due.insert((self.now + time_out, Due::Shot(id, number)));
-        let Placing { task, class, .. } = placing;
-        debug!(task = sid(*task), ?machine, number, class, time_out, "sent");
+        let Placing { task, class, name, description, .. } = placing;
+        debug!(task = sid(*task), ?machine, number, class, name, description, time_out, "sent");
     }
 
     fn shed(&mut self, placing: &mut Placing, allocation: &Allocation) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,8 @@
 /// In this time room comes and goes: so long a machine that refused is not offered as much again, one is kept
 /// free for a large allocation, and one may be silent before it is probed, where it may be.
 const TURNOVER: Tenths = 2 * SECOND;
+/// A machine is left alone for so long after a fault, doubled with each further one in a row.
+const UNWELL: Tenths = SECOND;
 /// Probes for each allocation taken.
 const PROBES: f64 = 1.0;
 /// Between two looks at an allocation that no machine could take.
@@ -133,7 +135,13 @@
         let mut scan: Vec<MachineId> = self.machines.keys().copied().collect();
         if let Some(shot) = bound {
             match self.cluster.tracks[allocation.track.0].repeat {
-                Repeat::Idempotent => {}
+                // A copy may stand where a shot broke: that machine would take no second one.
+                Repeat::Idempotent => {
+                    let ran =
+                        |id| allocation.shots.iter().any(|s| s.machine == id && s.fate != Fate::NeverRan);
+                    let others: Vec<MachineId> = scan.iter().copied().filter(|&id| !ran(id)).collect();
+                    scan = if others.is_empty() { scan } else { others };
+                }
                 Repeat::Unrepeatable => return self.give_up(allocation),
                 // Past the window its repeats are no longer dropped, and outside the group never were.
                 Repeat::Deduplicated { window, .. } if now + MARGIN >= shot.sent + window => {
@@ -194,6 +202,13 @@
         let Some(machine) = allocation.shots.get(shot).map(|shot| shot.machine) else { return After::Rest };
         let Outcome::Returned { ending, reason, over, report } = outcome else {
             self.machines.entry(machine).or_default().silent = 0;
+            // Only now is it known that the errors before were their machines' and not the allocation's.
+            for earlier in &allocation.shots[..shot] {
+                let at = self.machines.entry(earlier.machine).or_default();
+                if at.doubted.take_if(|of| *of == allocation.id).is_some() {
+                    at.fault(now, UNWELL);
+                }
+            }
             if let Some(guest) = self.guest(allocation.id) {
                 guest.placed = true;
                 let time = (now - guest.sent) as f64;
@@ -218,11 +233,13 @@
                 at.full = Some((now + rest, if short { allocation.asks } else { Amount::default() }));
             }
             Ending::Reset if was_placed && reason.is_some() => {}
-            Ending::Error | Ending::TimedOut | Ending::Unconnected | Ending::Reset => {
-                // A machine that leaves shots unanswered, whatever the cause: dead, cut off, standing still.
-                at.silent += 1;
-                at.shunned = now + ((SECOND / 2) << at.silent.min(5));
-            }
+            // A machine that answers is alive. What it can't use no other can either: shunned for that, all
+            // would soon be shut by a few bad asks.
+            Ending::Error => at.doubted = Some(allocation.id),
+            // One answer that breaks on its way tells nothing of the machine; two in a row may.
+            Ending::Reset if !was_placed && at.silent == 0 => at.silent = 1,
+            // A machine that leaves shots unanswered, whatever the cause: dead, cut off, standing still.
+            Ending::TimedOut | Ending::Unconnected | Ending::Reset => at.fault(now, UNWELL),
         }
         if over { After::Rest } else { After::PlaceAgain }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,8 @@
     /// Shots in a row that it left without an answer, and until when it is left alone for that.
     pub silent: u32,
     pub shunned: Tenths,
+    /// The last allocation that it answered with an error.
+    pub doubted: Option<AllocationId>,
     /// Until when an ask of at least this much is not offered again, after a refusal.
     pub full: Option<(Tenths, Amount)>,
     /// Kept free until then for an allocation that fits nowhere.
@@ -74,6 +76,12 @@
         self.entry.is_some_and(|entry| entry.state == State::Serving)
     }
 
+    /// Counts one more fault in a row, and leaves the machine alone for `rest`, doubled with each.
+    pub fn fault(&mut self, now: Tenths, rest: Tenths) {
+        self.shunned = now + (rest << self.silent.min(4));
+        self.silent += 1;
+    }
+
     /// Notes a program as the last one kept, of so many at the most.
     pub fn keep(&mut self, service: ServiceId, most: usize) {
         self.kept.retain(|&other| other != service);
