Leave tasks on a draining node standing when it refuses connections

Seen: churn: 26 tasks released while they stood, at 6.9 and 7.1 s, when an idle connection to a draining node broke and the next was refused: Port::drop_link in crates/platform/src/desk.rs took any refusal for a dead process. A node that drains stops listening while its tasks run on. Now they are told over once the list says that the node has left, or 6 s after the refusal.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -46,6 +46,8 @@
 const CUT_WITHIN: Tenths = SECOND;
 /// So long a test of a node may take.
 const TEST_WITHIN: Tenths = SECOND;
+/// What can't be told by its node any longer must be told within 8 s of its end.
+const UNREACHABLE: Tenths = SECOND * 6;
 /// Words for owners that no connection could take, kept for the next one that comes.
 const UNTOLD: usize = 1_024;
 
@@ -105,6 +107,8 @@
     /// A task that was to be cut has not been reported cut.
     Cut(AllocationId),
     Test(u64),
+    /// What stood on a machine that can't be reached any longer must be told over.
+    Lost(MachineId),
 }
 
 /// A return that could be told at once, while the decisions were still being asked.
@@ -256,6 +260,7 @@
                 match due {
                     Due::Shot(id, shot) => port.timed_out(now, host, id, shot),
                     Due::Cut(id) => port.over(now, host, id, Ending::Cancelled, None, None),
+                    Due::Lost(machine) => port.machine_lost(now, host, machine, at),
                     Due::Test(test) => {
                         if let Some((machine, link)) = port.tests.remove(&test) {
                             port.drop_link(now, host, link, End::Broke);
@@ -728,7 +733,9 @@
             self.due.retain(|(_, due)| *due != Due::Test(test));
             host.probed(now, link.machine, Ending::Unconnected, None);
         }
-        if end == End::Refused {
+        if end == End::Refused && self.nodes.refused(link.machine) {
+            self.due.insert((now + UNREACHABLE, Due::Lost(link.machine)));
+        } else if end == End::Refused {
             // The process is dead, and its tasks are cut.
             self.machine_lost(now, host, link.machine, Tenths::MAX);
         } else if self.links.of(link.machine).is_empty()
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -19,6 +19,9 @@
     name: String,
     address: SocketAddr,
     started: u64,
+    leaving: bool,
+    /// It takes no connection any longer.
+    shut: bool,
     standing: BTreeSet<AllocationId>,
 }
 
@@ -74,9 +77,18 @@
         self.nodes.get(&machine).is_some_and(|node| !node.standing.is_empty())
     }
 
+    /// A connection was refused. True where that tells nothing of the tasks there: a node that drains stops
+    /// listening while they run on.
+    pub fn refused(&mut self, machine: MachineId) -> bool {
+        self.nodes.get_mut(&machine).is_some_and(|node| {
+            node.shut = node.leaving;
+            node.leaving
+        })
+    }
+
     /// Those on which tasks stand and to which no connection stands: nothing could be heard of them.
     pub fn unheard(&self, links: &Links) -> Vec<MachineId> {
-        let held = self.nodes.iter().filter(|(_, node)| !node.standing.is_empty());
+        let held = self.nodes.iter().filter(|(_, node)| !node.standing.is_empty() && !node.shut);
         held.map(|(&id, _)| id).filter(|&id| links.of(id).is_empty()).collect()
     }
 
@@ -101,9 +113,13 @@
                 name: member.id.clone(),
                 address: member.host_port,
                 started: member.up_since_ms,
+                leaving: false,
+                shut: false,
                 standing: BTreeSet::new(),
             });
             node.address = member.host_port;
+            node.leaving = entry.state == State::Draining;
+            node.shut &= node.leaving;
             if std::mem::replace(&mut node.started, member.up_since_ms) != member.up_since_ms {
                 listed.restarted.push((id, member.up_since_ms.saturating_mul(10)));
             }
