Tell what vanished machines lose, move keyed tasks off draining ones, forget gone ones

Need: on sockets nobody tells that a machine has vanished; the list may learn it after 14 s, and what stood there must be told over within 8 s. Scheduler::lost probes a machine that says nothing for 2 s and gives up what is placed there after 5 s, only where the caller doesn't learn it by itself (Cluster::tells_loss) and may probe.

Also: machines that are gone are forgotten, for what is kept of them would grow.

Stories of the front tell each failure met so far on loopback stand-ins; the readers are searched with proptest.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -192,6 +192,7 @@
             ask_list: Some(parts.or("ask-list", 100_000, Form::time)?),
             cold: cold(parts.need("cold")?)?,
             other_hall_price: parts.or("other-hall-price", 0.0, Form::amount)?,
+            tells_loss: true,
         };
         Ok(Shared {
             cluster,
--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -124,6 +124,7 @@
                 offers: family.young_limit,
             },
             other_hall_price: self.penalties.cross_zone,
+            tells_loss: true,
         })
     }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -18,6 +18,8 @@
     fn scrap(&mut self, held: &mut T, allocation: &Allocation);
     /// Stops a placed allocation so that its owner asks for it anew.
     fn relocate(&mut self, held: &mut T, allocation: &Allocation);
+    /// A placed allocation is lost with its machine. Only where the caller doesn't learn that by itself.
+    fn lost(&mut self, _held: &mut T, _allocation: &Allocation) {}
     fn probe(&mut self, machine: MachineId);
     fn watch_list(&mut self);
     /// Calls for [`Host::woken`] after so long; never 0.
@@ -265,6 +267,11 @@
                     wire.relocate(&mut held.own, &held.allocation);
                 }
             }
+            for id in &wait.lost {
+                if let Some(held) = self.held.get_mut(id) {
+                    wire.lost(&mut held.own, &held.allocation);
+                }
+            }
             if wait.ask_again {
                 self.again.extend(self.not_yet.drain(..));
             }
--- a/crates/host/tests/stories.rs
+++ b/crates/host/tests/stories.rs
@@ -56,6 +56,7 @@
         ask_list: Some(10 * SECOND),
         cold: Cold { lasts: SECOND, window: SECOND, offers: 5.0 },
         other_hall_price: 0.0,
+        tells_loss: true,
     };
     let mut host = Host::new(cluster, 1, 0, most, Slice { most: 2, apart: 20 });
     host.listed(Scope::Remembered, &(0..machines).map(entry).collect::<Vec<_>>());
--- a/crates/platform-wire/src/feed.rs
+++ b/crates/platform-wire/src/feed.rs
@@ -67,7 +67,7 @@
         self.bytes.extend_from_slice(bytes);
     }
 
-    pub fn next(&mut self) -> Result<Option<Told>, Garbled> {
+    pub fn told(&mut self) -> Result<Option<Told>, Garbled> {
         while let Some(end) = self.bytes[self.at..].iter().position(|&byte| byte == b'\n') {
             let line = &self.bytes[self.at..self.at + end];
             let line = std::str::from_utf8(line).map_err(|why| Garbled::Feed(why.to_string()))?;
--- a/crates/platform-wire/src/node.rs
+++ b/crates/platform-wire/src/node.rs
@@ -107,7 +107,7 @@
     }
 
     /// The next whole message. A line that never ends is told as soon as it is too long.
-    pub fn next(&mut self) -> Result<Option<Message>, Garbled> {
+    pub fn message(&mut self) -> Result<Option<Message>, Garbled> {
         let bytes = &self.bytes[self.at..];
         let end = bytes.iter().take(LONGEST + 1).position(|&byte| byte == b'\n');
         let Some(end) = end else {
--- a/crates/platform-wire/src/owner.rs
+++ b/crates/platform-wire/src/owner.rs
@@ -105,7 +105,7 @@
     }
 
     /// The next whole message. A length that can't be right is told before its message has come.
-    pub fn next(&mut self) -> Result<Option<Message>, Garbled> {
+    pub fn message(&mut self) -> Result<Option<Message>, Garbled> {
         let bytes = &self.bytes[self.at..];
         let [high, low, rest @ ..] = bytes else { return Ok(None) };
         let length = usize::from(u16::from_be_bytes([*high, *low]));
--- /dev/null
+++ b/crates/platform-wire/tests/garbling.rs
@@ -0,0 +1,166 @@
+//! What readers make of bytes that are cut, spoilt or meant to harm.
+
+use corkspan_platform_wire::owner::{self, CAUSE, Kind, SetUp, message};
+use corkspan_platform_wire::{Garbled, LONGEST, feed, node, report};
+use proptest::prelude::*;
+use test_case::test_case;
+
+fn set_up(extras: &str, left: &str) -> owner::Message {
+    let parameters: [(u8, &[u8]); 6] = [
+        (owner::CLASS, b"batch"),
+        (owner::LEFT, left.as_bytes()),
+        (owner::NAME, b"7f3a9c21e0b4d655"),
+        (owner::EXTRAS, extras.as_bytes()),
+        (owner::TENANT, b"acme"),
+        (owner::DESCRIPTION, b"9d41\r\n"),
+    ];
+    let bytes = message(Kind::SetUp, 0x9b1f, &parameters).expect("short enough");
+    let mut reader = owner::Reader::default();
+    reader.push(&bytes);
+    reader.message().expect("sound").expect("whole")
+}
+
+#[test_case("cores:1;memory:2;service:0b", "1500", true; "sound")]
+#[test_case("cores:1;memory:2;service:0b;rack:7", "1500", true; "with a figure of later days")]
+#[test_case("cores:nan;memory:2;service:0b", "1500", false; "no number")]
+#[test_case("cores:-1;memory:2;service:0b", "1500", false; "below nothing")]
+#[test_case("cores:1;service:0b", "1500", false; "no memory")]
+#[test_case("cores:1;memory:2;service:0b", "soon", false; "no time")]
+#[test_case("cores:1;memory:2;service:0b", "-5", false; "time gone by")]
+#[test_case("cores:1;memory:2;service:0b", "99999999999999999999999", false; "time without end")]
+#[test_case("x", "1500", false; "no figures at all")]
+fn figures_that_mean_nothing_are_told_from_sound_ones(extras: &str, left: &str, sound: bool) {
+    assert_eq!(SetUp::read(&set_up(extras, left)).is_ok(), sound);
+}
+
+#[test_case(&[0xff, 0xff], Garbled::TooLong(0xffff); "a length beyond any message")]
+#[test_case(&[0, 2], Garbled::TooShort(2); "a length below any message")]
+#[test_case(b"\x01\x00{", Garbled::Type(123); "a type that does not exist, before the rest has come")]
+#[test_case(&[0, 12, 1, 0, 0, 0, 0, 0, 0, 0, 1, 180, 9, 9], Garbled::Cut(180); "a parameter past the end")]
+fn lengths_that_lie_are_told_at_once(bytes: &[u8], fault: Garbled) {
+    let mut reader = owner::Reader::default();
+    reader.push(bytes);
+    assert_eq!(reader.message(), Err(fault));
+}
+
+#[test]
+fn an_answer_ahead_under_a_strange_id_costs_the_good_one_nothing() {
+    let mut reader = node::Reader::default();
+    reader.push(b"{\"msg\":\"ready\",\"sid\":\"not-ours\",\"attrs\":{},\"text\":\"x\"}\n");
+    reader.push(b"{\"msg\":\"ready\",\"sid\":\"9b1f03aa5c7e2d41\",\"attrs\":{\"left\":7},\"text\":\"y\"}\n");
+    assert_eq!(reader.message().map(|message| message.map(|message| message.sid)), Ok(Some(None)));
+    let good = reader.message().expect("sound").expect("whole");
+    assert_eq!((good.sid, good.text.as_deref()), (Some(0x9b1f_03aa_5c7e_2d41), Some("y")));
+}
+
+#[test]
+fn a_line_without_an_end_is_told_before_it_fills_the_memory() {
+    let mut reader = node::Reader::default();
+    let faults = (0..1_000).find_map(|_| {
+        reader.push(&[b'a'; 1024]);
+        reader.message().err()
+    });
+    assert_eq!(faults, Some(Garbled::TooLong(LONGEST + 1024)));
+}
+
+#[test]
+fn an_event_that_breaks_off_is_not_told_and_the_next_call_tells_it() {
+    let whole = b"id: 4\ndata: {\"n\":4}\n\n: alive\n";
+    let mut reader = feed::Reader::default();
+    reader.push(&whole[..15]);
+    assert_eq!(reader.told(), Ok(None));
+    let mut reader = feed::Reader::default();
+    reader.push(whole);
+    assert_eq!(reader.told(), Ok(Some(feed::Told::Event(feed::Event { n: 4, members: None }))));
+    assert_eq!(reader.told(), Ok(Some(feed::Told::Alive)));
+}
+
+#[test_case("x0:12;x1:-0.5", Some(2); "sound")]
+#[test_case("x0:inf", None; "no number to count with")]
+#[test_case("x0", None; "no value")]
+fn reports_hold_numbers_only(text: &str, pairs: Option<usize>) {
+    assert_eq!(report(text).ok().map(|pairs| pairs.len()), pairs);
+}
+
+/// Reads all that comes in pieces; how many messages there were, or that a fault ended it. Never holds more than
+/// one message and one piece.
+fn pieces<M>(
+    bytes: &[u8],
+    cuts: &[usize],
+    mut push: impl FnMut(&[u8]) -> Vec<Result<M, ()>>,
+) -> Option<usize> {
+    let mut count = 0;
+    let mut rest = bytes;
+    for cut in cuts.iter().copied().chain([bytes.len()]) {
+        let (piece, after) = rest.split_at(cut.min(rest.len()));
+        rest = after;
+        for message in push(piece) {
+            message.ok()?;
+            count += 1;
+        }
+    }
+    Some(count)
+}
+
+fn owner_messages(bytes: &[u8], cuts: &[usize]) -> Option<usize> {
+    let mut reader = owner::Reader::default();
+    pieces(bytes, cuts, |piece| {
+        reader.push(piece);
+        std::iter::from_fn(|| reader.message().map_err(|_| ()).transpose()).take(1_000).collect()
+    })
+}
+
+fn node_messages(bytes: &[u8], cuts: &[usize]) -> Option<usize> {
+    let mut reader = node::Reader::default();
+    pieces(bytes, cuts, |piece| {
+        reader.push(piece);
+        std::iter::from_fn(|| reader.message().map_err(|_| ()).transpose()).take(1_000).collect()
+    })
+}
+
+proptest! {
+    #[test]
+    fn owners_messages_survive_any_cut(
+        tasks in prop::collection::vec(any::<u64>(), 1..20),
+        value in prop::collection::vec(any::<u8>(), 0..300),
+        cuts in prop::collection::vec(0usize..200, 0..20),
+    ) {
+        let bytes: Vec<u8> = tasks
+            .iter()
+            .flat_map(|&task| message(Kind::Release, task, &[(CAUSE, &[34]), (owner::NAME, &value)]).expect("short"))
+            .collect();
+        prop_assert_eq!(owner_messages(&bytes, &cuts), Some(tasks.len()));
+    }
+
+    #[test]
+    fn nodes_lines_survive_any_cut(
+        sids in prop::collection::vec(any::<u64>(), 1..20),
+        text in ".{0,80}",
+        cuts in prop::collection::vec(0usize..200, 0..20),
+    ) {
+        let line = |&sid: &u64| {
+            let message = node::Message::new(node::Kind::Ready, sid).code(16);
+            node::Message { text: Some(text.clone()), ..message }.line().expect("short")
+        };
+        let bytes: Vec<u8> = sids.iter().flat_map(line).collect();
+        prop_assert_eq!(node_messages(&bytes, &cuts), Some(sids.len()));
+    }
+
+    #[test]
+    fn no_garbling_brings_a_reader_down(
+        mut bytes in prop::collection::vec(any::<u8>(), 0..4_000),
+        cuts in prop::collection::vec(0usize..500, 0..10),
+        spoilt in any::<u8>(),
+        at in any::<prop::sample::Index>(),
+    ) {
+        let mut sound = message(Kind::SetUp, 1, &[(owner::CLASS, b"batch")]).expect("short");
+        let place = at.index(sound.len());
+        sound[place] = spoilt;
+        bytes.splice(0..0, sound);
+        owner_messages(&bytes, &cuts);
+        node_messages(&bytes, &cuts);
+        let mut reader = feed::Reader::default();
+        reader.push(&bytes);
+        while let Ok(Some(_)) = reader.told() {}
+    }
+}
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -111,8 +111,11 @@
     Lost(MachineId),
 }
 
-/// A return that could be told at once, while the decisions were still being asked.
-struct Deferred(AllocationId, usize, Ending);
+/// What came to be known while the decisions were still being asked.
+enum Deferred {
+    Returned(AllocationId, usize, Ending),
+    Lost(AllocationId),
+}
 
 /// The ways out: to nodes, owners and the timer.
 pub struct Port {
@@ -149,10 +152,11 @@
     watches: async_channel::Sender<()>,
 }
 
-/// The control feed must be asked for, whatever the settings say of another way.
+/// The control feed must be asked for, whatever the settings say of another way, and nobody tells of a machine
+/// that has vanished.
 fn cluster(facts: &Facts) -> Result<Cluster, String> {
     let cluster = facts.cluster()?;
-    Ok(Cluster { ask_list: cluster.ask_list.or(Some(0)), ..cluster })
+    Ok(Cluster { ask_list: cluster.ask_list.or(Some(0)), tells_loss: false, ..cluster })
 }
 
 fn sid(task: u64) -> String {
@@ -231,8 +235,13 @@
         port.now = now;
         let result = call(now, host, port);
         loop {
-            while let Some(Deferred(id, shot, ending)) = port.deferred.pop_front() {
-                host.returned(now, id, shot, ending, None, false, None, port);
+            while let Some(deferred) = port.deferred.pop_front() {
+                match deferred {
+                    Deferred::Returned(id, shot, ending) => {
+                        host.returned(now, id, shot, ending, None, false, None, port);
+                    }
+                    Deferred::Lost(id) => port.over(now, host, id, Ending::Reset, None, None),
+                }
             }
             host.rest(now, port);
             if port.deferred.is_empty() {
@@ -263,7 +272,7 @@
                     Due::Lost(machine) => port.machine_lost(now, host, machine, at),
                     Due::Test(test) => {
                         if let Some((machine, link)) = port.tests.remove(&test) {
-                            port.drop_link(now, host, link, End::Broke);
+                            port.links.retire(link);
                             host.probed(now, machine, Ending::TimedOut, None);
                         }
                     }
@@ -685,13 +694,13 @@
     fn cut(&mut self, now: Tenths, id: AllocationId, task: u64, out: Option<Out>, cause: u32) {
         if let Some(out) = out {
             let message = node::Message::new(node::Kind::Close, task).code(cause);
-            self.to_node(out.machine, out.link, &message);
+            self.tell_node(out.machine, out.link, &message);
         }
         self.due.insert((now + CUT_WITHIN, Due::Cut(id)));
     }
 
     /// On the connection given, if it stands, else on any other to that machine.
-    fn to_node(
+    fn tell_node(
         &mut self,
         machine: MachineId,
         link: Option<LinkId>,
@@ -771,6 +780,7 @@
         let Some(out) = placing.out.take() else { return };
         let (task, to) = (placing.task, placing.owner);
         self.due.retain(|(_, due)| *due != Due::Cut(id));
+        debug!(task = sid(task), machine = ?out.machine, ?ending, ?reason, "over");
         if self.stood(placing) && ending != Ending::Cancelled {
             let cause = if ending == Ending::Ended { 16 } else { 41 };
             self.say_over(to, Kind::Release, task, &[(owner::CAUSE, &[cause])]);
@@ -855,6 +865,7 @@
                     (Some("ram_high"), Some(value)) => Note::MachineMemory(value),
                     _ => return true,
                 };
+                debug!(task = sid(task), ?machine, ?note, "noted");
                 host.noted(now, id, note);
             }
             _ => {}
@@ -949,7 +960,7 @@
         let free = self.links.free(machine, self.now);
         let link = free.or_else(|| self.open_link(machine)).or_else(|| self.links.least(machine));
         let Some(link) = link.filter(|&link| self.links.send(link, &message)) else {
-            return self.deferred.push_back(Deferred(id, number, Ending::NotSent));
+            return self.deferred.push_back(Deferred::Returned(id, number, Ending::NotSent));
         };
         self.links.begin(link, id, self.now);
         placing.out = Some(Out { number, machine, link: Some(link), sent: self.now });
@@ -982,10 +993,14 @@
         }
     }
 
+    fn lost(&mut self, _: &mut Placing, allocation: &Allocation) {
+        self.deferred.push_back(Deferred::Lost(allocation.id));
+    }
+
     fn probe(&mut self, machine: MachineId) {
         self.last_test = self.last_test.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let message = node::Message::new(node::Kind::Probe, self.last_test).code(0);
-        if let Some(link) = self.to_node(machine, None, &message) {
+        if let Some(link) = self.tell_node(machine, None, &message) {
             self.tests.insert(self.last_test, (machine, link));
             self.due.insert((self.now + TEST_WITHIN, Due::Test(self.last_test)));
         }
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -99,7 +99,7 @@
         loop {
             let frame = within(SILENT, body.frame()).await.ok_or(Broken::Silent)?.ok_or(Broken::Ended)??;
             reader.push(frame.data_ref().map_or(&[][..], |bytes| bytes));
-            while let Some(told) = reader.next()? {
+            while let Some(told) = reader.told()? {
                 if let Told::Event(event) = told {
                     desk.told(event);
                 }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -34,7 +34,7 @@
     let heard = |bytes: &[u8]| {
         reader.push(bytes);
         loop {
-            match reader.next() {
+            match reader.message() {
                 Ok(Some(message)) => {
                     if !desk.owner_said(id, &message) {
                         return false;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,7 +14,7 @@
 use corkspan_platform_wire::file::{Posting, Unreadable};
 use corkspan_runtime::{Signal, Tasks, signals};
 use desk::Desk;
-use futures_lite::{StreamExt, future};
+use futures_lite::{Stream, StreamExt, future};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -53,17 +53,18 @@
 pub fn serve(path: &Path) -> Result<(), Failure> {
     // First of all: a SIGHUP that came before would end the process.
     let signals = signals([Signal::Term, Signal::Int, Signal::Hup]).map_err(Failure::Signals)?;
-    let posting = read(path)?;
     let tasks: Tasks = Arc::default();
-    future::block_on(tasks.clone().run(run(tasks, path, posting, signals)))
+    future::block_on(tasks.clone().run(run(tasks, path, signals, |_| ())))
 }
 
-async fn run(
+/// Runs a dispatcher on an executor by the signals given. `ready` is called with the address that it listens on.
+pub async fn run(
     tasks: Tasks,
     path: &Path,
-    posting: Posting,
-    signals: impl futures_lite::Stream<Item = std::io::Result<Signal>> + Unpin,
+    signals: impl Stream<Item = std::io::Result<Signal>> + Unpin,
+    ready: impl FnOnce(SocketAddr),
 ) -> Result<(), Failure> {
+    let posting = read(path)?;
     let (address, feed) = (posting.listen, posting.feed);
     let (wakes, waking) = async_channel::bounded(1);
     let (watches, asked) = async_channel::bounded(1);
@@ -71,7 +72,9 @@
     let desk = Desk::new(posting, &tasks, wakes, watches)
         .map_err(|why| Failure::Facts { path: path.into(), why })?;
     let listener = TcpListener::bind(address).await.map_err(|why| Failure::Listen { address, why })?;
+    let address = listener.local_addr().map_err(|why| Failure::Listen { address, why })?;
     info!(%address, "listening");
+    ready(address);
     let background = [
         tasks.spawn(corkspan_runtime::wake(waking, {
             let desk = Arc::clone(&desk);
@@ -99,7 +102,7 @@
 
 /// Until a signal asks to stop. SIGHUP only says that the file is another.
 async fn until_told(
-    mut signals: impl futures_lite::Stream<Item = std::io::Result<Signal>> + Unpin,
+    mut signals: impl Stream<Item = std::io::Result<Signal>> + Unpin,
     mut hung_up: impl FnMut(),
 ) {
     while let Some(signal) = signals.next().await {
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -36,7 +36,7 @@
     let heard = |bytes: &[u8]| {
         reader.push(bytes);
         loop {
-            match reader.next() {
+            match reader.message() {
                 Ok(Some(message)) => {
                     if !desk.node_said(id, message) {
                         return false;
--- /dev/null
+++ b/crates/platform/tests/stories.rs
@@ -0,0 +1,148 @@
+//! One story for each failure met, told by the sockets of a dispatcher in service.
+
+mod world;
+
+use corkspan_platform_wire::node;
+use corkspan_platform_wire::owner::{CAUSE, CLASS, DESCRIPTION, EXTRAS, Kind, LEFT, NAME, TENANT};
+use corkspan_runtime::Signal;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+use world::*;
+
+#[test]
+fn a_set_up_is_placed_answered_in_the_nodes_words_and_released_when_it_ends() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = world.nodes[0].opened();
+    let open = link.hears();
+    assert_eq!((open.kind, open.sid, open.text.as_deref()), (node::Kind::Open, Some(7), Some("what\r\n")));
+    link.says(node::Message { text: Some("made here".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    let answer = owner.hears();
+    assert_eq!((answer.kind, answer.bytes(DESCRIPTION)), (Kind::Answer, Some(&b"made here"[..])));
+    link.says(node::Message::new(node::Kind::Close, 7).code(16));
+    assert_eq!((owner.hears().kind, link.hears().kind), (Kind::Release, node::Kind::Closed));
+}
+
+#[test]
+fn a_task_that_stands_is_taken_over_whatever_time_left_is_told() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    let extras = format!("{FIGURES};at:{}", world.nodes[0].name);
+    owner.sets_up(7, &[(EXTRAS, extras.as_bytes()), (LEFT, b"4294967")]);
+    let mut link = world.nodes[0].opened();
+    link.says(node::Message::new(node::Kind::Close, 7).code(16));
+    assert_eq!(owner.hears().kind, Kind::Release);
+}
+
+#[test_case(b"{]\n", true; "noise")]
+#[test_case(b"{\"msg\":\"ready\",\"sid\":\"0000000000000007\",\"attrs\":{}}\n", true; "an answer without its description")]
+#[test_case(b"", true; "a connection that breaks")]
+#[test_case(b"{\"msg\":\"ready\",\"sid\":\"strange\",\"attrs\":{},\"text\":\"x\"}\n", false; "more than belongs to it")]
+fn a_spoilt_answer_costs_one_shot_and_what_is_only_more_costs_none(spoilt: &[u8], lost: bool) {
+    let mut world = World::new(2);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = world.opened();
+    link.hears();
+    link.says_bytes(spoilt);
+    if lost {
+        drop(link);
+        link = world.opened();
+        assert_eq!(link.hears().sid, Some(7));
+    }
+    link.says(node::Message { text: Some("good".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    assert_eq!(owner.hears().bytes(DESCRIPTION), Some(&b"good"[..]));
+}
+
+#[test]
+fn a_draining_node_that_refuses_connections_has_not_lost_its_tasks() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = world.nodes[0].opened();
+    link.hears();
+    link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    world.tell(0, "leaving");
+    world.nodes[0].stop_listening();
+    drop(link);
+    assert!(owner.silent_for(Duration::from_millis(600)), "it may well run");
+    world.tell(0, "left");
+    assert_eq!(owner.hears().kind, Kind::Release);
+}
+
+#[test]
+fn a_dead_process_has_lost_its_tasks_at_once() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = world.nodes[0].opened();
+    link.hears();
+    link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    world.nodes[0].stop_listening();
+    drop(link);
+    let release = owner.hears();
+    assert_eq!((release.kind, release.bytes(CAUSE)), (Kind::Release, Some(&[41][..])));
+}
+
+#[test_case(CLASS, b"none such"; "a class that does not exist")]
+#[test_case(TENANT, b"none such"; "a tenant that does not exist")]
+#[test_case(EXTRAS, b"cores:nan;memory:1;service:a"; "a figure that is no number")]
+#[test_case(EXTRAS, b"cores:1e9;memory:1;service:a"; "more than any machine has")]
+#[test_case(LEFT, b"-5"; "a deadline in the past")]
+#[test_case(NAME, b""; "no name")]
+fn what_can_not_be_used_is_answered_with_an_error(code: u8, value: &[u8]) {
+    let world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[(code, value)]);
+    let answer = owner.hears();
+    assert_eq!((answer.kind, answer.task, answer.bytes(CAUSE)), (Kind::Release, 7, Some(&[47][..])));
+}
+
+#[test_case(b"{\"what\":1}"; "unreadable data")]
+#[test_case(&[0xff; 64]; "a length beyond any message")]
+#[test_case(&[0, 12, 1, 0]; "half a message")]
+#[test_case(b""; "nothing at all")]
+fn what_can_not_be_read_is_closed_within_three_seconds(bytes: &[u8]) {
+    let world = World::new(1);
+    let (mut owner, since) = (world.owner(), Instant::now());
+    owner.says_bytes(bytes);
+    assert!(owner.closed() && since.elapsed() < Duration::from_secs(3));
+}
+
+#[test]
+fn a_second_set_up_under_an_open_id_gives_up_both() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = world.nodes[0].opened();
+    link.hears();
+    owner.sets_up(7, &[(DESCRIPTION, b"another")]);
+    assert!(owner.closed());
+    let given_up = link.hears();
+    assert_eq!((given_up.kind, given_up.code), (node::Kind::Close, Some(16)));
+}
+
+#[test]
+fn another_feed_is_followed_from_the_same_event_on() {
+    let mut world = World::new(1);
+    assert_eq!(world.feed.asked(), 1);
+    world.tell(0, "active");
+    world.move_feed();
+    world.signal(Signal::Hup);
+    assert_eq!(world.feed.asked(), 2, "what was told before is not asked for again");
+}
+
+#[test]
+fn after_sigterm_what_was_taken_is_answered_and_the_program_ends() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = world.nodes[0].opened();
+    link.hears();
+    world.signal(Signal::Term);
+    assert_eq!(owner.hears().kind, Kind::Release, "its node never answers");
+    assert!(world.ended());
+}
--- /dev/null
+++ b/crates/platform/tests/world/mod.rs
@@ -0,0 +1,312 @@
+//! Stand-ins on loopback for all that a dispatcher on the platform speaks to, by its published protocol.
+
+use corkspan_platform_wire::owner::{self, CLASS, DESCRIPTION, EXTRAS, Kind, LEFT, NAME, TENANT};
+use corkspan_platform_wire::{LONGEST, node};
+use corkspan_runtime::Signal;
+use futures_lite::future;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+pub const FIGURES: &str = "cores:1;memory:1;service:a";
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const SETTINGS: &str = r#"{"classes":[{"effect":"pure","name":"batch","on-time-us":600000}],"discovery":"on_request",
+"family-info":{"accepts-memory":1.5,"ack":"accepted","admit-cores":2.0,"class-calm":[1.0],"class-most":[2],
+"kind-cores":[32],"kind-memory":[64.0],"needs-kind":[-1],"priority-by-class":[0],"spread-by":["silent"],"view":false,
+"young-limit":29.0},"fleet-size":1,"limits":{"max-attempts":3,"probes":false},"locality":0,"me":0,"penalties":{},
+"rules":{"ask-every-us":10000000,"cold-us":14000000,"fall-us":1000000},"skus":["std"],"tenants":[{"name":"acme"}],
+"zones":["east"]}"#;
+
+pub struct Node {
+    pub name: String,
+    pub address: SocketAddr,
+    listener: Option<TcpListener>,
+}
+
+pub struct Feed {
+    pub listener: TcpListener,
+    streams: Vec<TcpStream>,
+}
+
+pub struct World {
+    pub nodes: Vec<Node>,
+    pub feed: Feed,
+    address: SocketAddr,
+    dir: tempfile::TempDir,
+    signals: async_channel::Sender<std::io::Result<Signal>>,
+    runs: Option<JoinHandle<()>>,
+    told: u64,
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice")
+}
+
+fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    listener.set_nonblocking(true).expect("a socket option");
+    match listener.accept() {
+        Ok((stream, _)) => {
+            stream.set_nonblocking(false).expect("a socket option");
+            Some(stream)
+        }
+        Err(why) if why.kind() == ErrorKind::WouldBlock => None,
+        Err(why) => panic!("can't accept: {why}"),
+    }
+}
+
+/// What comes of a look, repeated until something does.
+fn waited<T>(mut look: impl FnMut() -> Option<T>) -> T {
+    let since = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(since.elapsed() < PATIENCE, "waited in vain");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+impl World {
+    pub fn new(nodes: usize) -> World {
+        let nodes = (0..nodes).map(|number| {
+            let listener = listener();
+            let address = listener.local_addr().expect("bound");
+            Node { name: format!("s-{number:08x}"), address, listener: Some(listener) }
+        });
+        let feed = Feed { listener: listener(), streams: Vec::new() };
+        let (signals, heard) = async_channel::unbounded();
+        let dir = tempfile::tempdir().expect("a folder");
+        let (ready, address) = std::sync::mpsc::channel();
+        let mut world = World {
+            nodes: nodes.collect(),
+            feed,
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            dir,
+            signals,
+            runs: None,
+            told: 1,
+        };
+        world.post();
+        let path = world.dir.path().join("posting.json");
+        world.runs = Some(std::thread::spawn(move || {
+            let tasks: corkspan_runtime::Tasks = Arc::default();
+            let ready = |address| ready.send(address).expect("the world waits");
+            let run = corkspan_platform::run(Arc::clone(&tasks), &path, Box::pin(heard), ready);
+            future::block_on(tasks.run(run)).expect("no failure");
+        }));
+        world.address = address.recv_timeout(PATIENCE).expect("it listens");
+        world
+    }
+
+    fn members(&self, only: Option<usize>, phase: &str) -> String {
+        let members =
+            self.nodes.iter().enumerate().filter(|(number, _)| only.is_none_or(|only| only == *number));
+        let members: Vec<String> = members
+            .map(|(_, node)| {
+                format!(
+                    r#"{{"id":"{}","host_port":"{}","locality":"east","flavor":"std","cell":1,"phase":"{phase}"}}"#,
+                    node.name, node.address
+                )
+            })
+            .collect();
+        format!(
+            r#"{{"n":{},"members":{{"complete":{},"members":[{}]}}}}"#,
+            self.told,
+            only.is_none(),
+            members.join(",")
+        )
+    }
+
+    fn post(&self) {
+        let posting = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":256}},"feed":"{}",
+            "known":{{"n":1,"events":[{}]}},"settings":{SETTINGS}}}"#,
+            self.feed.listener.local_addr().expect("bound"),
+            self.members(None, "active"),
+        );
+        std::fs::write(self.dir.path().join("posting.json"), posting).expect("written");
+    }
+
+    pub fn owner(&self) -> Owner {
+        let stream = TcpStream::connect(self.address).expect("connected");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        Owner { stream, reader: owner::Reader::default() }
+    }
+
+    /// The next connection that any node gets.
+    pub fn opened(&mut self) -> Link {
+        waited(|| self.nodes.iter().find_map(|node| accept(node.listener.as_ref()?)).map(Link::new))
+    }
+
+    /// The feed tells a node's state; returns once the dispatcher must have read it.
+    pub fn tell(&mut self, node: usize, phase: &str) {
+        self.told += 1;
+        let event = format!("id: {}\ndata: {}\n\n", self.told, self.members(Some(node), phase));
+        if self.feed.streams.is_empty() {
+            self.feed.asked();
+        }
+        for stream in &mut self.feed.streams {
+            let _ = stream.write_all(event.as_bytes());
+        }
+        // Loopback keeps no order between connections: two words to and fro leave the event the time it needs.
+        for _ in 0..2 {
+            let mut owner = self.owner();
+            owner.says(Kind::Test, 1, &[(owner::CAUSE, &[0])]);
+            assert_eq!(owner.hears().kind, Kind::Tested);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    pub fn move_feed(&mut self) {
+        self.feed = Feed { listener: listener(), streams: Vec::new() };
+        self.post();
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        self.signals.try_send(Ok(signal)).expect("it runs");
+    }
+
+    pub fn ended(&mut self) -> bool {
+        self.runs.take().is_some_and(|runs| runs.join().is_ok())
+    }
+}
+
+impl Feed {
+    /// The next call of the dispatcher: the last event that it knows.
+    pub fn asked(&mut self) -> u64 {
+        let mut stream = waited(|| accept(&self.listener));
+        let mut head = BufReader::new(stream.try_clone().expect("cloned"));
+        let mut last = None;
+        loop {
+            let mut line = String::new();
+            head.read_line(&mut line).expect("a head");
+            if let Some(id) = line.to_ascii_lowercase().strip_prefix("last-event-id:") {
+                last = id.trim().parse().ok();
+            }
+            if line.trim().is_empty() {
+                break;
+            }
+        }
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n")
+            .expect("written");
+        let mut alive = stream.try_clone().expect("cloned");
+        std::thread::spawn(move || {
+            while alive.write_all(b": alive\n").is_ok() {
+                std::thread::sleep(Duration::from_millis(500));
+            }
+        });
+        self.streams.push(stream);
+        last.expect("the last event is told")
+    }
+}
+
+impl Node {
+    pub fn opened(&mut self) -> Link {
+        let listener = self.listener.as_ref().expect("it listens");
+        Link::new(waited(|| accept(listener)))
+    }
+
+    pub fn stop_listening(&mut self) {
+        self.listener = None;
+    }
+}
+
+/// A node's end of a connection.
+pub struct Link {
+    stream: TcpStream,
+    reader: node::Reader,
+}
+
+impl Link {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        Link { stream, reader: node::Reader::default() }
+    }
+
+    pub fn hears(&mut self) -> node::Message {
+        let mut bytes = [0; LONGEST];
+        loop {
+            if let Some(message) = self.reader.message().expect("sound") {
+                return message;
+            }
+            let count = self.stream.read(&mut bytes).expect("a message");
+            assert!(count > 0, "closed");
+            self.reader.push(&bytes[..count]);
+        }
+    }
+
+    pub fn says(&mut self, message: node::Message) {
+        self.says_bytes(&message.line().expect("short"));
+    }
+
+    pub fn says_bytes(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("written");
+    }
+}
+
+pub struct Owner {
+    stream: TcpStream,
+    reader: owner::Reader,
+}
+
+impl Owner {
+    /// A sound set-up but for the parameters given.
+    pub fn sets_up(&mut self, task: u64, others: &[(u8, &[u8])]) {
+        let sound: [(u8, &[u8]); 6] = [
+            (CLASS, b"batch"),
+            (LEFT, b"6000"),
+            (TENANT, b"acme"),
+            (NAME, b"7f3a9c21e0b4d655"),
+            (EXTRAS, FIGURES.as_bytes()),
+            (DESCRIPTION, b"what\r\n"),
+        ];
+        let other = |code| others.iter().find(|(other, _)| *other == code).map(|(_, value)| *value);
+        let parameters: Vec<(u8, &[u8])> =
+            sound.iter().map(|&(code, value)| (code, other(code).unwrap_or(value))).collect();
+        self.says(Kind::SetUp, task, &parameters);
+    }
+
+    pub fn says(&mut self, kind: Kind, task: u64, parameters: &[(u8, &[u8])]) {
+        self.says_bytes(&owner::message(kind, task, parameters).expect("short"));
+    }
+
+    pub fn says_bytes(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("written");
+    }
+
+    pub fn hears(&mut self) -> owner::Message {
+        let mut bytes = [0; LONGEST];
+        loop {
+            if let Some(message) = self.reader.message().expect("sound") {
+                return message;
+            }
+            let count = self.stream.read(&mut bytes).expect("a message");
+            assert!(count > 0, "closed");
+            self.reader.push(&bytes[..count]);
+        }
+    }
+
+    /// Closed by the other side, in whatever way.
+    pub fn closed(&mut self) -> bool {
+        let mut bytes = [0; 64];
+        loop {
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(why) => return why.kind() == ErrorKind::ConnectionReset,
+            }
+        }
+    }
+
+    pub fn silent_for(&mut self, time: Duration) -> bool {
+        self.stream.set_read_timeout(Some(time)).expect("a socket option");
+        let silent =
+            matches!(self.stream.read(&mut [0; 64]), Err(why) if why.kind() == ErrorKind::WouldBlock);
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        silent
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -149,6 +149,8 @@
     pub cold: Cold,
     /// Part of the result that running in another hall costs.
     pub other_hall_price: f64,
+    /// The caller learns by itself when what stands on a machine is lost with it.
+    pub tells_loss: bool,
 }
 
 /// What one shot has come to. Only some of it proves that the allocation never ran.
@@ -248,6 +250,8 @@
     pub watch_list: bool,
     pub probes: Vec<MachineId>,
     pub moves: Vec<AllocationId>,
+    /// Placed ones that are lost with their machines, where the caller doesn't learn that by itself.
+    pub lost: Vec<AllocationId>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,8 @@
 /// In this time room comes and goes: so long a machine that refused is not offered as much again, one is kept
 /// free for a large allocation, and one may be silent before it is probed, where it may be.
 const TURNOVER: Tenths = 2 * SECOND;
+/// So long without a sign of life, probes notwithstanding, and what is placed on a machine is lost.
+const VANISHED: Tenths = 5 * SECOND;
 /// A machine is left alone for so long after a fault, doubled with each further one in a row.
 const UNWELL: Tenths = SECOND;
 /// Probes for each allocation taken.
@@ -201,7 +203,8 @@
     pub fn after(&mut self, now: Tenths, allocation: &Allocation, shot: usize, outcome: Outcome) -> After {
         let Some(machine) = allocation.shots.get(shot).map(|shot| shot.machine) else { return After::Rest };
         let Outcome::Returned { ending, reason, over, report } = outcome else {
-            self.machines.entry(machine).or_default().silent = 0;
+            let at = self.machines.entry(machine).or_default();
+            (at.silent, at.heard) = (0, now);
             // Only now is it known that the errors before were their machines' and not the allocation's.
             for earlier in &allocation.shots[..shot] {
                 let at = self.machines.entry(earlier.machine).or_default();
@@ -223,6 +226,9 @@
         self.leave(now, allocation.id, ending == Ending::Ended);
         self.reported(now, machine, report);
         let at = self.machines.entry(machine).or_default();
+        if matches!(ending, Ending::Ended | Ending::Refused | Ending::Error) {
+            at.heard = now;
+        }
         match ending {
             Ending::Ended | Ending::Cancelled | Ending::NotSent => {}
             Ending::Refused => {
@@ -265,12 +271,44 @@
         }
         if self.look_at <= now {
             self.look_at = now + LOOK;
+            self.forget();
             wait.moves = self.moves(now);
+            wait.lost = self.lost(now, &mut wait.probes);
         }
         wait.time = wait.time.min(self.look_at - now);
         wait
     }
 
+    /// A machine that has gone and holds nothing of ours is forgotten: where machines are replaced all the time,
+    /// what is kept of them would grow without end.
+    fn forget(&mut self) {
+        let known = |machine: &Machine| machine.entry.is_some_and(|entry| entry.state != State::Gone);
+        self.machines.retain(|_, machine| known(machine) || !machine.guests.is_empty());
+        self.view.open.retain(|id| self.machines.contains_key(id));
+    }
+
+    /// What is placed on a machine that has vanished or is cut off ends without a word. One that says nothing is
+    /// probed, and after a while without an answer either what is placed there is lost.
+    fn lost(&mut self, now: Tenths, probes: &mut Vec<MachineId>) -> Vec<AllocationId> {
+        let mut lost = Vec::new();
+        for (&id, machine) in &mut self.machines {
+            let placed = machine.guests.iter().filter(|(_, guest)| guest.placed).map(|(&id, _)| id);
+            let placed: Vec<AllocationId> = placed.collect();
+            let silence = now.saturating_sub(machine.heard);
+            if self.cluster.tells_loss || !self.cluster.may_probe || placed.is_empty() || silence < TURNOVER {
+                continue;
+            }
+            if silence >= VANISHED {
+                lost.extend(placed);
+                machine.heard = now;
+            } else if machine.probed + SECOND <= now {
+                machine.probed = now;
+                probes.push(id);
+            }
+        }
+        lost
+    }
+
     /// Far larger than the usual, so that room for it comes in pieces.
     fn large(&self, asks: Amount) -> bool {
         asks.cores > LARGE * self.learnt.ask.or(f64::INFINITY)
@@ -300,11 +338,20 @@
         let over = self.machines.iter().filter(over).map(|(&id, machine)| (part(id), self.movable(machine)));
         let over: Vec<_> = over.collect();
         let spare = |id: &MachineId| self.present_use(now, *id).share_of(size(*id)) < SPARE;
-        if !over.is_empty() && self.view.open.iter().any(spare) {
+        let room = self.view.open.iter().any(spare);
+        if !over.is_empty() && room {
             for (part, movable) in over {
                 moves.extend(movable.into_iter().filter(|_| self.rng.random::<f64>() < part).take(4));
             }
         }
+        // What stands on a draining machine may go down with it. The owner of a deduplicated one would then wait
+        // until it is sure that it runs no longer; after a move it comes again at once.
+        let drains = |machine: &&Machine| machine.entry.is_some_and(|entry| entry.state == State::Draining);
+        let held = self.machines.values().filter(drains).flat_map(|machine| &machine.guests);
+        let waits =
+            |guest: &Guest| matches!(self.cluster.tracks[guest.track.0].repeat, Repeat::Deduplicated { .. });
+        let held = held.filter(|(_, guest)| room && guest.placed && !guest.moved && waits(guest));
+        moves.extend(held.map(|(&id, _)| id).collect::<Vec<_>>());
         moves.iter().for_each(|&id| self.guest(id).into_iter().for_each(|guest| guest.moved = true));
         moves
     }
@@ -383,10 +430,9 @@
 
     pub fn noted(&mut self, now: Tenths, id: AllocationId, note: Note) {
         let usual = self.learnt.usual.or_one();
-        let Some(guest) = self.at.get(&id).and_then(|at| self.machines.get_mut(at)?.guests.get_mut(&id))
-        else {
-            return;
-        };
+        let Some(machine) = self.at.get(&id).and_then(|at| self.machines.get_mut(at)) else { return };
+        machine.heard = now;
+        let Some(guest) = machine.guests.get_mut(&id) else { return };
         let expected = guest.asks * usual;
         match note {
             Note::Runs if !guest.runs => {
@@ -410,7 +456,11 @@
 
     pub fn probed(&mut self, now: Tenths, machine: MachineId, ending: Ending, report: Option<Report>) {
         let at = self.machines.entry(machine).or_default();
-        at.silent *= u32::from(ending != Ending::Ended);
+        match ending {
+            Ending::Ended => (at.silent, at.heard) = (0, now),
+            Ending::TimedOut | Ending::Unconnected if !self.cluster.tells_loss => at.fault(now, UNWELL),
+            _ => {}
+        }
         self.reported(now, machine, report);
     }
 
@@ -591,8 +641,11 @@
         }
         // What one of many schedulers knows of need is chance, the more so the fewer it holds. A machine that
         // only some hold back costs as much as one that none does.
+        // Machines that have just reported tell it without chance.
         let known = self.at.len() as f64 + 1.0;
-        need = need.most(asked / self.cluster.accepts) * (1.0 + DOUBT / known.sqrt()) + all * (1.0 / known);
+        let unheard = 1.0 - weights / (self.machines.values().filter(|m| m.serving()).count().max(1) as f64);
+        let doubt = (DOUBT / known.sqrt()) * unheard.max(0.0);
+        need = need.most(asked / self.cluster.accepts) * (1.0 + doubt) + all * (1.0 / known);
         let mut room = Amount::default();
         let enough = order.iter().position(|&(_, size)| {
             room = room + size;
@@ -718,6 +771,9 @@
         self.at.insert(allocation.id, machine);
         let at = self.machines.entry(machine).or_default();
         let guest = Guest::new(allocation, now, at.has_program(allocation.service));
+        if at.guests.is_empty() {
+            at.heard = now;
+        }
         at.guests.insert(allocation.id, guest);
         at.promised.take_if(|(_, to)| *to == allocation.id);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,8 @@
     /// Kept free until then for an allocation that fits nowhere.
     pub promised: Option<(Tenths, AllocationId)>,
     pub probed: Tenths,
+    /// The last sign of life, or when we first had something there.
+    pub heard: Tenths,
 }
 
 impl Machine {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -486,3 +486,92 @@
     let mut allocation = Allocation { track: TrackId(1), ..host.ask(1, 4.0, 30.0) };
     assert_eq!(host.sent_to(&mut allocation), expected);
 }
+
+#[test]
+fn asks_that_no_machine_can_use_shut_none() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 4);
+    for service in 0..20 {
+        let mut bad = host.ask(service, 1.0, 1.0);
+        while host.sent_to(&mut bad).is_some() {
+            host.returned(&mut bad, Ending::Error, None);
+        }
+    }
+    assert!(host.sends(99).is_some(), "the machines answered each time");
+}
+
+#[test]
+fn one_answer_that_breaks_shuts_no_machine_but_two_in_a_row_do() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 1);
+    for sent in [true, true, false] {
+        let mut allocation = host.ask(1, 1.0, 1.0);
+        assert_eq!(host.sent_to(&mut allocation).is_some(), sent);
+        if sent {
+            host.returned(&mut allocation, Ending::Reset, None);
+        }
+    }
+}
+
+#[test]
+fn an_error_is_held_against_its_machine_once_another_has_placed_the_same_one() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    let failing = host.sent_to(&mut allocation).expect("sent");
+    host.returned(&mut allocation, Ending::Error, None);
+    host.sent_to(&mut allocation).expect("sent to the other");
+    host.seated(&allocation);
+    let next: BTreeSet<u32> = (2..12).filter_map(|service| host.sends(service)).collect();
+    assert_eq!(next, BTreeSet::from([1 - failing]));
+}
+
+#[test]
+fn a_further_shot_avoids_the_machine_where_a_copy_may_stand() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 2);
+    let mut allocation = host.ask(1, 1.0, 1.0);
+    let first = host.sent_to(&mut allocation);
+    host.returned(&mut allocation, Ending::Reset, None);
+    let second = host.sent_to(&mut allocation);
+    assert!(second.is_some() && second != first);
+}
+
+#[test_case(deduplicated(None), 1; "its owner would have to wait until it is sure that it runs no longer")]
+#[test_case(Repeat::Idempotent, 0; "one that may run twice comes again at once anyway")]
+#[test_case(Repeat::Unrepeatable, 0; "one that may not is never stopped")]
+fn what_stands_on_a_draining_machine_is_moved_in_time(repeat: Repeat, moved: usize) {
+    let mut host = Host::new(cluster(track(repeat)), 1, 2);
+    host.runs(1, SMALL, SMALL, 0, 5 * SECOND);
+    host.sends(2);
+    host.scheduler.listed(Scope::Changes, &[Entry { state: State::Draining, ..entry(0) }]);
+    assert_eq!(host.scheduler.wait(host.now).moves.len(), moved);
+    host.now += SECOND;
+    assert!(host.scheduler.wait(host.now).moves.is_empty(), "once is enough");
+}
+
+#[test_case(false, true, true; "where nobody else tells it")]
+#[test_case(true, true, false; "not where the caller is told")]
+#[test_case(false, false, false; "not where it may not be asked")]
+fn what_is_placed_on_a_machine_that_vanished_is_lost_after_a_while(tells: bool, may: bool, is_lost: bool) {
+    let telling = Cluster { tells_loss: tells, may_probe: may, ..cluster(track(Repeat::Idempotent)) };
+    let mut host = Host::new(telling, 1, 2);
+    let (gone, alive) = (host.runs(1, SMALL, SMALL, 0, 0), host.runs(2, SMALL, SMALL, 1, 0));
+    let (mut lost, mut probed, began) = (Vec::new(), BTreeSet::new(), host.now);
+    while host.now < began + 7 * SECOND {
+        let wait = host.scheduler.wait(host.now);
+        lost.extend(wait.lost);
+        probed.extend(wait.probes);
+        host.note(&alive, SMALL);
+        host.now += SECOND / 4;
+    }
+    assert_eq!(lost, if is_lost { vec![gone.id] } else { vec![] });
+    assert_eq!(probed.contains(&MachineId(0)), is_lost, "asked before it is given up");
+}
+
+#[test]
+fn a_machine_that_has_gone_is_forgotten_and_may_come_again() {
+    let mut host = Host::new(cluster(track(Repeat::Idempotent)), 1, 1);
+    host.scheduler.listed(Scope::Changes, &[Entry { state: State::Gone, ..entry(0) }]);
+    host.scheduler.wait(host.now);
+    assert_eq!(host.sends(1), None);
+    host.scheduler.listed(Scope::Changes, &[entry(0)]);
+    host.now += SECOND;
+    assert_eq!(host.sends(2), Some(0));
+}
