Bound every table, bear a feed out of order or unreadable in part, take bursts of connections

Records by service were kept for ever (Scheduler::leave in src/rules.rs): now of 1,024 services. One entry of the list that could not be read broke the feed off at the same event again and again (Members in crates/platform-wire/src/feed.rs): it is left out and told, and such a whole list no longer makes the rest gone. An event that came before its forerunner would have dropped that one (Port::apply): the feed is asked again. The listener's backlog was 128, a burst of hundreds waited a second for its repeat: 1,024. Too few descriptors end the start.

Tests: a vanished node, a new node at an old address, a silent crowd at 48 descriptors, set-ups after SIGTERM, another owner under an open id, lengths at and over 16 KiB, and the size of every table after 6,000 tasks, services and owners.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -354,6 +354,12 @@
         self.held.iter_mut().map(|(&id, held)| (id, &mut held.own, held.placed && !held.over))
     }
 
+    /// How much is kept in all: in hand, by name, waiting, and in the decisions.
+    pub fn kept(&self) -> usize {
+        let waiting = self.not_yet.len() + self.again.len();
+        self.held.len() + self.by_name.len() + waiting + self.scheduler.kept().iter().sum::<usize>()
+    }
+
     pub fn counts(&self) -> Counts {
         let mut counts = Counts { in_hand: self.held.len(), ..Counts::default() };
         for held in self.held.values() {
--- a/crates/platform-wire/src/feed.rs
+++ b/crates/platform-wire/src/feed.rs
@@ -18,8 +18,17 @@
 pub struct Members {
     #[serde(default)]
     pub complete: bool,
+    /// An entry that can't be read costs no other one.
     #[serde(default)]
-    pub members: Vec<Member>,
+    pub members: Vec<Entry>,
+}
+
+/// A line of the list, or what stands where one should and can't be read.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(untagged)]
+pub enum Entry {
+    Member(Member),
+    Unreadable(serde_json::Value),
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
--- a/crates/platform-wire/tests/garbling.rs
+++ b/crates/platform-wire/tests/garbling.rs
@@ -75,6 +75,28 @@
     assert_eq!(reader.told(), Ok(Some(feed::Told::Alive)));
 }
 
+#[test]
+fn an_entry_that_can_not_be_read_costs_no_other_one() {
+    let sound = r#"{"id":"a","host_port":"10.1.0.9:5080","locality":"e","flavor":"s","phase":"left"}"#;
+    let mut reader = feed::Reader::default();
+    reader.push(format!("data: {{\"n\":2,\"members\":{{\"members\":[7,{sound}]}}}}\n\n").as_bytes());
+    let Ok(Some(feed::Told::Event(feed::Event { members: Some(members), .. }))) = reader.told() else {
+        panic!("not read")
+    };
+    let readable = members.members.iter().map(|entry| matches!(entry, feed::Entry::Member(_)));
+    assert_eq!(readable.collect::<Vec<bool>>(), [false, true]);
+}
+
+#[test_case(LONGEST - 9 - 3, true; "as long as may be")]
+#[test_case(LONGEST - 9 - 2, false; "one byte longer")]
+fn no_message_is_written_that_may_not_be_read(description: usize, may: bool) {
+    let written = message(Kind::Answer, 1, &[(owner::DESCRIPTION, &vec![0; description])]);
+    assert_eq!(written.is_some(), may);
+    let mut reader = owner::Reader::default();
+    reader.push(&written.unwrap_or_default());
+    assert_eq!(reader.message().map(|message| message.is_some()), Ok(may));
+}
+
 #[test_case("x0:12;x1:-0.5", Some(2); "sound")]
 #[test_case("x0:inf", None; "no number to count with")]
 #[test_case("x0", None; "no value")]
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -19,6 +19,9 @@
 use std::time::Instant;
 use tracing::{debug, info};
 
+#[cfg(test)]
+mod bounds;
+
 /// A connection of an owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OwnerId(u64);
@@ -427,6 +430,14 @@
         });
     }
 
+    /// How much is kept of all that was ever met.
+    pub fn kept(&self) -> usize {
+        let Inner { host, port } = &*self.lock();
+        let words =
+            port.untold.len() + port.deferred.len() + port.tests.len() + port.due.len() + port.owed.len();
+        host.kept() + port.owners.len() + port.nodes.kept() + port.links.kept() + words
+    }
+
     pub fn unanswered(&self) -> usize {
         self.lock().port.owed.len()
     }
@@ -910,7 +921,7 @@
         self.last_event = event.n;
         let Some(members) = event.members else { return };
         let listed = self.nodes.listed(&members, &self.facts);
-        let scope = if members.complete { Scope::Whole } else { Scope::Changes };
+        let scope = if listed.whole { Scope::Whole } else { Scope::Changes };
         host.listed(scope, &listed.entries);
         for machine in listed.gone {
             info!(?machine, "a node has gone");
--- /dev/null
+++ b/crates/platform/src/desk/bounds.rs
@@ -0,0 +1,71 @@
+//! Nothing that is kept grows with all that was ever met.
+
+use super::*;
+use corkspan_platform_wire::owner::Reader;
+
+const POSTING: &str = r#"{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"sockets":256},
+"feed":"127.0.0.1:1","known":{"n":0},"settings":{"classes":[{"effect":"pure","name":"batch","on-time-us":600000}],
+"discovery":"on_request","family-info":{"accepts-memory":1.5,"ack":"accepted","admit-cores":2.0,"class-calm":[1.0],
+"class-most":[2],"kind-cores":[32],"kind-memory":[64.0],"needs-kind":[-1],"priority-by-class":[0],
+"spread-by":["silent"],"view":false,"young-limit":1000000.0},"fleet-size":1,"limits":{"max-attempts":3,"probes":true},
+"locality":0,"me":0,"penalties":{},"rules":{"cold-us":0,"fall-us":0},"skus":["std"],"zones":["east"]}}"#;
+
+fn member(number: u64, phase: &str) -> String {
+    format!(
+        r#"{{"id":"s-{number:x}","host_port":"127.0.0.1:9","locality":"east","flavor":"std","phase":"{phase}"}}"#
+    )
+}
+
+fn set_up(task: u64) -> Message {
+    let figures = format!("cores:1;memory:1;service:{task:x}");
+    let parameters: [(u8, &[u8]); 4] = [
+        (owner::CLASS, b"batch"),
+        (owner::LEFT, b"6000"),
+        (owner::NAME, b"a"),
+        (owner::EXTRAS, figures.as_bytes()),
+    ];
+    let mut reader = Reader::default();
+    reader.push(&owner::message(Kind::SetUp, task, &parameters).expect("short"));
+    reader.message().expect("sound").expect("whole")
+}
+
+/// Owners, services, tasks and nodes that come once and never again, on a desk whose connections nobody carries.
+#[test]
+fn tables_hold_what_is_there_and_not_what_has_been() {
+    let (wakes, _waking) = async_channel::bounded(1);
+    let (watches, _asked) = async_channel::bounded(1);
+    let posting = Posting::read(POSTING.as_bytes()).expect("sound");
+    let desk = Desk::new(posting, &Tasks::default(), wakes, watches).expect("sound");
+    let mut most = 0;
+    for round in 1..=6_000u64 {
+        if round % 3 == 1 {
+            let (new, old) = (member(round, "active"), member(round.saturating_sub(3), "left"));
+            let event = format!(r#"{{"n":{round},"members":{{"members":[{new},{old}]}}}}"#);
+            desk.told(serde_json::from_str(&event).expect("an event"));
+        }
+        let (id, _inbox) = desk.owner_came();
+        assert!(desk.owner_said(id, &set_up(round)));
+        let link = desk.lock().port.links.newest();
+        desk.link_up(link);
+        let said = |kind| node::Message::new(kind, round);
+        assert!(desk.node_said(link, node::Message { text: Some("made".into()), ..said(node::Kind::Ready) }));
+        for (note, value) in [("running", 1.0), ("use_cpu", 0.5), ("use_ram", 0.5)] {
+            let mut event = said(node::Kind::Event);
+            event.attrs.insert("note".into(), Value::Text(note.into()));
+            event.attrs.insert("value".into(), Value::Number(value));
+            assert!(desk.node_said(link, event));
+        }
+        assert!(desk.node_said(link, said(node::Kind::Close).code(16)));
+        desk.owner_left(id);
+        if round % 100 == 0 {
+            // The decisions look around by the clock, which this test outruns.
+            desk.with(|now, host, port| host.rest(now + round * SECOND, port));
+            desk.sweep();
+            most = most.max(desk.kept());
+        }
+    }
+    assert!(desk.lock().host.kept() >= 1_024, "services have left their records");
+    let port = &desk.lock().port;
+    let rest = (port.owners.len(), port.nodes.kept(), port.links.kept(), port.tests.len(), port.due.len());
+    assert!(most < 1_024 + 200, "{most} kept; owners, nodes, links, tests, due: {rest:?}");
+}
--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -27,6 +27,8 @@
     Silent,
     #[error("the stream has ended")]
     Ended,
+    #[error("event {1} came after event {0}")]
+    Gap(u64, u64),
     #[error("status {0}")]
     Status(http::StatusCode),
     #[error(transparent)]
@@ -95,12 +97,19 @@
             return Err(Broken::Status(response.status()));
         }
         desk.watched();
-        let (mut body, mut reader) = (response.into_body(), Reader::default());
+        let (mut body, mut reader, mut first) = (response.into_body(), Reader::default(), true);
         loop {
             let frame = within(SILENT, body.frame()).await.ok_or(Broken::Silent)?.ok_or(Broken::Ended)??;
             reader.push(frame.data_ref().map_or(&[][..], |bytes| bytes));
             while let Some(told) = reader.told()? {
                 if let Told::Event(event) = told {
+                    let (last, n) = (desk.last_event(), event.n);
+                    // What is missing between them is told after another call. If it is missing there too, the
+                    // feed has no more to tell of it.
+                    if n > last + 1 && !std::mem::take(&mut first) {
+                        return Err(Broken::Gap(last, n));
+                    }
+                    first = false;
                     desk.told(event);
                 }
             }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -28,7 +28,7 @@
     File { path: PathBuf, why: std::io::Error },
     #[error("{path}: {why}")]
     Posting { path: PathBuf, why: Unreadable },
-    #[error("{path}: settings: {why}")]
+    #[error("{path}: {why}")]
     Facts { path: PathBuf, why: String },
     #[error("can't listen on {address}: {why}")]
     Listen { address: SocketAddr, why: std::io::Error },
@@ -41,6 +41,9 @@
 /// SIGKILL may come 3.7 s after SIGTERM: by then all in hand have had their answers.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2_800);
 const GONE_WITHIN: Duration = Duration::from_millis(3_400);
+const BACKLOG: i32 = 1_024;
+/// With fewer descriptors some owners or nodes could not be served at all.
+const FEWEST_SOCKETS: usize = 48;
 /// Between two looks for connections that are silent, idle or missing.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -65,13 +68,19 @@
     ready: impl FnOnce(SocketAddr),
 ) -> Result<(), Failure> {
     let posting = read(path)?;
+    if posting.limits.sockets < FEWEST_SOCKETS {
+        let why = format!("limits: {} sockets, where {FEWEST_SOCKETS} are the least", posting.limits.sockets);
+        return Err(Failure::Facts { path: path.into(), why });
+    }
     let (address, feed) = (posting.listen, posting.feed);
     let (wakes, waking) = async_channel::bounded(1);
     let (watches, asked) = async_channel::bounded(1);
     let (moves, moved) = async_channel::bounded(1);
     let desk = Desk::new(posting, &tasks, wakes, watches)
-        .map_err(|why| Failure::Facts { path: path.into(), why })?;
+        .map_err(|why| Failure::Facts { path: path.into(), why: format!("settings: {why}") })?;
     let listener = TcpListener::bind(address).await.map_err(|why| Failure::Listen { address, why })?;
+    // The usual backlog of 128 would make some of a burst of hundreds wait for a second.
+    rustix::net::listen(&listener, BACKLOG).map_err(|why| Failure::Listen { address, why: why.into() })?;
     let address = listener.local_addr().map_err(|why| Failure::Listen { address, why })?;
     info!(%address, "listening");
     ready(address);
@@ -87,7 +96,7 @@
     desk.begin();
     until_told(signals, || reread(&desk, path, &moves)).await;
     let told = Instant::now();
-    info!("stopping");
+    info!(kept = desk.kept(), "stopping");
     Timer::after(STILL_COMING).await;
     until(told + ANSWERED_WITHIN, || desk.unanswered() == 0).await;
     desk.stop();
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -4,7 +4,7 @@
 use crate::outbox::{Inbox, Outbox, outbox};
 use corkspan::interface::*;
 use corkspan_facts::Facts;
-use corkspan_platform_wire::feed::{Member, Members, Phase};
+use corkspan_platform_wire::feed::{self, Member, Members, Phase};
 use corkspan_platform_wire::node;
 use fnv::FnvHasher;
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +34,8 @@
 #[derive(Default)]
 pub struct Listed {
     pub entries: Vec<Entry>,
+    /// It is the whole list: a node that it doesn't name has gone. Not so where an entry could not be read.
+    pub whole: bool,
     pub gone: Vec<MachineId>,
     /// With the moment of the new start.
     pub restarted: Vec<(MachineId, Tenths)>,
@@ -47,6 +49,16 @@
     MachineId((hash ^ hash >> 32) as u32)
 }
 
+fn readable(entry: &feed::Entry) -> Option<&Member> {
+    match entry {
+        feed::Entry::Member(member) => Some(member),
+        feed::Entry::Unreadable(what) => {
+            warn!(%what, "an entry of the list that can't be read is left out");
+            None
+        }
+    }
+}
+
 impl Nodes {
     pub fn find(&self, name: &str) -> Option<MachineId> {
         let id = machine(name);
@@ -94,11 +106,13 @@
 
     pub fn listed(&mut self, members: &Members, facts: &Facts) -> Listed {
         let mut listed = Listed::default();
-        if members.complete {
-            let told = |id: &MachineId| members.members.iter().any(|member| machine(&member.id) == *id);
+        let told: Vec<&Member> = members.members.iter().filter_map(readable).collect();
+        listed.whole = members.complete && told.len() == members.members.len();
+        if listed.whole {
+            let told = |id: &MachineId| told.iter().any(|member| machine(&member.id) == *id);
             listed.gone = self.nodes.keys().copied().filter(|id| !told(id)).collect();
         }
-        for member in &members.members {
+        for member in told {
             let Some(entry) = self.entry(member, facts) else {
                 warn!(member.id, "a node of a kind or in a place that the settings don't name is left out");
                 continue;
@@ -127,6 +141,10 @@
         listed
     }
 
+    pub fn kept(&self) -> usize {
+        self.nodes.values().map(|node| 1 + node.standing.len()).sum()
+    }
+
     /// A node that has gone is forgotten once nothing stands there.
     pub fn forget(&mut self, machine: MachineId) {
         self.nodes.remove(&machine);
@@ -199,6 +217,16 @@
         Some((id, inbox, self.connect_within))
     }
 
+    /// Of connections and what is open on them.
+    pub fn kept(&self) -> usize {
+        self.links.values().map(|link| 1 + link.open.len()).sum::<usize>() + self.by_machine.len()
+    }
+
+    #[cfg(test)]
+    pub fn newest(&self) -> LinkId {
+        *self.links.keys().next_back().expect("one is open")
+    }
+
     /// One that nothing is open on, so that if it breaks nothing else breaks with it.
     pub fn free(&self, machine: MachineId, now: Tenths) -> Option<LinkId> {
         let links = self.of(machine).into_iter().map(|id| (id, &self.links[&id]));
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -146,3 +146,80 @@
     assert_eq!(owner.hears().kind, Kind::Release, "its node never answers");
     assert!(world.ended());
 }
+
+#[test]
+fn what_stands_on_a_node_that_vanished_is_told_over_within_eight_seconds() {
+    let mut world = World::start(1, true, 256);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut links = vec![world.nodes[0].opened()];
+    // A probe may come first, on the same connection or another.
+    while links.iter_mut().all(|link| link.hears().kind != node::Kind::Open) {
+        links.push(world.nodes[0].opened());
+    }
+    for link in &mut links {
+        link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    }
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    let since = Instant::now();
+    assert_eq!(owner.hears().kind, Kind::Release);
+    assert!(since.elapsed() < Duration::from_secs(8));
+}
+
+#[test]
+fn a_new_node_at_an_old_address_gets_a_connection_of_its_own() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut old = world.nodes[0].opened();
+    old.hears();
+    old.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    world.replace(0);
+    assert_eq!(owner.hears().kind, Kind::Release, "it went with the old one");
+    owner.sets_up(8, &[]);
+    assert_eq!(world.nodes[0].opened().hears().sid, Some(8));
+}
+
+#[test]
+fn a_silent_crowd_at_a_low_limit_of_descriptors_keeps_no_owner_out() {
+    let mut world = World::start(1, false, 48);
+    let crowd: Vec<Owner> = (0..60).map(|_| world.owner()).collect();
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    assert_eq!(world.nodes[0].opened().hears().sid, Some(7));
+    for mut silent in crowd {
+        assert!(silent.closed());
+    }
+}
+
+#[test]
+fn a_set_up_that_comes_after_sigterm_is_answered_too() {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = world.nodes[0].opened();
+    link.hears();
+    world.signal(Signal::Term);
+    let mut late = world.owner();
+    late.sets_up(8, &[]);
+    let mut second = world.nodes[0].opened();
+    assert_eq!(second.hears().sid, Some(8));
+    second.says(node::Message { text: Some("late".into()), ..node::Message::new(node::Kind::Ready, 8) });
+    assert_eq!(late.hears().kind, Kind::Answer);
+    drop(link);
+    assert!(world.ended());
+}
+
+#[test]
+fn another_owner_under_an_open_id_gets_an_error_and_the_first_its_answer() {
+    let mut world = World::new(1);
+    let (mut first, mut second) = (world.owner(), world.owner());
+    first.sets_up(7, &[]);
+    let mut link = world.nodes[0].opened();
+    link.hears();
+    second.sets_up(7, &[(DESCRIPTION, b"another")]);
+    assert_eq!(second.hears().bytes(CAUSE), Some(&[47][..]));
+    link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    assert_eq!(first.hears().kind, Kind::Answer);
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -16,7 +16,7 @@
 const SETTINGS: &str = r#"{"classes":[{"effect":"pure","name":"batch","on-time-us":600000}],"discovery":"on_request",
 "family-info":{"accepts-memory":1.5,"ack":"accepted","admit-cores":2.0,"class-calm":[1.0],"class-most":[2],
 "kind-cores":[32],"kind-memory":[64.0],"needs-kind":[-1],"priority-by-class":[0],"spread-by":["silent"],"view":false,
-"young-limit":29.0},"fleet-size":1,"limits":{"max-attempts":3,"probes":false},"locality":0,"me":0,"penalties":{},
+"young-limit":29.0},"fleet-size":1,"limits":{"max-attempts":3,"probes":PROBES},"locality":0,"me":0,"penalties":{},
 "rules":{"ask-every-us":10000000,"cold-us":14000000,"fall-us":1000000},"skus":["std"],"tenants":[{"name":"acme"}],
 "zones":["east"]}"#;
 
@@ -39,6 +39,8 @@
     signals: async_channel::Sender<std::io::Result<Signal>>,
     runs: Option<JoinHandle<()>>,
     told: u64,
+    probes: bool,
+    sockets: usize,
 }
 
 fn listener() -> TcpListener {
@@ -71,6 +73,11 @@
 
 impl World {
     pub fn new(nodes: usize) -> World {
+        World::start(nodes, false, 256)
+    }
+
+    /// With or without leave to probe, and so many descriptors.
+    pub fn start(nodes: usize, probes: bool, sockets: usize) -> World {
         let nodes = (0..nodes).map(|number| {
             let listener = listener();
             let address = listener.local_addr().expect("bound");
@@ -88,6 +95,8 @@
             signals,
             runs: None,
             told: 1,
+            probes,
+            sockets,
         };
         world.post();
         let path = world.dir.path().join("posting.json");
@@ -122,10 +131,12 @@
 
     fn post(&self) {
         let posting = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":256}},"feed":"{}",
-            "known":{{"n":1,"events":[{}]}},"settings":{SETTINGS}}}"#,
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":{}}},"feed":"{}",
+            "known":{{"n":1,"events":[{}]}},"settings":{}}}"#,
+            self.sockets,
             self.feed.listener.local_addr().expect("bound"),
             self.members(None, "active"),
+            SETTINGS.replace("PROBES", if self.probes { "true" } else { "false" }),
         );
         std::fs::write(self.dir.path().join("posting.json"), posting).expect("written");
     }
@@ -160,6 +171,13 @@
         }
     }
 
+    /// A node under another name takes over the address of one that has gone.
+    pub fn replace(&mut self, node: usize) {
+        self.tell(node, "left");
+        self.nodes[node].name = format!("s-{:08x}", 1_000 + node);
+        self.tell(node, "active");
+    }
+
     pub fn move_feed(&mut self) {
         self.feed = Feed { listener: listener(), streams: Vec::new() };
         self.post();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,8 @@
 const DOUBT: f64 = 3.0;
 /// Records kept of a service: enough to draw from, few enough to forget a use that has changed.
 const RECORDS: usize = 48;
+/// Services of which records are kept.
+const SERVICES: usize = 1_024;
 /// From this long after its send an allocation is taken to be in reports and in the room that the list tells.
 const LAG: Tenths = SECOND * 3 / 2;
 /// In this time a report loses half its weight against what is expected of the machine without it.
@@ -309,6 +311,11 @@
         lost
     }
 
+    /// How much is kept: machines, allocations, and services with records.
+    pub fn kept(&self) -> [usize; 3] {
+        [self.machines.len(), self.at.len(), self.records.len()]
+    }
+
     /// Far larger than the usual, so that room for it comes in pieces.
     fn large(&self, asks: Amount) -> bool {
         asks.cores > LARGE * self.learnt.ask.or(f64::INFINITY)
@@ -797,8 +804,14 @@
         self.learnt.usual.cores.add(cores, KEEP);
         self.learnt.usual.memory.add(memory, KEEP);
         let records = self.records.entry(guest.service).or_default();
-        records.push_front(Record { peak: Amount { cores, memory }, life: now - guest.sent });
+        records.push_front(Record { peak: Amount { cores, memory }, life: now - guest.sent, ended: now });
         records.truncate(RECORDS);
+        // Services come and go without end: the one longest without an end gives way.
+        if self.records.len() > SERVICES {
+            let ended = |records: &VecDeque<Record>| records.front().map(|record| record.ended);
+            let oldest = self.records.iter().min_by_key(|(_, records)| ended(records)).map(|(&id, _)| id);
+            oldest.map(|id| self.records.remove(&id));
+        }
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
 pub struct Record {
     pub peak: Amount,
     pub life: Tenths,
+    pub ended: Tenths,
 }
 
 /// An allocation of ours on a machine, from the shot on until the machine has answered for it.
