--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -223,3 +223,14 @@
     link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
     assert_eq!(first.hears().kind, Kind::Answer);
 }
+
+#[test]
+fn a_new_file_that_can_not_be_read_changes_nothing() {
+    let mut world = World::new(1);
+    world.spoil_posting();
+    world.signal(Signal::Hup);
+    world.tell(0, "active");
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    assert_eq!(world.nodes[0].opened().hears().sid, Some(7));
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -178,6 +178,10 @@
         self.tell(node, "active");
     }
 
+    pub fn spoil_posting(&self) {
+        std::fs::write(self.dir.path().join("posting.json"), "{\"name\":").expect("written");
+    }
+
     pub fn move_feed(&mut self) {
         self.feed = Feed { listener: listener(), streams: Vec::new() };
         self.post();
