Let the platform's readers share one buffer, and the stories one placed task

The three readers kept the same bookkeeping of bytes read; it stands once in crates/platform-wire/src/lib.rs now.

--- a/crates/platform-wire/src/feed.rs
+++ b/crates/platform-wire/src/feed.rs
@@ -1,6 +1,6 @@
 //! The control feed: server-sent events, and the changes to the list of nodes that they carry.
 
-use crate::Garbled;
+use crate::{Bytes, Garbled};
 use serde::Deserialize;
 
 /// An event holds at most the whole list of a large fleet.
@@ -64,24 +64,21 @@
 /// Makes events of the bytes of a stream. An event that is cut off counts as not told.
 #[derive(Default)]
 pub struct Reader {
-    bytes: Vec<u8>,
-    at: usize,
+    bytes: Bytes,
     data: String,
 }
 
 impl Reader {
     pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.drain(..self.at);
-        self.at = 0;
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.push(bytes);
     }
 
     pub fn told(&mut self) -> Result<Option<Told>, Garbled> {
-        while let Some(end) = self.bytes[self.at..].iter().position(|&byte| byte == b'\n') {
-            let line = &self.bytes[self.at..self.at + end];
+        while let Some(end) = self.bytes.rest().iter().position(|&byte| byte == b'\n') {
+            let line = &self.bytes.rest()[..end];
             let line = std::str::from_utf8(line).map_err(|why| Garbled::Feed(why.to_string()))?;
             let line = line.trim_end_matches('\r').to_string();
-            self.at += end + 1;
+            self.bytes.taken(end + 1);
             if line.starts_with(':') {
                 return Ok(Some(Told::Alive));
             }
@@ -97,7 +94,7 @@
                 return Ok(Some(Told::Event(event)));
             }
         }
-        match self.bytes.len() - self.at {
+        match self.bytes.rest().len() {
             long if long > LONGEST => Err(Garbled::Feed("a line without an end".into())),
             _ => Ok(None),
         }
--- a/crates/platform-wire/src/lib.rs
+++ b/crates/platform-wire/src/lib.rs
@@ -56,3 +56,27 @@
         })
         .collect()
 }
+
+/// What has been read on a connection and not yet made into messages.
+#[derive(Default)]
+struct Bytes {
+    bytes: Vec<u8>,
+    at: usize,
+}
+
+impl Bytes {
+    fn push(&mut self, bytes: &[u8]) {
+        self.bytes.drain(..self.at);
+        self.at = 0;
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    fn rest(&self) -> &[u8] {
+        &self.bytes[self.at..]
+    }
+
+    /// So much of the rest has been made into a message.
+    fn taken(&mut self, length: usize) {
+        self.at += length;
+    }
+}
--- a/crates/platform-wire/src/node.rs
+++ b/crates/platform-wire/src/node.rs
@@ -1,6 +1,6 @@
 //! Nodes' messages: one JSON object a line.
 
-use crate::{Garbled, LONGEST};
+use crate::{Bytes, Garbled, LONGEST};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -95,30 +95,23 @@
 /// Makes messages of the bytes of one connection.
 #[derive(Default)]
 pub struct Reader {
-    bytes: Vec<u8>,
-    at: usize,
+    bytes: Bytes,
 }
 
 impl Reader {
     pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.drain(..self.at);
-        self.at = 0;
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.push(bytes);
     }
 
     /// The next whole message. A line that never ends is told as soon as it is too long.
     pub fn message(&mut self) -> Result<Option<Message>, Garbled> {
-        let bytes = &self.bytes[self.at..];
+        let bytes = self.bytes.rest();
         let end = bytes.iter().take(LONGEST + 1).position(|&byte| byte == b'\n');
         let Some(end) = end else {
             return if bytes.len() > LONGEST { Err(Garbled::TooLong(bytes.len())) } else { Ok(None) };
         };
         let message = serde_json::from_slice(&bytes[..end]).map_err(|why| Garbled::Line(why.to_string()))?;
-        self.at += end + 1;
+        self.bytes.taken(end + 1);
         Ok(Some(message))
     }
-
-    pub fn midway(&self) -> bool {
-        self.at < self.bytes.len()
-    }
 }
--- a/crates/platform-wire/src/owner.rs
+++ b/crates/platform-wire/src/owner.rs
@@ -1,6 +1,6 @@
 //! Owners' messages: binary, a length, a type, the task's id and parameters.
 
-use crate::{Garbled, LONGEST, Unusable};
+use crate::{Bytes, Garbled, LONGEST, Unusable};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -93,20 +93,17 @@
 /// Makes messages of the bytes of one connection.
 #[derive(Default)]
 pub struct Reader {
-    bytes: Vec<u8>,
-    at: usize,
+    bytes: Bytes,
 }
 
 impl Reader {
     pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.drain(..self.at);
-        self.at = 0;
-        self.bytes.extend_from_slice(bytes);
+        self.bytes.push(bytes);
     }
 
     /// The next whole message. A length that can't be right is told before its message has come.
     pub fn message(&mut self) -> Result<Option<Message>, Garbled> {
-        let bytes = &self.bytes[self.at..];
+        let bytes = self.bytes.rest();
         let [high, low, rest @ ..] = bytes else { return Ok(None) };
         let length = usize::from(u16::from_be_bytes([*high, *low]));
         if length > LONGEST {
@@ -120,13 +117,13 @@
         }
         let Some(body) = rest.get(..length) else { return Ok(None) };
         let message = Message::read(body)?;
-        self.at += 2 + length;
+        self.bytes.taken(2 + length);
         Ok(Some(message))
     }
 
     /// Whether a part of a message has come and the rest has not.
     pub fn midway(&self) -> bool {
-        self.at < self.bytes.len()
+        !self.bytes.rest().is_empty()
     }
 }
 
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -17,7 +17,7 @@
     let mut link = world.nodes[0].opened();
     let open = link.hears();
     assert_eq!((open.kind, open.sid, open.text.as_deref()), (node::Kind::Open, Some(7), Some("what\r\n")));
-    link.says(node::Message { text: Some("made here".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    link.says(ready(7, "made here"));
     let answer = owner.hears();
     assert_eq!((answer.kind, answer.bytes(DESCRIPTION)), (Kind::Answer, Some(&b"made here"[..])));
     link.says(node::Message::new(node::Kind::Close, 7).code(16));
@@ -51,19 +51,14 @@
         link = world.opened();
         assert_eq!(link.hears().sid, Some(7));
     }
-    link.says(node::Message { text: Some("good".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    link.says(ready(7, "good"));
     assert_eq!(owner.hears().bytes(DESCRIPTION), Some(&b"good"[..]));
 }
 
 #[test]
 fn a_draining_node_that_refuses_connections_has_not_lost_its_tasks() {
     let mut world = World::new(1);
-    let mut owner = world.owner();
-    owner.sets_up(7, &[]);
-    let mut link = world.nodes[0].opened();
-    link.hears();
-    link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
-    assert_eq!(owner.hears().kind, Kind::Answer);
+    let (mut owner, link) = world.placed(7);
     world.tell(0, "leaving");
     world.nodes[0].stop_listening();
     drop(link);
@@ -75,12 +70,7 @@
 #[test]
 fn a_dead_process_has_lost_its_tasks_at_once() {
     let mut world = World::new(1);
-    let mut owner = world.owner();
-    owner.sets_up(7, &[]);
-    let mut link = world.nodes[0].opened();
-    link.hears();
-    link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
-    assert_eq!(owner.hears().kind, Kind::Answer);
+    let (mut owner, link) = world.placed(7);
     world.nodes[0].stop_listening();
     drop(link);
     let release = owner.hears();
@@ -158,7 +148,7 @@
         links.push(world.nodes[0].opened());
     }
     for link in &mut links {
-        link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
+        link.says(ready(7, "made"));
     }
     assert_eq!(owner.hears().kind, Kind::Answer);
     let since = Instant::now();
@@ -169,12 +159,7 @@
 #[test]
 fn a_new_node_at_an_old_address_gets_a_connection_of_its_own() {
     let mut world = World::new(1);
-    let mut owner = world.owner();
-    owner.sets_up(7, &[]);
-    let mut old = world.nodes[0].opened();
-    old.hears();
-    old.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
-    assert_eq!(owner.hears().kind, Kind::Answer);
+    let (mut owner, _old) = world.placed(7);
     world.replace(0);
     assert_eq!(owner.hears().kind, Kind::Release, "it went with the old one");
     owner.sets_up(8, &[]);
@@ -205,7 +190,7 @@
     late.sets_up(8, &[]);
     let mut second = world.nodes[0].opened();
     assert_eq!(second.hears().sid, Some(8));
-    second.says(node::Message { text: Some("late".into()), ..node::Message::new(node::Kind::Ready, 8) });
+    second.says(ready(8, "late"));
     assert_eq!(late.hears().kind, Kind::Answer);
     drop(link);
     assert!(world.ended());
@@ -220,7 +205,7 @@
     link.hears();
     second.sets_up(7, &[(DESCRIPTION, b"another")]);
     assert_eq!(second.hears().bytes(CAUSE), Some(&[47][..]));
-    link.says(node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, 7) });
+    link.says(ready(7, "made"));
     assert_eq!(first.hears().kind, Kind::Answer);
 }
 
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -147,6 +147,17 @@
         Owner { stream, reader: owner::Reader::default() }
     }
 
+    /// A task that stands on the first node: its owner's connection and its node's.
+    pub fn placed(&mut self, task: u64) -> (Owner, Link) {
+        let mut owner = self.owner();
+        owner.sets_up(task, &[]);
+        let mut link = self.nodes[0].opened();
+        link.hears();
+        link.says(ready(task, "made"));
+        assert_eq!(owner.hears().kind, Kind::Answer);
+        (owner, link)
+    }
+
     /// The next connection that any node gets.
     pub fn opened(&mut self) -> Link {
         waited(|| self.nodes.iter().find_map(|node| accept(node.listener.as_ref()?)).map(Link::new))
@@ -237,6 +248,11 @@
     }
 }
 
+/// A node's answer with this description.
+pub fn ready(task: u64, description: &str) -> node::Message {
+    node::Message { text: Some(description.into()), ..node::Message::new(node::Kind::Ready, task) }
+}
+
 /// A node's end of a connection.
 pub struct Link {
     stream: TcpStream,
@@ -250,14 +266,11 @@
     }
 
     pub fn hears(&mut self) -> node::Message {
-        let mut bytes = [0; LONGEST];
         loop {
             if let Some(message) = self.reader.message().expect("sound") {
                 return message;
             }
-            let count = self.stream.read(&mut bytes).expect("a message");
-            assert!(count > 0, "closed");
-            self.reader.push(&bytes[..count]);
+            self.reader.push(&more(&mut self.stream));
         }
     }
 
@@ -270,6 +283,14 @@
     }
 }
 
+fn more(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = vec![0; LONGEST];
+    let count = stream.read(&mut bytes).expect("a message");
+    assert!(count > 0, "closed");
+    bytes.truncate(count);
+    bytes
+}
+
 pub struct Owner {
     stream: TcpStream,
     reader: owner::Reader,
@@ -301,14 +322,11 @@
     }
 
     pub fn hears(&mut self) -> owner::Message {
-        let mut bytes = [0; LONGEST];
         loop {
             if let Some(message) = self.reader.message().expect("sound") {
                 return message;
             }
-            let count = self.stream.read(&mut bytes).expect("a message");
-            assert!(count > 0, "closed");
-            self.reader.push(&bytes[..count]);
+            self.reader.push(&more(&mut self.stream));
         }
     }
 
