Refuse connections beyond the limit where every owner has a set-up open; keep untold words

Seen on reading the whole change once more: Desk::owner_came in crates/platform/src/desk.rs took a connection also where make_way found none to close, so owners that all had a set-up open could grow past their half of the descriptors; and a word for an owner that the first connection could not take was dropped (Desk::owner_said). Now such a connection is closed at once, and a word stays until one takes it.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -284,26 +284,19 @@
         });
     }
 
-    /// An owner has connected.
-    pub fn owner_came(&self) -> (OwnerId, Inbox) {
+    /// An owner has connected. None where there are as many as may be and each has a set-up open.
+    pub fn owner_came(&self) -> Option<(OwnerId, Inbox)> {
         let (to, inbox) = outbox();
-        let id = self.with(|now, host, port| {
-            while port.owners.len() >= port.owners_most && port.make_way(now, host) {}
+        self.with(|now, host, port| {
+            if port.owners.len() >= port.owners_most && !port.make_way(now, host) {
+                return None;
+            }
             port.came += 1;
             let id = OwnerId(port.came);
-            let owner = Owner {
-                to,
-                open: BTreeSet::new(),
-                stands: 0,
-                came: now,
-                heard: now,
-                sound: false,
-                midway: None,
-            };
-            port.owners.insert(id, owner);
-            id
-        });
-        (id, inbox)
+            let (open, stands, sound, midway) = (BTreeSet::new(), 0, false, None);
+            port.owners.insert(id, Owner { to, open, stands, came: now, heard: now, sound, midway });
+            Some((id, inbox))
+        })
     }
 
     /// Descriptors have run out.
@@ -332,7 +325,6 @@
                 Kind::SetUp => port.set_up(now, host, id, message),
                 Kind::Release => Ok(port.owner_released(now, host, message)),
                 Kind::Test => {
-                    // A test passed now would bring set-ups that a stop leaves little time for.
                     port.say(id, Kind::Tested, message.task, &[(owner::CAUSE, &[1])]);
                     Ok(true)
                 }
@@ -345,10 +337,8 @@
             };
             if let Some(owner) = port.owners.get_mut(&id).filter(|_| sound) {
                 (owner.sound, owner.heard) = (true, now);
-                while let Some(words) = port.untold.pop_front() {
-                    if !owner.to.send(words) {
-                        break;
-                    }
+                while port.untold.front().is_some_and(|words| owner.to.send(words.clone())) {
+                    port.untold.pop_front();
                 }
             }
             port.owners.contains_key(&id)
--- a/crates/platform/src/desk/bounds.rs
+++ b/crates/platform/src/desk/bounds.rs
@@ -43,7 +43,7 @@
             let event = format!(r#"{{"n":{round},"members":{{"members":[{new},{old}]}}}}"#);
             desk.told(serde_json::from_str(&event).expect("an event"));
         }
-        let (id, _inbox) = desk.owner_came();
+        let (id, _inbox) = desk.owner_came().expect("there is room");
         assert!(desk.owner_said(id, &set_up(round)));
         let link = desk.lock().port.links.newest();
         desk.link_up(link);
@@ -69,3 +69,18 @@
     let rest = (port.owners.len(), port.nodes.kept(), port.links.kept(), port.tests.len(), port.due.len());
     assert!(most < 1_024 + 200, "{most} kept; owners, nodes, links, tests, due: {rest:?}");
 }
+
+#[test]
+fn owners_that_all_have_a_set_up_open_leave_no_room_for_one_more() {
+    let (wakes, _waking) = async_channel::bounded(1);
+    let (watches, _asked) = async_channel::bounded(1);
+    let posting = Posting::read(POSTING.as_bytes()).expect("sound");
+    let desk = Desk::new(posting, &Tasks::default(), wakes, watches).expect("sound");
+    let mut inboxes = Vec::new();
+    while let Some((id, inbox)) = desk.owner_came() {
+        assert!(inboxes.len() < 128, "half of the 256 descriptors");
+        assert!(desk.owner_said(id, &set_up(inboxes.len() as u64)));
+        inboxes.push(inbox);
+    }
+    assert_eq!(inboxes.len(), 128);
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -15,8 +15,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (id, inbox) = desk.owner_came();
-                tasks.spawn(owner(Arc::clone(&desk), stream, id, inbox)).detach();
+                // Where there is no room the stream is dropped, which closes it.
+                if let Some((id, inbox)) = desk.owner_came() {
+                    tasks.spawn(owner(Arc::clone(&desk), stream, id, inbox)).detach();
+                }
             }
             Err(why) => {
                 // Descriptors have run out: some come back as connections that are silent are closed.
