Give a place among full node connections to the set-up that needs one

Ruled out: nodes that refuse (no line closed by its node for it), connections that broke (none ended), the bound of set-ups on a connection and of those in hand (both answer without shots), CPU (most 0.08 s in a second). Connections to nodes stood at 261, a third of 784; words came from all 261 within 3 s, so they were not idle: tasks of one dispatcher stand on more nodes than it may have connections.

At fault: Links::open in nodes.rs gave nothing where the table was full, whatever the connections were for, and Port::send in desk.rs then returned NotSent three times at once, which used the shots up.

Change: where the table is full the connection missed the least gives way: nothing is open on it and no test is out on it; of those that alone lead to tasks the longest unused, and only for a set-up or a cut. No task owns a connection (PROTOCOL), and what ended meanwhile is told on the next one.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -51,6 +51,9 @@
 const TEST_WITHIN: Tenths = SECOND;
 /// What can't be told by its node any longer must be told within 8 s of its end.
 const UNREACHABLE: Tenths = SECOND * 6;
+/// So long a node with tasks goes unheard before it takes the place of another with tasks: each is then heard in
+/// time to tell of an end, and no more connections are opened than that needs.
+const UNHEARD: Tenths = SECOND * 2;
 /// Words for owners that no connection could take, kept for the next one that comes.
 const UNTOLD: usize = 1_024;
 
@@ -403,21 +406,7 @@
 
     /// Closes what is silent, idle or of no more use, and opens what is missing.
     pub fn sweep(&self) {
-        self.with(|now, host, port| {
-            let useless = |owner: &Owner| {
-                let silent = !owner.sound && owner.came + SILENT <= now;
-                let cut = owner.midway.is_some_and(|since| since + SILENT <= now);
-                let idle = owner.open.is_empty() && owner.stands == 0 && owner.heard + IDLE <= now;
-                silent || cut || idle
-            };
-            let closed: Vec<OwnerId> =
-                port.owners.iter().filter(|(_, owner)| useless(owner)).map(|(&id, _)| id).collect();
-            closed.into_iter().for_each(|id| port.close_owner(now, host, id));
-            port.links.close_idle(now, &port.nodes);
-            for machine in port.nodes.unheard(&port.links) {
-                port.open_link(machine);
-            }
-        });
+        self.with(|now, host, port| port.sweep(now, host));
     }
 
     /// How much is kept of all that was ever met.
@@ -451,6 +440,23 @@
 }
 
 impl Port {
+    /// Looks for connections that are silent, idle or missing.
+    fn sweep(&mut self, now: Tenths, host: &mut Host<Placing>) {
+        let useless = |owner: &Owner| {
+            let silent = !owner.sound && owner.came + SILENT <= now;
+            let cut = owner.midway.is_some_and(|since| since + SILENT <= now);
+            let idle = owner.open.is_empty() && owner.stands == 0 && owner.heard + IDLE <= now;
+            silent || cut || idle
+        };
+        let closed: Vec<OwnerId> =
+            self.owners.iter().filter(|(_, owner)| useless(owner)).map(|(&id, _)| id).collect();
+        closed.into_iter().for_each(|id| self.close_owner(now, host, id));
+        self.links.close_idle(now, &self.nodes);
+        for (since, machine) in self.nodes.unheard(&self.links, now) {
+            self.open_link(machine, since + UNHEARD <= now);
+        }
+    }
+
     fn say(&mut self, to: OwnerId, kind: Kind, task: u64, parameters: &[(u8, &[u8])]) -> bool {
         let Some(bytes) = owner::message(kind, task, parameters) else { return false };
         self.owners.get(&to).is_some_and(|owner| owner.to.send(bytes))
@@ -620,7 +626,7 @@
                 self.nodes.stands(machine, id);
                 self.owners.get_mut(&from).into_iter().for_each(|owner| owner.stands += 1);
                 if self.links.of(machine).is_empty() {
-                    self.open_link(machine);
+                    self.open_link(machine, false);
                 }
             }
             return Ok(true);
@@ -695,7 +701,7 @@
     fn cut(&mut self, now: Tenths, id: AllocationId, task: u64, out: Option<Out>, cause: u32) {
         if let Some(out) = out {
             let message = node::Message::new(node::Kind::Close, task).code(cause);
-            self.tell_node(out.machine, out.link, &message);
+            self.tell_node(out.machine, out.link, &message, true);
         }
         self.due.insert((now + CUT_WITHIN, Due::Cut(id)));
     }
@@ -706,19 +712,27 @@
         machine: MachineId,
         link: Option<LinkId>,
         message: &node::Message,
+        cut_off: bool,
     ) -> Option<LinkId> {
         if let Some(link) = link.filter(|&link| self.links.stands(link)) {
             self.links.send(link, message);
             return Some(link);
         }
-        let link = self.links.of(machine).first().copied().or_else(|| self.open_link(machine))?;
+        let link = self.links.of(machine).first().copied().or_else(|| self.open_link(machine, cut_off))?;
         self.links.send(link, message);
         Some(link)
     }
 
-    fn open_link(&mut self, machine: MachineId) -> Option<LinkId> {
+    /// Tasks may stand on more nodes than there may be connections, and none owns one. So where the table is full
+    /// another gives way; `cut_off`: even one that alone leads to tasks, whose node is heard again by the sweep.
+    fn open_link(&mut self, machine: MachineId, cut_off: bool) -> Option<LinkId> {
         let desk = self.desk.upgrade()?;
         let address = self.nodes.address(machine)?;
+        if self.links.full() && !self.links.crowded(machine) {
+            // One that a test is out on would count against its node.
+            let tested: BTreeSet<LinkId> = self.tests.values().map(|&(_, link)| link).collect();
+            self.links.make_place(&self.nodes, &tested, cut_off);
+        }
         let (id, inbox, within) = self.links.open(machine, self.now)?;
         let tasks = Arc::clone(&desk.tasks);
         tasks.spawn(links::run(desk, id, address, duration(within), inbox)).detach();
@@ -753,7 +767,7 @@
             && end == End::Broke
         {
             // What stands there is told on the next connection.
-            self.open_link(link.machine);
+            self.open_link(link.machine, false);
         }
     }
 
@@ -959,7 +973,7 @@
         }
         message.text = Some(placing.description.clone());
         let free = self.links.free(machine, self.now);
-        let link = free.or_else(|| self.open_link(machine)).or_else(|| self.links.least(machine));
+        let link = free.or_else(|| self.open_link(machine, true)).or_else(|| self.links.least(machine));
         let Some(link) = link.filter(|&link| self.links.send(link, &message)) else {
             return self.deferred.push_back(Deferred::Returned(id, number, Ending::NotSent));
         };
@@ -1001,7 +1015,7 @@
     fn probe(&mut self, machine: MachineId) {
         self.last_test = self.last_test.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let message = node::Message::new(node::Kind::Probe, self.last_test).code(0);
-        if let Some(link) = self.tell_node(machine, None, &message) {
+        if let Some(link) = self.tell_node(machine, None, &message, false) {
             self.tests.insert(self.last_test, (machine, link));
             self.due.insert((self.now + TEST_WITHIN, Due::Test(self.last_test)));
         }
--- a/crates/platform/src/desk/bounds.rs
+++ b/crates/platform/src/desk/bounds.rs
@@ -17,7 +17,10 @@
 }
 
 fn set_up(task: u64) -> Message {
-    let figures = format!("cores:1;memory:1;service:{task:x}");
+    message(task, &format!("cores:1;memory:1;service:{task:x}"))
+}
+
+fn message(task: u64, figures: &str) -> Message {
     let parameters: [(u8, &[u8]); 4] = [
         (owner::CLASS, b"batch"),
         (owner::LEFT, b"6000"),
@@ -29,13 +32,17 @@
     reader.message().expect("sound").expect("whole")
 }
 
-/// Owners, services, tasks and nodes that come once and never again, on a desk whose connections nobody carries.
-#[test]
-fn tables_hold_what_is_there_and_not_what_has_been() {
+fn desk() -> Arc<Desk> {
     let (wakes, _waking) = async_channel::bounded(1);
     let (watches, _asked) = async_channel::bounded(1);
     let posting = Posting::read(POSTING.as_bytes()).expect("sound");
-    let desk = Desk::new(posting, &Tasks::default(), wakes, watches).expect("sound");
+    Desk::new(posting, &Tasks::default(), wakes, watches).expect("sound")
+}
+
+/// Owners, services, tasks and nodes that come once and never again, on a desk whose connections nobody carries.
+#[test]
+fn tables_hold_what_is_there_and_not_what_has_been() {
+    let desk = desk();
     let mut most = 0;
     for round in 1..=6_000u64 {
         if round % 3 == 1 {
@@ -72,10 +79,7 @@
 
 #[test]
 fn owners_that_all_have_a_set_up_open_leave_no_room_for_one_more() {
-    let (wakes, _waking) = async_channel::bounded(1);
-    let (watches, _asked) = async_channel::bounded(1);
-    let posting = Posting::read(POSTING.as_bytes()).expect("sound");
-    let desk = Desk::new(posting, &Tasks::default(), wakes, watches).expect("sound");
+    let desk = desk();
     let mut inboxes = Vec::new();
     while let Some((id, inbox)) = desk.owner_came() {
         assert!(inboxes.len() < 128, "half of the 256 descriptors");
@@ -84,3 +88,54 @@
     }
     assert_eq!(inboxes.len(), 128);
 }
+
+/// A task stands on each of more nodes than there may be connections, and so large a one that none is held back.
+fn crowded() -> (Arc<Desk>, OwnerId, Inbox) {
+    let desk = desk();
+    let members: Vec<String> = (1..=200).map(|number| member(number, "active")).collect();
+    let event = format!(r#"{{"n":1,"members":{{"members":[{}]}}}}"#, members.join(","));
+    desk.told(serde_json::from_str(&event).expect("an event"));
+    let (owner, inbox) = desk.owner_came().expect("there is room");
+    for node in 1..=200 {
+        let figures = format!("cores:20;memory:1;service:a;at:s-{node:x}");
+        assert!(desk.owner_said(owner, &message(node, &figures)));
+        let link = desk.lock().port.links.newest();
+        desk.link_up(link);
+    }
+    assert!(desk.lock().port.links.full());
+    (desk, owner, inbox)
+}
+
+#[test]
+fn tasks_on_more_nodes_than_connections_keep_no_set_up_from_its_node() {
+    let (desk, owner, _inbox) = crowded();
+    for task in 1_000..1_100 {
+        assert!(desk.owner_said(owner, &set_up(task)));
+        assert_eq!(desk.lock().host.counts().shots_out, 1, "task {task} has been sent and not refused");
+        let link = {
+            let host = &mut desk.lock().host;
+            let id = host.find(&sid(task)).expect("in hand");
+            host.own(id).and_then(|(placing, _)| placing.out?.link).expect("on a connection")
+        };
+        desk.link_up(link);
+        eprintln!("{task} {link:?}");
+        let made = node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, task) };
+        assert!(desk.node_said(link, made));
+    }
+}
+
+#[test]
+fn each_node_with_tasks_is_heard_in_turn_where_connections_are_fewer() {
+    let (desk, _owner, _inbox) = crowded();
+    let mut heard = BTreeSet::new();
+    for sweep in 1..=24 {
+        desk.with(|now, host, port| {
+            port.now = now + sweep * SECOND / 4;
+            port.sweep(port.now, host);
+            let links: Vec<LinkId> = (0..=port.links.newest().0).map(LinkId).collect();
+            links.into_iter().for_each(|link| port.links.up(link, port.now));
+            heard.extend(port.links.machines());
+        });
+    }
+    assert_eq!(heard.len(), 200, "within the 6 s that leave time to tell of an end within 8 s");
+}
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -22,6 +22,8 @@
     leaving: bool,
     /// It takes no connection any longer.
     shut: bool,
+    /// Since when tasks stand there and no connection does.
+    unheard: Option<Tenths>,
     standing: BTreeSet<AllocationId>,
 }
 
@@ -98,10 +100,17 @@
         })
     }
 
-    /// Those on which tasks stand and to which no connection stands: nothing could be heard of them.
-    pub fn unheard(&self, links: &Links) -> Vec<MachineId> {
-        let held = self.nodes.iter().filter(|(_, node)| !node.standing.is_empty() && !node.shut);
-        held.map(|(&id, _)| id).filter(|&id| links.of(id).is_empty()).collect()
+    /// Those on which tasks stand and to which no connection stands, with the moment since when: nothing could be
+    /// heard of them. The longest unheard first.
+    pub fn unheard(&mut self, links: &Links, now: Tenths) -> Vec<(Tenths, MachineId)> {
+        let mut unheard = Vec::new();
+        for (&id, node) in &mut self.nodes {
+            let heard = node.standing.is_empty() || node.shut || !links.of(id).is_empty();
+            node.unheard = if heard { None } else { node.unheard.or(Some(now)) };
+            unheard.extend(node.unheard.map(|since| (since, id)));
+        }
+        unheard.sort();
+        unheard
     }
 
     pub fn listed(&mut self, members: &Members, facts: &Facts) -> Listed {
@@ -129,6 +138,7 @@
                 started: member.up_since_ms,
                 leaving: false,
                 shut: false,
+                unheard: None,
                 standing: BTreeSet::new(),
             });
             node.address = member.host_port;
@@ -204,8 +214,7 @@
 
     /// None where as many as may be are open.
     pub fn open(&mut self, machine: MachineId, now: Tenths) -> Option<(LinkId, Inbox, Tenths)> {
-        let there = self.by_machine.get(&machine).map_or(0, BTreeSet::len);
-        if self.links.len() >= self.most || there >= A_NODE {
+        if self.full() || self.crowded(machine) {
             return None;
         }
         self.opened += 1;
@@ -217,6 +226,26 @@
         Some((id, inbox, self.connect_within))
     }
 
+    pub fn full(&self) -> bool {
+        self.links.len() >= self.most
+    }
+
+    pub fn crowded(&self, machine: MachineId) -> bool {
+        self.by_machine.get(&machine).map_or(0, BTreeSet::len) >= A_NODE
+    }
+
+    /// Closes the connection that is missed the least: nothing is open on it or spared. Of those that alone lead to
+    /// tasks the one longest unused, and only where one may be `cut_off`. False where there is none.
+    pub fn make_place(&mut self, nodes: &Nodes, spared: &BTreeSet<LinkId>, cut_off: bool) -> bool {
+        let free =
+            self.links.iter().filter(|(id, link)| link.up && link.open.is_empty() && !spared.contains(id));
+        let alone = |link: &Link| nodes.holds(link.machine) && self.of(link.machine).len() < 2;
+        let least = free.map(|(&id, link)| (alone(link), link.used, id)).min();
+        let Some((_, _, id)) = least.filter(|&(alone, _, _)| cut_off || !alone) else { return false };
+        self.remove(id);
+        true
+    }
+
     /// Of connections and what is open on them.
     pub fn kept(&self) -> usize {
         self.links.values().map(|link| 1 + link.open.len()).sum::<usize>() + self.by_machine.len()
@@ -227,6 +256,11 @@
         *self.links.keys().next_back().expect("one is open")
     }
 
+    #[cfg(test)]
+    pub fn machines(&self) -> impl Iterator<Item = MachineId> {
+        self.by_machine.keys().copied()
+    }
+
     /// One that nothing is open on, so that if it breaks nothing else breaks with it.
     pub fn free(&self, machine: MachineId, now: Tenths) -> Option<LinkId> {
         let links = self.of(machine).into_iter().map(|id| (id, &self.links[&id]));
