Give the story of a whole roll the time of a roll, not that of one condition

The other stories of a roll already have 50 s. Tried: their until_ready, which counts one version a task and never sees all where old and new stand beside each other.

--- a/crates/lab/tests/full_path/rolls.rs
+++ b/crates/lab/tests/full_path/rolls.rs
@@ -201,6 +201,16 @@
     Rules { seed: 0, tracks: vec![track], nodes: Vec::new(), grace_us: 0, cold, slack_us: 1_000_000 }
 }
 
+/// For what takes a whole roll: ten waves of nearly two seconds are more than `until` gives.
+async fn until_rolled(mut condition: impl AsyncFnMut() -> bool) {
+    let waits = corkspan_rpc::within(Duration::from_secs(50), async {
+        while !condition().await {
+            async_io::Timer::after(Duration::from_millis(20)).await;
+        }
+    });
+    waits.await.expect("the roll comes to its end");
+}
+
 async fn until_ready(stage: &Stage, version: &str, copies: usize) {
     let long = corkspan_rpc::within(Duration::from_secs(50), async {
         while stage.ready().0.get(version).copied().unwrap_or(0) < copies {
@@ -434,7 +444,7 @@
 ) {
     story(dispatchers, copies, track, async |stage| {
         assert!(stage.start_in(0, "v2", most, true).await.taken);
-        until(async || stage.ready_now().0.get("v2") == Some(&copies)).await;
+        until_rolled(async || stage.ready_now().0.get("v2") == Some(&copies)).await;
         until(async || stage.one_each(copies)).await;
         let (_, unready, beside) = stage.ready_now();
         assert_eq!(unready, 0, "none was missing at any time");
