Keep the only connection to a draining node that holds tasks

Such a node may listen no longer (drop_link knows that), and what runs there would be told over 6 s after the refusal, though it runs on.

Also: what a new connection may take has a type with two names instead of true and false; make_place no longer returns what nobody read; a line for debugging is out of a story, which answers tests now as was meant, so that it can't depend on time; one story is gone that another covers (both failed without the turn and without the place).

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -2,7 +2,7 @@
 //! a message calls in here directly; the answers are on their way before the call returns.
 
 use crate::links::{self, End};
-use crate::nodes::{Links, Nodes};
+use crate::nodes::{Links, Nodes, Takes};
 use crate::outbox::{Inbox, Outbox, outbox};
 use corkspan::interface::*;
 use corkspan_facts::Facts;
@@ -52,8 +52,7 @@
 /// What can't be told by its node any longer must be told within 8 s of its end.
 const UNREACHABLE: Tenths = SECOND * 6;
 /// So long a node with tasks goes unheard before it takes the place of another with tasks. The decisions test a silent
-/// node each second and give up what stands there after 5 s: with less than a second between turns, a test that
-/// found no connection is followed by one that does.
+/// node each second and give up what stands there after 5 s: of its tests at least one must find a connection.
 const UNHEARD: Tenths = SECOND;
 /// Words for owners that no connection could take, kept for the next one that comes.
 const UNTOLD: usize = 1_024;
@@ -454,7 +453,8 @@
         closed.into_iter().for_each(|id| self.close_owner(now, host, id));
         self.links.close_idle(now, &self.nodes);
         for (since, machine) in self.nodes.unheard(&self.links, now) {
-            self.open_link(machine, since + UNHEARD <= now);
+            let takes = if since + UNHEARD <= now { Takes::Any } else { Takes::Spare };
+            self.open_link(machine, takes);
         }
     }
 
@@ -627,7 +627,7 @@
                 self.nodes.stands(machine, id);
                 self.owners.get_mut(&from).into_iter().for_each(|owner| owner.stands += 1);
                 if self.links.of(machine).is_empty() {
-                    self.open_link(machine, false);
+                    self.open_link(machine, Takes::Spare);
                 }
             }
             return Ok(true);
@@ -702,7 +702,7 @@
     fn cut(&mut self, now: Tenths, id: AllocationId, task: u64, out: Option<Out>, cause: u32) {
         if let Some(out) = out {
             let message = node::Message::new(node::Kind::Close, task).code(cause);
-            self.tell_node(out.machine, out.link, &message, true);
+            self.tell_node(out.machine, out.link, &message, Takes::Any);
         }
         self.due.insert((now + CUT_WITHIN, Due::Cut(id)));
     }
@@ -713,26 +713,26 @@
         machine: MachineId,
         link: Option<LinkId>,
         message: &node::Message,
-        cut_off: bool,
+        takes: Takes,
     ) -> Option<LinkId> {
         if let Some(link) = link.filter(|&link| self.links.stands(link)) {
             self.links.send(link, message);
             return Some(link);
         }
-        let link = self.links.of(machine).first().copied().or_else(|| self.open_link(machine, cut_off))?;
+        let link = self.links.of(machine).first().copied().or_else(|| self.open_link(machine, takes))?;
         self.links.send(link, message);
         Some(link)
     }
 
     /// Tasks may stand on more nodes than there may be connections, and none owns one. So where the table is full
-    /// another gives way; `cut_off`: even one that alone leads to tasks, whose node is heard again by the sweep.
-    fn open_link(&mut self, machine: MachineId, cut_off: bool) -> Option<LinkId> {
+    /// another gives way.
+    fn open_link(&mut self, machine: MachineId, takes: Takes) -> Option<LinkId> {
         let desk = self.desk.upgrade()?;
         let address = self.nodes.address(machine)?;
         if self.links.full() && !self.links.crowded(machine) {
             // One that a test is out on would count against its node.
             let tested: BTreeSet<LinkId> = self.tests.values().map(|&(_, link)| link).collect();
-            self.links.make_place(&self.nodes, &tested, cut_off);
+            self.links.make_place(&self.nodes, &tested, takes);
         }
         let (id, inbox, within) = self.links.open(machine, self.now)?;
         let tasks = Arc::clone(&desk.tasks);
@@ -768,7 +768,7 @@
             && end == End::Broke
         {
             // What stands there is told on the next connection.
-            self.open_link(link.machine, false);
+            self.open_link(link.machine, Takes::Spare);
         }
     }
 
@@ -974,7 +974,7 @@
         }
         message.text = Some(placing.description.clone());
         let free = self.links.free(machine, self.now);
-        let link = free.or_else(|| self.open_link(machine, true)).or_else(|| self.links.least(machine));
+        let link = free.or_else(|| self.open_link(machine, Takes::Any)).or_else(|| self.links.least(machine));
         let Some(link) = link.filter(|&link| self.links.send(link, &message)) else {
             return self.deferred.push_back(Deferred::Returned(id, number, Ending::NotSent));
         };
@@ -1016,7 +1016,7 @@
     fn probe(&mut self, machine: MachineId) {
         self.last_test = self.last_test.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let message = node::Message::new(node::Kind::Probe, self.last_test).code(0);
-        if let Some(link) = self.tell_node(machine, None, &message, false) {
+        if let Some(link) = self.tell_node(machine, None, &message, Takes::Spare) {
             self.tests.insert(self.last_test, (machine, link));
             self.due.insert((self.now + TEST_WITHIN, Due::Test(self.last_test)));
         }
--- a/crates/platform/src/desk/bounds.rs
+++ b/crates/platform/src/desk/bounds.rs
@@ -127,27 +127,12 @@
             host.own(id).and_then(|(placing, _)| placing.out?.link).expect("on a connection")
         };
         desk.link_up(link);
-        eprintln!("{task} {link:?}");
+        answer_tests(&mut desk.lock());
         let made = node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, task) };
         assert!(desk.node_said(link, made));
     }
 }
 
-#[test]
-fn each_node_with_tasks_is_heard_in_turn_where_connections_are_fewer() {
-    let (desk, _owner, _inbox) = crowded(200);
-    let mut heard = BTreeSet::new();
-    for sweep in 1..=24 {
-        desk.with(|now, host, port| {
-            port.now = now + sweep * SECOND / 4;
-            port.sweep(port.now, host);
-            port.links.all_up(port.now);
-            heard.extend(port.links.machines());
-        });
-    }
-    assert_eq!(heard.len(), 200, "within the 6 s that leave time to tell of an end within 8 s");
-}
-
 #[test]
 fn nothing_is_given_up_as_lost_on_nodes_that_answer_each_test_where_connections_are_fewer() {
     let (desk, _owner, _inbox) = crowded(130);
@@ -163,3 +148,20 @@
         answer_tests(&mut inner);
     }
 }
+
+#[test]
+fn the_only_connection_to_a_draining_node_is_kept_since_it_may_take_no_other() {
+    let (desk, _owner, _inbox) = crowded(200);
+    let event = format!(r#"{{"n":2,"members":{{"members":[{}]}}}}"#, member(1, "leaving"));
+    desk.told(serde_json::from_str(&event).expect("an event"));
+    let mut inner = desk.lock();
+    let machine = inner.port.nodes.find("s-1").expect("listed");
+    let link = inner.port.links.of(machine);
+    for step in 1..=24 {
+        let Inner { host, port } = &mut *inner;
+        port.now += step * SECOND / 4;
+        port.sweep(port.now, host);
+        port.links.all_up(port.now);
+        assert_eq!((port.links.of(machine), link.len()), (link.clone(), 1));
+    }
+}
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -91,6 +91,10 @@
         self.nodes.get(&machine).is_some_and(|node| !node.standing.is_empty())
     }
 
+    pub fn leaves(&self, machine: MachineId) -> bool {
+        self.nodes.get(&machine).is_some_and(|node| node.leaving)
+    }
+
     /// A connection was refused. True where that tells nothing of the tasks there: a node that drains stops
     /// listening while they run on.
     pub fn refused(&mut self, machine: MachineId) -> bool {
@@ -193,6 +197,15 @@
     used: Tenths,
 }
 
+/// Whose place a new connection may take where as many as may be are open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Takes {
+    /// That of one without which each node with tasks is still heard.
+    Spare,
+    /// Also that of the only one to a node with tasks: it is heard again when its turn comes.
+    Any,
+}
+
 pub struct Links {
     links: BTreeMap<LinkId, Link>,
     by_machine: BTreeMap<MachineId, BTreeSet<LinkId>>,
@@ -235,15 +248,15 @@
     }
 
     /// Closes the connection that is missed the least: nothing is open on it or spared. Of those that alone lead to
-    /// tasks the one longest unused, and only where one may be `cut_off`. False where there is none.
-    pub fn make_place(&mut self, nodes: &Nodes, spared: &BTreeSet<LinkId>, cut_off: bool) -> bool {
+    /// tasks the one longest unused, and none to a node that drains: it may take no other.
+    pub fn make_place(&mut self, nodes: &Nodes, spared: &BTreeSet<LinkId>, takes: Takes) {
         let free =
             self.links.iter().filter(|(id, link)| link.up && link.open.is_empty() && !spared.contains(id));
         let alone = |link: &Link| nodes.holds(link.machine) && self.of(link.machine).len() < 2;
-        let least = free.map(|(&id, link)| (alone(link), link.used, id)).min();
-        let Some((_, _, id)) = least.filter(|&(alone, _, _)| cut_off || !alone) else { return false };
-        self.remove(id);
-        true
+        let ranked = free.map(|(&id, link)| (alone(link), link.used, id, link.machine));
+        let may = |alone: bool, machine| !alone || takes == Takes::Any && !nodes.leaves(machine);
+        let least = ranked.filter(|&(alone, _, _, machine)| may(alone, machine)).min();
+        least.map(|(_, _, id, _)| self.remove(id));
     }
 
     /// Of connections and what is open on them.
@@ -261,11 +274,6 @@
         self.links.values_mut().filter(|link| !link.up).for_each(|link| (link.up, link.used) = (true, now));
     }
 
-    #[cfg(test)]
-    pub fn machines(&self) -> impl Iterator<Item = MachineId> {
-        self.by_machine.keys().copied()
-    }
-
     /// One that nothing is open on, so that if it breaks nothing else breaks with it.
     pub fn free(&self, machine: MachineId, now: Tenths) -> Option<LinkId> {
         let links = self.of(machine).into_iter().map(|id| (id, &self.links[&id]));
