Hear out the connections to nodes that are closed; owners share a turn

PROTOCOL leaves 1 s (1.05 with its slack).

Lines at fault: Links::remove dropped the connection where it gave way, was idle or was retired; carry() in outbox.rs then shut down both directions with what the node had sent unread. The node says a release again only on the next connection opened, and none is opened where another stands; where none stands its turn comes 1 s later.

Also seen: the timer was up to 266 ms late at the busiest second (0.2 of a core, some 500 set-ups in 250 ms), first shots at the 99th percentile 262 to 312 ms after their set-up. A reader of an owner handled all messages of 8 KiB before anybody else's turn, on each of some 15 connections.

No owner's connection was closed by us.

Now: a connection that we close is closed on our side and read on until the node has ended its own, for 1 s at the most, a fifth of the connections at a time. Owners share one turn in each round, a message a turn.

Tests, each seen to fail without its part: a release under way on a connection that gives way (books), one that crosses the close of its connection while another stands (sockets), the bound on such connections, and a node's word behind 10,000 messages of 20 owners (1 goes before it; 20 without the shared turn).

--- a/crates/platform/src/desk/bounds.rs
+++ b/crates/platform/src/desk/bounds.rs
@@ -165,3 +165,48 @@
         assert_eq!((port.links.of(machine), link.len()), (link.clone(), 1));
     }
 }
+
+/// The table of connections is full, so each set-up for another node closes one. The words under way on it count.
+#[test]
+fn a_release_under_way_on_a_connection_that_gives_way_is_told_at_once() {
+    let (desk, owner, inbox) = crowded(200);
+    let stood: Vec<(LinkId, u64)> = {
+        let Inner { host, port } = &mut *desk.lock();
+        let links = |task: &u64| port.links.of(port.nodes.find(&format!("s-{task:x}")).expect("listed"));
+        let stood = (1..=200).filter_map(|task| Some((*links(&task).first()?, task))).collect();
+        host.woken(port.now);
+        stood
+    };
+    let mut gone = 0;
+    for task in 1_000..1_010 {
+        assert!(desk.owner_said(owner, &set_up(task)));
+        answer_tests(&mut desk.lock());
+    }
+    for (link, task) in stood {
+        if !desk.lock().port.links.stands(link) {
+            gone += 1;
+            assert!(desk.node_said(link, node::Message::new(node::Kind::Close, task).code(16)));
+            let released = owner::message(Kind::Release, task, &[(owner::CAUSE, &[16])]).expect("short");
+            assert_eq!(inbox.waiting().last(), Some(&released), "task {task}");
+        }
+    }
+    assert!(gone > 0, "some connections have given way");
+}
+
+#[test]
+fn connections_that_are_heard_out_are_bounded() {
+    let (desk, owner, _inbox) = crowded(200);
+    for task in 1_000..1_100 {
+        assert!(desk.owner_said(owner, &set_up(task)));
+        let link = desk.lock().port.links.newest();
+        desk.link_up(link);
+        answer_tests(&mut desk.lock());
+        let made = node::Message { text: Some("made".into()), ..node::Message::new(node::Kind::Ready, task) };
+        assert!(desk.node_said(link, made));
+        let (open, closing) = desk.lock().port.links.counts();
+        assert!(
+            open <= 85 && closing <= 17,
+            "a third of the descriptors, and a fifth of that: {open}, {closing}"
+        );
+    }
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,8 +1,9 @@
 //! The owners' front: one listener, and a task for each connection.
 
 use crate::desk::{Desk, OwnerId};
-use crate::outbox::{Inbox, carry};
+use crate::outbox::{Heard, Inbox, carry};
 use async_io::Timer;
+use async_lock::Semaphore;
 use async_net::{TcpListener, TcpStream};
 use corkspan_platform_wire::owner::Reader;
 use corkspan_runtime::Tasks;
@@ -12,12 +13,16 @@
 
 /// Takes connections until dropped. One too many takes the place of one that is of the least use.
 pub async fn run(desk: Arc<Desk>, tasks: Tasks, listener: TcpListener) {
+    // Set-ups are the dear ones of all messages. A burst of them on every connection at once must not keep the words
+    // of nodes waiting: what is over is to be told within a second, however many set-ups have come before it.
+    let turns = Arc::new(Semaphore::new(1));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 // Where there is no room the stream is dropped, which closes it.
                 if let Some((id, inbox)) = desk.owner_came() {
-                    tasks.spawn(owner(Arc::clone(&desk), stream, id, inbox)).detach();
+                    let turns = Arc::clone(&turns);
+                    tasks.spawn(owner(Arc::clone(&desk), stream, id, inbox, turns)).detach();
                 }
             }
             Err(why) => {
@@ -30,29 +35,24 @@
     }
 }
 
-async fn owner(desk: Arc<Desk>, stream: TcpStream, id: OwnerId, inbox: Inbox) {
+async fn owner(desk: Arc<Desk>, stream: TcpStream, id: OwnerId, inbox: Inbox, turns: Arc<Semaphore>) {
     let _ = stream.set_nodelay(true);
     let mut reader = Reader::default();
     let heard = |bytes: &[u8]| {
         reader.push(bytes);
-        loop {
-            match reader.message() {
-                Ok(Some(message)) => {
-                    if !desk.owner_said(id, &message) {
-                        return false;
-                    }
-                }
-                Ok(None) => {
-                    desk.owner_midway(id, reader.midway());
-                    return true;
-                }
-                Err(why) => {
-                    debug!(?id, %why, "closing an owner's connection");
-                    return false;
-                }
+        match reader.message() {
+            Ok(Some(message)) if desk.owner_said(id, &message) => Heard::One,
+            Ok(Some(_)) => Heard::Enough,
+            Ok(None) => {
+                desk.owner_midway(id, reader.midway());
+                Heard::All
+            }
+            Err(why) => {
+                debug!(?id, %why, "closing an owner's connection");
+                Heard::Enough
             }
         }
     };
-    carry(stream, inbox, || {}, heard).await;
+    carry(stream, inbox, Some(&turns), || {}, heard).await;
     desk.owner_left(id);
 }
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -1,7 +1,7 @@
 //! Connections to nodes: a task for each, from the attempt to open it to its end.
 
 use crate::desk::{Desk, LinkId};
-use crate::outbox::{Inbox, carry};
+use crate::outbox::{Heard, Inbox, carry};
 use async_net::TcpStream;
 use corkspan_platform_wire::node::Reader;
 use corkspan_runtime::within;
@@ -35,22 +35,19 @@
     let mut reader = Reader::default();
     let heard = |bytes: &[u8]| {
         reader.push(bytes);
-        loop {
-            match reader.message() {
-                Ok(Some(message)) => {
-                    if !desk.node_said(id, message) {
-                        return false;
-                    }
-                }
-                Ok(None) => return true,
-                Err(why) => {
-                    // Nothing after it can be trusted, so no more is read.
-                    debug!(?id, %why, "closing a connection to a node");
-                    return false;
-                }
+        match reader.message() {
+            Ok(Some(message)) => match desk.node_said(id, message) {
+                true => Heard::One,
+                false => Heard::Enough,
+            },
+            Ok(None) => Heard::All,
+            Err(why) => {
+                // Nothing after it can be trusted, so no more is read.
+                debug!(?id, %why, "closing a connection to a node");
+                Heard::Enough
             }
         }
     };
-    carry(stream, inbox, || desk.link_writes(id), heard).await;
+    carry(stream, inbox, None, || desk.link_writes(id), heard).await;
     desk.link_ended(id, End::Broke);
 }
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -14,6 +14,8 @@
 
 /// Connections to one node at the most.
 const A_NODE: usize = 24;
+/// One connection for so many may be closing while its node is heard out.
+const HEARD_OUT: usize = 5;
 
 struct Node {
     name: String,
@@ -209,6 +211,8 @@
 pub struct Links {
     links: BTreeMap<LinkId, Link>,
     by_machine: BTreeMap<MachineId, BTreeSet<LinkId>>,
+    /// Connections that we close while their nodes may still have words under way on them.
+    closing: BTreeMap<LinkId, MachineId>,
     opened: u64,
     most: usize,
     connect_within: Tenths,
@@ -217,7 +221,8 @@
 
 impl Links {
     pub fn new(most: usize, connect_within: Tenths, idle: Tenths) -> Self {
-        Links { links: BTreeMap::new(), by_machine: BTreeMap::new(), opened: 0, most, connect_within, idle }
+        let (links, by_machine, closing) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Links { links, by_machine, closing, opened: 0, most, connect_within, idle }
     }
 
     pub fn of(&self, machine: MachineId) -> Vec<LinkId> {
@@ -256,12 +261,19 @@
         let ranked = free.map(|(&id, link)| (alone(link), link.used, id, link.machine));
         let may = |alone: bool, machine| !alone || takes == Takes::Any && !nodes.leaves(machine);
         let least = ranked.filter(|&(alone, _, _, machine)| may(alone, machine)).min();
-        least.map(|(_, _, id, _)| self.remove(id));
+        least.into_iter().for_each(|(_, _, id, _)| self.close(id));
     }
 
     /// Of connections and what is open on them.
     pub fn kept(&self) -> usize {
-        self.links.values().map(|link| 1 + link.open.len()).sum::<usize>() + self.by_machine.len()
+        let links = self.links.values().map(|link| 1 + link.open.len());
+        links.sum::<usize>() + self.by_machine.len() + self.closing.len()
+    }
+
+    /// Connections, and those that are heard out.
+    #[cfg(test)]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.links.len(), self.closing.len())
     }
 
     #[cfg(test)]
@@ -319,7 +331,7 @@
 
     /// The machine at its other end; none where the connection is done with.
     pub fn heard(&mut self, id: LinkId, now: Tenths) -> Option<MachineId> {
-        let link = self.links.get_mut(&id)?;
+        let Some(link) = self.links.get_mut(&id) else { return self.closing.get(&id).copied() };
         link.used = now;
         Some(link.machine)
     }
@@ -333,13 +345,24 @@
         if let Some(link) = self.links.get_mut(&id) {
             link.retired = true;
             if link.open.is_empty() {
-                self.remove(id);
+                self.close(id);
             }
         }
     }
 
-    /// Closes it once all is written.
+    /// Closes it once all is written, and hears its node out: a release that is under way already would else be told
+    /// only on the next connection opened, which may be long in coming where another stands. So many at a time, since
+    /// each keeps its descriptor; beyond, at once.
+    pub fn close(&mut self, id: LinkId) {
+        let room = self.closing.len() < self.most / HEARD_OUT;
+        let Some(link) = self.remove(id).filter(|link| link.up && room) else { return };
+        self.closing.insert(id, link.machine);
+        link.to.hear_out();
+    }
+
+    /// It has ended, or is to end at once.
     pub fn remove(&mut self, id: LinkId) -> Option<Link> {
+        self.closing.remove(&id);
         let link = self.links.remove(&id)?;
         if let Some(links) = self.by_machine.get_mut(&link.machine) {
             links.remove(&id);
@@ -357,7 +380,7 @@
             self.links.iter().filter(|(_, link)| idle(link)).map(|(&id, link)| (id, link.machine)).collect();
         for (id, machine) in ids {
             if self.links[&id].retired || !nodes.holds(machine) || self.of(machine).len() > 1 {
-                self.remove(id);
+                self.close(id);
             }
         }
     }
--- /dev/null
+++ b/crates/platform/src/outbox/turns.rs
@@ -0,0 +1,54 @@
+//! Whose turn it is, told by counts and not by times.
+
+use super::*;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream as Peer};
+use std::sync::atomic::AtomicU32;
+
+/// A connection on which these bytes have come already, and the peer's end of it.
+fn told(bytes: &[u8]) -> (TcpStream, Peer) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
+    let mut peer = Peer::connect(listener.local_addr().expect("bound")).expect("connected");
+    peer.write_all(bytes).expect("written");
+    let (stream, _) = listener.accept().expect("accepted");
+    (TcpStream::try_from(stream).expect("a stream"), peer)
+}
+
+#[test]
+fn a_burst_on_every_owners_connection_lets_a_nodes_word_through() {
+    const OWNERS: usize = 20;
+    let (tasks, turns) = (corkspan_runtime::Tasks::default(), Arc::new(Semaphore::new(1)));
+    let (owners, node) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let mut kept = Vec::new();
+    for _ in 0..OWNERS {
+        let ((stream, peer), (out, inbox)) = (told(&[0; 500]), outbox());
+        let (turns, owners, mut left) = (Arc::clone(&turns), Arc::clone(&owners), 0);
+        kept.push((peer, out));
+        let carried = async move {
+            let heard = |bytes: &[u8]| {
+                left += bytes.len();
+                owners.fetch_add(u32::from(left > 0), Ordering::Relaxed);
+                left = left.saturating_sub(1);
+                if left > 0 { Heard::One } else { Heard::All }
+            };
+            carry(stream, inbox, Some(&turns), || {}, heard).await;
+        };
+        tasks.spawn(carried).detach();
+    }
+    let ((stream, peer), (out, inbox)) = (told(b"over"), outbox());
+    kept.push((peer, out));
+    let word = Arc::clone(&node);
+    let heard = move |_: &[u8]| {
+        word.fetch_add(1, Ordering::Relaxed);
+        Heard::All
+    };
+    tasks.spawn(async move { carry(stream, inbox, None, || {}, heard).await }).detach();
+    while node.load(Ordering::Relaxed) == 0 {
+        future::block_on(tasks.tick());
+    }
+    let before = owners.load(Ordering::Relaxed) as usize;
+    assert!(before <= OWNERS / 4, "{before} messages of owners went before it, of {}", OWNERS * 500);
+    while owners.load(Ordering::Relaxed) < (OWNERS * 500) as u32 {
+        future::block_on(tasks.tick());
+    }
+}
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -219,3 +219,27 @@
     owner.sets_up(7, &[]);
     assert_eq!(world.nodes[0].opened().hears().sid, Some(7));
 }
+
+/// Its connection's set-up timed out, so that it is used no more; the task that stands was set up on it as well.
+#[test]
+fn a_release_that_crosses_the_close_of_its_connection_is_told_though_another_stands() {
+    let mut world = World::new(1);
+    let (mut owner, mut first) = world.placed(7);
+    owner.sets_up(8, &[(LEFT, b"600")]);
+    assert_eq!(first.hears().sid, Some(8), "on the connection that is free");
+    owner.sets_up(9, &[]);
+    let mut second = world.nodes[0].opened();
+    second.hears();
+    second.says(ready(9, "made"));
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    // Nothing comes of the set-up: it is given up, and then the connection is closed.
+    while !first.ends() {}
+    first.says(node::Message::new(node::Kind::Close, 7).code(16));
+    loop {
+        let said = owner.hears();
+        assert_eq!(said.kind, Kind::Release);
+        if said.task == 7 {
+            break;
+        }
+    }
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -274,6 +274,11 @@
         }
     }
 
+    /// The dispatcher has ended its side.
+    pub fn ends(&mut self) -> bool {
+        self.stream.read(&mut [0; 64]).expect("words or an end") == 0
+    }
+
     pub fn says(&mut self, message: node::Message) {
         self.says_bytes(&message.line().expect("short"));
     }
