Cut the keepers out of the rolls into a package of their own

Need: the floor of versions, taking machines out and shared state are to be wishes at a majority of keepers as rolls are, and the keeper knew rolls only.

Change: corkspan-keeper holds what is the same for all: numbered wishes by matter, slots under a wish's limit, claims, release, the wish in force and the one to follow. A roll is one kind of wish; the keeper of rolls is the same type over it. Rolls go on upon it unchanged, with their search (a keeper's OtherRoll is OtherWish now, services() is all()).

--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -7,7 +7,7 @@
 use async_net::TcpListener;
 use corkspan::interface::Amount;
 use corkspan_api::v1::{self, node_server::NodeServer, said::Said, turned::Why};
-use corkspan_roll::keeper::{Claimed, Grant, Keeper};
+use corkspan_roll::{Claimed, Grant, Keeper};
 use corkspan_rpc::{Bounds, Tasks};
 use futures_lite::Stream;
 use rand::{RngExt, SeedableRng};
@@ -651,14 +651,14 @@
                 keeper.release(&release.service, corkspan_roll::ClaimId(release.claim));
             }
             Some(Ask::Tell(_)) => {
-                for own in keeper.services() {
+                for own in keeper.all() {
                     let slots = own.slots.iter().map(|(slot, grant)| v1::Slot {
                         slot: *slot,
                         claim: grant.claim.0,
                         task: grant.task.clone(),
                         dispatcher: grant.dispatcher,
                     });
-                    word.kept.push(kept(&own.roll, slots.collect()));
+                    word.kept.push(kept(&own.wish, slots.collect()));
                 }
             }
             None => return Err(Status::invalid_argument("nothing is asked")),
--- a/crates/roll/src/conductor.rs
+++ b/crates/roll/src/conductor.rs
@@ -1,6 +1,6 @@
 //! Decides a service's roll for one dispatcher, from its own copies and what the keepers tell.
 
-use crate::keeper::Grant;
+use crate::Grant;
 use crate::{ClaimId, Order, Phase, Roll, majority};
 use corkspan::interface::Tenths;
 use rand::{RngExt, SeedableRng};
--- a/crates/roll/src/lib.rs
+++ b/crates/roll/src/lib.rs
@@ -1,21 +1,17 @@
 //! What a rolling update decides, without I/O and without a clock. docs/roll.md says why it is so.
 //!
 //! A roll replaces the copies of a service by a new version, so that never more than a stated number of them are
-//! not ready, over all dispatchers together, which share nothing. [`keeper`] is the place of truth: a few nodes,
-//! named in the deployment, keep each service's latest roll and who holds its slots. A copy may be taken down
-//! only by who holds a slot at a majority of them. [`conductor`] decides for one dispatcher: which copy next,
+//! not ready, over all dispatchers together, which share nothing. The keepers of [`corkspan_keeper`] are the place of
+//! truth: they keep each service's latest roll and who holds its slots. A copy may be taken down only by who holds a
+//! slot at a majority of them. [`conductor`] decides for one dispatcher: which copy next,
 //! when to wait, when to halt.
 
 pub mod conductor;
-pub mod keeper;
 
 use corkspan::interface::Tenths;
+pub use corkspan_keeper::{ClaimId, Claimed, Grant, in_force, majority, to_follow};
 use serde::{Deserialize, Serialize};
 
-/// One claim of a slot; drawn anew for each, so that word of an earlier one can't be taken for a later.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct ClaimId(pub u64);
-
 /// A service's roll, as its operator wants it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roll {
@@ -59,6 +55,30 @@
     Halted(String),
 }
 
+/// What a node keeps of rolls.
+pub type Keeper = corkspan_keeper::Keeper<Roll>;
+
+impl corkspan_keeper::Wish for Roll {
+    /// Its service.
+    type Matter = String;
+
+    fn matter(&self) -> String {
+        self.service.clone()
+    }
+
+    fn number(&self) -> u64 {
+        self.number
+    }
+
+    fn numbered(&self, number: u64) -> Self {
+        Roll { number, ..self.clone() }
+    }
+
+    fn slots(&self) -> u32 {
+        self.unready_most
+    }
+}
+
 impl Roll {
     /// The version that a copy placed now gets: the former where it is not known that the new one is any good.
     pub fn wanted(&self) -> &str {
@@ -79,25 +99,3 @@
         Roll { number: self.number + 1, asker, version, former, phase: Phase::Rolling, ..self.clone() }
     }
 }
-
-/// Whether so many of all are more than half.
-pub fn majority(some: usize, all: usize) -> bool {
-    2 * some > all
-}
-
-/// The roll in force among what keepers tell, with how many keepers there are: the highest that a majority holds.
-/// None where no majority is seen to agree; what was in force before then stays so.
-pub fn in_force<'a>(told: impl IntoIterator<Item = &'a Roll>, keepers: usize) -> Option<&'a Roll> {
-    let told: Vec<&Roll> = told.into_iter().collect();
-    let agreed =
-        told.iter().filter(|roll| majority(told.iter().filter(|other| other == roll).count(), keepers));
-    agreed.max_by_key(|roll| roll.number).copied()
-}
-
-/// What the next wish follows, of what a majority of keepers tells: the roll in force, by the highest number told.
-/// A wish that no majority took counts for its number, or the next one could never be above it everywhere.
-pub fn to_follow(told: &[Roll], keepers: usize) -> Option<Roll> {
-    let highest = told.iter().max_by_key(|roll| roll.number)?;
-    let base = in_force(told, keepers).unwrap_or(highest);
-    Some(Roll { number: highest.number, ..base.clone() })
-}
--- a/crates/roll/tests/conductor.rs
+++ b/crates/roll/tests/conductor.rs
@@ -1,8 +1,8 @@
 //! What one dispatcher decides of a roll, whatever comes in whatever order.
 
 use corkspan_roll::conductor::{Conductor, Look, Recalled, Votes, Withdrawn};
-use corkspan_roll::keeper::{Claimed, Grant, Keeper};
 use corkspan_roll::{ClaimId, Order, Phase, Roll};
+use corkspan_roll::{Claimed, Grant, Keeper};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
@@ -413,7 +413,7 @@
                 }
             }
             let mut told: Vec<(u32, Grant, usize)> = Vec::new();
-            for (slot, grant) in keepers.iter().flat_map(|keeper| keeper.services()).flat_map(|kept| &kept.slots) {
+            for (slot, grant) in keepers.iter().flat_map(|keeper| keeper.all()).flat_map(|kept| &kept.slots) {
                 match told.iter_mut().find(|(other, own, _)| other == slot && own == grant) {
                     Some((_, _, many)) => *many += 1,
                     None => told.push((*slot, grant.clone(), 1)),
--- a/crates/roll/tests/search.rs
+++ b/crates/roll/tests/search.rs
@@ -2,8 +2,8 @@
 //! lost, doubled and out of order, and dispatchers killed at any point, can lead to in a small case. And that the
 //! search is able to find a protocol that can: turns in time, and keepers asked without a majority.
 
-use corkspan_roll::keeper::{Claimed, Grant, Keeper};
 use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority, to_follow};
+use corkspan_roll::{Claimed, Grant, Keeper};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use test_case::test_case;
 
@@ -168,7 +168,7 @@
 #[test]
 fn the_keeper_itself_keeps_the_rule_of_the_search() {
     let mut keeper = Keeper::default();
-    assert_eq!(keeper.claim("s", 1, 0, grant(1)), Claimed::OtherRoll, "of a roll it doesn't know");
+    assert_eq!(keeper.claim("s", 1, 0, grant(1)), Claimed::OtherWish, "of a roll it doesn't know");
     assert_eq!(keeper.propose(roll(1, 1)), Some(&roll(1, 1)));
     assert_eq!(keeper.claim("s", 1, 0, grant(1)), Claimed::Granted);
     assert_eq!(keeper.claim("s", 1, 0, grant(1)), Claimed::Granted, "asked twice");
@@ -190,7 +190,7 @@
     assert_eq!(keeper.propose(roll(2, 2)), Some(&roll(2, 2)));
     assert_eq!(
         keeper.claim("s", 1, 0, grant(9)),
-        Claimed::OtherRoll,
+        Claimed::OtherWish,
         "under the earlier one none is granted"
     );
     keeper.release("s", ClaimId(1));
@@ -209,7 +209,7 @@
     assert_eq!(keepers[1].propose(one.clone()), Some(&two), "the first there stands");
     assert_eq!(keepers[0].propose(two.clone()), Some(&one));
     let told: Vec<Roll> =
-        keepers.iter().flat_map(|keeper| keeper.services().map(|kept| kept.roll.clone())).collect();
+        keepers.iter().flat_map(|keeper| keeper.all().map(|kept| kept.wish.clone())).collect();
     assert_eq!(in_force(&told, KEEPERS), Some(&two));
     assert_eq!(in_force(&told[..2], KEEPERS), None, "with one keeper away nobody can tell");
 }
@@ -219,7 +219,7 @@
     let stray = Roll { version: "v9".into(), ..roll(5, 1) };
     let next = to_follow(&[roll(4, 2), stray.clone(), roll(4, 2)], KEEPERS).expect("one in force");
     assert_eq!((&next.version[..], next.number), ("v2", 5));
-    assert_eq!(to_follow(&[], KEEPERS), None);
+    assert_eq!(to_follow::<Roll>(&[], KEEPERS), None);
 }
 
 #[test]
