Put the floor of versions through real processes: stamps, fence, shutting out, an audit

Need: a dispatcher that is behind goes on placing unnoticed, and its shots don't tell what they were decided under.

Change: shots and attendances carry the stamp in force (kept with the deployment, so that it changes between two decisions as that does) and the life of the process; with `(floor …)`, off by default, a dispatcher asks the keepers for the floor and tells it with each shot; nodes turn away what is below with the floor in the answer; who is below refuses owners as BEHIND, sends nothing, and acts again once it is up. `corkspan fleet floor` and `fleet audit`. All by further fields and one call on the services that stand.

Result: two stories with five processes of the program each: stragglers that hear of the floor from keepers and from nodes alone are shut out, refuse, and come back by themselves when brought up; one that stands still across the raise (SIGSTOP, SIGCONT) places nothing after it; the judge finds no act below the floor. Not measured yet: cost of stamps, 300 dispatchers.

--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,145 @@
+//! What an operator asks of all dispatchers at once. What is wrong, and whether a floor may be raised, is decided in
+//! `corkspan_fleet`.
+
+use clap::Subcommand;
+use corkspan_api::v1::{self, versions_client::VersionsClient};
+use corkspan_fleet::audit::{Told, findings};
+use corkspan_fleet::{Runs, taken_by_enough};
+use corkspan_rpc::{Bounds, Link, Tasks, within};
+use futures_lite::future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// So long one dispatcher may take to answer.
+const ANSWERS_WITHIN: Duration = Duration::from_secs(5);
+/// Of one answer: the shared parts in force are among it.
+const ANSWER: usize = 16 << 20;
+
+#[derive(Subcommand)]
+pub enum Fleet {
+    /// Tells each dispatcher's version and what is wrong. Ends with 1 where anything is.
+    Audit {
+        /// Where the dispatchers listen.
+        #[arg(required = true)]
+        dispatchers: Vec<SocketAddr>,
+    },
+    /// Asks the keepers that no version below this one may act.
+    Floor {
+        /// The lowest version that may act; 0 lets all.
+        version: u64,
+        /// Where the dispatchers listen: those that may be asked, and of which a part must have taken the version.
+        #[arg(required = true)]
+        dispatchers: Vec<SocketAddr>,
+        /// The part of them that must run it for good, in thousandths.
+        #[arg(long, default_value_t = 500, value_parser = clap::value_parser!(u32).range(0..=1000))]
+        part: u32,
+    },
+}
+
+pub fn run(call: Fleet) -> Result<(), String> {
+    let tasks = Tasks::default();
+    future::block_on(tasks.run(async {
+        match call {
+            Fleet::Audit { dispatchers } => audit(&tasks, &dispatchers).await,
+            Fleet::Floor { version, dispatchers, part } => floor(&tasks, version, &dispatchers, part).await,
+        }
+    }))
+}
+
+async fn link(tasks: &Tasks, address: SocketAddr) -> Result<VersionsClient<Link>, String> {
+    let bounds = Bounds { connect_within: Duration::from_secs(2), ..Bounds::default() };
+    let link = Link::open(tasks, address, &bounds).await.map_err(|why| format!("{address}: {why}"))?;
+    Ok(VersionsClient::new(link).max_decoding_message_size(ANSWER))
+}
+
+/// What each tells, all asked at once; none of who does not answer in time.
+async fn ask_all(tasks: &Tasks, addresses: &[SocketAddr]) -> Vec<Option<v1::VersionStatus>> {
+    let asked: Vec<_> = addresses
+        .iter()
+        .map(|&address| {
+            let own = tasks.clone();
+            tasks.spawn(within(ANSWERS_WITHIN, async move {
+                let mut client = link(&own, address).await.ok()?;
+                client.status(v1::VersionStatusAsk {}).await.ok().map(tonic::Response::into_inner)
+            }))
+        })
+        .collect();
+    let mut told = Vec::new();
+    for ask in asked {
+        told.push(ask.await.flatten());
+    }
+    told
+}
+
+fn told(status: &v1::VersionStatus) -> Told {
+    let running = status.running.clone().unwrap_or_default();
+    let turned_down = status.refused_last.as_ref().map(|stamp| (stamp.number, status.why.join("; ")));
+    Told {
+        dispatcher: status.dispatcher,
+        life: status.life,
+        version: running.number,
+        digest: running.digest,
+        on_trial: status.on_trial,
+        streams: !status.service.is_empty(),
+        turned_down,
+        given_up: status.given_up.iter().map(|stamp| stamp.number).collect(),
+        shut_out: status.shut_out,
+    }
+}
+
+async fn audit(tasks: &Tasks, addresses: &[SocketAddr]) -> Result<(), String> {
+    let all = ask_all(tasks, addresses).await;
+    println!("{:<22} {:>6} {:>8} {:<9} {:>6} state", "dispatcher", "number", "version", "digest", "floor");
+    for (address, status) in addresses.iter().zip(&all) {
+        let Some(status) = status else {
+            println!("{address:<22} {:>6} {:>8} {:<9} {:>6} does not answer", "-", "-", "-", "-");
+            continue;
+        };
+        let told = told(status);
+        let floor = status.floor.as_ref().map_or("-".into(), |floor| floor.lowest.to_string());
+        let state = match (told.shut_out, told.on_trial) {
+            (true, _) => "shut out",
+            (false, true) => "on trial",
+            (false, false) => "acts",
+        };
+        let digest = told.digest.get(..8).unwrap_or_default();
+        println!(
+            "{:<22} {:>6} {:>8} {digest:<9} {floor:>6} {state}",
+            address.to_string(),
+            told.dispatcher,
+            told.version
+        );
+    }
+    let named =
+        addresses.iter().zip(&all).map(|(address, status)| (address.to_string(), status.as_ref().map(told)));
+    let found = findings(&named.collect::<Vec<_>>());
+    found.iter().for_each(|finding| println!("{finding}"));
+    if found.is_empty() { Ok(()) } else { Err(format!("{} things are wrong", found.len())) }
+}
+
+async fn floor(tasks: &Tasks, version: u64, addresses: &[SocketAddr], part: u32) -> Result<(), String> {
+    let all = ask_all(tasks, addresses).await;
+    let stands =
+        all.iter().flatten().filter_map(|status| status.floor.as_ref()).max_by_key(|floor| floor.number);
+    // Lowering it shuts nobody out.
+    if stands.is_none_or(|floor| floor.lowest < version) {
+        let runs = |status: &v1::VersionStatus| {
+            let version = status.running.as_ref().map_or(0, |running| running.number);
+            Runs { version, on_trial: status.on_trial }
+        };
+        let runs: Vec<Option<Runs>> = all.iter().map(|status| status.as_ref().map(runs)).collect();
+        taken_by_enough(&runs, version, part).map_err(|why| why.to_string())?;
+    }
+    let answers = addresses.iter().zip(&all).find(|(_, status)| status.is_some());
+    let (address, _) = answers.ok_or("no dispatcher answers")?;
+    let mut client = link(tasks, *address).await?;
+    let word = within(ANSWERS_WITHIN, client.raise(v1::FloorAsk { lowest: version })).await;
+    let word = word.ok_or("no answer within 5 s")?.map_err(|why| why.message().to_string())?.into_inner();
+    match word.stands {
+        Some(floor) if word.taken => {
+            println!("floor {} by wish {}: no version below it may act", floor.lowest, floor.number);
+            Ok(())
+        }
+        _ => Err(word.text),
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,5 +1,7 @@
 //! The command line of corkspan.
 
+mod fleet;
+
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use corkspan_api::v1::{
     self, placement_client::PlacementClient, rolls_client::RollsClient, versions_client::VersionsClient,
@@ -70,6 +72,11 @@
         #[command(subcommand)]
         call: Control,
     },
+    /// Dispatchers by their versions: who is behind, and who may act.
+    Fleet {
+        #[command(subcommand)]
+        call: fleet::Fleet,
+    },
     /// Prints what a dispatcher holds and has answered.
     Status {
         /// Where the dispatcher listens.
@@ -186,6 +193,7 @@
         Call::Schema { version_only } => schema(version_only),
         Call::Control { call } => control(call),
         Call::Roll { call } => roll(call),
+        Call::Fleet { call } => fleet::run(call),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -11,7 +11,7 @@
 use sexp::{Fault, Faults, Form, Parts};
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use version::Texts;
+use version::{Stamp, Texts};
 
 /// Everything a dispatcher is told: its own file, and what a streamed version has changed since.
 #[derive(Clone, Debug)]
@@ -37,8 +37,12 @@
     pub bounds: Bounds,
     /// Networks whose addresses may connect as clients; all where none is named.
     pub allow: Vec<IpNet>,
+    /// How often keepers are asked for the floor of versions; none where it is not followed.
+    pub floor: Option<Tenths>,
     /// What it shares with the others, as written.
     pub texts: Texts,
+    /// What names that: number 0 for a file.
+    pub stamp: Stamp,
 }
 
 /// What a dispatcher holds at the most, and how long it waits.
@@ -104,6 +108,8 @@
                 accounts: shared.accounts,
                 bounds: shared.bounds,
                 allow: shared.allow,
+                floor: parts.find("floor").map(floor).transpose()?,
+                stamp: Stamp { number: 0, digest: shared.texts.digest() },
                 texts: shared.texts,
             })
         });
@@ -111,7 +117,7 @@
     }
 
     /// The same dispatcher with what a streamed version says instead of the shared parts of its file. Ids are as
-    /// that version alone would give them.
+    /// that version alone would give them; its number in the stamp is for the caller to set.
     pub fn with_version(&self, name: &str, texts: &Texts) -> Result<Self, Faults> {
         // A part under another's name would be changed and taken away with that.
         for (part, text) in texts.iter() {
@@ -140,6 +146,7 @@
                 accounts: shared.accounts,
                 bounds: shared.bounds,
                 allow: shared.allow,
+                stamp: Stamp { number: self.stamp.number, digest: shared.texts.digest() },
                 texts: shared.texts,
                 ..self.clone()
             })
@@ -248,6 +255,15 @@
     networks.collect()
 }
 
+/// `(floor (every 2 s))`
+fn floor(form: &Form) -> Result<Tenths, Fault> {
+    let parts = form.parts(&["every"])?;
+    parts.or("every", 20_000, |form| match form.time()? {
+        time if time >= 10_000 => Ok(time),
+        _ => Err(form.fault("must be 1000 ms or more")),
+    })
+}
+
 fn keepers(form: &Form) -> Result<Vec<MachineId>, Fault> {
     let ids = form.wholes(u64::from(u32::MAX))?;
     Ok(ids.into_iter().map(|id| MachineId(id as u32)).collect())
--- a/crates/deployment/tests/faults.rs
+++ b/crates/deployment/tests/faults.rs
@@ -224,3 +224,12 @@
         }
     }
 }
+
+#[test_case("(floor (every 10 ms))", "1000 ms or more"; "asked too often")]
+#[test_case("(floor (each 2 s))", "each"; "a word that is none")]
+#[test_case("(floor 2)", "floor"; "no form")]
+fn a_floor_that_can_not_be_followed_is_told_with_its_place(part: &str, why: &str) {
+    let text = SOUND.trim_end().strip_suffix(')').expect("a form").to_string() + part + ")";
+    let fault = Deployment::read("d.sexp", &text).map(drop).expect_err("a fault").to_string();
+    assert!(fault.starts_with("d.sexp:") && fault.contains(why), "{fault}");
+}
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::{duration, tenths};
 use crate::desk::Desk;
+use crate::fleet;
 use crate::versions;
 use corkspan_api::v1::{self, control_client::ControlClient};
 use corkspan_control::{Admitted, Counts, Kept, Pace, Push, Retry, Said, Subscriber};
@@ -59,7 +60,9 @@
             let (stamp, texts) = subscriber.running();
             let in_force = match stamp.number {
                 0 => Ok(file.clone()),
-                _ => file.with_version(&format!("version {}", stamp.number), texts),
+                _ => file
+                    .with_version(&format!("version {}", stamp.number), texts)
+                    .map(|version| Deployment { stamp, ..version }),
             };
             match in_force {
                 Ok(in_force) => break (subscriber, changed, in_force),
@@ -102,6 +105,7 @@
             return Ok(self.file.clone());
         }
         let read = self.file.with_version(&format!("version {}", stamp.number), texts);
+        let read = read.map(|version| Deployment { stamp, ..version });
         read.map_err(|faults| faults.to_string().lines().map(String::from).collect())
     }
 
@@ -123,6 +127,7 @@
                 superseded: state.superseded,
                 refused_last: refused_last.map(message),
                 why: why.unwrap_or_default(),
+                ..v1::VersionStatus::default()
             }
         })
     }
@@ -403,6 +408,14 @@
 #[tonic::async_trait]
 impl v1::versions_server::Versions for Operators {
     async fn status(&self, _: Request<v1::VersionStatusAsk>) -> Result<Response<v1::VersionStatus>, Status> {
-        Ok(Response::new(self.0.versions.status(&self.0.deployment())))
+        let floor = self.0.fleet.floor().map(fleet::message);
+        let shut_out = self.0.shut_out().is_some();
+        let status = self.0.versions.status(&self.0.deployment());
+        let (dispatcher, life) = (self.0.deployment().cluster.number as u32, self.0.fleet.life);
+        Ok(Response::new(v1::VersionStatus { floor, shut_out, dispatcher, life, ..status }))
+    }
+
+    async fn raise(&self, request: Request<v1::FloorAsk>) -> Result<Response<v1::FloorWord>, Status> {
+        fleet::raise(&self.0, request.into_inner().lowest).await.map(Response::new)
     }
 }
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -2,7 +2,8 @@
 //! reads a message calls in here directly; the answers leave as messages before the call returns.
 
 use crate::clock::{Clock, duration};
-use crate::control::Versions;
+use crate::control::{self, Versions};
+use crate::fleet::{self, Fleet};
 use crate::links::{Counted, NodeLink};
 use crate::rolls::{self, Rolls};
 use crate::shots;
@@ -161,6 +162,7 @@
     /// What is in force. Changed under the books' lock alone, so never between a decision and what it is made by.
     in_force: RwLock<Arc<Deployment>>,
     pub versions: Versions,
+    pub fleet: Fleet,
     pub link_bounds: corkspan_rpc::Bounds,
     pub tasks: Tasks,
     /// When to look again.
@@ -228,6 +230,7 @@
                 link_bounds: crate::links::bounds(&deployment.bounds),
                 in_force: RwLock::new(Arc::new(deployment)),
                 versions,
+                fleet: Fleet::new(seed),
                 tasks: Arc::clone(tasks),
                 wakes,
                 watches,
@@ -297,6 +300,12 @@
             refuse(v1::refused::Why::Stopping, "this dispatcher is about to stop".into());
             return taken;
         }
+        if let Some(floor) = self.shut_out() {
+            let text =
+                format!("this dispatcher is behind: version {} is the lowest that may act", floor.lowest);
+            refuse(v1::refused::Why::Behind, text);
+            return taken;
+        }
         if Arc::strong_count(&self.calls) > self.deployment().bounds.calls as usize {
             refuse(v1::refused::Why::TooMany, "as many calls as may be are open".into());
             return taken;
@@ -426,9 +435,17 @@
             dispatcher: self.deployment().cluster.number as u32,
             priority: u32::from(self.deployment().cluster.tracks[asked.track.0].priority),
             version,
+            stamp: Some(control::message(self.deployment().stamp)),
+            life: self.fleet.life,
+            floor: self.fleet.floor().map(fleet::message),
         }
     }
 
+    /// The floor of versions that shuts this dispatcher out, if one does.
+    pub fn shut_out(&self) -> Option<corkspan_fleet::Floor> {
+        self.fleet.shut_out(self.deployment().stamp)
+    }
+
     /// The owner's call is over. Unless the allocation has ended too, or the call had its own deadline, it is no
     /// longer wanted.
     pub fn hung_up(self: &Arc<Self>, id: AllocationId) {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -5,6 +5,7 @@
 mod clients;
 pub mod control;
 mod desk;
+pub mod fleet;
 mod links;
 pub mod rolls;
 mod roster;
@@ -110,6 +111,7 @@
         tasks.spawn(roster::run(Arc::clone(&desk), roster, asked, path)),
         tasks.spawn(rolls::run(Arc::clone(&desk))),
         tasks.spawn(control::run(Arc::clone(&desk))),
+        tasks.spawn(fleet::run(Arc::clone(&desk))),
         tasks.spawn(sweep(Arc::clone(&desk), clock::duration(bounds.idle_close) / 4)),
     ];
     ready(address);
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -279,7 +279,7 @@
 }
 
 async fn round(desk: &Arc<Desk>) {
-    let told = ask_all(desk, Ask::Tell(v1::Tell {})).await;
+    let told = ask_all(desk, Ask::Tell(v1::Tell::default())).await;
     let keepers = desk.deployment().keepers.len();
     let mut by_service: BTreeMap<String, (Vec<Roll>, Told)> = BTreeMap::new();
     for kept in told.iter().flat_map(|word| &word.kept) {
@@ -473,7 +473,7 @@
 }
 
 /// Asks all keepers at once; what those say that answer within a link's time.
-async fn ask_all(desk: &Arc<Desk>, ask: Ask) -> Vec<v1::KeepWord> {
+pub async fn ask_all(desk: &Arc<Desk>, ask: Ask) -> Vec<v1::KeepWord> {
     let calls: Vec<_> = (desk.deployment().keepers.iter())
         .filter_map(|keeper| desk.node(*keeper))
         .map(|node| {
@@ -571,7 +571,7 @@
     /// The roll in force as a majority of the keepers tells it now, not as we heard last.
     async fn stands(&self, service: &str) -> Result<Option<Roll>, Status> {
         let keepers = self.0.deployment().keepers.len();
-        let told = ask_all(&self.0, Ask::Tell(v1::Tell {})).await;
+        let told = ask_all(&self.0, Ask::Tell(v1::Tell::default())).await;
         if !majority(told.len(), keepers) {
             let text = format!("{} of {keepers} keepers answer; a majority is needed", told.len());
             return Err(Status::unavailable(text));
--- a/crates/dispatcher/src/shots.rs
+++ b/crates/dispatcher/src/shots.rs
@@ -57,6 +57,10 @@
         let reason = Some(Reason::QueueFull);
         return back(Back { reason, ..Back::plain(Ending::Refused) }, None);
     };
+    // Decided under a version that may act no more: the nodes would turn it away, and its owner is told in time.
+    if desk.shut_out().is_some() {
+        return back(Back::plain(Ending::NotSent), None);
+    }
     let _call = node.call();
     // Until the offer is handed to the link, it can't have reached the node.
     let written = AtomicBool::new(false);
@@ -135,6 +139,9 @@
                 Word::Accepted(_) if !desk.deployment().cluster.placed_runs => return First::Placed(words),
                 Word::Running(_) => return First::Placed(words),
                 Word::Refused(turned) => {
+                    if let Some(floor) = &turned.floor {
+                        desk.fleet.node_tells(crate::fleet::read(floor), desk.deployment().stamp);
+                    }
                     let back = Back::plain(Ending::Refused);
                     return First::Back(Back { reason: reason(turned.why()), report: report(load), ..back });
                 }
@@ -245,7 +252,7 @@
         v1::turned::Why::NoCores => Some(Reason::NoCores),
         v1::turned::Why::NoMemory => Some(Reason::NoMemory),
         v1::turned::Why::QueueFull => Some(Reason::QueueFull),
-        v1::turned::Why::NotHere => Some(Reason::NotHere),
+        v1::turned::Why::NotHere | v1::turned::Why::BelowFloor => Some(Reason::NotHere),
     }
 }
 
--- /dev/null
+++ b/crates/fleet/src/audit.rs
@@ -0,0 +1,93 @@
+//! What is wrong in a fleet, by what its dispatchers tell of themselves.
+
+use std::collections::BTreeMap;
+
+/// What one dispatcher tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Its number in the fleet.
+    pub dispatcher: u32,
+    /// Which process it is.
+    pub life: u64,
+    pub version: u64,
+    pub digest: String,
+    pub on_trial: bool,
+    /// A control service streams versions to it.
+    pub streams: bool,
+    /// What it turned down last, with the reasons, where that is later than what it runs.
+    pub turned_down: Option<(u64, String)>,
+    /// Versions that it gave up by itself.
+    pub given_up: Vec<u64>,
+    pub shut_out: bool,
+}
+
+/// Why a dispatcher is behind, as far as it can tell.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Why {
+    #[error("it gave version {0} up")]
+    GaveUp(u64),
+    #[error("it turned version {0} down: {1}")]
+    TurnedDown(u64, String),
+    #[error("no control service streams to it")]
+    NoStream,
+    #[error("it does not tell why")]
+    NotTold,
+}
+
+/// One thing that is wrong. Dispatchers are named as they were asked for.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Finding {
+    #[error("{0} does not answer")]
+    Silent(String),
+    #[error("{who} is behind: on version {version}, the newest is {newest}; {why}")]
+    Behind { who: String, version: u64, newest: u64, why: Why },
+    #[error("{0} is shut out by the floor of versions")]
+    ShutOut(String),
+    #[error("{who} and {other} are two processes under the number {dispatcher}")]
+    OneNumber { who: String, other: String, dispatcher: u32 },
+    #[error("{who} and {other} run version {version} with different digests")]
+    TwoDigests { who: String, other: String, version: u64 },
+}
+
+/// All findings, in the order in which the dispatchers were asked for.
+pub fn findings(told: &[(String, Option<Told>)]) -> Vec<Finding> {
+    let newest =
+        told.iter().filter_map(|(_, told)| told.as_ref()).map(|told| told.version).max().unwrap_or(0);
+    let mut numbers: BTreeMap<u32, (&String, u64)> = BTreeMap::new();
+    let mut digests: BTreeMap<u64, (&String, &String)> = BTreeMap::new();
+    let mut findings = Vec::new();
+    for (who, told) in told {
+        let Some(told) = told else {
+            findings.push(Finding::Silent(who.clone()));
+            continue;
+        };
+        let (dispatcher, version) = (told.dispatcher, told.version);
+        if version < newest {
+            findings.push(Finding::Behind { who: who.clone(), version, newest, why: why(told) });
+        }
+        if told.shut_out {
+            findings.push(Finding::ShutOut(who.clone()));
+        }
+        // One that is named twice by two addresses is the same life.
+        let (other, life) = *numbers.entry(dispatcher).or_insert((who, told.life));
+        if life != told.life {
+            findings.push(Finding::OneNumber { who: who.clone(), other: other.clone(), dispatcher });
+        }
+        // Version 0 is each one's own file, and may well differ.
+        let (other, digest) = *digests.entry(version).or_insert((who, &told.digest));
+        if version > 0 && *digest != told.digest {
+            findings.push(Finding::TwoDigests { who: who.clone(), other: other.clone(), version });
+        }
+    }
+    findings
+}
+
+fn why(told: &Told) -> Why {
+    let given_up = told.given_up.iter().copied().filter(|given_up| *given_up > told.version).max();
+    match (given_up, &told.turned_down) {
+        (Some(version), _) => Why::GaveUp(version),
+        (None, Some((version, why))) if *version > told.version => Why::TurnedDown(*version, why.clone()),
+        _ if !told.streams => Why::NoStream,
+        _ => Why::NotTold,
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,8 @@
 //! keeps it from sending in vain. No clock is in it: who hears nothing is stopped by the nodes that it reaches, and
 //! where nobody has heard of a floor, nobody is shut out.
 
+pub mod audit;
+
 use corkspan_keeper::{Wish, in_force, majority, to_follow};
 use serde::{Deserialize, Serialize};
 
@@ -182,7 +184,7 @@
 pub fn taken_by_enough(told: &[Option<Runs>], lowest: u64, part: u32) -> Result<(), NotRaised> {
     let runs = |runs: &&Runs| runs.version >= lowest && !runs.on_trial;
     let (taken, fleet) = (told.iter().flatten().filter(runs).count(), told.len());
-    let wanted = (fleet * part.min(1_000) as usize).div_ceil(1_000).max(1);
+    let wanted = (fleet * part.min(1_000) as usize).div_ceil(1_000);
     if taken >= wanted { Ok(()) } else { Err(NotRaised::Fleet { taken, fleet, wanted, lowest }) }
 }
 
--- a/crates/fleet/tests/search.rs
+++ b/crates/fleet/tests/search.rs
@@ -143,7 +143,9 @@
     };
     for keeper in 0..KEEPERS {
         for wish in WISHES {
-            step(&|next| drop(next.keepers[keeper].propose(wish)));
+            step(&|next| {
+                next.keepers[keeper].propose(wish);
+            });
         }
     }
     for dispatcher in 0..2 {
--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -58,6 +58,14 @@
         task: String,
         #[serde(default)]
         version: String,
+        /// The number of the deployment's version that it was decided under.
+        #[serde(default)]
+        decided: u64,
+    },
+    /// A node has a floor on its disk: what was decided under a lower version must not take effect there.
+    Floor {
+        node: u32,
+        lowest: u64,
     },
     /// A node says a word on an offer, whether it gets through or not.
     Said {
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -26,8 +26,8 @@
     }
 }
 
-/// The brief's five, the limit of a roll, and that a failed one halts by itself.
-pub const NAMES: [&str; 7] = ["lost", "twice", "drains", "cold", "spread", "unready", "halts"];
+/// The brief's five, the limit of a roll, that a failed one halts by itself, and the floor of versions.
+pub const NAMES: [&str; 8] = ["lost", "twice", "drains", "cold", "spread", "unready", "halts", "floor"];
 
 /// One call of an owner.
 struct Call<'a> {
@@ -105,6 +105,7 @@
     judge.spread();
     judge.unready();
     judge.halts();
+    judge.floor();
     judge.breaches.sort_by_key(|breach| (breach.rule, breach.lines.first().copied()));
     Ok(judge.breaches)
 }
@@ -119,6 +120,35 @@
 }
 
 impl<'a> Judge<'a> {
+    /// What was decided under a version below the floor that a node has is never accepted there.
+    fn floor(&mut self) {
+        let (mut floors, mut decided) = (HashMap::new(), HashMap::new());
+        let mut breaches = Vec::new();
+        for (line, seen) in self.lines.iter().enumerate().map(|(index, line)| (index + 1, &line.seen)) {
+            match seen {
+                Seen::Floor { node, lowest } => drop(floors.insert(*node, (*lowest, line))),
+                Seen::Offered { node, placing, number, decided: version, dispatcher, .. } => {
+                    decided.insert((*node, placing, *number), (*version, *dispatcher, line));
+                }
+                Seen::Said { node, placing, number, word: Word::Accepted } => {
+                    let Some(&(lowest, told)) = floors.get(node) else { continue };
+                    let Some(&(version, dispatcher, offered)) = decided.get(&(*node, placing, *number))
+                    else {
+                        continue;
+                    };
+                    if version < lowest {
+                        let what = format!(
+                            "node {node} accepted {placing}, decided by dispatcher {dispatcher} under version {version}, below {lowest}"
+                        );
+                        breaches.push((what, vec![told, offered, line]));
+                    }
+                }
+                _ => {}
+            }
+        }
+        breaches.into_iter().for_each(|(what, lines)| self.breach(8, what, lines));
+    }
+
     fn breach(&mut self, rule: u8, what: String, lines: Vec<usize>) {
         self.breaches.push(Breach { rule, what, lines });
     }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -7,6 +7,8 @@
 use async_net::TcpListener;
 use corkspan::interface::Amount;
 use corkspan_api::v1::{self, node_server::NodeServer, said::Said, turned::Why};
+use corkspan_dispatcher::fleet;
+use corkspan_fleet::{Disk, Fence, Floor, Look};
 use corkspan_roll::{Claimed, Grant, Keeper};
 use corkspan_rpc::{Bounds, Tasks};
 use futures_lite::Stream;
@@ -125,6 +127,8 @@
     listener: Mutex<Option<TcpListener>>,
     /// On its disk: it survives the process.
     keeper: Mutex<Keeper>,
+    floors: Mutex<corkspan_keeper::Keeper<Floor>>,
+    fence: Mutex<Fence>,
 }
 
 const NOTES: Duration = Duration::from_millis(250);
@@ -140,6 +144,8 @@
             server: Mutex::default(),
             listener: Mutex::default(),
             keeper: Mutex::default(),
+            floors: Mutex::default(),
+            fence: Mutex::new(Fence::start(Disk::Whole(None))),
         })
     }
 
@@ -298,10 +304,15 @@
     }
 
     fn refuse(&self, state: &mut State, shot: &v1::Shot, words: &async_channel::Sender<v1::Said>, why: Why) {
-        self.say(state, shot, words, Said::Refused(v1::Turned { why: why.into() }));
+        let floor = self.fence().floor().filter(|_| why == Why::BelowFloor).map(fleet::message);
+        self.say(state, shot, words, Said::Refused(v1::Turned { why: why.into(), floor }));
         words.close();
     }
 
+    fn fence(&self) -> MutexGuard<'_, Fence> {
+        self.fence.lock().expect("no one panics while it is held")
+    }
+
     fn see_ready(&self, shot: &v1::Shot, ready: bool, done: bool, stopped: bool) {
         let (task, service) = (shot.task.clone(), shot.service.clone());
         let (node, version) = (self.plan.id, shot.version.clone());
@@ -353,7 +364,15 @@
             service: shot.service.clone(),
             task: shot.task.clone(),
             version: shot.version.clone(),
+            decided: decided(shot),
         });
+        if let Some(floor) = shot.floor.as_ref().map(fleet::read) {
+            let mut fence = self.fence();
+            if fence.wants(floor) {
+                fence.keep(floor);
+                self.world.capture.see(Seen::Floor { node: self.plan.id, lowest: floor.lowest });
+            }
+        }
         let mut state = self.lock();
         let now = Instant::now();
         state.offers.push_back(now);
@@ -406,6 +425,16 @@
         if words.is_closed() {
             return false;
         }
+        // Here and not as it arrives: while it waited to be looked at, the floor may have come.
+        let below = match self.fence().look(decided(shot)) {
+            Look::Passes => None,
+            Look::Below(_) => Some(Why::BelowFloor),
+            Look::NotYet => Some(Why::NotHere),
+        };
+        if let Some(why) = below {
+            self.refuse(&mut state, shot, words, why);
+            return false;
+        }
         if let Err(why) = self.fits(&mut state, shot) {
             self.refuse(&mut state, shot, words, why);
             return false;
@@ -541,6 +570,11 @@
     }
 }
 
+/// The number of the version that a shot was decided under.
+fn decided(shot: &v1::Shot) -> u64 {
+    shot.stamp.as_ref().map_or(0, |stamp| stamp.number)
+}
+
 fn asked(state: &State) -> Amount {
     let asks =
         state.guests.values().map(|guest| Amount { cores: guest.shot.cores, memory: guest.shot.memory });
@@ -618,7 +652,7 @@
                 }
             }
             None => {
-                let turned = v1::Turned { why: Why::NotHere.into() };
+                let turned = v1::Turned { why: Why::NotHere.into(), floor: None };
                 let _ = words.try_send(v1::Said { said: Some(Said::Refused(turned)), load: None });
                 words.close();
             }
@@ -650,7 +684,16 @@
             Some(Ask::Release(release)) => {
                 keeper.release(&release.service, corkspan_roll::ClaimId(release.claim));
             }
-            Some(Ask::Tell(_)) => {
+            Some(Ask::Floor(floor)) => {
+                let mut floors = self.0.floors.lock().expect("no one panics while it is held");
+                word.floor = floors.propose(fleet::read(&floor)).copied().map(fleet::message);
+            }
+            Some(Ask::Tell(tell)) => {
+                let floors = self.0.floors.lock().expect("no one panics while it is held");
+                word.floor = floors.all().next().map(|kept| fleet::message(kept.wish));
+                if tell.floor_only {
+                    return Ok(Response::new(word));
+                }
                 for own in keeper.all() {
                     let slots = own.slots.iter().map(|(slot, grant)| v1::Slot {
                         slot: *slot,
--- /dev/null
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -0,0 +1,246 @@
+//! The floor of versions among processes of the program, each started by its command line, with some that hear nothing
+//! of newer versions. Judged by what crossed the nodes' sockets.
+
+use crate::rig::*;
+use corkspan_api::v1::{self, placement_client::PlacementClient, refused::Why, word::Word};
+use corkspan_deployment::version::Texts;
+use corkspan_lab::capture::{Cold, Line, Rules, Seen};
+use corkspan_lab::control::{Control, Up};
+use corkspan_lab::judge::judge;
+use corkspan_rpc::{Bounds, Link};
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Output, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_corkspan-lab");
+
+/// A dispatcher's process; killed when it is dropped.
+struct Process {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill().and_then(|()| self.child.wait());
+    }
+}
+
+impl Process {
+    async fn start(file: std::path::PathBuf) -> Process {
+        blocking::unblock(move || {
+            let mut command = Command::new(PROGRAM);
+            command.args(["corkspan", "serve", "--level", "error"]).arg(file).stdout(Stdio::piped());
+            let mut child = command.spawn().expect("it starts");
+            let mut line = String::new();
+            BufReader::new(child.stdout.take().expect("piped")).read_line(&mut line).expect("a line");
+            let address = line.trim().strip_prefix("listening ").expect("it listens").parse();
+            Process { child, address: address.expect("an address") }
+        })
+        .await
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("it runs");
+    }
+}
+
+/// Processes before the nodes of a rig, some of which take their versions from a service that has stood still.
+struct Stage {
+    rig: Rig,
+    newest: (Control, Up),
+    stale: (Control, Up),
+    folder: tempfile::TempDir,
+    fleet: Vec<Process>,
+}
+
+const KEEPERS: &str = "(keepers 0 1 2)";
+
+impl Stage {
+    async fn new(rig: Rig) -> Stage {
+        let newest = Control::up(&rig.world).await.expect("a port");
+        let stale = Control::up(&rig.world).await.expect("a port");
+        let stage =
+            Stage { rig, newest, stale, folder: tempfile::tempdir().expect("a folder"), fleet: Vec::new() };
+        for control in [&stage.newest.0, &stage.stale.0] {
+            assert_eq!(control.publish(stage.texts(4), false).number, 1);
+        }
+        stage
+    }
+
+    fn deployment(&self, more: &str) -> String {
+        deployment(self.rig.roster.address, more).replace("(schedulers 1)", "(schedulers 5)")
+    }
+
+    fn texts(&self, shots: usize) -> Texts {
+        Texts::of("version", &self.deployment(&format!("(shots {shots})"))).expect("sound")
+    }
+
+    async fn start(&mut self, control: SocketAddr, keepers: &str) {
+        let number = self.fleet.len();
+        let kept = self.folder.path().join(format!("versions-{number}.json"));
+        let more = format!("(control \"{control}\") (versions {kept:?}) {keepers} (floor (every 1 s))");
+        let text = self.deployment(&more).replace("(number 0)", &format!("(number {number})"));
+        let file = self.folder.path().join(format!("{number}.sexp"));
+        std::fs::write(&file, text).expect("written");
+        self.fleet.push(Process::start(file).await);
+    }
+
+    /// The operator's command line.
+    async fn operator(&self, line: &[&str]) -> Output {
+        let mut command = Command::new(PROGRAM);
+        command.args(["corkspan", "fleet"]).args(line);
+        command.args(self.fleet.iter().map(|process| process.address.to_string()));
+        blocking::unblock(move || command.output().expect("it runs")).await
+    }
+
+    async fn link(&self, number: usize) -> Link {
+        let bounds = Bounds { connect_within: PATIENCE, ..Bounds::default() };
+        Link::open(&self.rig.tasks, self.fleet[number].address, &bounds).await.expect("it listens")
+    }
+
+    async fn asks(&self, number: usize, task: &str) -> tonic::Streaming<v1::Word> {
+        let mut client = PlacementClient::new(self.link(number).await);
+        client.place(ask(task, "web")).await.expect("the call is taken").into_inner()
+    }
+
+    /// The first word on an ask, and the call, which must stay for the allocation to.
+    async fn answered(&self, number: usize, task: &str) -> (Option<Word>, tonic::Streaming<v1::Word>) {
+        let mut words = self.asks(number, task).await;
+        (next(&mut words).await, words)
+    }
+
+    async fn until_in_force(&self, number: usize, version: u64) {
+        use v1::versions_client::VersionsClient;
+        until(async || {
+            let mut client = VersionsClient::new(self.link(number).await);
+            let status = client.status(v1::VersionStatusAsk {}).await.expect("a status").into_inner();
+            status.running.is_some_and(|running| running.number == version)
+        })
+        .await;
+    }
+
+    /// Goes on asking through one that is up until all nodes have the floor.
+    async fn until_nodes_have_it(&self) {
+        let mut calls = Vec::new();
+        until(async || {
+            let (word, call) = self.answered(0, &format!("spreads-{}", calls.len())).await;
+            assert!(matches!(word, Some(Word::Placed(_))), "{word:?}");
+            calls.push(call);
+            let lines = self.rig.world.capture.lines();
+            let has = |id: u32| {
+                lines.iter().any(|line| matches!(line.seen, Seen::Floor { node, .. } if node == id))
+            };
+            self.rig.nodes.iter().all(|node| has(node.plan.id))
+        })
+        .await;
+    }
+
+    /// What the judge finds of the floor in what crossed the sockets.
+    fn judged(&self) -> (Vec<String>, Vec<Line>) {
+        let cold = Cold { lasts_us: 0, window_us: 0, most: usize::MAX };
+        let (tracks, nodes) = (Vec::new(), Vec::new());
+        let rules = Rules { seed: 1, tracks, nodes, grace_us: u64::MAX, cold, slack_us: 0 };
+        let mut lines = vec![Line { t: 0, seen: Seen::Day(rules) }];
+        lines.extend(self.rig.world.capture.lines());
+        let found = judge(&lines).expect("readable").into_iter().filter(|breach| breach.rule == 8);
+        (found.map(|breach| breach.to_string()).collect(), lines)
+    }
+}
+
+fn refused_as(word: &Option<Word>) -> Option<Why> {
+    match word {
+        Some(Word::Refused(refused)) => Some(refused.why()),
+        _ => None,
+    }
+}
+
+fn story<F: Future<Output = ()>>(story: impl FnOnce(Stage) -> F) {
+    Rig::run(Layout { nodes: 3, ..Layout::default() }, async |rig| {
+        let mut stage = Stage::new(rig).await;
+        let (newest, stale) = (stage.newest.0.address, stage.stale.0.address);
+        for _ in 0..3 {
+            stage.start(newest, KEEPERS).await;
+        }
+        stage.start(stale, KEEPERS).await;
+        // Of this one's links all but those to nodes are cut, and the roster's.
+        stage.start(stale, "").await;
+        for number in 0..5 {
+            stage.until_in_force(number, 1).await;
+        }
+        assert_eq!(stage.newest.0.publish(stage.texts(5), false).number, 2);
+        for number in 0..3 {
+            stage.until_in_force(number, 2).await;
+        }
+        story(stage).await;
+    });
+}
+
+#[test]
+fn stragglers_are_shut_out_by_nodes_and_keepers_and_come_back_once_they_are_up() {
+    story(async |stage| {
+        // All may act as long as nobody has asked for a floor.
+        let (before, _call) = stage.answered(4, "before").await;
+        assert!(matches!(before, Some(Word::Placed(_))), "{before:?}");
+        let asked = stage.operator(&["floor", "2"]).await;
+        let why = String::from_utf8_lossy(&asked.stderr).into_owned();
+        assert!(!asked.status.success() && why.contains("for good; 3 are wanted"), "on trial yet: {why}");
+        let asked = stage.operator(&["floor", "2", "--part", "0"]).await;
+        assert!(asked.status.success(), "{}", String::from_utf8_lossy(&asked.stderr));
+        // One hears of it from the keepers.
+        until(async || refused_as(&stage.answered(3, "by-keepers").await.0) == Some(Why::Behind)).await;
+        stage.until_nodes_have_it().await;
+        // The other from the node that it asks first: the ask in hand gets its one answer, the next is refused at once.
+        let first = stage.answered(4, "by-node").await.0;
+        assert!(refused_as(&first).is_some(), "{first:?}");
+        assert_eq!(refused_as(&stage.answered(4, "next").await.0), Some(Why::Behind));
+        let audit = stage.operator(&["audit"]).await;
+        let told = String::from_utf8_lossy(&audit.stdout).into_owned();
+        assert_eq!(audit.status.code(), Some(1), "{told}");
+        for straggler in [3, 4] {
+            let address = stage.fleet[straggler].address;
+            assert!(told.contains(&format!("{address} is shut out")), "{told}");
+            assert!(told.contains(&format!("{address} is behind: on version 1, the newest is 2")), "{told}");
+        }
+        // Brought up, they act again by themselves.
+        assert_eq!(stage.stale.0.publish(stage.texts(5), false).number, 2);
+        for straggler in [3, 4] {
+            stage.until_in_force(straggler, 2).await;
+            let (word, _call) = stage.answered(straggler, &format!("up-{straggler}")).await;
+            assert!(matches!(word, Some(Word::Placed(_))), "{word:?}");
+        }
+        let audit = stage.operator(&["audit"]).await;
+        assert!(audit.status.success(), "{}", String::from_utf8_lossy(&audit.stdout));
+        let (breaches, lines) = stage.judged();
+        assert_eq!(breaches, [""; 0]);
+        let below =
+            lines.iter().filter(|line| matches!(line.seen, Seen::Offered { decided: 1, dispatcher: 4, .. }));
+        assert!(below.count() >= 2, "the judge has seen shots from below");
+    });
+}
+
+#[test]
+fn one_that_stood_still_across_the_raise_places_nothing_after_it() {
+    story(async |stage| {
+        let stopped = &stage.fleet[4];
+        // Its link stands and its ask is on its way when it stops.
+        let (before, _call) = stage.answered(4, "before").await;
+        assert!(matches!(before, Some(Word::Placed(_))), "{before:?}");
+        let link = stage.link(4).await;
+        stopped.signal(Signal::STOP);
+        let call = stage.rig.tasks.spawn(async move {
+            let asked = v1::Ask { abandon_ms: 10_000, ..ask("across", "web") };
+            let mut words = PlacementClient::new(link).place(asked).await.expect("taken").into_inner();
+            next(&mut words).await
+        });
+        let asked = stage.operator(&["floor", "2", "--part", "0"]).await;
+        assert!(asked.status.success(), "{}", String::from_utf8_lossy(&asked.stderr));
+        stage.until_nodes_have_it().await;
+        stopped.signal(Signal::CONT);
+        let word = call.await;
+        assert!(refused_as(&word).is_some(), "{word:?}");
+        until(async || refused_as(&stage.answered(4, "next").await.0) == Some(Why::Behind)).await;
+        assert_eq!(stage.judged().0, [""; 0]);
+    });
+}
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -54,7 +54,10 @@
     fn offer(self, ms: u64, call: u64, number: u32, node: u32) -> Self {
         let (placing, task, service) = (format!("p{call}"), format!("t{call}"), "s".into());
         let version = "v2".into();
-        self.see(ms, Seen::Offered { node, placing, number, dispatcher: 0, service, task, version })
+        self.see(
+            ms,
+            Seen::Offered { node, placing, number, dispatcher: 0, service, task, version, decided: 0 },
+        )
     }
 
     fn says(self, ms: u64, call: u64, number: u32, node: u32, word: Word) -> Self {
@@ -380,3 +383,15 @@
     let script = if dies { script.dispatcher(1_200, D::Killed).dispatcher(1_300, D::Up) } else { script };
     assert_eq!(old(script, 9_000, 2, false).broken(), broken);
 }
+
+#[test_case(false; "below the floor")]
+#[test_case(true; "before the node had it, or after it was lowered")]
+fn what_is_below_the_floor_of_a_node_must_not_be_accepted_there(lowered: bool) {
+    let script = Script::new().asks(10, 1, 2).see(15, Seen::Floor { node: NODE, lowest: 3 });
+    let script = if lowered { script.see(16, Seen::Floor { node: NODE, lowest: 0 }) } else { script };
+    let script = script.offer(20, 1, 0, NODE).says(50, 1, 0, NODE, Accepted).hears(60, 1, Placed);
+    match lowered {
+        true => script.keeps_all(),
+        false => script.breaks(8, &[3, 4, 5]),
+    }
+}
