Tell stragglers at any distance that their version stands in the line

Seen, as the issue on the audit tells: on a busy machine one dispatcher of `corkspan-lab versions` stayed on 7652 and refused 10000 for good. Cause: Publisher::push_for found no place for a version that is not among the 1,000 remembered whole, named the last two alone, and the dispatcher rightly took that for a split; heard() then never pushed again, since the newest had been sent.

Change: the publisher remembers the stamps of a million versions beside (40 MB at the most) and names what the straggler runs; where it ran yet another by the time that it read the push, its refusal tells which, and it is told once more, once for each that it runs.

Result: stories over 10,000 versions, 3, 2,348 and 9,999 behind, and a split at 2,348, which is still found; one refused by being late is told again and only once.

--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -4,14 +4,18 @@
 use corkspan_deployment::version::{Stamp, Texts};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Versions that are remembered. A subscriber that runs an older one is sent the whole, and turns it down unless it
-/// is told of as one in the line.
+/// Versions that are remembered whole, to make changes from. A subscriber that runs an older one is sent the whole.
 const HISTORY: usize = 1_000;
+/// Versions whose stamps alone are remembered: by these a subscriber however far behind is told that what it runs
+/// stands in the line, and one whose version does not is left to find the split. 40 bytes each, so 40 MB at the most.
+const LINE: usize = 1_000_000;
 const SUBSCRIBERS: usize = 100_000;
 
 #[derive(Clone, Debug, Default)]
 struct Subscriber {
     running: Option<Stamp>,
+    /// Of the line, what the push sent last names: this one, and all from that number on.
+    named: Option<(Stamp, u64)>,
     /// Of the push sent last on its stream, and which it was.
     nonce: u64,
     sent: Option<Stamp>,
@@ -32,6 +36,8 @@
 pub struct Publisher {
     /// In their order; stamps alone for all but the newest, whose texts all changes are made from.
     versions: VecDeque<(Version, bool)>,
+    /// Stamps of all, the newest among them.
+    line: VecDeque<Stamp>,
     subscribers: BTreeMap<u32, Subscriber>,
     nonces: u64,
 }
@@ -47,6 +53,10 @@
         if self.versions.len() > HISTORY {
             self.versions.pop_front();
         }
+        self.line.push_back(stamp);
+        if self.line.len() > LINE {
+            self.line.pop_front();
+        }
         stamp
     }
 
@@ -71,7 +81,15 @@
             return Heard::Older;
         }
         match (said, own.sent) {
-            (Said::Refused(why), Some(sent)) => own.refused = Some((sent, why.clone())),
+            (Said::Refused(why), Some(sent)) => {
+                own.refused = Some((sent, why.clone()));
+                // It ran another by the time that it read that push than was known when it was sent, and took the
+                // line for split: now that this is known, it is told again, once for what it runs.
+                let named = own.named.is_some_and(|(told, from)| running == told || running.number >= from);
+                if !named && stands(&self.line, running) {
+                    own.sent = None;
+                }
+            }
             (Said::WantsWhole, _) => (own.whole, own.sent) = (true, None),
             _ => {}
         }
@@ -89,10 +107,20 @@
         let at = self.versions.iter().position(|(version, _)| version.stamp == running);
         let theirs = at.map(|at| &self.versions[at].0);
         // All from theirs on: those that are on their way may be in force there by the time that it reads this.
-        let first = at.unwrap_or(self.versions.len().saturating_sub(2));
+        // Of one that is further behind than that, all that is remembered.
+        let first = match at {
+            Some(at) => at,
+            None if stands(&self.line, running) => 0,
+            None => self.versions.len().saturating_sub(2),
+        };
         let before = self.versions.len() - 1;
-        let follows =
-            self.versions.range(first.min(before)..before).map(|(version, _)| version.stamp).collect();
+        let recent = self.versions.range(first.min(before)..before).map(|(version, _)| version.stamp);
+        let far = Some(running).filter(|_| at.is_none() && stands(&self.line, running));
+        let follows: Vec<Stamp> = far.into_iter().chain(recent).collect();
+        own.named = Some((
+            running,
+            follows.iter().map(|stamp| stamp.number).nth(far.iter().len()).unwrap_or(u64::MAX),
+        ));
         let base = theirs.filter(|_| !own.whole);
         let (changes, removed) = match base {
             Some(base) => base.texts.changes_to(&newest.texts),
@@ -121,3 +149,8 @@
         self.subscribers.get(&who)?.refused.as_ref()
     }
 }
+
+/// Whether a version stands in the line. Numbers grow along it.
+fn stands(line: &VecDeque<Stamp>, stamp: Stamp) -> bool {
+    line.binary_search_by_key(&stamp.number, |other| other.number).is_ok_and(|at| line[at] == stamp)
+}
--- a/crates/control/tests/stories.rs
+++ b/crates/control/tests/stories.rs
@@ -1,7 +1,7 @@
 //! What a dispatcher does about versions, one story for each failure.
 
 use corkspan::interface::*;
-use corkspan_control::{Admitted, Counts, Kept, Pace, Push, Retry, Said, Subscriber, change};
+use corkspan_control::{Admitted, Counts, Kept, Pace, Publisher, Push, Retry, Said, Subscriber, change};
 use corkspan_deployment::Deployment;
 use corkspan_deployment::version::{Stamp, Texts};
 use proptest::prelude::*;
@@ -201,3 +201,43 @@
         (&["".into(), "two".into()][..], Some(0.0))
     );
 }
+
+/// A flood while one of the fleet is away, further than whole versions are remembered.
+#[test_case(3, true; "just behind")]
+#[test_case(2_348, true; "it was on 7652 of 10000")]
+#[test_case(9_999, true; "it has the first of all")]
+#[test_case(2_348, false; "it runs another of that number: a split")]
+fn however_far_behind_one_is_it_takes_the_newest_of_its_own_line(behind: u64, ours: bool) {
+    const ALL: u64 = 10_000;
+    let (mut books, mut own) = (Publisher::default(), subscriber());
+    for number in 1..=ALL {
+        books.publish(texts(number), false);
+        if number + behind == ALL {
+            takes(&mut own, 0, number, Counts::default());
+        }
+    }
+    let running = own.running().0;
+    books.opened(7, if ours { running } else { Stamp { digest: texts(1).digest(), ..running } });
+    let push = books.push_for(7).expect("it has not got the newest");
+    match own.admit(&push) {
+        Admitted::Check(whole) => assert!(ours && whole == texts(ALL)),
+        Admitted::Answer(Said::Refused(why)) => assert!(!ours && why[0].starts_with("split"), "{why:?}"),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// More versions than are remembered whole come between what it told and what it runs as it reads the newest.
+#[test]
+fn one_that_is_known_too_late_to_run_another_is_told_again_and_once() {
+    let mut books = Publisher::default();
+    let stamps: Vec<Stamp> = (1..=5_000).map(|number| books.publish(texts(number), false)).collect();
+    books.opened(7, stamps[0]);
+    let first = books.push_for(7).expect("a push");
+    assert!(!first.follows.contains(&stamps[2_000]), "of those between, not all are told");
+    let split = Said::Refused(vec!["split".into()]);
+    books.heard(7, first.nonce, &split, stamps[2_000]);
+    let again = books.push_for(7).expect("once more");
+    assert!(again.follows.contains(&stamps[2_000]));
+    books.heard(7, again.nonce, &split, stamps[2_000]);
+    assert_eq!(books.push_for(7), None, "what it turns down for another reason is not pushed on and on");
+}
