Pass on an end that a node told before its task was handed over

Need: the bound on what is over is to hold by construction. After a start owners hand over what stands, one set-up after the other; the first opens a connection to a node, and the node tells on it the end of all that ended meanwhile, once. Of tasks that had not been handed over yet the dispatcher knew nothing, threw the end away, and then held them as standing for good.

Change: ends of tasks that nobody here knows are kept for 10 s, 1,024 at the most; one handed over at that node is released at once.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -54,6 +54,9 @@
 /// So long a node with tasks goes unheard before it takes the place of another with tasks. The decisions test a silent
 /// node each second and give up what stands there after 5 s: of its tests at least one must find a connection.
 const UNHEARD: Tenths = SECOND;
+/// Ends that nodes told of tasks which nobody here knows: after a start they may be handed over a moment later.
+const ENDS: usize = 1_024;
+const ENDS_FOR: Tenths = SECOND * 10;
 /// Words for owners that no connection could take, kept for the next one that comes.
 const UNTOLD: usize = 1_024;
 
@@ -131,6 +134,8 @@
     owners_most: usize,
     came: u64,
     untold: VecDeque<Vec<u8>>,
+    /// With when they were told, the oldest first.
+    ends: VecDeque<(Tenths, u64, MachineId)>,
     nodes: Nodes,
     links: Links,
     tests: BTreeMap<u64, (MachineId, LinkId)>,
@@ -198,6 +203,7 @@
                     owners_most: posting.limits.sockets / 2,
                     came: 0,
                     untold: VecDeque::new(),
+                    ends: VecDeque::new(),
                     nodes: Nodes::default(),
                     links,
                     tests: BTreeMap::new(),
@@ -414,6 +420,7 @@
         let Inner { host, port } = &*self.lock();
         let words =
             port.untold.len() + port.deferred.len() + port.tests.len() + port.due.len() + port.owed.len();
+        let words = words + port.ends.len();
         host.kept() + port.owners.len() + port.nodes.kept() + port.links.kept() + words
     }
 
@@ -615,8 +622,11 @@
             out: None,
         };
         if let Some(at) = set_up.at {
-            let Some(machine) = self.nodes.find(&at) else {
-                // It has gone, and the task with it.
+            let ended =
+                |machine| self.ends.iter().any(|&(_, task, on)| (task, on) == (message.task, machine));
+            let Some(machine) = self.nodes.find(&at).filter(|&machine| !ended(machine)) else {
+                // It has gone, and the task with it; or its node has told the end already, on the connection that
+                // another handed over before had opened, and tells it to this process no more.
                 self.say(from, Kind::Release, message.task, &[(owner::CAUSE, &[41])]);
                 return Ok(true);
             };
@@ -865,7 +875,7 @@
                         };
                         self.over(now, host, id, ending, reason(&message), load);
                     }
-                    None => {}
+                    None => self.keep_end(now, task, machine),
                 }
             }
             (node::Kind::Closed, Some((id, _, Stage::Over))) => {
@@ -889,6 +899,13 @@
         true
     }
 
+    fn keep_end(&mut self, now: Tenths, task: u64, machine: MachineId) {
+        while self.ends.front().is_some_and(|&(at, _, _)| self.ends.len() >= ENDS || at + ENDS_FOR <= now) {
+            self.ends.pop_front();
+        }
+        self.ends.push_back((now, task, machine));
+    }
+
     fn ready(
         &mut self,
         now: Tenths,
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -243,3 +243,26 @@
         }
     }
 }
+
+/// After a start: its node tells the end of all that ended meanwhile on the first connection, whoever it is opened for.
+#[test]
+fn an_end_that_is_told_before_its_task_is_handed_over_is_passed_on_then() {
+    let mut world = World::new(2);
+    let mut owner = world.owner();
+    let at = |node: &str| format!("{FIGURES};at:{node}");
+    let (here, elsewhere) = (at(&world.nodes[0].name), at(&world.nodes[1].name));
+    owner.sets_up(7, &[(EXTRAS, here.as_bytes())]);
+    let mut link = world.nodes[0].opened();
+    link.says(node::Message::new(node::Kind::Close, 8).code(16));
+    assert_eq!(link.hears().kind, node::Kind::Closed);
+    owner.sets_up(8, &[(EXTRAS, elsewhere.as_bytes())]);
+    assert!(owner.silent_for(Duration::from_millis(100)), "what another node says of it is no end there");
+    owner.says(Kind::Release, 8, &[(CAUSE, &[16])]);
+    let mut second = world.owner();
+    second.sets_up(9, &[(EXTRAS, here.as_bytes())]);
+    link.says(node::Message::new(node::Kind::Close, 10).code(16));
+    assert_eq!(link.hears().sid, Some(10));
+    second.sets_up(10, &[(EXTRAS, here.as_bytes())]);
+    let release = second.hears();
+    assert_eq!((release.kind, release.task), (Kind::Release, 10));
+}
