Tell with every act who acts under which version; let nodes keep and tell what they saw

Need: an audit that asks dispatchers alone believes them. Stops, moves and claims told no version, and nodes kept nothing.

Result: the story of five processes ends with the audit's table of shots against the nodes' sockets by an independent reading of the capture: equal, row for row.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -2,8 +2,8 @@
 //! `corkspan_fleet`.
 
 use clap::Subcommand;
-use corkspan_api::v1::{self, versions_client::VersionsClient};
-use corkspan_fleet::audit::{Told, findings};
+use corkspan_api::v1::{self, node_client::NodeClient, versions_client::VersionsClient};
+use corkspan_fleet::audit::{Acted, Acts, Told, acts, findings, node_findings};
 use corkspan_fleet::{Runs, taken_by_enough};
 use corkspan_rpc::{Bounds, Link, Tasks, within};
 use futures_lite::future;
@@ -22,6 +22,9 @@
         /// Where the dispatchers listen.
         #[arg(required = true)]
         dispatchers: Vec<SocketAddr>,
+        /// Where nodes listen whose records of acts are asked for too; may be told many times.
+        #[arg(long = "node")]
+        nodes: Vec<SocketAddr>,
     },
     /// Asks the keepers that no version below this one may act.
     Floor {
@@ -40,7 +43,7 @@
     let tasks = Tasks::default();
     future::block_on(tasks.run(async {
         match call {
-            Fleet::Audit { dispatchers } => audit(&tasks, &dispatchers).await,
+            Fleet::Audit { dispatchers, nodes } => audit(&tasks, &dispatchers, &nodes).await,
             Fleet::Floor { version, dispatchers, part } => floor(&tasks, version, &dispatchers, part).await,
         }
     }))
@@ -71,6 +74,40 @@
     told
 }
 
+/// What nodes have seen of acts.
+async fn ask_nodes(tasks: &Tasks, addresses: &[SocketAddr]) -> Vec<(String, Option<Vec<Acted>>)> {
+    let asked: Vec<_> = addresses
+        .iter()
+        .map(|&address| {
+            let own = tasks.clone();
+            tasks.spawn(within(ANSWERS_WITHIN, async move {
+                let bounds = Bounds { connect_within: Duration::from_secs(2), ..Bounds::default() };
+                let link = Link::open(&own, address, &bounds).await.ok()?;
+                let mut client = NodeClient::new(link).max_decoding_message_size(ANSWER);
+                client.acts(v1::ActsAsk {}).await.ok().map(tonic::Response::into_inner)
+            }))
+        })
+        .collect();
+    let mut told = Vec::new();
+    for (address, ask) in addresses.iter().zip(asked) {
+        let acts = ask.await.flatten().map(|word| {
+            let acts = word.acts.iter();
+            acts.map(|act| Acted {
+                dispatcher: act.dispatcher,
+                life: act.life,
+                version: act.version,
+                many: match act.kind() {
+                    v1::act::Kind::Shot => Acts { shots: act.seen, others: 0, below: act.below },
+                    _ => Acts { shots: 0, others: act.seen, below: act.below },
+                },
+            })
+            .collect()
+        });
+        told.push((address.to_string(), acts));
+    }
+    told
+}
+
 fn told(status: &v1::VersionStatus) -> Told {
     let running = status.running.clone().unwrap_or_default();
     let turned_down = status.refused_last.as_ref().map(|stamp| (stamp.number, status.why.join("; ")));
@@ -87,7 +124,7 @@
     }
 }
 
-async fn audit(tasks: &Tasks, addresses: &[SocketAddr]) -> Result<(), String> {
+async fn audit(tasks: &Tasks, addresses: &[SocketAddr], nodes: &[SocketAddr]) -> Result<(), String> {
     let all = ask_all(tasks, addresses).await;
     println!("{:<22} {:>6} {:>8} {:<9} {:>6} state", "dispatcher", "number", "version", "digest", "floor");
     for (address, status) in addresses.iter().zip(&all) {
@@ -112,7 +149,19 @@
     }
     let named =
         addresses.iter().zip(&all).map(|(address, status)| (address.to_string(), status.as_ref().map(told)));
-    let found = findings(&named.collect::<Vec<_>>());
+    let named: Vec<_> = named.collect();
+    let acted = ask_nodes(tasks, nodes).await;
+    if !nodes.is_empty() {
+        println!(
+            "{:>22} {:>8} {:>10} {:>10} {:>11}",
+            "acts of dispatcher", "version", "shots", "others", "turned away"
+        );
+        for ((dispatcher, version), Acts { shots, others, below }) in acts(&acted) {
+            println!("{dispatcher:>22} {version:>8} {shots:>10} {others:>10} {below:>11}");
+        }
+    }
+    let mut found = findings(&named);
+    found.extend(node_findings(&named, &acted));
     found.iter().for_each(|finding| println!("{finding}"));
     if found.is_empty() { Ok(()) } else { Err(format!("{} things are wrong", found.len())) }
 }
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -435,12 +435,18 @@
             dispatcher: self.deployment().cluster.number as u32,
             priority: u32::from(self.deployment().cluster.tracks[asked.track.0].priority),
             version,
-            stamp: Some(control::message(self.deployment().stamp)),
-            life: self.fleet.life,
+            by: Some(self.by()),
             floor: self.fleet.floor().map(fleet::message),
         }
     }
 
+    /// Who acts, and under which version: told with each act, from what is in force as it is decided.
+    pub fn by(&self) -> v1::By {
+        let deployment = self.deployment();
+        let stamp = Some(control::message(deployment.stamp));
+        v1::By { stamp, life: self.fleet.life, dispatcher: deployment.cluster.number as u32 }
+    }
+
     /// The floor of versions that shuts this dispatcher out, if one does.
     pub fn shut_out(&self) -> Option<corkspan_fleet::Floor> {
         self.fleet.shut_out(self.deployment().stamp)
@@ -808,6 +814,7 @@
                         task: orphan.task.clone(),
                         moved: true,
                         but: String::new(),
+                        by: Some(self.by()),
                     };
                     let mut stops: Vec<v1::StopAsk> = orphan.placings.iter().map(stop).collect();
                     stops.extend(orphan.but.iter().map(|but| v1::StopAsk {
@@ -815,6 +822,7 @@
                         task: orphan.task.clone(),
                         moved: true,
                         but: but.clone(),
+                        by: Some(self.by()),
                     }));
                     (index, *machine, Arc::clone(node), stops)
                 })
@@ -1059,7 +1067,7 @@
     fn stop(&mut self, desk: &Arc<Desk>, client: &Client, machine: MachineId, moved: bool) {
         let Some(node) = self.node(machine) else { return };
         let (placing, task) = (client.ask.placing.clone(), client.ask.task.clone());
-        let stop = v1::StopAsk { placing, task, moved, but: String::new() };
+        let stop = v1::StopAsk { placing, task, moved, but: String::new(), by: Some(desk.by()) };
         desk.tasks.spawn(shots::stop(desk.clone(), node, stop)).detach();
     }
 
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -372,7 +372,8 @@
         if keep_claim(desk, claim, service, &task, false, None).await {
             let dispatcher = desk.deployment().cluster.number as u32;
             let slot = v1::Slot { slot, claim: claim.0, task: task.clone(), dispatcher };
-            let ask = v1::Claim { service: service.into(), number: roll.number, slot: Some(slot) };
+            let by = Some(desk.by());
+            let ask = v1::Claim { service: service.into(), number: roll.number, slot: Some(slot), by };
             let words = ask_all(desk, Ask::Claim(ask)).await;
             granted = words.iter().filter(|word| word.granted).count();
         }
--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -45,10 +45,70 @@
     ShutOut(String),
     #[error("{who} and {other} are two processes under the number {dispatcher}")]
     OneNumber { who: String, other: String, dispatcher: u32 },
+    #[error("{below} acts of dispatcher {dispatcher} under version {version} were turned away by the floor")]
+    Below { dispatcher: u32, version: u64, below: u64 },
+    #[error("{who} says that it runs version {told}, and nodes have seen acts of it under version {version}")]
+    Ahead { who: String, version: u64, told: u64 },
     #[error("{who} and {other} run version {version} with different digests")]
     TwoDigests { who: String, other: String, version: u64 },
 }
 
+/// What one node tells of one process's acts under one version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acted {
+    pub dispatcher: u32,
+    pub life: u64,
+    pub version: u64,
+    pub many: Acts,
+}
+
+/// How many acts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Acts {
+    pub shots: u64,
+    /// Attendances, stops, moves and claims.
+    pub others: u64,
+    /// Of all, turned away by the floor.
+    pub below: u64,
+}
+
+/// What nodes have seen by dispatcher and version, over all lives and nodes.
+pub fn acts(told: &[(String, Option<Vec<Acted>>)]) -> BTreeMap<(u32, u64), Acts> {
+    let mut sums: BTreeMap<(u32, u64), Acts> = BTreeMap::new();
+    for act in told.iter().flat_map(|(_, acts)| acts).flatten() {
+        let sum = sums.entry((act.dispatcher, act.version)).or_default();
+        sum.shots = sum.shots.saturating_add(act.many.shots);
+        sum.others = sum.others.saturating_add(act.many.others);
+        sum.below = sum.below.saturating_add(act.many.below);
+    }
+    sums
+}
+
+/// What nodes tell that is wrong by itself, or against what the dispatchers tell of themselves.
+pub fn node_findings(
+    told: &[(String, Option<Told>)],
+    nodes: &[(String, Option<Vec<Acted>>)],
+) -> Vec<Finding> {
+    let silent = nodes.iter().filter(|(_, acts)| acts.is_none()).map(|(who, _)| Finding::Silent(who.clone()));
+    let mut findings: Vec<Finding> = silent.collect();
+    for ((dispatcher, version), Acts { below, .. }) in acts(nodes) {
+        if below > 0 {
+            findings.push(Finding::Below { dispatcher, version, below });
+        }
+    }
+    for (who, told) in told {
+        let Some(told) = told else { continue };
+        let seen = nodes.iter().flat_map(|(_, acts)| acts).flatten();
+        let mine = seen.filter(|act| act.dispatcher == told.dispatcher && act.life == told.life);
+        let ahead = mine.map(|act| act.version).filter(|version| *version > told.version).max();
+        // It may have given that one up since.
+        if let Some(version) = ahead.filter(|version| !told.given_up.contains(version)) {
+            findings.push(Finding::Ahead { who: who.clone(), version, told: told.version });
+        }
+    }
+    findings
+}
+
 /// All findings, in the order in which the dispatchers were asked for.
 pub fn findings(told: &[(String, Option<Told>)]) -> Vec<Finding> {
     let newest =
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! keeps it from sending in vain. No clock is in it: who hears nothing is stopped by the nodes that it reaches, and
 //! where nobody has heard of a floor, nobody is shut out.
 
+pub mod acts;
 pub mod audit;
 
 use corkspan_keeper::{Wish, in_force, majority, to_follow};
--- a/crates/fleet/tests/audit.rs
+++ b/crates/fleet/tests/audit.rs
@@ -1,6 +1,7 @@
 //! What an audit tells of a fleet, and what keeps a floor from being raised.
 
-use corkspan_fleet::audit::{Finding, Told, Why, findings};
+use corkspan_fleet::acts::{Acts as Record, By, Kind, Many};
+use corkspan_fleet::audit::{Acted, Acts, Finding, Told, Why, findings, node_findings};
 use corkspan_fleet::{Floor, NotRaised, Runs, next, taken_by_enough};
 use test_case::test_case;
 
@@ -78,3 +79,38 @@
     assert_eq!(next(&split, 3, 5, 9), Ok(floor(5, 9, 5)));
     assert_eq!(next(&split, 3, 2, 9), Err(NotRaised::Stands(2)));
 }
+
+#[test]
+fn what_nodes_have_seen_of_a_dispatcher_is_held_against_its_own_word() {
+    let acted = |life, version, below| Acted {
+        dispatcher: 1,
+        life,
+        version,
+        many: Acts { shots: 5, others: 1, below },
+    };
+    let named = |told: Told| [("a".to_string(), Some(told))];
+    let nodes = |acts: Vec<Acted>| [("n".to_string(), Some(acts)), ("m".to_string(), None)];
+    let silent = Finding::Silent("m".into());
+    let of = |told, acts| node_findings(&named(told), &nodes(acts));
+    assert_eq!(
+        of(told(1, 7), vec![acted(101, 7, 0), acted(1, 9, 0)]),
+        std::slice::from_ref(&silent),
+        "another life is another"
+    );
+    let below = Finding::Below { dispatcher: 1, version: 6, below: 2 };
+    assert_eq!(of(told(1, 7), vec![acted(101, 6, 2)]), [silent.clone(), below]);
+    let ahead = Finding::Ahead { who: "a".into(), version: 8, told: 7 };
+    assert_eq!(of(told(1, 7), vec![acted(101, 8, 0)]), [silent.clone(), ahead]);
+    assert_eq!(of(Told { given_up: vec![8], ..told(1, 7) }, vec![acted(101, 8, 0)]), [silent]);
+}
+
+#[test]
+fn a_peer_that_invents_lives_fills_no_memory_and_hides_nobody_who_was_there() {
+    let mut record = Record::default();
+    let by = |life| By { dispatcher: 1, life, version: 3 };
+    (0..100_000).for_each(|life| record.saw(by(life), Kind::Shot));
+    record.saw(by(0), Kind::Shot);
+    record.turned_away(by(0), Kind::Shot);
+    assert_eq!(record.rows().next(), Some((by(0), Kind::Shot, Many { seen: 2, below: 1 })));
+    assert_eq!((record.rows().count(), record.left_out()), (8_192, 100_000 - 8_192));
+}
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -297,6 +297,10 @@
     async fn probe(&self, _: Request<v1::ProbeAsk>) -> Result<Response<v1::ProbeWord>, Status> {
         Ok(Response::new(v1::ProbeWord { load: None }))
     }
+
+    async fn acts(&self, _: Request<v1::ActsAsk>) -> Result<Response<v1::ActsWord>, Status> {
+        Err(Status::unimplemented("it keeps no record"))
+    }
 }
 
 pub(crate) fn deployment(roster: SocketAddr, more: &str) -> String {
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -8,6 +8,7 @@
 use corkspan::interface::Amount;
 use corkspan_api::v1::{self, node_server::NodeServer, said::Said, turned::Why};
 use corkspan_dispatcher::fleet;
+use corkspan_fleet::acts::{Acts, By, Kind};
 use corkspan_fleet::{Disk, Fence, Floor, Look};
 use corkspan_roll::{Claimed, Grant, Keeper};
 use corkspan_rpc::{Bounds, Tasks};
@@ -129,6 +130,8 @@
     keeper: Mutex<Keeper>,
     floors: Mutex<corkspan_keeper::Keeper<Floor>>,
     fence: Mutex<Fence>,
+    /// On its disk too.
+    acts: Mutex<Acts>,
 }
 
 const NOTES: Duration = Duration::from_millis(250);
@@ -146,6 +149,7 @@
             keeper: Mutex::default(),
             floors: Mutex::default(),
             fence: Mutex::new(Fence::start(Disk::Whole(None))),
+            acts: Mutex::default(),
         })
     }
 
@@ -309,6 +313,10 @@
         words.close();
     }
 
+    fn acts(&self) -> MutexGuard<'_, Acts> {
+        self.acts.lock().expect("no one panics while it is held")
+    }
+
     fn fence(&self) -> MutexGuard<'_, Fence> {
         self.fence.lock().expect("no one panics while it is held")
     }
@@ -356,6 +364,7 @@
 
     /// An offer is here: counts it, and says whether the node bears it.
     fn arrives(self: &Arc<Self>, shot: &v1::Shot) -> Option<u64> {
+        self.acts().saw(by(shot.by.as_ref(), shot.dispatcher), Kind::Shot);
         self.world.capture.see(Seen::Offered {
             node: self.plan.id,
             placing: shot.placing.clone(),
@@ -432,6 +441,9 @@
             Look::NotYet => Some(Why::NotHere),
         };
         if let Some(why) = below {
+            if why == Why::BelowFloor {
+                self.acts().turned_away(by(shot.by.as_ref(), shot.dispatcher), Kind::Shot);
+            }
             self.refuse(&mut state, shot, words, why);
             return false;
         }
@@ -572,7 +584,14 @@
 
 /// The number of the version that a shot was decided under.
 fn decided(shot: &v1::Shot) -> u64 {
-    shot.stamp.as_ref().map_or(0, |stamp| stamp.number)
+    by(shot.by.as_ref(), shot.dispatcher).version
+}
+
+/// Who acts. One that tells nothing counts as on its own file, in no life that is known.
+fn by(told: Option<&v1::By>, dispatcher: u32) -> By {
+    let version = told.and_then(|by| by.stamp.as_ref()).map_or(0, |stamp| stamp.number);
+    let (life, dispatcher) = told.map_or((0, dispatcher), |by| (by.life, by.dispatcher));
+    By { dispatcher, life, version }
 }
 
 fn asked(state: &State) -> Amount {
@@ -637,6 +656,7 @@
 
     async fn attend(&self, request: Request<v1::Shot>) -> Result<Response<Saying>, Status> {
         let shot = request.into_inner();
+        self.0.acts().saw(by(shot.by.as_ref(), shot.dispatcher), Kind::Attend);
         let (words, said) = async_channel::bounded(WORDS);
         let mut state = self.0.lock();
         match state.guests.get_mut(&shot.placing) {
@@ -675,6 +695,8 @@
                 word.kept.extend(keeper.propose(roll).map(|roll| kept(roll, Vec::new())));
             }
             Some(Ask::Claim(claim)) => {
+                let dispatcher = claim.slot.as_ref().map_or(u32::MAX, |slot| slot.dispatcher);
+                self.0.acts().saw(by(claim.by.as_ref(), dispatcher), Kind::Claim);
                 let slot = claim.slot.ok_or_else(|| Status::invalid_argument("no slot"))?;
                 let own = corkspan_roll::ClaimId(slot.claim);
                 let grant = Grant { claim: own, task: slot.task, dispatcher: slot.dispatcher };
@@ -709,8 +731,36 @@
         Ok(Response::new(word))
     }
 
+    async fn acts(&self, _: Request<v1::ActsAsk>) -> Result<Response<v1::ActsWord>, Status> {
+        let (acts, floor) = (self.0.acts().clone(), self.0.fence().floor());
+        let rows = acts.rows().map(|(by, kind, many)| v1::Act {
+            dispatcher: by.dispatcher,
+            life: by.life,
+            version: by.version,
+            kind: match kind {
+                Kind::Shot => v1::act::Kind::Shot,
+                Kind::Attend => v1::act::Kind::Attend,
+                Kind::Stop => v1::act::Kind::Stop,
+                Kind::Move => v1::act::Kind::Move,
+                Kind::Claim => v1::act::Kind::Claim,
+            }
+            .into(),
+            seen: many.seen,
+            below: many.below,
+        });
+        Ok(Response::new(v1::ActsWord {
+            node: self.0.plan.id,
+            acts: rows.collect(),
+            left_out: acts.left_out(),
+            floor: floor.map(fleet::message),
+        }))
+    }
+
     async fn stop(&self, request: Request<v1::StopAsk>) -> Result<Response<v1::StopWord>, Status> {
         let ask = request.into_inner();
+        // Whoever acts is told by the stop alone: an older dispatcher tells none.
+        let kind = if ask.moved { Kind::Move } else { Kind::Stop };
+        self.0.acts().saw(by(ask.by.as_ref(), u32::MAX), kind);
         let mut state = self.0.lock();
         let was_here = state.guests.contains_key(&ask.placing);
         let how = if ask.moved { v1::over::How::Moved } else { v1::over::How::Stopped };
--- a/crates/lab/tests/full_path/fleet.rs
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -9,6 +9,7 @@
 use corkspan_lab::judge::judge;
 use corkspan_rpc::{Bounds, Link};
 use rustix::process::{Pid, Signal, kill_process};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Output, Stdio};
@@ -137,6 +138,32 @@
         .await;
     }
 
+    /// The audit's table of acts against the nodes' sockets: no shot more or less.
+    async fn audit_equals_the_sockets(&self) {
+        let nodes =
+            self.rig.nodes.iter().map(|node| self.rig.roster.entry(node.plan.id).expect("listed").address);
+        let nodes: Vec<String> = nodes.flat_map(|address| ["--node".into(), address]).collect();
+        let line: Vec<&str> = ["audit"].into_iter().chain(nodes.iter().map(String::as_str)).collect();
+        let audit = self.operator(&line).await;
+        let text = String::from_utf8_lossy(&audit.stdout).into_owned();
+        assert!(audit.status.code() == Some(1) && text.contains("were turned away by the floor"), "{text}");
+        let table = text.lines().skip_while(|line| !line.contains("acts of dispatcher")).skip(1);
+        let rows: BTreeMap<(u32, u64), u64> = table
+            .map_while(|line| {
+                let row: Vec<u64> = line.split_whitespace().map_while(|word| word.parse().ok()).collect();
+                let [dispatcher, version, shots, _, _] = row[..] else { return None };
+                Some(((dispatcher as u32, version), shots))
+            })
+            .collect();
+        let mut sockets: BTreeMap<(u32, u64), u64> = BTreeMap::new();
+        for line in self.rig.world.capture.lines() {
+            if let Seen::Offered { dispatcher, decided, .. } = line.seen {
+                *sockets.entry((dispatcher, decided)).or_default() += 1;
+            }
+        }
+        assert_eq!(rows, sockets, "{text}");
+    }
+
     /// What the judge finds of the floor in what crossed the sockets.
     fn judged(&self) -> (Vec<String>, Vec<Line>) {
         let cold = Cold { lasts_us: 0, window_us: 0, most: usize::MAX };
@@ -212,6 +239,7 @@
         }
         let audit = stage.operator(&["audit"]).await;
         assert!(audit.status.success(), "{}", String::from_utf8_lossy(&audit.stdout));
+        stage.audit_equals_the_sockets().await;
         let (breaches, lines) = stage.judged();
         assert_eq!(breaches, [""; 0]);
         let below =
