--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod owner;
 pub mod play;
 pub mod pushes;
+pub mod relay;
 pub mod roster;
 pub mod table;
--- a/crates/lab/tests/full_path/fleet.rs
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -4,15 +4,18 @@
 use crate::rig::*;
 use corkspan_api::v1::{self, placement_client::PlacementClient, refused::Why, word::Word};
 use corkspan_deployment::version::Texts;
-use corkspan_lab::capture::{Cold, Line, Rules, Seen};
+use corkspan_lab::capture::{Cold, Line, Rules, Seen, Word as SaidWord};
 use corkspan_lab::control::{Control, Up};
 use corkspan_lab::judge::judge;
+use corkspan_lab::relay::{Relay, Way};
+use corkspan_lab::roster::Roster;
 use corkspan_rpc::{Bounds, Link};
 use rustix::process::{Pid, Signal, kill_process};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_corkspan-lab");
 
@@ -79,10 +82,16 @@
     }
 
     async fn start(&mut self, control: SocketAddr, keepers: &str) {
+        self.start_by(self.rig.roster.address, control, keepers).await;
+    }
+
+    /// One that knows the nodes by another roster.
+    async fn start_by(&mut self, roster: SocketAddr, control: SocketAddr, keepers: &str) {
         let number = self.fleet.len();
         let kept = self.folder.path().join(format!("versions-{number}.json"));
         let more = format!("(control \"{control}\") (versions {kept:?}) {keepers} (floor (every 1 s))");
-        let text = self.deployment(&more).replace("(number 0)", &format!("(number {number})"));
+        let text = self.deployment(&more).replace(&self.rig.roster.address.to_string(), &roster.to_string());
+        let text = text.replace("(number 0)", &format!("(number {number})"));
         let file = self.folder.path().join(format!("{number}.sexp"));
         std::fs::write(&file, text).expect("written");
         self.fleet.push(Process::start(file).await);
@@ -272,3 +281,62 @@
         assert_eq!(stage.judged().0, [""; 0]);
     });
 }
+
+/// All links of one process but the roster's run through relays: it hears no more of versions, nodes and keepers while
+/// its links stand open, and what it says still gets through.
+#[test]
+fn one_that_hears_nothing_on_links_that_stand_is_shut_out_and_its_owners_get_their_answers() {
+    Rig::run(Layout { nodes: 3, ..Layout::default() }, async |rig| {
+        let mut stage = Stage::new(rig).await;
+        let tasks = stage.rig.tasks.clone();
+        let newest = stage.newest.0.address;
+        let control = Relay::up(&tasks, newest).await.expect("a port");
+        // The same nodes, by addresses of relays to them.
+        let (roster, by) = Roster::up(&stage.rig.world).await.expect("a port");
+        let mut nodes = Vec::new();
+        for node in &stage.rig.nodes {
+            let listed = stage.rig.roster.entry(node.plan.id).expect("listed");
+            let relay = Relay::up(&tasks, listed.address.parse().expect("an address")).await.expect("a port");
+            roster.change(Duration::ZERO, v1::Entry { address: relay.address.to_string(), ..listed });
+            nodes.push(relay);
+        }
+        for _ in 0..4 {
+            stage.start(newest, KEEPERS).await;
+        }
+        stage.start_by(by, control.address, KEEPERS).await;
+        for number in 0..5 {
+            stage.until_in_force(number, 1).await;
+        }
+        let (before, _call) = stage.answered(4, "before").await;
+        assert!(matches!(before, Some(Word::Placed(_))), "{before:?}");
+
+        control.hold(&[Way::In]);
+        nodes.iter().for_each(|node| node.hold(&[Way::In]));
+        assert_eq!(stage.newest.0.publish(stage.texts(5), false).number, 2);
+        for number in 0..4 {
+            stage.until_in_force(number, 2).await;
+        }
+        let asked = stage.operator(&["floor", "2", "--part", "0"]).await;
+        assert!(asked.status.success(), "{}", String::from_utf8_lossy(&asked.stderr));
+        stage.until_nodes_have_it().await;
+        // It reaches nodes that know the floor and hears neither them nor the keepers among them.
+        let deaf = stage.answered(4, "deaf").await.0;
+        assert!(
+            matches!(deaf, Some(Word::Refused(_) | Word::Failed(_))),
+            "one answer, in its time: {deaf:?}"
+        );
+        nodes.iter().for_each(Relay::heal);
+        until(async || refused_as(&stage.answered(4, "heard").await.0) == Some(Why::Behind)).await;
+        control.heal();
+        stage.until_in_force(4, 2).await;
+        let (after, _call) = stage.answered(4, "after").await;
+        assert!(matches!(after, Some(Word::Placed(_))), "{after:?}");
+        let (breaches, lines) = stage.judged();
+        assert_eq!(breaches, [""; 0]);
+        let ran = lines.iter().filter(|line| match &line.seen {
+            Seen::Said { placing, word, .. } => placing == "deaf#0" && *word == SaidWord::Accepted,
+            _ => false,
+        });
+        assert_eq!(ran.count(), 0, "what it sent from below took effect nowhere");
+    });
+}
