Keep which versions were in force over lives, and hold acts counted against acts seen

Need: the audit is to tell versions over time and where a dispatcher's word and the nodes' records part.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use clap::Subcommand;
 use corkspan_api::v1::{self, node_client::NodeClient, versions_client::VersionsClient};
+use corkspan_dispatcher::clock::wall_ms;
 use corkspan_fleet::audit::{Acted, Acts, Told, acts, findings, node_findings};
 use corkspan_fleet::{Runs, taken_by_enough};
 use corkspan_rpc::{Bounds, Link, Tasks, within};
@@ -25,6 +26,9 @@
         /// Where nodes listen whose records of acts are asked for too; may be told many times.
         #[arg(long = "node")]
         nodes: Vec<SocketAddr>,
+        /// Tells also which versions were in force at each within the last so many seconds.
+        #[arg(long)]
+        since: Option<u64>,
     },
     /// Asks the keepers that no version below this one may act.
     Floor {
@@ -43,7 +47,7 @@
     let tasks = Tasks::default();
     future::block_on(tasks.run(async {
         match call {
-            Fleet::Audit { dispatchers, nodes } => audit(&tasks, &dispatchers, &nodes).await,
+            Fleet::Audit { dispatchers, nodes, since } => audit(&tasks, &dispatchers, &nodes, since).await,
             Fleet::Floor { version, dispatchers, part } => floor(&tasks, version, &dispatchers, part).await,
         }
     }))
@@ -121,10 +125,38 @@
         turned_down,
         given_up: status.given_up.iter().map(|stamp| stamp.number).collect(),
         shut_out: status.shut_out,
+        acts: status.acts.iter().map(|(&version, &many)| (version, many)).collect(),
     }
 }
 
-async fn audit(tasks: &Tasks, addresses: &[SocketAddr], nodes: &[SocketAddr]) -> Result<(), String> {
+/// The versions of one dispatcher that were in force at any time since then, by its own clock.
+fn over_time(address: SocketAddr, spans: &[v1::Span], now_ms: u64, since_s: u64) {
+    let since = now_ms.saturating_sub(since_s.saturating_mul(1_000));
+    let ends = spans.iter().skip(1).map(|next| Some(next.from_ms)).chain([None]);
+    let ago = |at: u64| now_ms.saturating_sub(at) as f64 / 1_000.0;
+    for (span, end) in spans.iter().zip(ends).filter(|(_, end)| end.is_none_or(|end| end > since)) {
+        let how = match span.how() {
+            v1::span::How::File => "its own file",
+            v1::span::How::Kept => "kept, at a start",
+            v1::span::How::Push => "pushed",
+            v1::span::How::GaveUp => "after giving up",
+        };
+        let version = span.stamp.as_ref().map_or(0, |stamp| stamp.number);
+        let to = end.map_or("now".into(), |end| format!("{:.1} s ago", ago(end)));
+        println!(
+            "{address}: version {version} ({how}) from {:.1} s ago to {to}, life {:x}",
+            ago(span.from_ms),
+            span.life
+        );
+    }
+}
+
+async fn audit(
+    tasks: &Tasks,
+    addresses: &[SocketAddr],
+    nodes: &[SocketAddr],
+    since: Option<u64>,
+) -> Result<(), String> {
     let all = ask_all(tasks, addresses).await;
     println!("{:<22} {:>6} {:>8} {:<9} {:>6} state", "dispatcher", "number", "version", "digest", "floor");
     for (address, status) in addresses.iter().zip(&all) {
@@ -147,6 +179,12 @@
             told.version
         );
     }
+    if let Some(since) = since {
+        let now = wall_ms();
+        for (address, status) in addresses.iter().zip(&all) {
+            status.iter().for_each(|status| over_time(*address, &status.spans, now, since));
+        }
+    }
     let named =
         addresses.iter().zip(&all).map(|(address, status)| (address.to_string(), status.as_ref().map(told)));
     let named: Vec<_> = named.collect();
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -9,6 +9,7 @@
 use corkspan_control::{Admitted, Counts, Kept, Pace, Push, Retry, Said, Subscriber};
 use corkspan_deployment::Deployment;
 use corkspan_deployment::version::{Digest, Stamp, Texts};
+use corkspan_fleet::record::How;
 use corkspan_rpc::Link;
 use futures_lite::{FutureExt, future};
 use std::net::SocketAddr;
@@ -357,6 +358,7 @@
     }
     versions.with(|state| state.subscriber.applied(desk.clock.now(), kept, counts(desk)));
     RUNNING.store(push.stamp.number, Ordering::Relaxed);
+    desk.fleet.began(push.stamp, How::Push);
     info!(number = push.stamp.number, digest = ?push.stamp.digest, "a version is in force, on trial");
     Said::Applied
 }
@@ -393,6 +395,7 @@
         });
         match why {
             Some(why) => {
+                desk.fleet.began(desk.deployment().stamp, How::GaveUp);
                 warn!(number = before.number, why, "a version is given up for the last good one");
                 let _ = gave_up.force_send(why);
             }
@@ -412,7 +415,17 @@
         let shut_out = self.0.shut_out().is_some();
         let status = self.0.versions.status(&self.0.deployment());
         let (dispatcher, life) = (self.0.deployment().cluster.number as u32, self.0.fleet.life);
-        Ok(Response::new(v1::VersionStatus { floor, shut_out, dispatcher, life, ..status }))
+        let (unwritten, (spans, acts)) = (self.0.fleet.unwritten(), self.0.fleet.told());
+        Ok(Response::new(v1::VersionStatus {
+            floor,
+            shut_out,
+            dispatcher,
+            life,
+            spans,
+            acts,
+            unwritten,
+            ..status
+        }))
     }
 
     async fn raise(&self, request: Request<v1::FloorAsk>) -> Result<Response<v1::FloorWord>, Status> {
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -195,6 +195,7 @@
         let now = clock.now();
         let (versions, deployment) = Versions::start(deployment, now);
         let store = Arc::new(store);
+        let fleet = Fleet::new(seed, store.spans(), deployment.stamp);
         let kept = store.read();
         // Whatever an earlier life had started beside a copy, and was killed before it had put away one of the two.
         let orphans = kept.1.iter().filter_map(|held| {
@@ -230,7 +231,7 @@
                 link_bounds: crate::links::bounds(&deployment.bounds),
                 in_force: RwLock::new(Arc::new(deployment)),
                 versions,
-                fleet: Fleet::new(seed),
+                fleet,
                 tasks: Arc::clone(tasks),
                 wakes,
                 watches,
@@ -435,14 +436,16 @@
             dispatcher: self.deployment().cluster.number as u32,
             priority: u32::from(self.deployment().cluster.tracks[asked.track.0].priority),
             version,
-            by: Some(self.by()),
+            by: Some(self.by(1)),
             floor: self.fleet.floor().map(fleet::message),
         }
     }
 
-    /// Who acts, and under which version: told with each act, from what is in force as it is decided.
-    pub fn by(&self) -> v1::By {
+    /// Who acts, and under which version: told with each act, from what is in force as it is decided. `many`: nodes that
+    /// it goes to.
+    pub fn by(&self, many: usize) -> v1::By {
         let deployment = self.deployment();
+        self.fleet.acts(deployment.stamp, many);
         let stamp = Some(control::message(deployment.stamp));
         v1::By { stamp, life: self.fleet.life, dispatcher: deployment.cluster.number as u32 }
     }
@@ -814,7 +817,7 @@
                         task: orphan.task.clone(),
                         moved: true,
                         but: String::new(),
-                        by: Some(self.by()),
+                        by: Some(self.by(1)),
                     };
                     let mut stops: Vec<v1::StopAsk> = orphan.placings.iter().map(stop).collect();
                     stops.extend(orphan.but.iter().map(|but| v1::StopAsk {
@@ -822,7 +825,7 @@
                         task: orphan.task.clone(),
                         moved: true,
                         but: but.clone(),
-                        by: Some(self.by()),
+                        by: Some(self.by(1)),
                     }));
                     (index, *machine, Arc::clone(node), stops)
                 })
@@ -1067,7 +1070,7 @@
     fn stop(&mut self, desk: &Arc<Desk>, client: &Client, machine: MachineId, moved: bool) {
         let Some(node) = self.node(machine) else { return };
         let (placing, task) = (client.ask.placing.clone(), client.ask.task.clone());
-        let stop = v1::StopAsk { placing, task, moved, but: String::new(), by: Some(desk.by()) };
+        let stop = v1::StopAsk { placing, task, moved, but: String::new(), by: Some(desk.by(1)) };
         desk.tasks.spawn(shots::stop(desk.clone(), node, stop)).detach();
     }
 
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -1,27 +1,82 @@
 //! The floor of versions: keepers asked for it, and what is heard of it kept. What is decided stands in
 //! `corkspan_fleet`.
 
-use crate::clock::duration;
+use crate::clock::{duration, wall_ms};
 use crate::desk::Desk;
 use crate::rolls::ask_all;
 use corkspan_api::v1::{self, keep_ask::Ask};
 use corkspan_deployment::version::Stamp;
+use corkspan_fleet::record::{How, Record, Span};
 use corkspan_fleet::{Floor, Standing, next};
 use corkspan_keeper::in_force;
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tonic::Status;
 use tracing::{info, warn};
 
+/// Between two writes of the record.
+const WRITTEN_EVERY: Duration = Duration::from_secs(1);
+
 /// What a dispatcher has heard of the floor, and which process it is.
 pub struct Fleet {
     /// Told with each act: another after each start.
     pub life: u64,
     standing: Mutex<Standing>,
+    record: Mutex<Record>,
+    /// Changes of the record, and how many of them are on disk.
+    changed: AtomicU64,
+    written: AtomicU64,
 }
 
 impl Fleet {
-    pub fn new(life: u64) -> Self {
-        Fleet { life, standing: Mutex::default() }
+    /// `spans`: of earlier lives; `running`: what is in force at the start.
+    pub fn new(life: u64, spans: VecDeque<Span>, running: Stamp) -> Self {
+        let record = Mutex::new(Record::after(spans));
+        let (standing, changed, written) = Default::default();
+        let fleet = Fleet { life, standing, record, changed, written };
+        fleet.began(running, if running.number == 0 { How::File } else { How::Kept });
+        fleet
+    }
+
+    fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A version is in force from now on.
+    pub fn began(&self, stamp: Stamp, how: How) {
+        let (version, digest, from_ms) = (stamp.number, stamp.digest.to_string(), wall_ms());
+        self.record().began(Span { version, digest, how, life: self.life, from_ms });
+        self.changed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Whether something of the record is not on disk yet.
+    pub fn unwritten(&self) -> bool {
+        self.written.load(Ordering::Relaxed) < self.changed.load(Ordering::Relaxed)
+    }
+
+    /// So many acts are about to be sent.
+    pub fn acts(&self, stamp: Stamp, many: usize) {
+        self.record().acts(stamp.number, many as u64);
+    }
+
+    /// What operators are told.
+    pub fn told(&self) -> (Vec<v1::Span>, HashMap<u64, u64>) {
+        let record = self.record();
+        let span = |span: &Span| v1::Span {
+            stamp: Some(v1::Stamp { number: span.version, digest: span.digest.clone() }),
+            how: match span.how {
+                How::File => v1::span::How::File,
+                How::Kept => v1::span::How::Kept,
+                How::Push => v1::span::How::Push,
+                How::GaveUp => v1::span::How::GaveUp,
+            }
+            .into(),
+            life: span.life,
+            from_ms: span.from_ms,
+        };
+        (record.spans().iter().map(span).collect(), record.by_version().collect())
     }
 
     fn standing(&self) -> MutexGuard<'_, Standing> {
@@ -54,6 +109,32 @@
     }
 }
 
+/// Keeps on disk which versions were in force, for as long as it is polled. It is a record and no ground for any
+/// decision, so nothing waits for it; a disk that is full is tried again.
+pub async fn keep(desk: Arc<Desk>) {
+    if desk.deployment().rolls.is_none() {
+        return;
+    }
+    let mut told = false;
+    loop {
+        if desk.fleet.unwritten() {
+            // Taken before the record: what changes meanwhile is written in the next round.
+            let changed = desk.fleet.changed.load(Ordering::Relaxed);
+            let (spans, store) = (desk.fleet.record().spans().clone(), Arc::clone(&desk.store));
+            let kept = blocking::unblock(move || store.record(&spans)).await;
+            match &kept {
+                Ok(()) => desk.fleet.written.store(changed, Ordering::Relaxed),
+                Err(why) if !told => {
+                    warn!(why, "which versions were in force can't be kept on disk; tried again each second");
+                }
+                Err(_) => {}
+            }
+            told = kept.is_err();
+        }
+        async_io::Timer::after(WRITTEN_EVERY).await;
+    }
+}
+
 /// Asks the keepers again and again, for as long as it is polled.
 pub async fn run(desk: Arc<Desk>) {
     let Some(every) = desk.deployment().floor else { return };
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -112,6 +112,7 @@
         tasks.spawn(rolls::run(Arc::clone(&desk))),
         tasks.spawn(control::run(Arc::clone(&desk))),
         tasks.spawn(fleet::run(Arc::clone(&desk))),
+        tasks.spawn(fleet::keep(Arc::clone(&desk))),
         tasks.spawn(sweep(Arc::clone(&desk), clock::duration(bounds.idle_close) / 4)),
     ];
     ready(address);
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -5,13 +5,14 @@
 use crate::links::NodeLink;
 use corkspan::interface::Tenths;
 use corkspan_api::v1;
+use corkspan_fleet::record::Span;
 use corkspan_roll::Grant;
 use corkspan_roll::conductor::{Conductor, Look, Votes};
 use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority, to_follow};
 use corkspan_rpc::within;
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::path::Path;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
@@ -24,6 +25,9 @@
 /// Rolls in force, as JSON by service.
 const ROLLS: TableDefinition<&str, &str> = TableDefinition::new("rolls");
 
+/// What the dispatcher remembers of its versions, as JSON under one key.
+const RECORD: TableDefinition<&str, &str> = TableDefinition::new("record");
+
 /// Between two rounds to the keepers while a roll goes on.
 const ROUND: Duration = Duration::from_millis(300);
 /// The same while none does: hundreds of dispatchers ask the same few keepers.
@@ -155,6 +159,33 @@
         })
     }
 
+    /// Spans of versions.
+    pub fn record(&self, spans: &VecDeque<Span>) -> Result<(), String> {
+        let text = serde_json::to_string(spans).map_err(|why| why.to_string())?;
+        self.write(|transaction| {
+            transaction.open_table(RECORD)?.insert("spans", &text[..])?;
+            Ok(())
+        })
+    }
+
+    /// What earlier lives kept of their versions; nothing where that can't be read, which is said.
+    pub fn spans(&self) -> VecDeque<Span> {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(database) = &*open else { return VecDeque::new() };
+        let read = || -> Result<VecDeque<Span>, String> {
+            let transaction = database.begin_read().map_err(|why| why.to_string())?;
+            let table = transaction.open_table(RECORD).map_err(|why| why.to_string())?;
+            let text = table.get("spans").map_err(|why| why.to_string())?;
+            text.map_or(Ok(VecDeque::new()), |text| {
+                serde_json::from_str(text.value()).map_err(|why| format!("record: {why}"))
+            })
+        };
+        read().unwrap_or_else(|why| {
+            warn!(why, "what was kept of versions can't be read, and is begun anew");
+            VecDeque::new()
+        })
+    }
+
     pub fn read(&self) -> Kept {
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
         let Some(database) = &*open else { return Default::default() };
@@ -178,6 +209,7 @@
     let transaction = database.begin_write().map_err(|why| text(why.into()))?;
     transaction.open_table(CLAIMS).map_err(|why| text(why.into()))?;
     transaction.open_table(ROLLS).map_err(|why| text(why.into()))?;
+    transaction.open_table(RECORD).map_err(|why| text(why.into()))?;
     transaction.commit().map_err(|why| text(why.into()))?;
     read(&database)?;
     Ok(database)
@@ -372,7 +404,7 @@
         if keep_claim(desk, claim, service, &task, false, None).await {
             let dispatcher = desk.deployment().cluster.number as u32;
             let slot = v1::Slot { slot, claim: claim.0, task: task.clone(), dispatcher };
-            let by = Some(desk.by());
+            let by = Some(desk.by(desk.deployment().keepers.len()));
             let ask = v1::Claim { service: service.into(), number: roll.number, slot: Some(slot), by };
             let words = ask_all(desk, Ask::Claim(ask)).await;
             granted = words.iter().filter(|word| word.granted).count();
--- a/crates/fleet/src/audit.rs
+++ b/crates/fleet/src/audit.rs
@@ -19,6 +19,8 @@
     /// Versions that it gave up by itself.
     pub given_up: Vec<u64>,
     pub shut_out: bool,
+    /// Its acts in this life, by version, as it counts them itself.
+    pub acts: BTreeMap<u64, u64>,
 }
 
 /// Why a dispatcher is behind, as far as it can tell.
@@ -49,6 +51,8 @@
     Below { dispatcher: u32, version: u64, below: u64 },
     #[error("{who} says that it runs version {told}, and nodes have seen acts of it under version {version}")]
     Ahead { who: String, version: u64, told: u64 },
+    #[error("nodes have seen {seen} acts of {who} under version {version}, and it counts {counted}")]
+    More { who: String, version: u64, seen: u64, counted: u64 },
     #[error("{who} and {other} run version {version} with different digests")]
     TwoDigests { who: String, other: String, version: u64 },
 }
@@ -100,7 +104,19 @@
         let Some(told) = told else { continue };
         let seen = nodes.iter().flat_map(|(_, acts)| acts).flatten();
         let mine = seen.filter(|act| act.dispatcher == told.dispatcher && act.life == told.life);
-        let ahead = mine.map(|act| act.version).filter(|version| *version > told.version).max();
+        let mut sums: BTreeMap<u64, u64> = BTreeMap::new();
+        for act in mine {
+            let sum = sums.entry(act.version).or_default();
+            *sum = sum.saturating_add(act.many.shots).saturating_add(act.many.others);
+        }
+        // Of a version that it counts no more, it tells nothing.
+        for (&version, &counted) in &told.acts {
+            let seen = sums.get(&version).copied().unwrap_or(0);
+            if seen > counted {
+                findings.push(Finding::More { who: who.clone(), version, seen, counted });
+            }
+        }
+        let ahead = sums.keys().copied().filter(|version| *version > told.version).max();
         // It may have given that one up since.
         if let Some(version) = ahead.filter(|version| !told.given_up.contains(version)) {
             findings.push(Finding::Ahead { who: who.clone(), version, told: told.version });
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod acts;
 pub mod audit;
+pub mod record;
 
 use corkspan_keeper::{Wish, in_force, majority, to_follow};
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/tests/audit.rs
+++ b/crates/fleet/tests/audit.rs
@@ -1,8 +1,10 @@
 //! What an audit tells of a fleet, and what keeps a floor from being raised.
 
-use corkspan_fleet::acts::{Acts as Record, By, Kind, Many};
+use corkspan_fleet::acts::{Acts as Seen, By, Kind, Many};
 use corkspan_fleet::audit::{Acted, Acts, Finding, Told, Why, findings, node_findings};
+use corkspan_fleet::record::{How, Record, Span};
 use corkspan_fleet::{Floor, NotRaised, Runs, next, taken_by_enough};
+use std::collections::VecDeque;
 use test_case::test_case;
 
 fn told(dispatcher: u32, version: u64) -> Told {
@@ -16,6 +18,7 @@
         turned_down: None,
         given_up: Vec::new(),
         shut_out: false,
+        acts: [(version, 6)].into_iter().collect(),
     }
 }
 
@@ -99,6 +102,13 @@
     );
     let below = Finding::Below { dispatcher: 1, version: 6, below: 2 };
     assert_eq!(of(told(1, 7), vec![acted(101, 6, 2)]), [silent.clone(), below]);
+    let (who, more) = ("a".to_string(), vec![acted(101, 7, 0), acted(101, 7, 0)]);
+    let more = (of(told(1, 7), more), Finding::More { who, version: 7, seen: 12, counted: 6 });
+    assert_eq!(
+        more.0,
+        [silent.clone(), more.1],
+        "another process under its number and life, or a copy of its acts"
+    );
     let ahead = Finding::Ahead { who: "a".into(), version: 8, told: 7 };
     assert_eq!(of(told(1, 7), vec![acted(101, 8, 0)]), [silent.clone(), ahead]);
     assert_eq!(of(Told { given_up: vec![8], ..told(1, 7) }, vec![acted(101, 8, 0)]), [silent]);
@@ -106,7 +116,7 @@
 
 #[test]
 fn a_peer_that_invents_lives_fills_no_memory_and_hides_nobody_who_was_there() {
-    let mut record = Record::default();
+    let mut record = Seen::default();
     let by = |life| By { dispatcher: 1, life, version: 3 };
     (0..100_000).for_each(|life| record.saw(by(life), Kind::Shot));
     record.saw(by(0), Kind::Shot);
@@ -114,3 +124,20 @@
     assert_eq!(record.rows().next(), Some((by(0), Kind::Shot, Many { seen: 2, below: 1 })));
     assert_eq!((record.rows().count(), record.left_out()), (8_192, 100_000 - 8_192));
 }
+
+#[test]
+fn a_record_keeps_the_latest_spans_across_lives_and_counts_one_life_alone() {
+    let span = |version, life| Span { version, digest: "d".into(), how: How::Push, life, from_ms: version };
+    let mut record = Record::after(VecDeque::new());
+    (0..300).for_each(|version| record.began(span(version, 1)));
+    record.acts(299, 3);
+    assert_eq!((record.spans().len(), record.spans()[0].version), (256, 44));
+    let mut next = Record::after(record.spans().clone());
+    assert_eq!((next.spans(), next.by_version().count()), (record.spans(), 0));
+    next.began(span(300, 2));
+    (0..10_000).for_each(|version| next.acts(version, 1));
+    assert_eq!(
+        (next.spans().len(), next.by_version().count(), next.by_version().last()),
+        (256, 256, Some((9_999, 1)))
+    );
+}
--- a/crates/lab/tests/full_path/fleet.rs
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -2,6 +2,7 @@
 //! of newer versions. Judged by what crossed the nodes' sockets.
 
 use crate::rig::*;
+use corkspan_api::v1::versions_client::VersionsClient;
 use corkspan_api::v1::{self, placement_client::PlacementClient, refused::Why, word::Word};
 use corkspan_deployment::version::Texts;
 use corkspan_lab::capture::{Cold, Line, Rules, Seen, Word as SaidWord};
@@ -89,7 +90,10 @@
     async fn start_by(&mut self, roster: SocketAddr, control: SocketAddr, keepers: &str) {
         let number = self.fleet.len();
         let kept = self.folder.path().join(format!("versions-{number}.json"));
-        let more = format!("(control \"{control}\") (versions {kept:?}) {keepers} (floor (every 1 s))");
+        let store = self.folder.path().join(format!("store-{number}.redb"));
+        let more = format!(
+            "(control \"{control}\") (versions {kept:?}) (rolls {store:?}) {keepers} (floor (every 1 s))"
+        );
         let text = self.deployment(&more).replace(&self.rig.roster.address.to_string(), &roster.to_string());
         let text = text.replace("(number 0)", &format!("(number {number})"));
         let file = self.folder.path().join(format!("{number}.sexp"));
@@ -121,14 +125,14 @@
         (next(&mut words).await, words)
     }
 
+    async fn status(&self, number: usize) -> v1::VersionStatus {
+        let mut client = VersionsClient::new(self.link(number).await);
+        client.status(v1::VersionStatusAsk {}).await.expect("a status").into_inner()
+    }
+
     async fn until_in_force(&self, number: usize, version: u64) {
-        use v1::versions_client::VersionsClient;
-        until(async || {
-            let mut client = VersionsClient::new(self.link(number).await);
-            let status = client.status(v1::VersionStatusAsk {}).await.expect("a status").into_inner();
-            status.running.is_some_and(|running| running.number == version)
-        })
-        .await;
+        until(async || self.status(number).await.running.is_some_and(|running| running.number == version))
+            .await;
     }
 
     /// Goes on asking through one that is up until all nodes have the floor.
@@ -340,3 +344,33 @@
         assert_eq!(ran.count(), 0, "what it sent from below took effect nowhere");
     });
 }
+
+/// Its first life ends by a kill after a second version has come.
+#[test]
+fn which_versions_were_in_force_is_told_over_a_kill_and_by_the_next_life() {
+    Rig::run(Layout { nodes: 3, ..Layout::default() }, async |rig| {
+        let mut stage = Stage::new(rig).await;
+        stage.start(stage.newest.0.address, KEEPERS).await;
+        stage.until_in_force(0, 1).await;
+        assert_eq!(stage.newest.0.publish(stage.texts(5), false).number, 2);
+        stage.until_in_force(0, 2).await;
+        let over_time = async |stage: &Stage| {
+            let audit = stage.operator(&["audit", "--since", "600"]).await;
+            let text = String::from_utf8_lossy(&audit.stdout).into_owned();
+            let spans = text.lines().filter_map(|line| line.split_once(": version ")?.1.split_once(" from "));
+            spans
+                .map(|(span, rest)| (span.to_string(), rest.rsplit(' ').next().map(String::from)))
+                .collect::<Vec<_>>()
+        };
+        let before = over_time(&stage).await;
+        let names: Vec<&str> = before.iter().map(|(span, _)| &span[..]).collect();
+        assert_eq!(names, ["0 (its own file)", "1 (pushed)", "2 (pushed)"]);
+        until(async || !stage.status(0).await.unwritten).await;
+        stage.fleet.clear();
+        stage.start(stage.newest.0.address, KEEPERS).await;
+        let after = over_time(&stage).await;
+        assert_eq!(after[..3], before, "of the life that was killed");
+        assert_eq!((&after[3].0[..], after.len()), ("2 (kept, at a start)", 4));
+        assert_ne!(after[3].1, after[2].1, "another life");
+    });
+}
