Show that silent keepers shut nobody out and that two operators leave one floor

Need: hard cases of the issue on the audit: a minority of keepers and then another, two operators at once, a process started twice.

Change: two stories with processes of the program. With two of three keepers cut off a floor is turned down with how many answer and work is placed on; with one back it is taken; two operators at once end with one floor that both dispatchers know, and at most one of them is told that it is his; a second process under a number is told by the audit.

Nothing had to be mended for them.

--- a/crates/lab/tests/full_path/fleet.rs
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -86,17 +86,27 @@
         self.start_by(self.rig.roster.address, control, keepers).await;
     }
 
+    /// One more under the number of another, with a disk of its own.
+    async fn start_as(&mut self, number: usize, control: SocketAddr) {
+        let roster = self.rig.roster.address;
+        self.start_all(number, roster, control, KEEPERS).await;
+    }
+
     /// One that knows the nodes by another roster.
     async fn start_by(&mut self, roster: SocketAddr, control: SocketAddr, keepers: &str) {
-        let number = self.fleet.len();
-        let kept = self.folder.path().join(format!("versions-{number}.json"));
-        let store = self.folder.path().join(format!("store-{number}.redb"));
+        self.start_all(self.fleet.len(), roster, control, keepers).await;
+    }
+
+    async fn start_all(&mut self, number: usize, roster: SocketAddr, control: SocketAddr, keepers: &str) {
+        let disk = self.fleet.len();
+        let kept = self.folder.path().join(format!("versions-{disk}.json"));
+        let store = self.folder.path().join(format!("store-{disk}.redb"));
         let more = format!(
             "(control \"{control}\") (versions {kept:?}) (rolls {store:?}) {keepers} (floor (every 1 s))"
         );
         let text = self.deployment(&more).replace(&self.rig.roster.address.to_string(), &roster.to_string());
         let text = text.replace("(number 0)", &format!("(number {number})"));
-        let file = self.folder.path().join(format!("{number}.sexp"));
+        let file = self.folder.path().join(format!("{disk}.sexp"));
         std::fs::write(&file, text).expect("written");
         self.fleet.push(Process::start(file).await);
     }
@@ -374,3 +384,77 @@
         assert_ne!(after[3].1, after[2].1, "another life");
     });
 }
+
+#[test]
+fn a_floor_needs_a_majority_of_keepers_and_their_silence_shuts_nobody_out() {
+    Rig::run(Layout { nodes: 3, ..Layout::default() }, async |rig| {
+        let mut stage = Stage::new(rig).await;
+        for _ in 0..2 {
+            stage.start(stage.newest.0.address, KEEPERS).await;
+        }
+        for number in 0..2 {
+            stage.until_in_force(number, 1).await;
+        }
+        let floor = async |stage: &Stage, version: &str| {
+            let asked = stage.operator(&["floor", version, "--part", "0"]).await;
+            (asked.status.success(), String::from_utf8_lossy(&asked.stderr).into_owned())
+        };
+        let long = Duration::from_secs(3_600);
+        stage.rig.nodes[0].cut(long);
+        stage.rig.nodes[1].cut(long);
+        let (taken, why) = floor(&stage, "1").await;
+        assert!(!taken && why.contains("1 of 3 keepers answer"), "{why}");
+        let (word, _call) = stage.answered(1, "alone").await;
+        assert!(matches!(word, Some(Word::Placed(_))), "{word:?}");
+        stage.rig.nodes[1].cut(Duration::ZERO);
+        until(async || floor(&stage, "1").await.0).await;
+        // Known to both before, it stays so with all keepers but one away.
+        until(async || {
+            let heard =
+                async |number| stage.status(number).await.floor.is_some_and(|floor| floor.lowest == 1);
+            heard(0).await && heard(1).await
+        })
+        .await;
+        stage.rig.nodes[1].cut(long);
+        let (taken, why) = floor(&stage, "0").await;
+        assert!(!taken && why.contains("1 of 3 keepers answer"), "{why}");
+        assert!(!stage.status(0).await.shut_out);
+    });
+}
+
+#[test]
+fn two_operators_at_once_leave_one_floor_and_two_processes_under_one_number_are_told() {
+    Rig::run(Layout { nodes: 3, ..Layout::default() }, async |rig| {
+        let mut stage = Stage::new(rig).await;
+        for _ in 0..2 {
+            stage.start(stage.newest.0.address, KEEPERS).await;
+        }
+        for number in 0..2 {
+            stage.until_in_force(number, 1).await;
+        }
+        for round in 0..3 {
+            let raise = stage.operator(&["floor", "1", "--part", "0"]);
+            let lower = stage.operator(&["floor", "0", "--part", "0"]);
+            let (raise, lower) = futures_lite::future::zip(raise, lower).await;
+            until(async || {
+                let floors = [stage.status(0).await.floor, stage.status(1).await.floor];
+                floors[0].is_some() && floors[0] == floors[1]
+            })
+            .await;
+            let stands = stage.status(0).await.floor.map(|floor| (floor.number, floor.lowest));
+            let told = |taken: &Output| String::from_utf8_lossy(&taken.stdout).into_owned();
+            let (number, lowest) = stands.expect("one stands");
+            let last = format!("floor {lowest} by wish {number}");
+            let says = [&raise, &lower].map(|asked| told(asked).contains(&last));
+            // Nobody is told that what stands is another's; of the two at most one is told that it is his.
+            assert!(says != [true, true], "round {round}: {} {}", told(&raise), told(&lower));
+        }
+        stage.start_as(0, stage.newest.0.address).await;
+        let audit = stage.operator(&["audit"]).await;
+        let text = String::from_utf8_lossy(&audit.stdout).into_owned();
+        assert!(
+            audit.status.code() == Some(1) && text.contains("are two processes under the number 0"),
+            "{text}"
+        );
+    });
+}
