Provoke foreign records of versions: begun anew, and the rolls beside them stay

Need: what a torn or foreign record gets was not shown. Change: a story over the store of rolls with five texts under the record's key, one of them from a later program with a field more, which is passed over.

--- a/crates/dispatcher/tests/store.rs
+++ b/crates/dispatcher/tests/store.rs
@@ -1,8 +1,11 @@
 //! The store of rolls, killed at each of its steps and torn.
 
 use corkspan_dispatcher::rolls::{Held, Pair, Store};
+use corkspan_fleet::record::{How, Span};
 use corkspan_roll::{ClaimId, Order, Phase, Roll};
+use std::collections::VecDeque;
 use std::path::Path;
+use test_case::test_case;
 
 fn roll() -> Roll {
     Roll {
@@ -90,3 +93,31 @@
     assert!(store.claim(&held(7, false, None)).is_err() && store.roll(&roll()).is_err());
     assert_eq!(store.read(), (vec![], vec![]));
 }
+
+const SPANS: &str =
+    r#"[{"version":3,"digest":"d","how":"push","life":9,"from_ms":1,"from_a_later_text":true}]"#;
+
+#[test_case(SPANS, 1; "with a field that this text doesn't know")]
+#[test_case("", 0; "empty")]
+#[test_case("{\"version\":", 0; "torn")]
+#[test_case(r#"[{"version":-3,"digest":"d","how":"push","life":9,"from_ms":1}]"#, 0; "a number that is none")]
+#[test_case(r#"[{"version":3,"digest":"d","how":"dreamt","life":9,"from_ms":1}]"#, 0; "come in no known way")]
+fn a_foreign_record_of_versions_is_begun_anew_and_takes_nothing_down_with_it(text: &str, spans: usize) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("rolls.redb");
+    let store = Store::open(Some(&path));
+    store.roll(&roll()).expect("written");
+    drop(store);
+    let database = redb::Database::create(&path).expect("it opens");
+    let transaction = database.begin_write().expect("it can be written");
+    let table = redb::TableDefinition::<&str, &str>::new("record");
+    transaction.open_table(table).expect("there").insert("spans", text).expect("taken");
+    transaction.commit().expect("written");
+    drop(database);
+    let store = Store::open(Some(&path));
+    assert_eq!((store.spans().len(), store.read().0), (spans, vec![roll()]));
+    let next =
+        VecDeque::from([Span { version: 4, digest: "e".into(), how: How::GaveUp, life: 10, from_ms: 2 }]);
+    store.record(&next).expect("written");
+    assert_eq!(store.spans(), next);
+}
