Ask nodes before dispatchers in an audit; tell it as JSON too

Found on reading: the audit asked the dispatchers first and the nodes after, so that acts sent in between were seen by nodes and not in the count told, a false finding on any busy fleet. A dispatcher counts before it sends: with the nodes asked first its count is never less. No story could show it, since their fleets are quiet while they are asked.

Change: that order, `--json`, and the table apart from the asking.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -4,10 +4,11 @@
 use clap::Subcommand;
 use corkspan_api::v1::{self, node_client::NodeClient, versions_client::VersionsClient};
 use corkspan_dispatcher::clock::wall_ms;
-use corkspan_fleet::audit::{Acted, Acts, Told, acts, findings, node_findings};
+use corkspan_fleet::audit::{Acted, Acts, Finding, Told, acts, findings, node_findings};
 use corkspan_fleet::{Runs, taken_by_enough};
 use corkspan_rpc::{Bounds, Link, Tasks, within};
 use futures_lite::future;
+use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,6 +17,9 @@
 /// Of one answer: the shared parts in force are among it.
 const ANSWER: usize = 16 << 20;
 
+/// Nodes by address, each with what it has seen; none of who does not answer.
+type Seen = Vec<(String, Option<Vec<Acted>>)>;
+
 #[derive(Subcommand)]
 pub enum Fleet {
     /// Tells each dispatcher's version and what is wrong. Ends with 1 where anything is.
@@ -29,6 +33,9 @@
         /// Tells also which versions were in force at each within the last so many seconds.
         #[arg(long)]
         since: Option<u64>,
+        /// As one JSON object.
+        #[arg(long)]
+        json: bool,
     },
     /// Asks the keepers that no version below this one may act.
     Floor {
@@ -47,7 +54,24 @@
     let tasks = Tasks::default();
     future::block_on(tasks.run(async {
         match call {
-            Fleet::Audit { dispatchers, nodes, since } => audit(&tasks, &dispatchers, &nodes, since).await,
+            Fleet::Audit { dispatchers, nodes, since, json } => {
+                // Nodes first: a dispatcher counts its acts before it sends them, so what it tells later is never less
+                // than what nodes have seen before, however many are under way.
+                let acted = ask_nodes(&tasks, &nodes).await;
+                let all = ask_all(&tasks, &dispatchers).await;
+                let named: Vec<_> = dispatchers
+                    .iter()
+                    .map(SocketAddr::to_string)
+                    .zip(all.iter().map(|own| own.as_ref().map(told)))
+                    .collect();
+                let mut found = findings(&named);
+                found.extend(node_findings(&named, &acted));
+                match json {
+                    true => as_json(&dispatchers, &all, &acted, since, &found),
+                    false => as_table(&dispatchers, &all, &acted, since, &found),
+                }
+                if found.is_empty() { Ok(()) } else { Err(format!("{} things are wrong", found.len())) }
+            }
             Fleet::Floor { version, dispatchers, part } => floor(&tasks, version, &dispatchers, part).await,
         }
     }))
@@ -79,7 +103,7 @@
 }
 
 /// What nodes have seen of acts.
-async fn ask_nodes(tasks: &Tasks, addresses: &[SocketAddr]) -> Vec<(String, Option<Vec<Acted>>)> {
+async fn ask_nodes(tasks: &Tasks, addresses: &[SocketAddr]) -> Seen {
     let asked: Vec<_> = addresses
         .iter()
         .map(|&address| {
@@ -129,79 +153,106 @@
     }
 }
 
-/// The versions of one dispatcher that were in force at any time since then, by its own clock.
-fn over_time(address: SocketAddr, spans: &[v1::Span], now_ms: u64, since_s: u64) {
+/// The versions of one dispatcher that were in force at any time within so many seconds, by its own clock: each with
+/// when that ended.
+fn over_time(spans: &[v1::Span], now_ms: u64, since_s: u64) -> Vec<(&v1::Span, Option<u64>)> {
     let since = now_ms.saturating_sub(since_s.saturating_mul(1_000));
     let ends = spans.iter().skip(1).map(|next| Some(next.from_ms)).chain([None]);
-    let ago = |at: u64| now_ms.saturating_sub(at) as f64 / 1_000.0;
-    for (span, end) in spans.iter().zip(ends).filter(|(_, end)| end.is_none_or(|end| end > since)) {
-        let how = match span.how() {
-            v1::span::How::File => "its own file",
-            v1::span::How::Kept => "kept, at a start",
-            v1::span::How::Push => "pushed",
-            v1::span::How::GaveUp => "after giving up",
-        };
-        let version = span.stamp.as_ref().map_or(0, |stamp| stamp.number);
-        let to = end.map_or("now".into(), |end| format!("{:.1} s ago", ago(end)));
-        println!(
-            "{address}: version {version} ({how}) from {:.1} s ago to {to}, life {:x}",
-            ago(span.from_ms),
-            span.life
-        );
+    spans.iter().zip(ends).filter(|(_, end)| end.is_none_or(|end| end > since)).collect()
+}
+
+fn how(span: &v1::Span) -> &'static str {
+    match span.how() {
+        v1::span::How::File => "its own file",
+        v1::span::How::Kept => "kept, at a start",
+        v1::span::How::Push => "pushed",
+        v1::span::How::GaveUp => "after giving up",
+    }
+}
+
+fn number(span: &v1::Span) -> u64 {
+    span.stamp.as_ref().map_or(0, |stamp| stamp.number)
+}
+
+fn state(told: &Told) -> &'static str {
+    match (told.shut_out, told.on_trial) {
+        (true, _) => "shut out",
+        (false, true) => "on trial",
+        (false, false) => "acts",
     }
 }
 
-async fn audit(
-    tasks: &Tasks,
+fn as_table(
     addresses: &[SocketAddr],
-    nodes: &[SocketAddr],
+    all: &[Option<v1::VersionStatus>],
+    acted: &Seen,
     since: Option<u64>,
-) -> Result<(), String> {
-    let all = ask_all(tasks, addresses).await;
+    found: &[Finding],
+) {
     println!("{:<22} {:>6} {:>8} {:<9} {:>6} state", "dispatcher", "number", "version", "digest", "floor");
-    for (address, status) in addresses.iter().zip(&all) {
+    for (address, status) in addresses.iter().zip(all) {
+        let address = address.to_string();
         let Some(status) = status else {
             println!("{address:<22} {:>6} {:>8} {:<9} {:>6} does not answer", "-", "-", "-", "-");
             continue;
         };
         let told = told(status);
         let floor = status.floor.as_ref().map_or("-".into(), |floor| floor.lowest.to_string());
-        let state = match (told.shut_out, told.on_trial) {
-            (true, _) => "shut out",
-            (false, true) => "on trial",
-            (false, false) => "acts",
-        };
-        let digest = told.digest.get(..8).unwrap_or_default();
-        println!(
-            "{:<22} {:>6} {:>8} {digest:<9} {floor:>6} {state}",
-            address.to_string(),
-            told.dispatcher,
-            told.version
-        );
+        let (digest, state) = (told.digest.get(..8).unwrap_or_default(), state(&told));
+        println!("{address:<22} {:>6} {:>8} {digest:<9} {floor:>6} {state}", told.dispatcher, told.version);
     }
     if let Some(since) = since {
         let now = wall_ms();
-        for (address, status) in addresses.iter().zip(&all) {
-            status.iter().for_each(|status| over_time(*address, &status.spans, now, since));
+        let ago = |at: u64| now.saturating_sub(at) as f64 / 1_000.0;
+        for (address, status) in addresses.iter().zip(all) {
+            for (span, end) in status.iter().flat_map(|status| over_time(&status.spans, now, since)) {
+                let to = end.map_or("now".into(), |end| format!("{:.1} s ago", ago(end)));
+                let (version, how, from) = (number(span), how(span), ago(span.from_ms));
+                println!(
+                    "{address}: version {version} ({how}) from {from:.1} s ago to {to}, life {:x}",
+                    span.life
+                );
+            }
         }
     }
-    let named =
-        addresses.iter().zip(&all).map(|(address, status)| (address.to_string(), status.as_ref().map(told)));
-    let named: Vec<_> = named.collect();
-    let acted = ask_nodes(tasks, nodes).await;
-    if !nodes.is_empty() {
-        println!(
-            "{:>22} {:>8} {:>10} {:>10} {:>11}",
-            "acts of dispatcher", "version", "shots", "others", "turned away"
-        );
-        for ((dispatcher, version), Acts { shots, others, below }) in acts(&acted) {
+    if !acted.is_empty() {
+        let head = ["acts of dispatcher", "version", "shots", "others", "turned away"];
+        println!("{:>22} {:>8} {:>10} {:>10} {:>11}", head[0], head[1], head[2], head[3], head[4]);
+        for ((dispatcher, version), Acts { shots, others, below }) in acts(acted) {
             println!("{dispatcher:>22} {version:>8} {shots:>10} {others:>10} {below:>11}");
         }
     }
-    let mut found = findings(&named);
-    found.extend(node_findings(&named, &acted));
     found.iter().for_each(|finding| println!("{finding}"));
-    if found.is_empty() { Ok(()) } else { Err(format!("{} things are wrong", found.len())) }
+}
+
+fn as_json(
+    addresses: &[SocketAddr],
+    all: &[Option<v1::VersionStatus>],
+    acted: &Seen,
+    since: Option<u64>,
+    found: &[Finding],
+) {
+    let now = wall_ms();
+    let dispatchers = addresses.iter().zip(all).map(|(address, status)| {
+        let Some(status) = status else { return json!({ "address": address, "answers": false }) };
+        let told = told(status);
+        let spans = since.map(|since| over_time(&status.spans, now, since)).unwrap_or_default();
+        let spans = spans.into_iter().map(|(span, end)| {
+            json!({ "version": number(span), "how": how(span), "life": format!("{:x}", span.life),
+                "from_ms": span.from_ms, "to_ms": end })
+        });
+        json!({
+            "address": address, "answers": true, "number": told.dispatcher, "life": format!("{:x}", told.life),
+            "version": told.version, "digest": told.digest, "state": state(&told),
+            "floor": status.floor.as_ref().map(|floor| floor.lowest), "spans": spans.collect::<Vec<_>>(),
+        })
+    });
+    let acts = acts(acted).into_iter().map(|((dispatcher, version), Acts { shots, others, below })| {
+        json!({ "dispatcher": dispatcher, "version": version, "shots": shots, "others": others, "below": below })
+    });
+    let findings: Vec<String> = found.iter().map(Finding::to_string).collect();
+    let (dispatchers, acts) = (dispatchers.collect::<Vec<_>>(), acts.collect::<Vec<_>>());
+    println!("{}", json!({ "dispatchers": dispatchers, "acts": acts, "findings": findings }));
 }
 
 async fn floor(tasks: &Tasks, version: u64, addresses: &[SocketAddr], part: u32) -> Result<(), String> {
--- a/crates/lab/tests/full_path/fleet.rs
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -456,5 +456,12 @@
             audit.status.code() == Some(1) && text.contains("are two processes under the number 0"),
             "{text}"
         );
+        let audit = stage.operator(&["audit", "--json", "--since", "600"]).await;
+        let told: serde_json::Value = serde_json::from_slice(&audit.stdout).expect("one JSON object");
+        let dispatchers = told["dispatchers"].as_array().expect("a list");
+        let numbers: Vec<_> =
+            dispatchers.iter().map(|own| own["number"].as_u64().expect("a number")).collect();
+        assert_eq!((numbers, dispatchers[1]["spans"][1]["version"].as_u64()), (vec![0, 1, 0], Some(1)));
+        assert_eq!(audit.status.code(), Some(1));
     });
 }
