Give each connection its own turn again, a message at a time

Change: the shared turn is gone; what stays is a message a turn for each connection. Story: 20 messages of 20 owners go before a node's word, where 10,000 are waiting.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -3,7 +3,6 @@
 use crate::desk::{Desk, OwnerId};
 use crate::outbox::{Heard, Inbox, carry};
 use async_io::Timer;
-use async_lock::Semaphore;
 use async_net::{TcpListener, TcpStream};
 use corkspan_platform_wire::owner::Reader;
 use corkspan_runtime::Tasks;
@@ -13,16 +12,12 @@
 
 /// Takes connections until dropped. One too many takes the place of one that is of the least use.
 pub async fn run(desk: Arc<Desk>, tasks: Tasks, listener: TcpListener) {
-    // Set-ups are the dear ones of all messages. A burst of them on every connection at once must not keep the words
-    // of nodes waiting: what is over is to be told within a second, however many set-ups have come before it.
-    let turns = Arc::new(Semaphore::new(1));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 // Where there is no room the stream is dropped, which closes it.
                 if let Some((id, inbox)) = desk.owner_came() {
-                    let turns = Arc::clone(&turns);
-                    tasks.spawn(owner(Arc::clone(&desk), stream, id, inbox, turns)).detach();
+                    tasks.spawn(owner(Arc::clone(&desk), stream, id, inbox)).detach();
                 }
             }
             Err(why) => {
@@ -35,7 +30,7 @@
     }
 }
 
-async fn owner(desk: Arc<Desk>, stream: TcpStream, id: OwnerId, inbox: Inbox, turns: Arc<Semaphore>) {
+async fn owner(desk: Arc<Desk>, stream: TcpStream, id: OwnerId, inbox: Inbox) {
     let _ = stream.set_nodelay(true);
     let mut reader = Reader::default();
     let heard = |bytes: &[u8]| {
@@ -53,6 +48,6 @@
             }
         }
     };
-    carry(stream, inbox, Some(&turns), || {}, heard).await;
+    carry(stream, inbox, || {}, heard).await;
     desk.owner_left(id);
 }
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -48,6 +48,6 @@
             }
         }
     };
-    carry(stream, inbox, None, || desk.link_writes(id), heard).await;
+    carry(stream, inbox, || desk.link_writes(id), heard).await;
     desk.link_ended(id, End::Broke);
 }
--- a/crates/platform/src/outbox.rs
+++ b/crates/platform/src/outbox.rs
@@ -1,6 +1,5 @@
 //! What waits to be written on a connection, and the loops that move bytes. What to make of them is the callers'.
 
-use async_lock::Semaphore;
 use async_net::TcpStream;
 use corkspan_runtime::within;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
@@ -98,28 +97,18 @@
 }
 
 /// Carries a connection until either side ends it. `heard` gets what was read, then nothing until it has handled
-/// all of it, a message at a time: between two of them the other connections get their turn. `began` is called
-/// before each write. Where readers share `turns`, one of them all handles a message in each round.
-pub async fn carry(
-    stream: TcpStream,
-    inbox: Inbox,
-    turns: Option<&Semaphore>,
-    began: impl Fn(),
-    mut heard: impl FnMut(&[u8]) -> Heard,
-) {
+/// all of it, a message at a time: between two of them the other connections get their turn. So a node's word waits for
+/// one set-up of each owner's connection at the most, and not for all that have come on them. `began` is called before
+/// each write.
+pub async fn carry(stream: TcpStream, inbox: Inbox, began: impl Fn(), mut heard: impl FnMut(&[u8]) -> Heard) {
     let read = async {
         let (mut stream, mut bytes) = (stream.clone(), vec![0; READ_AT_ONCE]);
         while let Ok(count @ 1..) = stream.read(&mut bytes).await {
             let mut new = &bytes[..count];
             loop {
-                let turn = match turns {
-                    Some(turns) => Some(turns.acquire().await),
-                    None => None,
-                };
                 let made = heard(std::mem::take(&mut new));
                 // A peer that sends at full speed must not keep the others from being read.
                 future::yield_now().await;
-                drop(turn);
                 match made {
                     Heard::One => {}
                     Heard::All => break,
