Take back a set-up that was given up before anything of it was written

Lines at fault: Port::take_back queued a release behind the set-up, and Inbox::write wrote both, however late: on a connection still coming up, or by a loop a second behind, the set-up reached its node after its owner had its answer, and after the decisions had been told that it never ran, which would allow another shot.

Change: a set-up in the queue of a connection can be taken back as long as nothing of it has been written; then it is never written, and no release either. Test without the bench: of two set-ups the one taken back does not reach the peer.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -549,7 +549,9 @@
         if let Some(link) = out.link {
             let message = node::Message::new(node::Kind::Close, task).code(u32::from(owner::CAUSE_GIVEN_UP));
             self.links.done(link, id, self.now);
-            self.links.send(link, &message);
+            if !self.links.take_back(link, task) {
+                self.links.send(link, &message);
+            }
         }
     }
 
@@ -992,7 +994,7 @@
         message.text = Some(placing.description.clone());
         let free = self.links.free(machine, self.now);
         let link = free.or_else(|| self.open_link(machine, Takes::Any)).or_else(|| self.links.least(machine));
-        let Some(link) = link.filter(|&link| self.links.send(link, &message)) else {
+        let Some(link) = link.filter(|&link| self.links.send_set_up(link, placing.task, &message)) else {
             return self.deferred.push_back(Deferred::Returned(id, number, Ending::NotSent));
         };
         self.links.begin(link, id, self.now);
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -341,6 +341,16 @@
         line.is_some_and(|line| self.links.get(&id).is_some_and(|link| link.to.send(line)))
     }
 
+    pub fn send_set_up(&mut self, id: LinkId, task: u64, message: &node::Message) -> bool {
+        let line = message.line();
+        line.is_some_and(|line| self.links.get(&id).is_some_and(|link| link.to.send_set_up(task, line)))
+    }
+
+    /// True where nothing of it has been written, nor will be.
+    pub fn take_back(&self, id: LinkId, task: u64) -> bool {
+        self.links.get(&id).is_some_and(|link| link.to.take_back(task))
+    }
+
     pub fn retire(&mut self, id: LinkId) {
         if let Some(link) = self.links.get_mut(&id) {
             link.retired = true;
--- a/crates/platform/src/outbox.rs
+++ b/crates/platform/src/outbox.rs
@@ -3,10 +3,11 @@
 use async_net::TcpStream;
 use corkspan_runtime::within;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
+use std::collections::BTreeSet;
 use std::net::Shutdown;
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 #[cfg(test)]
@@ -25,12 +26,12 @@
 /// The writing end; dropping it closes the connection once all is written.
 #[derive(Debug)]
 pub struct Outbox {
-    to: async_channel::Sender<Vec<u8>>,
+    to: async_channel::Sender<(Option<u64>, Vec<u8>)>,
     kept: Arc<Kept>,
 }
 
 pub struct Inbox {
-    from: async_channel::Receiver<Vec<u8>>,
+    from: async_channel::Receiver<(Option<u64>, Vec<u8>)>,
     kept: Arc<Kept>,
 }
 
@@ -41,6 +42,15 @@
     waiting: AtomicUsize,
     /// Once we close it, what the peer said before it heard of that is still read.
     hears_out: AtomicBool,
+    /// Set-ups of which nothing has been written yet.
+    unsent: Mutex<BTreeSet<u64>>,
+}
+
+impl Kept {
+    /// False where it was written already, or taken back.
+    fn take(&self, set_up: u64) -> bool {
+        self.unsent.lock().unwrap_or_else(PoisonError::into_inner).remove(&set_up)
+    }
 }
 
 pub fn outbox() -> (Outbox, Inbox) {
@@ -63,11 +73,26 @@
 impl Outbox {
     /// False where the connection is of no more use.
     pub fn send(&self, bytes: Vec<u8>) -> bool {
+        self.put(None, bytes)
+    }
+
+    /// The same for a set-up, which may be taken back as long as nothing of it has been written.
+    pub fn send_set_up(&self, set_up: u64, bytes: Vec<u8>) -> bool {
+        self.kept.unsent.lock().unwrap_or_else(PoisonError::into_inner).insert(set_up);
+        self.put(Some(set_up), bytes)
+    }
+
+    /// True where it is never written from here on.
+    pub fn take_back(&self, set_up: u64) -> bool {
+        self.kept.take(set_up)
+    }
+
+    fn put(&self, set_up: Option<u64>, bytes: Vec<u8>) -> bool {
         let length = bytes.len();
         if self.kept.waiting.fetch_add(length, Ordering::Relaxed) + length > MOST_WAITING {
             self.to.close();
         }
-        self.to.try_send(bytes).is_ok()
+        self.to.try_send((set_up, bytes)).is_ok()
     }
 
     /// Closes the connection once all is written, and goes on reading until the peer has ended its side too.
@@ -80,12 +105,17 @@
     /// What waits to be written, taken out.
     #[cfg(test)]
     pub fn waiting(&self) -> Vec<Vec<u8>> {
-        std::iter::from_fn(|| self.from.try_recv().ok()).collect()
+        std::iter::from_fn(|| self.from.try_recv().ok().map(|(_, bytes)| bytes)).collect()
     }
 
     /// Writes what comes until nothing more can come, or the peer takes no more.
     async fn write(&self, mut stream: TcpStream, began: impl Fn()) {
-        while let Ok(bytes) = self.from.recv().await {
+        while let Ok((set_up, bytes)) = self.from.recv().await {
+            // One that was given up meanwhile must not reach a node after its owner has had its answer.
+            if set_up.is_some_and(|set_up| !self.kept.take(set_up)) {
+                self.kept.waiting.fetch_sub(bytes.len(), Ordering::Relaxed);
+                continue;
+            }
             began();
             let written = within(WRITE_WITHIN, stream.write_all(&bytes)).await;
             self.kept.waiting.fetch_sub(bytes.len(), Ordering::Relaxed);
@@ -130,7 +160,10 @@
     let all_read = all_read.or(all_written).await;
     let rest = async {
         let mut stream = stream.clone();
-        while let Ok(bytes) = inbox.from.try_recv() {
+        while let Ok((set_up, bytes)) = inbox.from.try_recv() {
+            if set_up.is_some() {
+                continue;
+            }
             if stream.write_all(&bytes).await.is_err() {
                 break;
             }
--- a/crates/platform/src/outbox/turns.rs
+++ b/crates/platform/src/outbox/turns.rs
@@ -52,3 +52,19 @@
         future::block_on(tasks.tick());
     }
 }
+
+#[test]
+fn a_set_up_that_was_given_up_before_it_was_written_never_is() {
+    let tasks = corkspan_runtime::Tasks::default();
+    let ((stream, mut peer), (out, inbox)) = (told(b""), outbox());
+    assert!(out.send_set_up(1, b"one".to_vec()) && out.send_set_up(2, b"two".to_vec()));
+    assert!(out.take_back(1), "nothing of it has been written");
+    assert!(!out.take_back(1), "and that is so once");
+    assert!(out.send(b"end".to_vec()));
+    let carried = tasks.spawn(async move { carry(stream, inbox, || {}, |_| Heard::All).await });
+    drop(out);
+    future::block_on(tasks.run(carried));
+    let mut written = String::new();
+    std::io::Read::read_to_string(&mut peer, &mut written).expect("text");
+    assert_eq!(written, "twoend");
+}
