Move what holds a floor back into the decisions; a keeper's last number takes nobody down

Found on reading the change again: the command line decided by itself that lowering a floor is not held back, which now stands in corkspan-fleet with its test; the number of the next wish was counted on past the last there is, which a keeper that tells that number would have turned into a panic where overflow is checked: it stays at the last, and such a wish is not taken.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -259,15 +259,13 @@
     let all = ask_all(tasks, addresses).await;
     let stands =
         all.iter().flatten().filter_map(|status| status.floor.as_ref()).max_by_key(|floor| floor.number);
-    // Lowering it shuts nobody out.
-    if stands.is_none_or(|floor| floor.lowest < version) {
-        let runs = |status: &v1::VersionStatus| {
-            let version = status.running.as_ref().map_or(0, |running| running.number);
-            Runs { version, on_trial: status.on_trial }
-        };
-        let runs: Vec<Option<Runs>> = all.iter().map(|status| status.as_ref().map(runs)).collect();
-        taken_by_enough(&runs, version, part).map_err(|why| why.to_string())?;
-    }
+    let runs = |status: &v1::VersionStatus| {
+        let version = status.running.as_ref().map_or(0, |running| running.number);
+        Runs { version, on_trial: status.on_trial }
+    };
+    let runs: Vec<Option<Runs>> = all.iter().map(|status| status.as_ref().map(runs)).collect();
+    let stands = stands.map(|floor| floor.lowest);
+    taken_by_enough(&runs, stands, version, part).map_err(|why| why.to_string())?;
     let answers = addresses.iter().zip(&all).find(|(_, status)| status.is_some());
     let (address, _) = answers.ok_or("no dispatcher answers")?;
     let mut client = link(tasks, *address).await?;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -182,8 +182,17 @@
 }
 
 /// Whether so many of a fleet have taken a version that others may be shut out by it. `told`: of each dispatcher asked,
-/// none where it did not answer; `part` in thousandths.
-pub fn taken_by_enough(told: &[Option<Runs>], lowest: u64, part: u32) -> Result<(), NotRaised> {
+/// none where it did not answer; `stands`: the floor that they tell of; `part` in thousandths. Lowering the floor shuts
+/// nobody out, and is never held back.
+pub fn taken_by_enough(
+    told: &[Option<Runs>],
+    stands: Option<u64>,
+    lowest: u64,
+    part: u32,
+) -> Result<(), NotRaised> {
+    if stands.is_some_and(|stands| stands >= lowest) {
+        return Ok(());
+    }
     let runs = |runs: &&Runs| runs.version >= lowest && !runs.on_trial;
     let (taken, fleet) = (told.iter().flatten().filter(runs).count(), told.len());
     let wanted = (fleet * part.min(1_000) as usize).div_ceil(1_000);
@@ -199,6 +208,7 @@
     if in_force(&floors, keepers).is_some_and(|floor| floor.lowest == lowest) {
         return Err(NotRaised::Stands(lowest));
     }
-    let number = to_follow(&floors, keepers).map_or(0, |floor| floor.number) + 1;
+    // A keeper that tells the last number of all leaves none above it: such a wish is not taken, and takes nobody down.
+    let number = to_follow(&floors, keepers).map_or(0, |floor| floor.number).saturating_add(1);
     Ok(Floor { number, asker, lowest })
 }
--- a/crates/fleet/tests/audit.rs
+++ b/crates/fleet/tests/audit.rs
@@ -69,7 +69,8 @@
     fleet.extend([None, runs(7, false), runs(7, false)]);
     fleet.truncate(4);
     let result = result.map_err(|taken| NotRaised::Fleet { taken, fleet: 4, wanted: 2, lowest: 8 });
-    assert_eq!(taken_by_enough(&fleet, 8, 500), result);
+    assert_eq!(taken_by_enough(&fleet, Some(7), 8, 500), result);
+    assert_eq!(taken_by_enough(&fleet, Some(9), 8, 500), Ok(()), "lowering is never held back");
 }
 
 #[test]
@@ -81,6 +82,8 @@
     let split = [Some(floor(1, 1, 2)), Some(floor(4, 2, 3)), Some(floor(1, 1, 2))];
     assert_eq!(next(&split, 3, 5, 9), Ok(floor(5, 9, 5)));
     assert_eq!(next(&split, 3, 2, 9), Err(NotRaised::Stands(2)));
+    let last = [Some(floor(u64::MAX, 1, 2)), None, None];
+    assert_eq!(next(&last, 3, 5, 9), Ok(floor(u64::MAX, 9, 5)), "a liar takes nobody down");
 }
 
 #[test]
--- a/crates/fleet/tests/search.rs
+++ b/crates/fleet/tests/search.rs
@@ -75,6 +75,12 @@
     keeper.all().next().map(|kept| kept.wish)
 }
 
+/// What a part of the keepers tells, each by its bit.
+fn told(keepers: &[Keeper<Floor>], part: usize) -> Vec<Option<Floor>> {
+    let answer = keepers.iter().enumerate().filter(|(keeper, _)| part >> keeper & 1 == 1);
+    answer.map(|(_, keeper)| stands(keeper)).collect()
+}
+
 fn start() -> World {
     World {
         keepers: vec![Keeper::default(); KEEPERS],
@@ -152,10 +158,7 @@
         // Each part of the keepers that may answer.
         for part in 1..1 << KEEPERS {
             step(&|next| {
-                let told: Vec<Option<Floor>> = (0..KEEPERS)
-                    .filter(|keeper| part >> keeper & 1 == 1)
-                    .map(|keeper| stands(&next.keepers[keeper]))
-                    .collect();
+                let told = told(&next.keepers, part);
                 let keepers = if mistake == Mistake::NoMajority { 1 } else { KEEPERS };
                 next.standing[dispatcher].keepers_tell(&told, keepers);
             });
@@ -203,10 +206,7 @@
     if world.lost {
         for part in 1..1 << KEEPERS {
             step(&|next| {
-                let told: Vec<Option<Floor>> = (0..KEEPERS)
-                    .filter(|keeper| part >> keeper & 1 == 1)
-                    .map(|keeper| stands(&next.keepers[keeper]))
-                    .collect();
+                let told = told(&next.keepers, part);
                 let highest = told.iter().flatten().max_by_key(|floor| floor.number).copied();
                 if let Some(highest) = highest.filter(|_| mistake == Mistake::TakesTheHighest) {
                     next.fence = Fence::start(Disk::Whole(Some(highest)));
--- a/crates/lab/tests/full_path/fleet.rs
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -385,8 +385,8 @@
     });
 }
 
-#[test]
-fn a_floor_needs_a_majority_of_keepers_and_their_silence_shuts_nobody_out() {
+/// Two processes that take their versions from the service that goes on.
+fn pair<F: Future<Output = ()>>(story: impl FnOnce(Stage) -> F) {
     Rig::run(Layout { nodes: 3, ..Layout::default() }, async |rig| {
         let mut stage = Stage::new(rig).await;
         for _ in 0..2 {
@@ -395,6 +395,13 @@
         for number in 0..2 {
             stage.until_in_force(number, 1).await;
         }
+        story(stage).await;
+    });
+}
+
+#[test]
+fn a_floor_needs_a_majority_of_keepers_and_their_silence_shuts_nobody_out() {
+    pair(async |stage| {
         let floor = async |stage: &Stage, version: &str| {
             let asked = stage.operator(&["floor", version, "--part", "0"]).await;
             (asked.status.success(), String::from_utf8_lossy(&asked.stderr).into_owned())
@@ -424,14 +431,7 @@
 
 #[test]
 fn two_operators_at_once_leave_one_floor_and_two_processes_under_one_number_are_told() {
-    Rig::run(Layout { nodes: 3, ..Layout::default() }, async |rig| {
-        let mut stage = Stage::new(rig).await;
-        for _ in 0..2 {
-            stage.start(stage.newest.0.address, KEEPERS).await;
-        }
-        for number in 0..2 {
-            stage.until_in_force(number, 1).await;
-        }
+    pair(async |mut stage| {
         for round in 0..3 {
             let raise = stage.operator(&["floor", "1", "--part", "0"]);
             let lower = stage.operator(&["floor", "0", "--part", "0"]);
