Let words go before asks: those that wait for the decisions have their turns in between

Ruled out: silence, connections, the feed. At fault: Desk::owner_said and node_said place (and place again after a refusal) within the message's own turn, so that a node's release waits for an ask of each connection that is ready.

Now a message only enters what it says; set-ups, and those that come back refused, wait for the decisions, which are asked for at most 2 ms between two rounds over the connections. New ones and those answered not yet alternate, and each is answered once its time is up, whether its turn came or not.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,7 +5,7 @@
 use corkspan::interface::*;
 use corkspan::rules::Scheduler;
 use fnv::FnvHasher;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::Hasher;
 
 /// What the caller does with the answers of the decisions. `T` is what it keeps with each allocation.
@@ -42,6 +42,8 @@
     pending: usize,
     placed: bool,
     over: bool,
+    /// The decisions have been asked where to.
+    asked: bool,
 }
 
 /// Why an allocation was not taken into hand.
@@ -85,6 +87,39 @@
 impl Slice {
     /// All at once, for a caller that has nothing else to do meanwhile.
     pub const ALL: Slice = Slice { most: usize::MAX, apart: 0 };
+    /// None by itself: the caller asks with [`Host::turn`] as it finds time, between what it hears.
+    pub const BY_TURNS: Slice = Slice { most: 0, apart: 0 };
+}
+
+/// Those that wait for a turn, [`Slice::BY_TURNS`]. To ask for one costs some hundred times what it costs to hear a
+/// word; where words wait behind asks, an overloaded caller hears of ends too late to pass them on in time.
+#[derive(Default)]
+struct Turns {
+    /// New ones and those whose shot has come back, with their abandon times.
+    first: VecDeque<(Tenths, AllocationId)>,
+    /// Such as were answered "not yet".
+    again: VecDeque<(Tenths, AllocationId)>,
+    again_next: bool,
+    /// All of them. However many wait, each is answered once its time is up.
+    ends: BTreeSet<(Tenths, AllocationId)>,
+}
+
+impl Turns {
+    fn next(&mut self) -> Option<AllocationId> {
+        // Neither kind can hold up the other.
+        self.again_next = !self.again_next;
+        let (one, other) = match self.again_next {
+            true => (&mut self.again, &mut self.first),
+            false => (&mut self.first, &mut self.again),
+        };
+        let next = one.pop_front().or_else(|| other.pop_front())?;
+        self.ends.remove(&next);
+        Some(next.1)
+    }
+
+    fn len(&self) -> usize {
+        self.first.len() + self.again.len()
+    }
 }
 
 /// One instance: its decisions and what it holds.
@@ -96,6 +131,7 @@
     not_yet: Vec<AllocationId>,
     /// Of those, the ones to be asked for again now, slice by slice.
     again: VecDeque<AllocationId>,
+    turns: Turns,
     slice: Slice,
     /// No slice is begun before.
     slice_at: Tenths,
@@ -114,6 +150,7 @@
             by_name: HashMap::new(),
             not_yet: Vec::new(),
             again: VecDeque::new(),
+            turns: Turns::default(),
             slice,
             slice_at: now,
             taken: 0,
@@ -155,7 +192,8 @@
         let allocation =
             Allocation { id, service, track, account, asks, taken: now, abandon, shots: Vec::new() };
         self.by_name.insert(name.into(), id);
-        let held = Held { name: name.into(), own, allocation, pending: 0, placed: false, over: false };
+        let (name, pending, placed, over, asked) = (name.into(), 0, false, false, false);
+        let held = Held { name, own, allocation, pending, placed, over, asked };
         self.held.insert(id, held);
         Ok(id)
     }
@@ -179,9 +217,46 @@
         Ok(id)
     }
 
-    /// Where to: asked of the decisions for one in hand, and again for one that they answered "not yet".
+    /// Where to: for one in hand. By turns, it waits for its own.
     pub fn place(&mut self, now: Tenths, id: AllocationId, wire: &mut impl Wire<T>) {
+        if self.slice != Slice::BY_TURNS {
+            return self.ask(now, id, wire);
+        }
+        let Some(held) = self.held.get(&id) else { return };
+        let waits = (held.allocation.abandon, id);
+        self.turns.first.push_back(waits);
+        self.turns.ends.insert(waits);
+        // Such as owners gave up meanwhile must not pile up behind those that are wanted.
+        if self.turns.first.len() > 2 * self.held.len() + 64 {
+            let held = &self.held;
+            self.turns.first.retain(|(_, id)| held.contains_key(id));
+            self.turns.ends.retain(|(_, id)| held.contains_key(id));
+        }
+    }
+
+    /// The next of those that wait for their turn is asked for. False where none does.
+    pub fn turn(&mut self, now: Tenths, wire: &mut impl Wire<T>) -> bool {
+        while let Some(id) = self.turns.next() {
+            if self.held.contains_key(&id) {
+                self.ask(now, id, wire);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Whether one waits for its turn.
+    pub fn waits_for_turn(&self) -> bool {
+        self.turns.len() > 0
+    }
+
+    /// Asked of the decisions for one in hand, and again for one that they answered "not yet".
+    fn ask(&mut self, now: Tenths, id: AllocationId, wire: &mut impl Wire<T>) {
         let Some(held) = self.held.get_mut(&id).filter(|held| !held.over) else { return };
+        if !std::mem::replace(&mut held.asked, true) {
+            // What the decisions learn of it they learn once, when it first comes before them.
+            held.allocation.taken = now;
+        }
         match self.scheduler.place(now, &held.allocation) {
             Placement::Send { machine, time_out } => {
                 wire.send(&mut held.own, &held.allocation, machine, time_out);
@@ -272,20 +347,31 @@
                     wire.lost(&mut held.own, &held.allocation);
                 }
             }
-            if wait.ask_again {
+            if wait.ask_again && self.slice == Slice::BY_TURNS {
+                for id in self.not_yet.drain(..) {
+                    let waits = (self.held.get(&id).map_or(now, |held| held.allocation.abandon), id);
+                    self.turns.again.push_back(waits);
+                    self.turns.ends.insert(waits);
+                }
+            } else if wait.ask_again {
                 self.again.extend(self.not_yet.drain(..));
             }
+            if let Some(&(_, id)) = self.turns.ends.first().filter(|(at, _)| *at <= now) {
+                self.turns.ends.pop_first();
+                self.ask(now, id, wire);
+                continue;
+            }
             if !self.again.is_empty() && now >= self.slice_at {
                 let many = self.again.len().min(self.slice.most);
                 let slice: Vec<AllocationId> = self.again.drain(..many).collect();
-                slice.into_iter().for_each(|id| self.place(now, id, wire));
+                slice.into_iter().for_each(|id| self.ask(now, id, wire));
                 self.slice_at = now + self.slice.apart;
                 continue;
             }
-            let time = match self.again.is_empty() {
-                true => wait.time,
-                false => wait.time.min(self.slice_at.saturating_sub(now)),
-            };
+            let slice = (!self.again.is_empty()).then_some(self.slice_at);
+            let end = self.turns.ends.first().map(|(at, _)| *at);
+            let sooner = [slice, end].into_iter().flatten().min();
+            let time = sooner.map_or(wait.time, |at| wait.time.min(at.saturating_sub(now)));
             let at = now + time.max(1);
             if self.armed.is_none_or(|armed| armed > at) {
                 wire.wake(time.max(1));
@@ -315,9 +401,10 @@
                 waits.push(id);
             }
         }
-        waits.into_iter().for_each(|id| self.place(now, id, wire));
+        waits.into_iter().for_each(|id| self.ask(now, id, wire));
         self.not_yet.clear();
         self.again.clear();
+        self.turns = Turns::default();
     }
 
     /// Those that are owed an answer while a shot of theirs is out, with the number of that shot.
@@ -356,7 +443,7 @@
 
     /// How much is kept in all: in hand, by name, waiting, and in the decisions.
     pub fn kept(&self) -> usize {
-        let waiting = self.not_yet.len() + self.again.len();
+        let waiting = self.not_yet.len() + self.again.len() + self.turns.len() + self.turns.ends.len();
         self.held.len() + self.by_name.len() + waiting + self.scheduler.kept().iter().sum::<usize>()
     }
 
--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -31,8 +31,8 @@
 pub struct LinkId(pub u64);
 
 const SECOND: Tenths = 10_000;
-/// Some 2 ms of work, and as long for the sockets.
-const SLICE: Slice = Slice { most: 16, apart: 20 };
+/// So long the decisions are asked for those that wait before the connections are read again.
+const TURN: Tenths = 20;
 /// Allocations in hand at a time, those that stand among them.
 const IN_HAND: usize = 8_192;
 /// Open set-ups of one connection.
@@ -161,6 +161,8 @@
     tasks: Tasks,
     wakes: async_channel::Sender<Instant>,
     watches: async_channel::Sender<()>,
+    /// Some wait for their turn.
+    turns: async_channel::Sender<()>,
 }
 
 /// The control feed must be asked for, whatever the settings say of another way, and nobody tells of a machine
@@ -180,6 +182,7 @@
         tasks: &Tasks,
         wakes: async_channel::Sender<Instant>,
         watches: async_channel::Sender<()>,
+        turns: async_channel::Sender<()>,
     ) -> Result<Arc<Self>, String> {
         let clock = Clock::start();
         let (now, seed) = (clock.now(), posting.chance().map_err(|why| why.to_string())?);
@@ -195,7 +198,7 @@
         let known = posting.known;
         let desk = Arc::new_cyclic(|desk| Desk {
             inner: Mutex::new(Inner {
-                host: Host::new(cluster, seed, now, IN_HAND, SLICE),
+                host: Host::new(cluster, seed, now, IN_HAND, Slice::BY_TURNS),
                 port: Port {
                     desk: desk.clone(),
                     now,
@@ -221,6 +224,7 @@
             tasks: Arc::clone(tasks),
             wakes,
             watches,
+            turns,
         });
         desk.with(|now, host, port| {
             known.events.into_iter().for_each(|event| port.apply(now, host, event));
@@ -265,9 +269,22 @@
             port.armed = next;
             let _ = self.wakes.force_send(self.clock.instant(next.unwrap_or(now)));
         }
+        if host.waits_for_turn() {
+            // Full: the turn is called for already.
+            let _ = self.turns.try_send(());
+        }
         result
     }
 
+    /// Asks the decisions for those that wait, for a moment. True where some still do: between two turns all
+    /// connections are read, so that what nodes and owners say waits for one turn and not for all set-ups.
+    pub fn turn(&self) -> bool {
+        self.with(|now, host, port| {
+            while host.turn(now, port) && self.clock.now() < now + TURN {}
+            host.waits_for_turn()
+        })
+    }
+
     /// The timer went off.
     pub fn woken(&self) {
         self.with(|now, host, port| {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -76,7 +76,8 @@
     let (wakes, waking) = async_channel::bounded(1);
     let (watches, asked) = async_channel::bounded(1);
     let (moves, moved) = async_channel::bounded(1);
-    let desk = Desk::new(posting, &tasks, wakes, watches)
+    let (turns, turning) = async_channel::bounded(1);
+    let desk = Desk::new(posting, &tasks, wakes, watches, turns)
         .map_err(|why| Failure::Facts { path: path.into(), why: format!("settings: {why}") })?;
     let listener = TcpListener::bind(address).await.map_err(|why| Failure::Listen { address, why })?;
     // The usual backlog of 128 would make some of a burst of hundreds wait for a second.
@@ -89,6 +90,7 @@
             let desk = Arc::clone(&desk);
             move || desk.woken()
         })),
+        tasks.spawn(take_turns(Arc::clone(&desk), turning)),
         tasks.spawn(feed::run(Arc::clone(&desk), feed, asked, moved)),
         tasks.spawn(front::run(Arc::clone(&desk), Arc::clone(&tasks), listener)),
         tasks.spawn(sweep(Arc::clone(&desk))),
@@ -142,6 +144,15 @@
     }
 }
 
+/// Between two turns whatever else is ready is done once.
+async fn take_turns(desk: Arc<Desk>, turning: async_channel::Receiver<()>) {
+    while turning.recv().await.is_ok() {
+        while desk.turn() {
+            future::yield_now().await;
+        }
+    }
+}
+
 async fn sweep(desk: Arc<Desk>) {
     loop {
         Timer::after(SWEEP).await;
