Look at machines in a service's order by a heap; count a service before its places

Cause: an ask on 400 machines sorts them all by a hash for each ask, looks each up again and again, and, where a track is spread by cell or hall, walks all machines with two look-ups each for every machine that it considers.

Change: keys are made in one walk, a heap gives the first few, and the sorted rest only where it is wanted; of machines that were looked at only such as the filters let through are weighed again; spread counts the service's copies first and asks where they are after.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,8 @@
 use crate::state::{Guest, Learnt, Machine, Record, View, Weighed, mix};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 const SECOND: Tenths = 10_000;
 /// The paper's figures for the share of draws that may cross the line and for the number of draws.
@@ -136,15 +137,17 @@
             self.probes = (self.probes + PROBES).min(self.machines.len() as f64);
         }
         let bound = allocation.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
-        let mut scan: Vec<MachineId> = self.machines.keys().copied().collect();
+        // None: all machines.
+        let mut scan: Option<Vec<MachineId>> = None;
         if let Some(shot) = bound {
+            let mut ids: Vec<MachineId> = self.machines.keys().copied().collect();
             match self.cluster.tracks[allocation.track.0].repeat {
                 // A copy may stand where a shot broke: that machine would take no second one.
                 Repeat::Idempotent => {
                     let ran =
                         |id| allocation.shots.iter().any(|s| s.machine == id && s.fate != Fate::NeverRan);
-                    let others: Vec<MachineId> = scan.iter().copied().filter(|&id| !ran(id)).collect();
-                    scan = if others.is_empty() { scan } else { others };
+                    let others: Vec<MachineId> = ids.iter().copied().filter(|&id| !ran(id)).collect();
+                    ids = if others.is_empty() { ids } else { others };
                 }
                 Repeat::Unrepeatable => return self.give_up(allocation),
                 // Past the window its repeats are no longer dropped, and outside the group never were.
@@ -152,9 +155,10 @@
                     return self.give_up(allocation);
                 }
                 Repeat::Deduplicated { within, .. } => {
-                    scan.retain(|&machine| within.is_none_or(|place| self.same(place, machine, shot.machine)))
+                    ids.retain(|&machine| within.is_none_or(|place| self.same(place, machine, shot.machine)))
                 }
             }
+            scan = Some(ids);
         }
         // Nothing has changed since one of the same track that asked for no more found no place.
         let alike = (now, allocation.track, allocation.account);
@@ -162,19 +166,37 @@
             return self.not_yet(now, allocation);
         }
         self.look(now);
-        scan.sort_by_cached_key(|&id| self.turn(allocation.service, id));
+        let turn = |(&id, machine)| (self.turn(allocation.service, id, machine), id);
+        let scan: Vec<_> = match scan {
+            None => self.machines.iter().map(turn).collect(),
+            Some(ids) => ids.iter().map(|id| turn((id, &self.machines[id]))).collect(),
+        };
         let mine = |id: &MachineId| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id);
-        let promised = scan.iter().copied().find(mine).filter(|&id| self.admits(now, id, allocation));
+        let any = self.machines.values().any(|m| m.promised.is_some_and(|(_, to)| to == allocation.id));
+        let promised = scan.iter().filter(|(_, id)| any && mine(id)).min().map(|&(_, id)| id);
+        let promised = promised.filter(|&id| self.admits(now, id, allocation));
         // First under theta those first in the service's order: all schedulers then send it to the same few
         // machines, which so hold its program. It also spares weighing them all.
-        let weigh = |&id: &MachineId| self.weigh(now, id, allocation, false);
-        let first = scan.iter().filter_map(weigh).filter(|w| w.rank < HELD_BACK).take(SCAN);
-        let first: Vec<Weighed> = first.map(|w| Weighed { rank: 0, bears: false, ..w }).collect();
+        // A heap: mostly a few are looked at, and to sort them all would cost as much as all the rest.
+        let mut heap = BinaryHeap::from_iter(scan.into_iter().map(Reverse));
+        let (mut first, mut scan) = (Vec::new(), Vec::new());
+        while first.len() < SCAN
+            && let Some(Reverse((_, id))) = heap.pop()
+        {
+            let Some(weighed) = self.weigh(now, id, allocation, false) else { continue };
+            scan.push(id);
+            if weighed.rank < HELD_BACK {
+                first.push(Weighed { rank: 0, bears: false, ..weighed });
+            }
+        }
         let chosen = promised.or_else(|| self.choose(now, first, allocation));
         // Lower priorities are made to yield only where no machine is under theta without that.
         let passes: &[bool] = if self.stays(allocation.track, None) < 1.0 { &[false, true] } else { &[true] };
-        let chosen =
-            chosen.or_else(|| passes.iter().find_map(|&last| self.pick(now, &scan, allocation, last)));
+        let chosen = chosen.or_else(|| {
+            // Of those looked at only such as the filters let through; then the rest of the order.
+            scan.extend(heap.into_sorted_vec().into_iter().rev().map(|Reverse((_, id))| id));
+            passes.iter().find_map(|&last| self.pick(now, &scan, allocation, last))
+        });
         self.crowded = chosen.is_none().then_some((alike, allocation.asks));
         match chosen {
             Some(machine) => self.send(now, machine, allocation),
@@ -547,9 +569,10 @@
 
     /// Where a machine stands in the order of a service, the same at every scheduler: larger ones earlier in
     /// proportion, and hardly changed when a machine comes or goes.
-    fn turn(&self, service: ServiceId, id: MachineId) -> u64 {
+    fn turn(&self, service: ServiceId, id: MachineId, machine: &Machine) -> u64 {
         let chance = (mix(service.0 ^ mix(u64::from(id.0))) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        (-chance.ln() / self.size(id).map_or(1.0, |size| size.cores) * 1e12) as u64
+        let size = machine.entry.and_then(|entry| self.cluster.kinds.get(entry.kind.0));
+        (-chance.ln() / size.map_or(1.0, |size| size.cores) * 1e12) as u64
     }
 
     /// What all schedulers' allocations on a machine ask for. The listed room is late: what was sent since
@@ -577,9 +600,16 @@
 
     fn spread_holds(&self, id: MachineId, allocation: &Allocation) -> bool {
         let Some((place, most)) = self.cluster.tracks[allocation.track.0].spread else { return true };
-        let near = self.machines.iter().filter(|(other, _)| self.same(place, id, **other));
-        let there = near.flat_map(|(_, machine)| machine.guests.values());
-        there.filter(|guest| guest.service == allocation.service).count() < most
+        let there = |machine: &Machine| {
+            machine.guests.values().filter(|guest| guest.service == allocation.service).count()
+        };
+        if place == Place::Machine {
+            return there(&self.machines[&id]) < most;
+        }
+        // Most machines hold none of the service, which is sooner seen than where they are.
+        let held = self.machines.iter().map(|(&other, machine)| (other, there(machine)));
+        let near = held.filter(|&(other, many)| many > 0 && self.same(place, id, other));
+        near.map(|(_, many)| many).sum::<usize>() < most
     }
 
     /// Whether the account holds well over its share of cores, if it has as much at each other scheduler. A
