--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -1,156 +1,36 @@
 //! Where everything meets: the host with its decisions, what it holds for clients, and the ways out. Whoever
-//! reads a message calls in here directly; the answers leave as messages before the call returns.
+//! reads a message calls in here directly; the answers leave as messages before the call returns. What uses the desk
+//! stands above it and is not known here: the rolls, the streams of versions, the floor.
+
+mod client;
+mod copies;
+mod outcomes;
+mod port;
 
 use crate::clock::{Clock, duration};
-use crate::control::{self, Versions};
-use crate::fleet::{self, Fleet};
-use crate::links::{Counted, NodeLink};
-use crate::rolls::{self, Rolls};
+use crate::conductors::Rolls;
+use crate::links::NodeLink;
+use crate::running::{self, Versions};
 use crate::shots;
+use crate::standing::{self, Fleet};
+use crate::store::Store;
+pub use client::Current;
+use client::{Client, Orphan, Then};
 use corkspan::interface::*;
 use corkspan_api::v1;
 use corkspan_control::change;
 use corkspan_deployment::Deployment;
-use corkspan_host::{Asked, Host, NotTaken, Slice, Wire, service};
+use corkspan_host::{Asked, Host, NotTaken, Slice, service};
+use corkspan_roll::ClaimId;
 use corkspan_roll::conductor::Withdrawn;
-use corkspan_roll::{ClaimId, Roll};
 use corkspan_rpc::Tasks;
+use port::{Counters, Port};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 use v1::word::Word as Said;
 
-/// What is kept for the owner of an allocation in hand.
-pub struct Client {
-    pub ask: v1::Ask,
-    words: async_channel::Sender<v1::Word>,
-    /// When the owner stops waiting; none for one handed over.
-    deadline: Option<Tenths>,
-    /// The call itself has a deadline: that it ends then says nothing of the allocation.
-    hangs_up: Option<Tenths>,
-    moving: bool,
-    /// Its id now: a roll gives it another with each copy.
-    current: Current,
-    version: String,
-    /// Since when its copy is ready, by its own word.
-    ready: Option<Tenths>,
-    /// A roll is having its copy stopped, to place another.
-    stopping: bool,
-    /// It is being placed in the place of a copy that a roll has stopped: its owner had its answer before.
-    anew: bool,
-    /// A new copy that a roll starts beside this one.
-    successor: Option<AllocationId>,
-    /// It is such a new copy, beside this one. Its owner knows nothing of it yet.
-    beside: Option<AllocationId>,
-    /// The new copy takes over as soon as this one is known to be gone.
-    retiring: bool,
-    /// Such a new copy is put away, and what is told of it no longer counts.
-    withdrawn: bool,
-}
-
-/// What a roll has left somewhere and must be known to be gone before its slot comes back.
-struct Orphan {
-    service: String,
-    task: String,
-    placings: Vec<String>,
-    /// All other copies of the task, instead.
-    but: Option<String>,
-    /// Where it may be; anywhere, if none is told.
-    nodes: Option<Vec<MachineId>>,
-    /// Nodes that have said that it is not there.
-    told: BTreeSet<MachineId>,
-    then: Then,
-}
-
-#[derive(Clone, PartialEq, Eq)]
-enum Then {
-    /// The old one is gone, the new one has taken over.
-    Retired,
-    Withdrawn(Withdrawn),
-    /// Of an earlier life: only its claim is left, without the two.
-    Forgotten(ClaimId, rolls::Pair),
-    /// A claim of another, dead or gone, goes back.
-    Cleared(ClaimId),
-}
-
-/// The id of an owner's allocation, as it is now.
-#[derive(Clone)]
-pub struct Current(Arc<AtomicU64>);
-
-impl Current {
-    fn new() -> Self {
-        Current(Arc::new(AtomicU64::new(u64::MAX)))
-    }
-
-    pub fn get(&self) -> AllocationId {
-        AllocationId(self.0.load(Ordering::Relaxed))
-    }
-
-    fn set(&self, id: AllocationId) {
-        self.0.store(id.0, Ordering::Relaxed);
-    }
-}
-
-impl Client {
-    fn new(ask: v1::Ask, words: &async_channel::Sender<v1::Word>) -> Self {
-        Client {
-            ask,
-            words: words.clone(),
-            deadline: None,
-            hangs_up: None,
-            moving: false,
-            current: Current::new(),
-            version: String::new(),
-            ready: None,
-            stopping: false,
-            anew: false,
-            successor: None,
-            beside: None,
-            retiring: false,
-            withdrawn: false,
-        }
-    }
-
-    /// A word that must arrive. There is always room: notes leave some.
-    fn say(&self, said: Said) {
-        if self.words.try_send(v1::Word { word: Some(said) }).is_err() {
-            debug!(task = self.ask.task, "an owner is gone before its word");
-        }
-    }
-
-    /// A word that may be left out where the owner doesn't read.
-    fn note(&self, said: Said) {
-        const KEPT_FREE: usize = 4;
-        if self.words.len() + KEPT_FREE < self.words.capacity().unwrap_or(usize::MAX) {
-            let _ = self.words.try_send(v1::Word { word: Some(said) });
-        }
-    }
-}
-
-#[derive(Default)]
-struct Counters {
-    asked: u64,
-    placed: u64,
-    refused: u64,
-    failed: u64,
-    cancelled: u64,
-}
-
-/// The ways out: to nodes, owners and the timer.
-pub struct Port {
-    desk: Weak<Desk>,
-    now: Tenths,
-    nodes: BTreeMap<MachineId, Arc<NodeLink>>,
-    counters: Counters,
-    stopping: bool,
-    decided: Duration,
-    serving: usize,
-    rolls: Rolls,
-    orphans: Vec<Orphan>,
-}
-
 pub struct Inner {
     host: Host<Client>,
     port: Port,
@@ -172,7 +52,9 @@
     /// Calls of clients that are open.
     calls: Arc<()>,
     /// Where rolls and claims are kept.
-    pub store: Arc<rolls::Store>,
+    pub store: Arc<Store>,
+    /// Claims that the keepers are to be told of as given back.
+    pub given_back: async_channel::Receiver<(String, ClaimId)>,
 }
 
 /// What an owner's call gets: words, and the id where it was taken into hand.
@@ -190,10 +72,11 @@
         tasks: &Tasks,
         wakes: async_channel::Sender<Instant>,
         watches: async_channel::Sender<()>,
-        store: rolls::Store,
+        store: Store,
     ) -> Arc<Self> {
         let now = clock.now();
         let (versions, deployment) = Versions::start(deployment, now);
+        let (gives_back, given_back) = async_channel::bounded(GIVEN_BACK);
         let store = Arc::new(store);
         let fleet = Fleet::new(seed, store.spans(), deployment.stamp);
         let kept = store.read();
@@ -224,6 +107,7 @@
                 serving: 0,
                 rolls: Rolls::new(deployment.cluster.number as u32, seed, now, kept),
                 orphans,
+                gives_back,
             };
             Desk {
                 inner: Mutex::new(Inner { host, port }),
@@ -237,6 +121,7 @@
                 watches,
                 calls: Arc::new(()),
                 store,
+                given_back,
             }
         })
     }
@@ -437,7 +322,7 @@
             priority: u32::from(self.deployment().cluster.tracks[asked.track.0].priority),
             version,
             by: Some(self.by(1)),
-            floor: self.fleet.floor().map(fleet::message),
+            floor: self.fleet.floor().map(standing::message),
         }
     }
 
@@ -446,7 +331,7 @@
     pub fn by(&self, many: usize) -> v1::By {
         let deployment = self.deployment();
         self.fleet.acts(deployment.stamp, many);
-        let stamp = Some(control::message(deployment.stamp));
+        let stamp = Some(running::message(deployment.stamp));
         v1::By { stamp, life: self.fleet.life, dispatcher: deployment.cluster.number as u32 }
     }
 
@@ -486,453 +371,10 @@
         }
     }
 
-    /// Puts a new copy away that stands beside an old one. It is told to stop until it is known to be gone.
-    fn withdraw(
-        self: &Arc<Self>,
-        id: AllocationId,
-        why: Withdrawn,
-        host: &mut Host<Client>,
-        port: &mut Port,
-    ) {
-        let Some((client, allocation)) = host.own(id) else { return };
-        let old = client.beside;
-        port.put_away(client, allocation, why);
-        host.finish(id);
-        if let Some((old, _)) = old.and_then(|old| host.own(old)) {
-            old.successor = None;
-        }
-    }
-
-    /// The new copy that stands beside this one takes its place with its owner. False where there is none that
-    /// runs.
-    fn take_over(&self, id: AllocationId, gone: bool, host: &mut Host<Client>, port: &mut Port) -> bool {
-        let Some((old, allocation)) = host.own(id) else { return false };
-        let Some(next) = old.successor else { return false };
-        let (current, hangs_up) = (old.current.clone(), old.hangs_up);
-        let (service, task, placing) =
-            (old.ask.service.clone(), old.ask.task.clone(), old.ask.placing.clone());
-        let nodes = allocation.shots.iter().map(|shot| shot.machine).collect();
-        let Some((new, allocation)) = host.own(next) else { return false };
-        let Some(machine) = allocation.shots.last().map(|shot| shot.machine) else { return false };
-        (new.beside, new.current, new.hangs_up) = (None, current, hangs_up);
-        new.current.set(next);
-        let (version, name) = (new.version.clone(), new.ask.placing.clone());
-        new.say(Said::Replaced(v1::Replaced { node: machine.0, version, placing: name }));
-        host.swap_names(id, next);
-        if gone {
-            port.retired(&service, &task);
-        } else {
-            let (placings, nodes, told) = (vec![placing], Some(nodes), BTreeSet::new());
-            port.orphans.push(Orphan {
-                service,
-                task,
-                placings,
-                but: None,
-                nodes,
-                told,
-                then: Then::Retired,
-            });
-        }
-        true
-    }
-
-    /// A node has placed a shot. False where the shot need not be followed any longer.
-    pub fn placed(self: &Arc<Self>, id: AllocationId, shot: usize, machine: MachineId) {
-        self.with(|now, host, port| {
-            let late = host.own(id).is_some_and(|(client, _)| client.deadline.is_some_and(|at| now >= at));
-            if late {
-                // The owner has given up: an answer now would be one too late. The outcome is told all the same.
-                host.placed(now, id, shot, port);
-                self.unwanted(id, host, port);
-            } else if host.placed(now, id, shot, port)
-                && let Some((client, allocation)) = host.own(id)
-            {
-                client.deadline = None;
-                if client.beside.is_some() {
-                    return;
-                }
-                if std::mem::take(&mut client.anew) {
-                    let (version, placing) = (client.version.clone(), client.ask.placing.clone());
-                    client.say(Said::Replaced(v1::Replaced { node: machine.0, version, placing }));
-                    return;
-                }
-                port.counters.placed += 1;
-                let shots = allocation.shots.len() as u32;
-                client.say(Said::Placed(v1::Placed { node: machine.0, shots }));
-            } else if let Some((client, _)) = host.own(id) {
-                // Wanted no longer by the time the node took it: an earlier word to stop found nothing there.
-                port.stop(self, client, machine, false);
-            }
-        });
-    }
-
-    /// A shot has returned. `over` where it was placed and the allocation ends with it, in this way.
-    pub fn returned(
-        self: &Arc<Self>,
-        id: AllocationId,
-        shot: usize,
-        ending: Ending,
-        reason: Option<Reason>,
-        over: Option<v1::ended::How>,
-        report: Option<Report>,
-    ) {
-        self.with(|now, host, port| {
-            let mut anew = None;
-            if let Some((client, _)) = host.own(id)
-                && over.is_some()
-                && client.beside.is_some()
-            {
-                self.withdraw(id, Withdrawn::Failed, host, port);
-            } else if host.own(id).is_some_and(|(client, _)| over.is_some() && client.retiring)
-                && self.take_over(id, ending == Ending::Cancelled, host, port)
-            {
-                // Its owner goes on with the new one.
-            } else if let (Some(how), Some((client, allocation))) = (over, host.own(id)) {
-                // Known to be gone, since its node says so: now a copy of the version wanted may be placed.
-                if client.stopping && ending == Ending::Cancelled && !port.stopping {
-                    anew = port.anew(client, allocation);
-                } else {
-                    let how = if client.moving && how == v1::ended::How::Lost {
-                        v1::ended::How::Moved
-                    } else {
-                        how
-                    };
-                    let successor = client.successor.take();
-                    port.copy_gone(client, ending == Ending::Ended);
-                    client.say(Said::Ended(v1::Ended { how: how.into() }));
-                    client.words.close();
-                    if let Some(next) = successor {
-                        self.withdraw(next, Withdrawn::NotWanted, host, port);
-                    }
-                }
-            }
-            host.returned(now, id, shot, ending, reason, over.is_some(), report, port);
-            let Some((asked, client)) = anew else { return };
-            let (task, current) = (client.ask.task.clone(), client.current.clone());
-            match host.take(now, &task, asked, client) {
-                Ok(id) => {
-                    current.set(id);
-                    host.place(now, id, port);
-                }
-                Err((why, mut client)) => {
-                    warn!(task, %why, "a copy taken down for a roll can't be placed anew here");
-                    port.answer(&mut client, Said::Failed(v1::Failed::default()));
-                }
-            }
-        });
-    }
-
-    /// A copy says which version it runs: one handed over is known by that alone.
-    pub fn runs(&self, id: AllocationId, version: String) {
-        self.with(|now, host, port| {
-            let other = |client: &Client| client.version != version && client.beside.is_none();
-            let Some((client, _)) = host.own(id).filter(|(client, _)| other(client)) else {
-                return;
-            };
-            if let Some(conductor) = port.rolls.of(&client.ask.service) {
-                conductor.copy(now, &client.ask.task, &version, false);
-            }
-            client.version = version;
-        });
-    }
-
-    /// A copy's own word that it is ready, or no longer.
-    pub fn ready(&self, id: AllocationId, ready: bool) {
-        self.with(|now, host, port| {
-            let Some((client, _)) = host.own(id) else { return };
-            client.ready = if ready { client.ready.or(Some(now)) } else { None };
-            match port.rolls.of(&client.ask.service) {
-                Some(_) if client.withdrawn => {}
-                Some(conductor) if client.beside.is_some() => conductor.grown(now, &client.ask.task, ready),
-                Some(conductor) if ready => conductor.ready(now, &client.ask.task),
-                Some(conductor) => drop(conductor.unready(now, &client.ask.task)),
-                None => {}
-            }
-        });
-    }
-
-    /// A later roll is in force. Copies that were here before it are its own from now on.
-    pub fn adopt(&self, roll: Roll) {
-        self.with(|now, host, port| {
-            let known = port.rolls.of(&roll.service).is_some();
-            let service = roll.service.clone();
-            port.rolls.adopt(now, roll);
-            let Some(conductor) = port.rolls.of(&service).filter(|_| !known) else { return };
-            let copies = host.all().filter(|(_, client, placed)| {
-                *placed && client.ask.service == service && client.beside.is_none()
-            });
-            let copies: Vec<AllocationId> = copies.map(|(id, _, _)| id).collect();
-            for id in copies {
-                let Some((client, allocation)) = host.own(id) else { continue };
-                conductor.copy(now, &client.ask.task, &client.version, false);
-                if let Some(at) = client.ready {
-                    conductor.ready(at, &client.ask.task);
-                }
-                if !self.may_run_twice(allocation.track) {
-                    conductor.only_once(&client.ask.task);
-                }
-            }
-        });
-    }
-
-    /// Replaces a copy by one of the version wanted: stopped first, and placed anew once it is known to be gone.
-    pub fn replace(self: &Arc<Self>, task: &str) {
-        self.with(|_, host, port| {
-            let Some((client, allocation)) = host.find(task).and_then(|id| host.own(id)) else { return };
-            client.stopping = true;
-            if let Some(shot) = allocation.shots.last() {
-                port.stop(self, client, shot.machine, false);
-            }
-        });
-    }
-
-    fn may_run_twice(&self, track: TrackId) -> bool {
-        let deployment = self.deployment();
-        deployment.cluster.tracks.get(track.0).is_some_and(|track| track.repeat == Repeat::Idempotent)
-    }
-
-    /// The two of a copy that grows: to be kept on disk before the new one is offered anywhere.
-    pub fn pair(&self, task: &str) -> Option<rolls::Pair> {
-        let mut inner = self.lock();
-        let id = inner.host.find(task)?;
-        let (client, _) = inner.host.own(id)?;
-        let (old, successor, retires) = (client.ask.placing.clone(), client.successor, client.retiring);
-        let new = successor.and_then(|next| inner.host.own(next));
-        let new = new.map_or_else(|| next_placing(&old), |(client, _)| client.ask.placing.clone());
-        Some(rolls::Pair { new, old, retires })
-    }
-
-    /// Whether a copy of this task is still to be known to be gone.
-    pub fn puts_away(&self, task: &str) -> bool {
-        self.lock().port.orphans.iter().any(|orphan| orphan.task == task)
-    }
-
-    /// Starts a copy of the version wanted beside one that runs, by the ordinary path.
-    pub fn grow(self: &Arc<Self>, task: &str, placing: &str) {
-        self.with(|now, host, port| {
-            let Some(old) = host.find(task) else { return };
-            let successor = host.own(old).and_then(|(client, _)| client.successor);
-            let stands = |(client, _): (&mut Client, &Allocation)| !client.withdrawn;
-            if successor.and_then(|next| host.own(next)).is_some_and(stands) {
-                return;
-            }
-            let Some((client, allocation)) = host.own(old) else { return };
-            let ask = v1::Ask { placing: placing.into(), ..client.ask.clone() };
-            let Some(within) = port.rolls.of(&ask.service).map(|own| own.roll().ready_within) else { return };
-            let asked = Asked {
-                service: allocation.service,
-                track: allocation.track,
-                account: allocation.account,
-                asks: allocation.asks,
-                abandon: now + within,
-            };
-            let fresh = Client::new(ask, &client.words);
-            let fresh = Client { deadline: Some(now + within), beside: Some(old), ..fresh };
-            // A name that no owner gives: its own is taken by the old one.
-            match host.take(now, &format!("{task}\u{0}{placing}"), asked, fresh) {
-                Ok(id) => {
-                    if let Some((client, _)) = host.own(old) {
-                        client.successor = Some(id);
-                    }
-                    host.place(now, id, port);
-                }
-                Err((why, client)) => {
-                    warn!(task, %why, "no new copy can be placed beside an old one here");
-                    port.withdrawn(&client.ask.service, task, Withdrawn::NoRoom);
-                }
-            }
-        });
-    }
-
-    /// Stops an old copy whose new one has stayed ready for its time.
-    pub fn retire(self: &Arc<Self>, task: &str) {
-        let found = {
-            let mut inner = self.lock();
-            let id = inner.host.find(task);
-            id.and_then(|id| inner.host.own(id).map(|(client, _)| client.retiring = true))
-        };
-        if found.is_some() {
-            self.replace(task);
-        }
-    }
-
-    /// A new copy that could not even be begun.
-    pub fn not_grown(&self, service: &str, task: &str) {
-        // That it can't be kept on disk says nothing of the version: it must not halt the roll.
-        self.with(|_, _, port| port.withdrawn(service, task, Withdrawn::NotWanted));
-    }
-
-    /// Puts away a new copy that is not wanted any more.
-    pub fn put_away(self: &Arc<Self>, task: &str) {
-        self.with(|_, host, port| {
-            let next = host.find(task).and_then(|id| host.own(id)).and_then(|(client, _)| client.successor);
-            if let Some(next) = next {
-                self.withdraw(next, Withdrawn::NotWanted, host, port);
-            }
-        });
-    }
-
-    /// Has every node put away what a dead dispatcher may have begun beside our copy.
-    pub fn clear(&self, service: &str, task: &str, claim: ClaimId) {
-        self.with(|_, host, port| {
-            let Some((client, _)) = host.find(task).and_then(|id| host.own(id)) else { return };
-            if port.orphans.iter().any(|orphan| orphan.then == Then::Cleared(claim)) {
-                return;
-            }
-            port.orphans.push(Orphan {
-                service: service.into(),
-                task: task.into(),
-                placings: Vec::new(),
-                but: Some(client.ask.placing.clone()),
-                nodes: None,
-                told: BTreeSet::new(),
-                then: Then::Cleared(claim),
-            });
-        });
-    }
-
-    /// Tells nodes of what is to be gone, each until it has answered; gives slots back whose copies are.
-    pub async fn clear_orphans(self: &Arc<Self>) {
-        let asks: Vec<(usize, MachineId, Arc<NodeLink>, Vec<v1::StopAsk>)> = {
-            let mut inner = self.lock();
-            let Inner { host, port } = &mut *inner;
-            // A copy that has another placing by now is not to be stopped by word of the one before.
-            port.orphans.retain(|orphan| {
-                let own = host.find(&orphan.task).and_then(|id| host.own(id));
-                orphan
-                    .but
-                    .as_ref()
-                    .is_none_or(|but| own.is_some_and(|(client, _)| client.ask.placing == *but))
-            });
-            let port = &inner.port;
-            let all = port.orphans.iter().enumerate().flat_map(|(index, orphan)| {
-                let here = port.nodes.iter().filter(|(machine, _)| {
-                    orphan.nodes.as_ref().is_none_or(|nodes| nodes.contains(machine))
-                        && !orphan.told.contains(machine)
-                });
-                here.map(move |(machine, node)| {
-                    // Whoever holds it by now hears that it moved, and asks again.
-                    let stop = |placing: &String| v1::StopAsk {
-                        placing: placing.clone(),
-                        task: orphan.task.clone(),
-                        moved: true,
-                        but: String::new(),
-                        by: Some(self.by(1)),
-                    };
-                    let mut stops: Vec<v1::StopAsk> = orphan.placings.iter().map(stop).collect();
-                    stops.extend(orphan.but.iter().map(|but| v1::StopAsk {
-                        placing: String::new(),
-                        task: orphan.task.clone(),
-                        moved: true,
-                        but: but.clone(),
-                        by: Some(self.by(1)),
-                    }));
-                    (index, *machine, Arc::clone(node), stops)
-                })
-            });
-            all.collect()
-        };
-        let calls: Vec<_> = asks
-            .into_iter()
-            .map(|(index, machine, node, stops)| {
-                let desk = Arc::clone(self);
-                let tasks = Arc::clone(&self.tasks);
-                tasks.spawn(async move {
-                    for stop in stops {
-                        shots::stop(desk.clone(), node.clone(), stop).await?;
-                    }
-                    Some((index, machine))
-                })
-            })
-            .collect();
-        let mut told = Vec::new();
-        for call in calls {
-            told.extend(call.await);
-        }
-        let forgotten = self.with(|_, _, port| {
-            for (index, machine) in told {
-                // Only this task takes any out, so the places are the same.
-                port.orphans[index].told.insert(machine);
-            }
-            let known: BTreeSet<MachineId> = port.nodes.keys().copied().collect();
-            let gone = |orphan: &Orphan| {
-                let mut all = known.iter();
-                // Before the list is known nothing is.
-                !known.is_empty()
-                    && all.all(|machine| {
-                        let else_where = orphan.nodes.as_ref().is_some_and(|nodes| !nodes.contains(machine));
-                        else_where || orphan.told.contains(machine)
-                    })
-            };
-            let (done, rest) = std::mem::take(&mut port.orphans).into_iter().partition(gone);
-            port.orphans = rest;
-            let done: Vec<Orphan> = done;
-            done.into_iter()
-                .filter_map(|orphan| match orphan.then {
-                    Then::Retired => {
-                        port.retired(&orphan.service, &orphan.task);
-                        None
-                    }
-                    Then::Withdrawn(why) => {
-                        port.withdrawn(&orphan.service, &orphan.task, why);
-                        None
-                    }
-                    Then::Forgotten(claim, pair) => Some((claim, pair)),
-                    Then::Cleared(claim) => {
-                        if let Some(conductor) = port.rolls.of(&orphan.service) {
-                            conductor.cleared(claim);
-                        }
-                        port.give_back(&orphan.service, vec![claim]);
-                        None
-                    }
-                })
-                .collect::<Vec<_>>()
-        });
-        for (claim, pair) in forgotten {
-            info!(
-                old = pair.old,
-                new = pair.new,
-                "what was left of a replacing before the restart is put away"
-            );
-            rolls::forget_pair(self, claim, pair).await;
-        }
-    }
-
-    /// Says it again to nodes that have not stopped a copy yet: word to them is one try each.
-    pub fn stop_old_copies(self: &Arc<Self>) {
-        let tasks: Vec<String> = {
-            let mut inner = self.lock();
-            let stopping = inner.host.all().filter(|(_, client, _)| client.stopping);
-            stopping.map(|(_, client, _)| client.ask.task.clone()).collect()
-        };
-        tasks.iter().for_each(|task| self.replace(task));
-    }
-
-    pub fn with_rolls<R>(&self, call: impl FnOnce(Tenths, &mut Rolls) -> R) -> R {
-        let mut inner = self.lock();
-        call(self.clock.now(), &mut inner.port.rolls)
-    }
-
     pub fn node(&self, machine: MachineId) -> Option<Arc<NodeLink>> {
         self.lock().port.node(machine)
     }
 
-    pub fn noted(&self, id: AllocationId, note: Note) {
-        self.with(|now, host, _| {
-            host.noted(now, id, note);
-            let Some((client, _)) = host.own(id) else { return };
-            match note {
-                Note::Runs => client.note(Said::Runs(v1::Runs {})),
-                Note::Served(part) => client.note(Said::Served(v1::Served { part })),
-                _ => {}
-            }
-        });
-    }
-
-    pub fn probed(&self, machine: MachineId, ending: Ending, report: Option<Report>) {
-        self.with(|now, host, _| host.probed(now, machine, ending, report));
-    }
-
     /// The list of machines, or changes of it, with their addresses.
     pub fn listed(&self, scope: Scope, entries: &[(Entry, std::net::SocketAddr)]) {
         self.with(|_, host, port| {
@@ -1045,13 +487,6 @@
 /// Some 2 ms of work, and as long for the sockets.
 const SLICE: Slice = Slice { most: 32, apart: 20 };
 
-/// The name of a placing that follows this one in a roll. None of an earlier life or try may be met again: word to
-/// stop that one may still be under way.
-fn next_placing(placing: &str) -> String {
-    let (first, _) = placing.rsplit_once('~').unwrap_or((placing, ""));
-    format!("{first}~{:x}", crate::clock::wall_ms())
-}
-
 /// No owner waits longer for a placing.
 const LONGEST: Tenths = 24 * 3600 * 10_000;
 
@@ -1062,178 +497,12 @@
     }
 }
 
-impl Port {
-    fn node(&self, machine: MachineId) -> Option<Arc<NodeLink>> {
-        self.nodes.get(&machine).cloned()
-    }
-
-    fn stop(&mut self, desk: &Arc<Desk>, client: &Client, machine: MachineId, moved: bool) {
-        let Some(node) = self.node(machine) else { return };
-        let (placing, task) = (client.ask.placing.clone(), client.ask.task.clone());
-        let stop = v1::StopAsk { placing, task, moved, but: String::new(), by: Some(desk.by(1)) };
-        desk.tasks.spawn(shots::stop(desk.clone(), node, stop)).detach();
-    }
-
-    /// What is placed anew in the place of a copy that a roll has stopped.
-    fn anew(&mut self, client: &Client, allocation: &Allocation) -> Option<(Asked, Client)> {
-        let within = self.rolls.of(&client.ask.service)?.roll().ready_within;
-        let abandon = self.now + within;
-        let asked = Asked {
-            service: allocation.service,
-            track: allocation.track,
-            account: allocation.account,
-            asks: allocation.asks,
-            abandon,
-        };
-        let placing = next_placing(&client.ask.placing);
-        let fresh = Client::new(v1::Ask { placing, ..client.ask.clone() }, &client.words);
-        let (current, hangs_up) = (client.current.clone(), client.hangs_up);
-        Some((asked, Client { deadline: Some(abandon), hangs_up, current, anew: true, ..fresh }))
-    }
-
-    /// The old copy is gone, and the new one has its place.
-    fn retired(&mut self, service: &str, task: &str) {
-        let claims = self.rolls.of(service).map(|own| own.retired(task)).unwrap_or_default();
-        self.give_back(service, claims);
-    }
-
-    /// From here on a new copy beside an old one counts for nothing; its slot comes back when it is known to be
-    /// gone.
-    fn put_away(&mut self, client: &mut Client, allocation: &Allocation, why: Withdrawn) {
-        if std::mem::replace(&mut client.withdrawn, true) {
-            return;
-        }
-        self.orphans.push(Orphan {
-            service: client.ask.service.clone(),
-            task: client.ask.task.clone(),
-            placings: vec![client.ask.placing.clone()],
-            but: None,
-            nodes: Some(allocation.shots.iter().map(|shot| shot.machine).collect()),
-            told: BTreeSet::new(),
-            then: Then::Withdrawn(why),
-        });
-    }
-
-    /// A new copy beside an old one is no more.
-    fn withdrawn(&mut self, service: &str, task: &str, why: Withdrawn) {
-        let now = self.now;
-        let claims = self.rolls.of(service).map(|own| own.withdrawn(now, task, why)).unwrap_or_default();
-        self.give_back(service, claims);
-    }
-
-    fn give_back(&mut self, service: &str, claims: Vec<ClaimId>) {
-        let Some(desk) = self.desk.upgrade() else { return };
-        for claim in claims {
-            let (desk, service) = (Arc::clone(&desk), service.to_string());
-            let tasks = Arc::clone(&desk.tasks);
-            tasks.spawn(async move { rolls::release(&desk, &service, claim).await }).detach();
-        }
-    }
-
-    /// A copy is ours no longer. `wanted_no_more`: its owner does not come again for it.
-    fn copy_gone(&mut self, client: &Client, wanted_no_more: bool) {
-        let (service, task) = (&client.ask.service, &client.ask.task);
-        let Some(conductor) = self.rolls.of(service) else { return };
-        if !wanted_no_more {
-            return conductor.died(self.now, task);
-        }
-        let claims = conductor.gone(task);
-        self.give_back(service, claims);
-    }
-
-    /// The final answer, unless the owner's time is already up.
-    fn answer(&mut self, client: &mut Client, said: Said) -> bool {
-        if client.anew {
-            // Its owner had its answer long ago: to it the copy is sent away, and it comes again.
-            self.copy_gone(client, false);
-            client.say(Said::Ended(v1::Ended { how: v1::ended::How::SentAway.into() }));
-            client.words.close();
-            return false;
-        }
-        self.copy_gone(client, true);
-        let in_time = client.deadline.take().is_some_and(|at| self.now < at);
-        if in_time {
-            client.say(said);
-        }
-        client.words.close();
-        in_time
-    }
+/// The name of a placing that follows this one in a roll. None of an earlier life or try may be met again: word to
+/// stop that one may still be under way.
+fn next_placing(placing: &str) -> String {
+    let (first, _) = placing.rsplit_once('~').unwrap_or((placing, ""));
+    format!("{first}~{:x}", crate::clock::wall_ms())
 }
 
-impl Wire<Client> for Port {
-    fn send(&mut self, client: &mut Client, allocation: &Allocation, machine: MachineId, time_out: Tenths) {
-        let Some(desk) = self.desk.upgrade() else { return };
-        let asked = Asked {
-            service: allocation.service,
-            track: allocation.track,
-            account: allocation.account,
-            asks: allocation.asks,
-            abandon: allocation.abandon,
-        };
-        client.version = self.rolls.wanted(&client.ask.service);
-        (client.ready, client.stopping) = (None, false);
-        if let Some(conductor) = self.rolls.of(&client.ask.service).filter(|_| client.beside.is_none()) {
-            conductor.copy(self.now, &client.ask.task, &client.version, client.ask.again && !client.anew);
-            if !desk.may_run_twice(allocation.track) {
-                conductor.only_once(&client.ask.task);
-            }
-        }
-        let shot = desk.shot(&client.ask, &asked, allocation.shots.len(), client.version.clone());
-        let node = self.node(machine);
-        let most = desk.deployment().bounds.offers_a_node;
-        let open: Option<Counted> = node.as_ref().and_then(|node| node.offer(most));
-        let (id, number, decided) = (allocation.id, allocation.shots.len(), Instant::now());
-        let offer = shots::Offer { id, number, machine, node, open, decided };
-        let tasks = Arc::clone(&desk.tasks);
-        tasks.spawn(shots::offer(desk, offer, shot, duration(time_out))).detach();
-    }
-
-    fn shed(&mut self, client: &mut Client, allocation: &Allocation) {
-        if client.beside.is_some() {
-            // Its owner has the old one, and knows of none other.
-            return self.put_away(client, allocation, Withdrawn::NoRoom);
-        }
-        let (why, shots) = (v1::refused::Why::NoRoom.into(), allocation.shots.len() as u32);
-        let text = "no machine could take it in its time".into();
-        if self.answer(client, Said::Refused(v1::Refused { why, text, shots })) {
-            self.counters.refused += 1;
-        }
-    }
-
-    fn scrap(&mut self, client: &mut Client, allocation: &Allocation) {
-        if client.beside.is_some() {
-            return self.put_away(client, allocation, Withdrawn::NoRoom);
-        }
-        let shots = allocation.shots.len() as u32;
-        let text = "a shot may have run, and a further one is not allowed".into();
-        if self.answer(client, Said::Failed(v1::Failed { text, shots })) {
-            self.counters.failed += 1;
-        }
-    }
-
-    fn relocate(&mut self, client: &mut Client, allocation: &Allocation) {
-        let (Some(desk), Some(shot)) = (self.desk.upgrade(), allocation.shots.last()) else { return };
-        client.moving = true;
-        self.stop(&desk, client, shot.machine, true);
-    }
-
-    fn probe(&mut self, machine: MachineId) {
-        let (Some(desk), Some(node)) = (self.desk.upgrade(), self.node(machine)) else { return };
-        let tasks = Arc::clone(&desk.tasks);
-        tasks.spawn(shots::probe(desk, machine, node)).detach();
-    }
-
-    fn watch_list(&mut self) {
-        if let Some(desk) = self.desk.upgrade() {
-            // Full: one is asked for already.
-            let _ = desk.watches.try_send(());
-        }
-    }
-
-    fn wake(&mut self, after: Tenths) {
-        if let Some(desk) = self.desk.upgrade() {
-            // Always earlier than what is waited for, so it may take its place.
-            let _ = desk.wakes.force_send(Instant::now() + duration(after));
-        }
-    }
-}
+/// Claims on their way back to the keepers.
+const GIVEN_BACK: usize = 65_536;
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -3,13 +3,18 @@
 //! into messages; docs/dispatcher.md says how and why.
 
 mod clients;
+mod conductors;
 pub mod control;
 mod desk;
 pub mod fleet;
+mod keepers;
 mod links;
 pub mod rolls;
 mod roster;
+mod running;
 mod shots;
+mod standing;
+mod store;
 pub mod versions;
 
 use async_io::Timer;
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -1,294 +1,25 @@
 //! Rolling updates: the conductors' answers carried out, keepers asked, claims kept on disk before the step that
 //! depends on them. What is decided stands in `corkspan_roll`.
 
+use crate::conductors::Told;
 use crate::desk::Desk;
-use crate::links::NodeLink;
-use corkspan::interface::Tenths;
+use crate::keepers::ask_all;
+pub use crate::store::{Closes, Held, Kept, Pair, Store};
 use corkspan_api::v1;
-use corkspan_fleet::record::Span;
 use corkspan_roll::Grant;
 use corkspan_roll::conductor::{Conductor, Look, Votes};
 use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority, to_follow};
-use corkspan_rpc::within;
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
-use std::path::Path;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 use tonic::{Request, Response, Status};
-use tracing::{error, info, warn};
+use tracing::{info, warn};
 use v1::keep_ask::Ask;
 
-/// Claims that are out or held, as JSON.
-const CLAIMS: TableDefinition<u64, &str> = TableDefinition::new("claims");
-/// Rolls in force, as JSON by service.
-const ROLLS: TableDefinition<&str, &str> = TableDefinition::new("rolls");
-
-/// What the dispatcher remembers of its versions, as JSON under one key.
-const RECORD: TableDefinition<&str, &str> = TableDefinition::new("record");
-
 /// Between two rounds to the keepers while a roll goes on.
 const ROUND: Duration = Duration::from_millis(300);
 /// The same while none does: hundreds of dispatchers ask the same few keepers.
 const IDLE_ROUND: Duration = Duration::from_secs(2);
-/// Services with a roll that one dispatcher follows at the most.
-const MOST: usize = 10_000;
-
-/// Two copies of one task that a roll has beside each other, by their placings.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Pair {
-    pub old: String,
-    pub new: String,
-    /// The old one is being stopped: either may be the one that its owner knows.
-    pub retires: bool,
-}
-
-/// A claim as the store has it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Held {
-    #[serde(skip, default = "nobody")]
-    pub claim: ClaimId,
-    pub service: String,
-    pub task: String,
-    /// A majority has granted it.
-    pub won: bool,
-    pub pair: Option<Pair>,
-}
-
-fn nobody() -> ClaimId {
-    ClaimId(0)
-}
-
-/// Opens the database of a store, as often as it takes.
-type Opens = Box<dyn Fn() -> Result<Database, String> + Send + Sync>;
-
-/// What survives a restart.
-pub struct Store {
-    open: RwLock<Option<Database>>,
-    opens: Opens,
-}
-
-/// Closes the store when it goes, whoever still has a hand on the desk: the next life in this process opens it.
-pub struct Closes(pub Arc<Store>);
-
-impl Drop for Closes {
-    fn drop(&mut self) {
-        *self.0.open.write().unwrap_or_else(PoisonError::into_inner) = None;
-    }
-}
-
-impl Store {
-    /// Opens the store; one that can't be read is set aside and said, and begun anew: the keepers still hold
-    /// what it held.
-    pub fn open(path: Option<&Path>) -> Self {
-        let Some(path) = path.map(Path::to_owned) else {
-            let opens = Box::new(|| Err("there is no store".into()));
-            return Store { open: RwLock::new(None), opens };
-        };
-        if let Err(why) = sound(|| Ok(Database::create(&path)?)) {
-            let aside = path.with_extension("aside");
-            warn!(path = %path.display(), why, "the store of rolls can't be read; set aside");
-            if let Err(why) = std::fs::rename(&path, &aside) {
-                warn!(path = %path.display(), %why, "and can't be set aside either");
-            }
-        }
-        Store::over(move || Ok(Database::create(&path)?))
-    }
-
-    /// A store over what `opens` opens, now and after each failed write.
-    pub fn over(opens: impl Fn() -> Result<Database, redb::Error> + Send + Sync + 'static) -> Self {
-        let opens: Opens = Box::new(move || sound(&opens));
-        let open = opens();
-        if let Err(why) = &open {
-            error!(why, "no store of rolls: this dispatcher takes no step of any");
-        }
-        Store { open: RwLock::new(open.ok()), opens }
-    }
-
-    /// A database whose disk was full for a moment takes nothing more for good, so it is opened anew at the next
-    /// write: each writer tries once, and says what stood in its way.
-    fn write(
-        &self,
-        change: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
-    ) -> Result<(), String> {
-        if self.open.read().unwrap_or_else(PoisonError::into_inner).is_none() {
-            let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
-            if open.is_none() {
-                *open = Some((self.opens)()?);
-                info!("the store of rolls can be written again");
-            }
-        }
-        let written = {
-            let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
-            let Some(database) = &*open else { return Err("there is no store".into()) };
-            let whole = || {
-                let transaction = database.begin_write()?;
-                change(&transaction)?;
-                transaction.commit()?;
-                Ok::<(), redb::Error>(())
-            };
-            whole()
-        };
-        written.map_err(|why| {
-            *self.open.write().unwrap_or_else(PoisonError::into_inner) = None;
-            why.to_string()
-        })
-    }
-
-    pub fn claim(&self, held: &Held) -> Result<(), String> {
-        let text = serde_json::to_string(held).map_err(|why| why.to_string())?;
-        self.write(|transaction| {
-            transaction.open_table(CLAIMS)?.insert(held.claim.0, &text[..])?;
-            Ok(())
-        })
-    }
-
-    pub fn release(&self, claim: ClaimId) -> Result<(), String> {
-        self.write(|transaction| {
-            transaction.open_table(CLAIMS)?.remove(claim.0)?;
-            Ok(())
-        })
-    }
-
-    pub fn roll(&self, roll: &Roll) -> Result<(), String> {
-        let text = serde_json::to_string(roll).map_err(|why| why.to_string())?;
-        self.write(|transaction| {
-            transaction.open_table(ROLLS)?.insert(&roll.service[..], &text[..])?;
-            Ok(())
-        })
-    }
-
-    /// Spans of versions.
-    pub fn record(&self, spans: &VecDeque<Span>) -> Result<(), String> {
-        let text = serde_json::to_string(spans).map_err(|why| why.to_string())?;
-        self.write(|transaction| {
-            transaction.open_table(RECORD)?.insert("spans", &text[..])?;
-            Ok(())
-        })
-    }
-
-    /// What earlier lives kept of their versions; nothing where that can't be read, which is said.
-    pub fn spans(&self) -> VecDeque<Span> {
-        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(database) = &*open else { return VecDeque::new() };
-        let read = || -> Result<VecDeque<Span>, String> {
-            let transaction = database.begin_read().map_err(|why| why.to_string())?;
-            let table = transaction.open_table(RECORD).map_err(|why| why.to_string())?;
-            let text = table.get("spans").map_err(|why| why.to_string())?;
-            text.map_or(Ok(VecDeque::new()), |text| {
-                serde_json::from_str(text.value()).map_err(|why| format!("record: {why}"))
-            })
-        };
-        read().unwrap_or_else(|why| {
-            warn!(why, "what was kept of versions can't be read, and is begun anew");
-            VecDeque::new()
-        })
-    }
-
-    pub fn read(&self) -> Kept {
-        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
-        let Some(database) = &*open else { return Default::default() };
-        read(database).unwrap_or_else(|why| {
-            error!(why, "the store of rolls can't be read");
-            Default::default()
-        })
-    }
-}
-
-/// A database whose tables all read as they should.
-fn sound(open: impl Fn() -> Result<Database, redb::Error>) -> Result<Database, String> {
-    // redb asserts that a file is as long as its header says, and would take the dispatcher down with a torn one.
-    let opened = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| open_sound(open)));
-    opened.unwrap_or_else(|_| Err("it is not whole".into()))
-}
-
-fn open_sound(open: impl Fn() -> Result<Database, redb::Error>) -> Result<Database, String> {
-    let text = |why: redb::Error| why.to_string();
-    let database = open().map_err(text)?;
-    let transaction = database.begin_write().map_err(|why| text(why.into()))?;
-    transaction.open_table(CLAIMS).map_err(|why| text(why.into()))?;
-    transaction.open_table(ROLLS).map_err(|why| text(why.into()))?;
-    transaction.open_table(RECORD).map_err(|why| text(why.into()))?;
-    transaction.commit().map_err(|why| text(why.into()))?;
-    read(&database)?;
-    Ok(database)
-}
-
-fn read(database: &Database) -> Result<Kept, String> {
-    fn text(why: impl ToString) -> String {
-        why.to_string()
-    }
-    let transaction = database.begin_read().map_err(text)?;
-    let (mut rolls, mut claims) = (Vec::new(), Vec::new());
-    for line in transaction.open_table(ROLLS).map_err(text)?.iter().map_err(text)? {
-        rolls.push(serde_json::from_str(line.map_err(text)?.1.value()).map_err(text)?);
-    }
-    for line in transaction.open_table(CLAIMS).map_err(text)?.iter().map_err(text)? {
-        let (claim, value) = line.map_err(text)?;
-        let held: Held = serde_json::from_str(value.value()).map_err(text)?;
-        claims.push(Held { claim: ClaimId(claim.value()), ..held });
-    }
-    Ok((rolls, claims))
-}
-
-/// What the store held at the start.
-pub type Kept = (Vec<Roll>, Vec<Held>);
-
-/// Slots that keepers tell of, each with how many tell it.
-type Told = Vec<(u32, Grant, usize)>;
-
-/// The rolls that a dispatcher knows of, by service.
-pub struct Rolls {
-    me: u32,
-    seed: u64,
-    conductors: BTreeMap<String, Conductor>,
-    /// What keepers told last.
-    held: BTreeMap<String, Told>,
-    heard: usize,
-}
-
-impl Rolls {
-    pub fn new(me: u32, seed: u64, now: Tenths, (rolls, claims): Kept) -> Self {
-        let mut own = Rolls { me, seed, conductors: BTreeMap::new(), held: BTreeMap::new(), heard: 0 };
-        rolls.into_iter().for_each(|roll| own.adopt(now, roll));
-        for Held { claim, service, task, won, .. } in claims {
-            match own.conductors.get_mut(&service) {
-                Some(conductor) => conductor.remember(claim, &task, won),
-                None => warn!(service, task, "a claim of a roll that the store doesn't know"),
-            }
-        }
-        own
-    }
-
-    /// The version of its program that a copy of the service gets now; empty where there was no roll.
-    pub fn wanted(&self, service: &str) -> String {
-        self.conductors.get(service).map_or_else(String::new, |conductor| conductor.roll().wanted().into())
-    }
-
-    /// Whether any roll has steps left to take: copies of another version, slots in use, or claims of ours.
-    fn goes_on(&self) -> bool {
-        let steps = |own: &Conductor| own.claims().next().is_some() || own.has_steps();
-        self.conductors.values().any(steps) || self.held.values().any(|held| !held.is_empty())
-    }
-
-    pub fn of(&mut self, service: &str) -> Option<&mut Conductor> {
-        self.conductors.get_mut(service)
-    }
-
-    pub fn adopt(&mut self, now: Tenths, roll: Roll) {
-        let full = self.conductors.len() >= MOST;
-        match self.conductors.get_mut(&roll.service) {
-            Some(conductor) => conductor.adopt(roll),
-            None if !full => {
-                let seed = self.seed ^ corkspan_host::service(&roll.service).0;
-                self.conductors.insert(roll.service.clone(), Conductor::new(self.me, seed, roll, now));
-            }
-            None => warn!(service = roll.service, "too many rolls; this one is left out"),
-        }
-    }
-}
-
 /// Goes round the keepers again and again, for as long as it is polled.
 pub async fn run(desk: Arc<Desk>) {
     if desk.deployment().keepers.is_empty() {
@@ -296,6 +27,7 @@
     }
     // Apart from the rounds: a node that is out of reach must not hold them up.
     let _clears = desk.tasks.spawn(clear_all(Arc::clone(&desk)));
+    let _gives_back = desk.tasks.spawn(give_back(Arc::clone(&desk)));
     loop {
         round(&desk).await;
         let goes_on = desk.with_rolls(|_, rolls| rolls.goes_on());
@@ -303,9 +35,24 @@
     }
 }
 
+/// Claims that the desk has no more use for go back to the keepers.
+async fn give_back(desk: Arc<Desk>) {
+    while let Ok((service, claim)) = desk.given_back.recv().await {
+        let (own, tasks) = (Arc::clone(&desk), Arc::clone(&desk.tasks));
+        tasks.spawn(async move { release(&own, &service, claim).await }).detach();
+    }
+}
+
 async fn clear_all(desk: Arc<Desk>) {
     loop {
-        desk.clear_orphans().await;
+        for (claim, pair) in desk.clear_orphans().await {
+            info!(
+                old = pair.old,
+                new = pair.new,
+                "what was left of a replacing before the restart is put away"
+            );
+            forget_pair(&desk, claim, pair).await;
+        }
         async_io::Timer::after(ROUND).await;
     }
 }
@@ -433,7 +180,7 @@
 }
 
 /// The two of an earlier life are put away: the claim alone stays on disk, unless it is used anew by now.
-pub async fn forget_pair(desk: &Arc<Desk>, claim: ClaimId, pair: Pair) {
+async fn forget_pair(desk: &Arc<Desk>, claim: ClaimId, pair: Pair) {
     let store = Arc::clone(&desk.store);
     let kept = blocking::unblock(move || {
         let held =
@@ -484,7 +231,7 @@
 }
 
 /// Gives a claim back at all keepers.
-pub async fn release(desk: &Arc<Desk>, service: &str, claim: ClaimId) {
+async fn release(desk: &Arc<Desk>, service: &str, claim: ClaimId) {
     let ask = v1::Release { service: service.into(), claim: claim.0 };
     // A keeper that doesn't hear tells of it again, and hears it again then.
     ask_all(desk, Ask::Release(ask)).await;
@@ -505,35 +252,6 @@
     in_force(&stands, desk.deployment().keepers.len()).cloned()
 }
 
-/// Asks all keepers at once; what those say that answer within a link's time.
-pub async fn ask_all(desk: &Arc<Desk>, ask: Ask) -> Vec<v1::KeepWord> {
-    let calls: Vec<_> = (desk.deployment().keepers.iter())
-        .filter_map(|keeper| desk.node(*keeper))
-        .map(|node| {
-            let (desk, ask) = (Arc::clone(desk), v1::KeepAsk { ask: Some(ask.clone()) });
-            let tasks = Arc::clone(&desk.tasks);
-            tasks.spawn(async move { keep(&desk, &node, ask).await })
-        })
-        .collect();
-    let mut words = Vec::new();
-    for call in calls {
-        words.extend(call.await);
-    }
-    words
-}
-
-async fn keep(desk: &Desk, node: &Arc<NodeLink>, ask: v1::KeepAsk) -> Option<v1::KeepWord> {
-    let _call = node.call();
-    let whole = async {
-        let link = node.ready(&desk.tasks, &desk.link_bounds).await.ok()?;
-        let client = v1::node_client::NodeClient::new(link);
-        // Longer than a client's message: all rolls and their slots.
-        let mut client = client.max_decoding_message_size(16 << 20);
-        client.keep(ask).await.ok().map(Response::into_inner)
-    };
-    within(desk.link_bounds.connect_within * 2, Box::pin(whole)).await.flatten()
-}
-
 pub fn message(roll: &Roll) -> v1::Roll {
     let (phase, why) = match &roll.phase {
         Phase::Rolling => (v1::roll::Phase::Rolling, String::new()),
--- /dev/null
+++ b/crates/dispatcher/src/running.rs
@@ -0,0 +1,126 @@
+//! Which version a dispatcher runs: what it keeps of it, and what it tells.
+
+use crate::versions;
+use corkspan_api::v1;
+use corkspan_control::{Kept, Subscriber};
+use corkspan_deployment::Deployment;
+use corkspan_deployment::version::{Digest, Stamp, Texts};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use tracing::warn;
+
+/// The number of the version in force, for log lines: one process has one dispatcher.
+pub static RUNNING: AtomicU64 = AtomicU64::new(0);
+
+/// What a dispatcher knows of its versions.
+pub struct Versions {
+    state: Mutex<State>,
+    /// The file as it was read at start: what a version does not say is as it says.
+    pub file: Deployment,
+    path: Option<PathBuf>,
+    /// One step at a time is decided, kept on disk and put in force: a trial's end must not overtake a version that
+    /// takes its place.
+    pub step: async_lock::Mutex<()>,
+}
+
+pub struct State {
+    pub subscriber: Subscriber,
+    pub service: Option<SocketAddr>,
+    pub applied: u64,
+    pub refused: u64,
+    pub superseded: u64,
+    pub refused_last: Option<(Stamp, Vec<String>)>,
+}
+
+impl Versions {
+    /// Reads what an earlier life kept, and the deployment that is in force by it.
+    pub fn start(file: Deployment, now: corkspan::interface::Tenths) -> (Self, Deployment) {
+        let path = file.versions.clone();
+        let mut kept = path.as_deref().map(versions::read).unwrap_or_default();
+        let mut start = loop {
+            let (subscriber, changed) = Subscriber::start(file.texts.clone(), kept.clone(), now);
+            let (stamp, texts) = subscriber.running();
+            let in_force = match stamp.number {
+                0 => Ok(file.clone()),
+                _ => file
+                    .with_version(&format!("version {}", stamp.number), texts)
+                    .map(|version| Deployment { stamp, ..version }),
+            };
+            match in_force {
+                Ok(in_force) => break (subscriber, changed, in_force),
+                // The file, or this program, has changed since: what no longer fits is not guessed at.
+                Err(why) => {
+                    warn!(version = stamp.number, %why, "the kept version does not fit; the one before is taken");
+                    kept = kept.before_newest();
+                }
+            }
+        };
+        if let (Some(path), Some(changed)) = (&path, start.1.take())
+            && let Err(why) = versions::keep(path, &changed)
+        {
+            warn!(path = %path.display(), %why, "that this version was started under once more can't be kept");
+        }
+        let (subscriber, in_force) = (start.0, start.2);
+        if kept.trial.is_some() && !subscriber.on_trial() {
+            warn!("a version on trial is given up: this dispatcher was started under it again and again");
+        }
+        RUNNING.store(subscriber.running().0.number, Ordering::Relaxed);
+        let state =
+            State { subscriber, service: None, applied: 0, refused: 0, superseded: 0, refused_last: None };
+        (Versions { state: Mutex::new(state), file, path, step: async_lock::Mutex::new(()) }, in_force)
+    }
+
+    pub fn with<R>(&self, call: impl FnOnce(&mut State) -> R) -> R {
+        call(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// On disk before it is in force.
+    pub async fn keep(&self, kept: &Kept) -> Result<(), String> {
+        let Some(path) = self.path.clone() else { return Ok(()) };
+        let kept = kept.clone();
+        blocking::unblock(move || versions::keep(&path, &kept)).await.map_err(|why| why.to_string())
+    }
+
+    /// The deployment that these parts make of the file.
+    pub fn deployment(&self, stamp: Stamp, texts: &Texts) -> Result<Deployment, Vec<String>> {
+        if stamp.number == 0 {
+            return Ok(self.file.clone());
+        }
+        let read = self.file.with_version(&format!("version {}", stamp.number), texts);
+        let read = read.map(|version| Deployment { stamp, ..version });
+        read.map_err(|faults| faults.to_string().lines().map(String::from).collect())
+    }
+
+    /// `in_force` is what the decisions were handed: told from there, and not from what was answered on the stream.
+    pub fn status(&self, in_force: &Deployment) -> v1::VersionStatus {
+        self.with(|state| {
+            let running = state.subscriber.running().0;
+            let kept = state.subscriber.kept();
+            let (refused_last, why) = state.refused_last.clone().unzip();
+            v1::VersionStatus {
+                running: Some(message(running)),
+                on_trial: state.subscriber.on_trial(),
+                good: kept.good.as_ref().map(|version| message(version.stamp)),
+                service: state.service.map(|service| service.to_string()).unwrap_or_default(),
+                text: in_force.texts.whole(),
+                given_up: kept.given_up.iter().copied().map(message).collect(),
+                applied: state.applied,
+                refused: state.refused,
+                superseded: state.superseded,
+                refused_last: refused_last.map(message),
+                why: why.unwrap_or_default(),
+                ..v1::VersionStatus::default()
+            }
+        })
+    }
+}
+
+pub fn message(stamp: Stamp) -> v1::Stamp {
+    v1::Stamp { number: stamp.number, digest: stamp.digest.to_string() }
+}
+
+pub fn stamp(message: &v1::Stamp) -> Option<Stamp> {
+    Some(Stamp { number: message.number, digest: Digest::read(&message.digest)? })
+}
--- a/crates/dispatcher/src/shots.rs
+++ b/crates/dispatcher/src/shots.rs
@@ -2,17 +2,45 @@
 //! what crossed the link: an offer that was never written can't have run; one that was, may have, unless the
 //! node itself says no.
 
-use crate::desk::Desk;
 use crate::links::{Counted, NodeLink};
 use corkspan::interface::*;
 use corkspan_api::v1::{self, node_client::NodeClient, said::Said as Word};
-use corkspan_rpc::{Link, within};
+use corkspan_rpc::{Bounds, Link, Tasks, within};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tonic::{Status, Streaming};
 use tracing::debug;
 
+/// Who is told what becomes of shots, and by what they are bounded. Below the desk, which is one: so calls to nodes know
+/// nothing of what is done with their outcomes.
+pub trait Follows: Send + Sync + 'static {
+    fn tasks(&self) -> &Tasks;
+    fn bounds(&self) -> &Bounds;
+    /// An accepted shot counts as placed only once it runs.
+    fn placed_when_running(&self) -> bool;
+    /// Decided under a version that may act no more.
+    fn shut_out(&self) -> bool;
+    /// A node has turned a shot away by the floor of versions.
+    fn below(&self, floor: &v1::Floor);
+    fn placed(self: &Arc<Self>, id: AllocationId, shot: usize, machine: MachineId);
+    /// A shot has returned. `over` where it was placed and the allocation ends with it, in this way.
+    fn returned(
+        self: &Arc<Self>,
+        id: AllocationId,
+        shot: usize,
+        ending: Ending,
+        reason: Option<Reason>,
+        over: Option<v1::ended::How>,
+        report: Option<Report>,
+    );
+    /// A copy says which version of its program it runs.
+    fn runs(&self, id: AllocationId, version: String);
+    fn ready(&self, id: AllocationId, ready: bool);
+    fn noted(&self, id: AllocationId, note: Note);
+    fn probed(&self, machine: MachineId, ending: Ending, report: Option<Report>);
+}
+
 /// An offer about to be made.
 pub struct Offer {
     pub id: AllocationId,
@@ -46,7 +74,7 @@
 }
 
 /// Makes an offer and follows it to its end.
-pub async fn offer(desk: Arc<Desk>, offer: Offer, shot: v1::Shot, time_out: Duration) {
+pub async fn offer<D: Follows>(desk: Arc<D>, offer: Offer, shot: v1::Shot, time_out: Duration) {
     let Offer { id, number, machine, node, open, decided } = offer;
     let back = |back: Back, over: Option<v1::ended::How>| {
         desk.returned(id, number, back.ending, back.reason, over, back.report)
@@ -58,15 +86,15 @@
         return back(Back { reason, ..Back::plain(Ending::Refused) }, None);
     };
     // Decided under a version that may act no more: the nodes would turn it away, and its owner is told in time.
-    if desk.shut_out().is_some() {
+    if desk.shut_out() {
         return back(Back::plain(Ending::NotSent), None);
     }
     let _call = node.call();
     // Until the offer is handed to the link, it can't have reached the node.
     let written = AtomicBool::new(false);
     let first = async {
-        let latest = desk.link_bounds.connect_within;
-        let link = match within(latest, node.ready(&desk.tasks, &desk.link_bounds)).await {
+        let latest = desk.bounds().connect_within;
+        let link = match within(latest, node.ready(desk.tasks(), desk.bounds())).await {
             Some(Ok(link)) => link,
             other => {
                 debug!(machine = machine.0, why = ?other.map(Result::err), "no link");
@@ -79,8 +107,8 @@
             return First::Back(Back::plain(Ending::NotSent));
         }
         written.store(true, Ordering::Relaxed);
-        match client(&desk, link).offer(shot).await {
-            Ok(words) => first_word(&desk, words.into_inner()).await,
+        match client(&*desk, link).offer(shot).await {
+            Ok(words) => first_word(&*desk, words.into_inner()).await,
             Err(why) => First::Back(Back::plain(broken(&why))),
         }
     };
@@ -108,8 +136,8 @@
 }
 
 /// Follows an allocation that was running before this dispatcher had it.
-pub async fn attend(
-    desk: Arc<Desk>,
+pub async fn attend<D: Follows>(
+    desk: Arc<D>,
     id: AllocationId,
     node: Option<Arc<NodeLink>>,
     machine: MachineId,
@@ -118,10 +146,10 @@
     let lost = |reason| desk.returned(id, 0, Ending::Reset, reason, Some(v1::ended::How::Lost), None);
     let Some(node) = node else { return lost(None) };
     let _call = node.call();
-    let patience = desk.link_bounds.keep_alive;
+    let patience = desk.bounds().keep_alive;
     let words = within(patience, async {
-        let link = node.ready(&desk.tasks, &desk.link_bounds).await.ok()?;
-        client(&desk, link).attend(shot).await.ok().map(tonic::Response::into_inner)
+        let link = node.ready(desk.tasks(), desk.bounds()).await.ok()?;
+        client(&*desk, link).attend(shot).await.ok().map(tonic::Response::into_inner)
     });
     match words.await.flatten() {
         Some(words) => follow(&desk, id, 0, words).await,
@@ -132,15 +160,15 @@
     }
 }
 
-async fn first_word(desk: &Desk, mut words: Streaming<v1::Said>) -> First {
+async fn first_word<D: Follows>(desk: &D, mut words: Streaming<v1::Said>) -> First {
     loop {
         match words.message().await {
             Ok(Some(v1::Said { said: Some(said), load })) => match said {
-                Word::Accepted(_) if !desk.deployment().cluster.placed_runs => return First::Placed(words),
+                Word::Accepted(_) if !desk.placed_when_running() => return First::Placed(words),
                 Word::Running(_) => return First::Placed(words),
                 Word::Refused(turned) => {
                     if let Some(floor) = &turned.floor {
-                        desk.fleet.node_tells(crate::fleet::read(floor), desk.deployment().stamp);
+                        desk.below(floor);
                     }
                     let back = Back::plain(Ending::Refused);
                     return First::Back(Back { reason: reason(turned.why()), report: report(load), ..back });
@@ -158,7 +186,7 @@
     }
 }
 
-async fn follow(desk: &Arc<Desk>, id: AllocationId, number: usize, mut words: Streaming<v1::Said>) {
+async fn follow<D: Follows>(desk: &Arc<D>, id: AllocationId, number: usize, mut words: Streaming<v1::Said>) {
     let mut back = Back::plain(Ending::Reset);
     while let Ok(Some(word)) = words.message().await {
         match word.said {
@@ -196,12 +224,12 @@
 
 /// Tells a node that an allocation is not wanted there. One try: the word is about what may be gone already. None
 /// where the node has not answered.
-pub async fn stop(desk: Arc<Desk>, node: Arc<NodeLink>, stop: v1::StopAsk) -> Option<()> {
+pub async fn stop<D: Follows>(desk: Arc<D>, node: Arc<NodeLink>, stop: v1::StopAsk) -> Option<()> {
     let _call = node.call();
-    let patience = desk.link_bounds.keep_alive;
+    let patience = desk.bounds().keep_alive;
     let said = within(patience, async {
-        let link = node.ready(&desk.tasks, &desk.link_bounds).await.ok()?;
-        client(&desk, link).stop(stop).await.ok()
+        let link = node.ready(desk.tasks(), desk.bounds()).await.ok()?;
+        client(&*desk, link).stop(stop).await.ok()
     });
     let said = said.await.flatten();
     if said.is_none() {
@@ -210,12 +238,12 @@
     said.map(drop)
 }
 
-pub async fn probe(desk: Arc<Desk>, machine: MachineId, node: Arc<NodeLink>) {
+pub async fn probe<D: Follows>(desk: Arc<D>, machine: MachineId, node: Arc<NodeLink>) {
     let _call = node.call();
-    let patience = 4 * desk.link_bounds.connect_within;
+    let patience = 4 * desk.bounds().connect_within;
     let word = within(patience, async {
-        let link = node.ready(&desk.tasks, &desk.link_bounds).await.map_err(|_| Ending::Unconnected)?;
-        client(&desk, link).probe(v1::ProbeAsk {}).await.map_err(|why| broken(&why))
+        let link = node.ready(desk.tasks(), desk.bounds()).await.map_err(|_| Ending::Unconnected)?;
+        client(&*desk, link).probe(v1::ProbeAsk {}).await.map_err(|why| broken(&why))
     });
     match word.await {
         Some(Ok(word)) => desk.probed(machine, Ending::Ended, report(word.into_inner().load)),
@@ -224,8 +252,8 @@
     }
 }
 
-fn client(desk: &Desk, link: Link) -> NodeClient<Link> {
-    NodeClient::new(link).max_decoding_message_size(desk.link_bounds.message)
+fn client<D: Follows>(desk: &D, link: Link) -> NodeClient<Link> {
+    NodeClient::new(link).max_decoding_message_size(desk.bounds().message)
 }
 
 /// An error that the link made up, or one that the node gave.
--- /dev/null
+++ b/crates/dispatcher/src/standing.rs
@@ -0,0 +1,110 @@
+//! What a dispatcher has heard of the floor of versions, and what it remembers of its own versions and acts.
+
+use crate::clock::wall_ms;
+use corkspan_api::v1;
+use corkspan_deployment::version::Stamp;
+use corkspan_fleet::record::{How, Record, Span};
+use corkspan_fleet::{Floor, Standing};
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tracing::{info, warn};
+
+/// What a dispatcher has heard of the floor, and which process it is.
+pub struct Fleet {
+    /// Told with each act: another after each start.
+    pub life: u64,
+    standing: Mutex<Standing>,
+    record: Mutex<Record>,
+    /// Changes of the record, and how many of them are on disk.
+    pub changed: AtomicU64,
+    pub written: AtomicU64,
+}
+
+impl Fleet {
+    /// `spans`: of earlier lives; `running`: what is in force at the start.
+    pub fn new(life: u64, spans: VecDeque<Span>, running: Stamp) -> Self {
+        let record = Mutex::new(Record::after(spans));
+        let (standing, changed, written) = Default::default();
+        let fleet = Fleet { life, standing, record, changed, written };
+        fleet.began(running, if running.number == 0 { How::File } else { How::Kept });
+        fleet
+    }
+
+    pub fn record(&self) -> MutexGuard<'_, Record> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A version is in force from now on.
+    pub fn began(&self, stamp: Stamp, how: How) {
+        let (version, digest, from_ms) = (stamp.number, stamp.digest.to_string(), wall_ms());
+        self.record().began(Span { version, digest, how, life: self.life, from_ms });
+        self.changed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Whether something of the record is not on disk yet.
+    pub fn unwritten(&self) -> bool {
+        self.written.load(Ordering::Relaxed) < self.changed.load(Ordering::Relaxed)
+    }
+
+    /// So many acts are about to be sent.
+    pub fn acts(&self, stamp: Stamp, many: usize) {
+        self.record().acts(stamp.number, many as u64);
+    }
+
+    /// What operators are told.
+    pub fn told(&self) -> (Vec<v1::Span>, HashMap<u64, u64>) {
+        let record = self.record();
+        let span = |span: &Span| v1::Span {
+            stamp: Some(v1::Stamp { number: span.version, digest: span.digest.clone() }),
+            how: match span.how {
+                How::File => v1::span::How::File,
+                How::Kept => v1::span::How::Kept,
+                How::Push => v1::span::How::Push,
+                How::GaveUp => v1::span::How::GaveUp,
+            }
+            .into(),
+            life: span.life,
+            from_ms: span.from_ms,
+        };
+        (record.spans().iter().map(span).collect(), record.by_version().collect())
+    }
+
+    pub fn standing(&self) -> MutexGuard<'_, Standing> {
+        self.standing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn floor(&self) -> Option<Floor> {
+        self.standing().floor()
+    }
+
+    /// The floor that shuts a dispatcher out that runs this version.
+    pub fn shut_out(&self, running: Stamp) -> Option<Floor> {
+        self.standing().shut_out(running.number)
+    }
+
+    /// A node has turned a shot away.
+    pub fn node_tells(&self, floor: Floor, running: Stamp) {
+        if self.standing().node_tells(floor) {
+            say(floor, running, "a node");
+        }
+    }
+}
+
+/// For the log.
+pub fn say(floor: Floor, running: Stamp, from: &str) {
+    let Floor { number, lowest, .. } = floor;
+    if running.number < lowest {
+        warn!(number, lowest, running = running.number, from, "shut out: below the floor of versions");
+    } else {
+        info!(number, lowest, from, "another floor of versions is in force");
+    }
+}
+
+pub fn message(floor: Floor) -> v1::Floor {
+    v1::Floor { number: floor.number, asker: floor.asker, lowest: floor.lowest }
+}
+
+pub fn read(floor: &v1::Floor) -> Floor {
+    Floor { number: floor.number, asker: floor.asker, lowest: floor.lowest }
+}
--- /dev/null
+++ b/crates/dispatcher/src/store.rs
@@ -0,0 +1,218 @@
+//! What a dispatcher keeps on disk beside its list and its versions: rolls, claims, and which versions were in force.
+
+use corkspan_fleet::record::Span;
+use corkspan_roll::{ClaimId, Roll};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::path::Path;
+use std::sync::{Arc, PoisonError, RwLock};
+use tracing::{error, info, warn};
+
+/// Claims that are out or held, as JSON.
+const CLAIMS: TableDefinition<u64, &str> = TableDefinition::new("claims");
+/// Rolls in force, as JSON by service.
+const ROLLS: TableDefinition<&str, &str> = TableDefinition::new("rolls");
+
+/// What the dispatcher remembers of its versions, as JSON under one key.
+const RECORD: TableDefinition<&str, &str> = TableDefinition::new("record");
+
+/// Two copies of one task that a roll has beside each other, by their placings.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pair {
+    pub old: String,
+    pub new: String,
+    /// The old one is being stopped: either may be the one that its owner knows.
+    pub retires: bool,
+}
+
+/// A claim as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    #[serde(skip, default = "nobody")]
+    pub claim: ClaimId,
+    pub service: String,
+    pub task: String,
+    /// A majority has granted it.
+    pub won: bool,
+    pub pair: Option<Pair>,
+}
+
+fn nobody() -> ClaimId {
+    ClaimId(0)
+}
+
+/// Opens the database of a store, as often as it takes.
+type Opens = Box<dyn Fn() -> Result<Database, String> + Send + Sync>;
+
+/// What survives a restart.
+pub struct Store {
+    open: RwLock<Option<Database>>,
+    opens: Opens,
+}
+
+/// Closes the store when it goes, whoever still has a hand on the desk: the next life in this process opens it.
+pub struct Closes(pub Arc<Store>);
+
+impl Drop for Closes {
+    fn drop(&mut self) {
+        *self.0.open.write().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+}
+
+impl Store {
+    /// Opens the store; one that can't be read is set aside and said, and begun anew: the keepers still hold
+    /// what it held.
+    pub fn open(path: Option<&Path>) -> Self {
+        let Some(path) = path.map(Path::to_owned) else {
+            let opens = Box::new(|| Err("there is no store".into()));
+            return Store { open: RwLock::new(None), opens };
+        };
+        if let Err(why) = sound(|| Ok(Database::create(&path)?)) {
+            let aside = path.with_extension("aside");
+            warn!(path = %path.display(), why, "the store of rolls can't be read; set aside");
+            if let Err(why) = std::fs::rename(&path, &aside) {
+                warn!(path = %path.display(), %why, "and can't be set aside either");
+            }
+        }
+        Store::over(move || Ok(Database::create(&path)?))
+    }
+
+    /// A store over what `opens` opens, now and after each failed write.
+    pub fn over(opens: impl Fn() -> Result<Database, redb::Error> + Send + Sync + 'static) -> Self {
+        let opens: Opens = Box::new(move || sound(&opens));
+        let open = opens();
+        if let Err(why) = &open {
+            error!(why, "no store of rolls: this dispatcher takes no step of any");
+        }
+        Store { open: RwLock::new(open.ok()), opens }
+    }
+
+    /// A database whose disk was full for a moment takes nothing more for good, so it is opened anew at the next
+    /// write: each writer tries once, and says what stood in its way.
+    fn write(
+        &self,
+        change: impl FnOnce(&redb::WriteTransaction) -> Result<(), redb::Error>,
+    ) -> Result<(), String> {
+        if self.open.read().unwrap_or_else(PoisonError::into_inner).is_none() {
+            let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
+            if open.is_none() {
+                *open = Some((self.opens)()?);
+                info!("the store of rolls can be written again");
+            }
+        }
+        let written = {
+            let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+            let Some(database) = &*open else { return Err("there is no store".into()) };
+            let whole = || {
+                let transaction = database.begin_write()?;
+                change(&transaction)?;
+                transaction.commit()?;
+                Ok::<(), redb::Error>(())
+            };
+            whole()
+        };
+        written.map_err(|why| {
+            *self.open.write().unwrap_or_else(PoisonError::into_inner) = None;
+            why.to_string()
+        })
+    }
+
+    pub fn claim(&self, held: &Held) -> Result<(), String> {
+        let text = serde_json::to_string(held).map_err(|why| why.to_string())?;
+        self.write(|transaction| {
+            transaction.open_table(CLAIMS)?.insert(held.claim.0, &text[..])?;
+            Ok(())
+        })
+    }
+
+    pub fn release(&self, claim: ClaimId) -> Result<(), String> {
+        self.write(|transaction| {
+            transaction.open_table(CLAIMS)?.remove(claim.0)?;
+            Ok(())
+        })
+    }
+
+    pub fn roll(&self, roll: &Roll) -> Result<(), String> {
+        let text = serde_json::to_string(roll).map_err(|why| why.to_string())?;
+        self.write(|transaction| {
+            transaction.open_table(ROLLS)?.insert(&roll.service[..], &text[..])?;
+            Ok(())
+        })
+    }
+
+    /// Spans of versions.
+    pub fn record(&self, spans: &VecDeque<Span>) -> Result<(), String> {
+        let text = serde_json::to_string(spans).map_err(|why| why.to_string())?;
+        self.write(|transaction| {
+            transaction.open_table(RECORD)?.insert("spans", &text[..])?;
+            Ok(())
+        })
+    }
+
+    /// What earlier lives kept of their versions; nothing where that can't be read, which is said.
+    pub fn spans(&self) -> VecDeque<Span> {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(database) = &*open else { return VecDeque::new() };
+        let read = || -> Result<VecDeque<Span>, String> {
+            let transaction = database.begin_read().map_err(|why| why.to_string())?;
+            let table = transaction.open_table(RECORD).map_err(|why| why.to_string())?;
+            let text = table.get("spans").map_err(|why| why.to_string())?;
+            text.map_or(Ok(VecDeque::new()), |text| {
+                serde_json::from_str(text.value()).map_err(|why| format!("record: {why}"))
+            })
+        };
+        read().unwrap_or_else(|why| {
+            warn!(why, "what was kept of versions can't be read, and is begun anew");
+            VecDeque::new()
+        })
+    }
+
+    pub fn read(&self) -> Kept {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(database) = &*open else { return Default::default() };
+        read(database).unwrap_or_else(|why| {
+            error!(why, "the store of rolls can't be read");
+            Default::default()
+        })
+    }
+}
+
+/// A database whose tables all read as they should.
+fn sound(open: impl Fn() -> Result<Database, redb::Error>) -> Result<Database, String> {
+    // redb asserts that a file is as long as its header says, and would take the dispatcher down with a torn one.
+    let opened = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| open_sound(open)));
+    opened.unwrap_or_else(|_| Err("it is not whole".into()))
+}
+
+fn open_sound(open: impl Fn() -> Result<Database, redb::Error>) -> Result<Database, String> {
+    let text = |why: redb::Error| why.to_string();
+    let database = open().map_err(text)?;
+    let transaction = database.begin_write().map_err(|why| text(why.into()))?;
+    transaction.open_table(CLAIMS).map_err(|why| text(why.into()))?;
+    transaction.open_table(ROLLS).map_err(|why| text(why.into()))?;
+    transaction.open_table(RECORD).map_err(|why| text(why.into()))?;
+    transaction.commit().map_err(|why| text(why.into()))?;
+    read(&database)?;
+    Ok(database)
+}
+
+fn read(database: &Database) -> Result<Kept, String> {
+    fn text(why: impl ToString) -> String {
+        why.to_string()
+    }
+    let transaction = database.begin_read().map_err(text)?;
+    let (mut rolls, mut claims) = (Vec::new(), Vec::new());
+    for line in transaction.open_table(ROLLS).map_err(text)?.iter().map_err(text)? {
+        rolls.push(serde_json::from_str(line.map_err(text)?.1.value()).map_err(text)?);
+    }
+    for line in transaction.open_table(CLAIMS).map_err(text)?.iter().map_err(text)? {
+        let (claim, value) = line.map_err(text)?;
+        let held: Held = serde_json::from_str(value.value()).map_err(text)?;
+        claims.push(Held { claim: ClaimId(claim.value()), ..held });
+    }
+    Ok((rolls, claims))
+}
+
+/// What the store held at the start.
+pub type Kept = (Vec<Roll>, Vec<Held>);
