End the draws for a machine that can't bear the ask once it is out of the question

Cause: where no machine is under theta, a hundred draws were made for each one that the filters let through, twice where lower priorities may yield, though what comes of them counts only for machines that can bear the ask by present use.

The rest of the draws are the same, but come from another place of the one stream of chance.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -756,6 +756,10 @@
             without += usize::from(!sum.within(weighed.line));
             sum = sum + new.asks * pool[self.rng.random_range(0..pool.len())];
             with += usize::from(!sum.within(weighed.line));
+            // It is out of the question, and how far is asked only of those that could bear it.
+            if !weighed.bears && with as f64 > THETA * DRAWS as f64 {
+                break;
+            }
         }
         (with as f64 / DRAWS as f64, without as f64 / DRAWS as f64)
     }
