--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -4,6 +4,7 @@
 use clap::Subcommand;
 use corkspan_api::v1::{self, node_client::NodeClient, versions_client::VersionsClient};
 use corkspan_dispatcher::clock::wall_ms;
+use corkspan_fleet::acts::Kind;
 use corkspan_fleet::audit::{Acted, Acts, Finding, Told, acts, findings, node_findings};
 use corkspan_fleet::{Runs, taken_by_enough};
 use corkspan_rpc::{Bounds, Link, Tasks, within};
@@ -124,10 +125,9 @@
                 dispatcher: act.dispatcher,
                 life: act.life,
                 version: act.version,
-                many: match act.kind() {
-                    v1::act::Kind::Shot => Acts { shots: act.seen, others: 0, below: act.below },
-                    _ => Acts { shots: 0, others: act.seen, below: act.below },
-                },
+                kind: kind(act.kind),
+                seen: act.seen,
+                below: act.below,
             })
             .collect()
         });
@@ -136,6 +136,11 @@
     told
 }
 
+/// One that a later program tells of and this one does not know counts among claims, which nobody is shown apart.
+fn kind(kind: i32) -> Kind {
+    usize::try_from(kind).ok().and_then(|kind| Kind::ALL.get(kind)).copied().unwrap_or(Kind::Claim)
+}
+
 fn told(status: &v1::VersionStatus) -> Told {
     let running = status.running.clone().unwrap_or_default();
     let turned_down = status.refused_last.as_ref().map(|stamp| (stamp.number, status.why.join("; ")));
@@ -149,7 +154,7 @@
         turned_down,
         given_up: status.given_up.iter().map(|stamp| stamp.number).collect(),
         shut_out: status.shut_out,
-        acts: status.acts.iter().map(|(&version, &many)| (version, many)).collect(),
+        acts: status.counted.iter().map(|own| ((own.version, kind(own.kind as i32)), own.many)).collect(),
     }
 }
 
@@ -167,6 +172,7 @@
         v1::span::How::Kept => "kept, at a start",
         v1::span::How::Push => "pushed",
         v1::span::How::GaveUp => "after giving up",
+        v1::span::How::Brought => "brought by another",
     }
 }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -210,7 +210,9 @@
 
 fn serve(file: PathBuf, log: Log, level: tracing::Level) -> Result<(), String> {
     let deployment = Deployment::load(&file).map_err(text)?;
+    // A log whose disk is full must not end the dispatcher: telling of a line that could not be written would.
     let to = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
+    let to = to.log_internal_errors(false);
     match log {
         Log::Text => to.event_format(Versioned { inner: format(), json: false }).init(),
         Log::Json => to.json().event_format(Versioned { inner: format().json(), json: true }).init(),
@@ -224,7 +226,8 @@
 }
 
 fn platform(level: tracing::Level) -> Result<(), String> {
-    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+    let to = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false);
+    to.log_internal_errors(false).init();
     let file = std::env::var_os("NODE_CONFIG").ok_or("NODE_CONFIG names no file")?;
     corkspan_platform::serve(std::path::Path::new(&file)).map_err(text)
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,11 +7,13 @@
 //! returns of a stream that broke.
 
 pub mod change;
+mod line;
 mod publisher;
 mod retry;
 mod subscriber;
 mod trial;
 
+pub use line::{Laid, Shelf};
 pub use publisher::{Heard, Publisher};
 pub use retry::Retry;
 pub use subscriber::{Admitted, Kept, Pace, Push, Said, Subscriber, Version};
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -13,6 +13,20 @@
 use std::path::{Path, PathBuf};
 use version::{Stamp, Texts};
 
+/// How a dispatcher follows the floor of versions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FloorWatch {
+    /// Between two asks of the keepers.
+    pub every: Tenths,
+    /// The floor is raised to so far behind what enough of the fleet run for good, or to what they ran so long ago.
+    pub behind: Option<u64>,
+    pub after: Option<Tenths>,
+    /// How many are enough, in thousandths of the fleet.
+    pub part: u32,
+    /// Dispatchers that a newer version may be had from.
+    pub peers: Vec<SocketAddr>,
+}
+
 /// Everything a dispatcher is told: its own file, and what a streamed version has changed since.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -37,8 +51,8 @@
     pub bounds: Bounds,
     /// Networks whose addresses may connect as clients; all where none is named.
     pub allow: Vec<IpNet>,
-    /// How often keepers are asked for the floor of versions; none where it is not followed.
-    pub floor: Option<Tenths>,
+    /// How the floor of versions is followed; none where it is not.
+    pub floor: Option<FloorWatch>,
     /// What it shares with the others, as written.
     pub texts: Texts,
     /// What names that: number 0 for a file.
@@ -255,12 +269,27 @@
     networks.collect()
 }
 
-/// `(floor (every 2 s))`
-fn floor(form: &Form) -> Result<Tenths, Fault> {
-    let parts = form.parts(&["every"])?;
-    parts.or("every", 20_000, |form| match form.time()? {
+/// `(floor (every 2 s) (behind 10) (after 60 s) (part 900) (peers "10.0.0.2:7100"))`
+fn floor(form: &Form) -> Result<FloorWatch, Fault> {
+    let parts = form.parts(&["every", "behind", "after", "part", "peers"])?;
+    let second = |form: &Form| match form.time()? {
         time if time >= 10_000 => Ok(time),
         _ => Err(form.fault("must be 1000 ms or more")),
+    };
+    let peers = |form: &Form| {
+        let texts = form.texts()?.into_iter();
+        let peers = texts.map(|(text, fault)| {
+            let why = format!("`{text}` is no address with a port");
+            text.parse().map_err(|_| Fault { why, ..fault })
+        });
+        peers.collect()
+    };
+    Ok(FloorWatch {
+        every: parts.or("every", 20_000, second)?,
+        behind: parts.find("behind").map(|form| form.whole(1, u64::MAX)).transpose()?,
+        after: parts.find("after").map(second).transpose()?,
+        part: parts.or("part", 900, |form| form.whole(500, 1_000))? as u32,
+        peers: parts.or("peers", Vec::new(), peers)?,
     })
 }
 
--- /dev/null
+++ b/crates/dispatcher/src/bring.rs
@@ -0,0 +1,89 @@
+//! A straggler's way up without a control service: the newest version asked of other dispatchers, then of keepers, and
+//! taken as a pushed one is. Whom to ask when is decided in `corkspan_fleet::bring`.
+
+use crate::control::apply;
+use crate::desk::Desk;
+use crate::keepers;
+use crate::running::{message, push_of};
+use corkspan_api::v1::{self, keep_ask::Ask, versions_client::VersionsClient};
+use corkspan_control::{Push, Said};
+use corkspan_fleet::bring::{Came, Next, Pace, Sees, Source, Straggler};
+use corkspan_fleet::record::How;
+use corkspan_rpc::{Link, within};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// In tenths of a millisecond.
+const PACE: Pace = Pace { first: 10_000, longest: 200_000, idle: 200_000 };
+/// Of one version, with all its parts.
+const PUSH: usize = 8 << 20;
+
+/// Asks as long as it is polled, whenever it must.
+pub async fn run(desk: Arc<Desk>) {
+    let mut straggler = Straggler::new(desk.fleet.life ^ 1, PACE);
+    while let Some(own) = desk.deployment().floor.clone() {
+        let sees = Sees {
+            streams: desk.versions.with(|state| state.service.is_some()),
+            shut_out: desk.shut_out().is_some(),
+            peers: own.peers.len(),
+            keepers: desk.deployment().keepers.len(),
+        };
+        match straggler.look(desk.clock.now(), sees) {
+            Next::Wait(time) => drop(async_io::Timer::after(crate::clock::duration(time.max(1))).await),
+            Next::Ask(source) => {
+                let came = bring(&desk, &own.peers, source).await;
+                straggler.came(desk.clock.now(), came);
+            }
+        }
+    }
+}
+
+async fn bring(desk: &Arc<Desk>, peers: &[SocketAddr], source: Source) -> Came {
+    let running = desk.deployment().stamp;
+    let dispatcher = desk.deployment().cluster.number as u32;
+    let ask = v1::GiveAsk { running: Some(message(running)), dispatcher };
+    let push = match source {
+        Source::Peer(which) => match peers.get(which) {
+            Some(&peer) => from_peer(desk, peer, ask).await,
+            None => None,
+        },
+        Source::Keeper(which) => {
+            keepers::ask_one(desk, which, Ask::Fetch(ask)).await.and_then(|word| word.given)
+        }
+    };
+    // No stamp: nothing later is there.
+    let Some(push) = push.filter(|push| push.stamp.is_some()) else { return Came::Nothing };
+    let Some(push) = push_of(push) else {
+        warn!(
+            ?source,
+            "a version from another whose stamp is none: a number above 0 and 64 hexadecimal digits"
+        );
+        return Came::Nothing;
+    };
+    // Whole, or it could be made to something that never ran here.
+    let push = Push { onto: None, removed: Vec::new(), ..push };
+    match apply(desk, &push, How::Brought).await {
+        Said::Applied => {
+            info!(number = push.stamp.number, ?source, "brought up");
+            Came::Up
+        }
+        Said::Refused(why) => {
+            warn!(number = push.stamp.number, ?source, ?why, "a version from another is turned down");
+            desk.versions.with(|state| state.refused_last = Some((push.stamp, why)));
+            Came::Nothing
+        }
+        Said::Running | Said::Superseded(_) | Said::WantsWhole => Came::Nothing,
+    }
+}
+
+async fn from_peer(desk: &Arc<Desk>, peer: SocketAddr, ask: v1::GiveAsk) -> Option<v1::Push> {
+    let patience = desk.link_bounds.connect_within * 4 + Duration::from_secs(1);
+    let whole = async {
+        let link = Link::open(&desk.tasks, peer, &desk.link_bounds).await.ok()?;
+        let mut client = VersionsClient::new(link).max_decoding_message_size(PUSH);
+        client.give(ask).await.ok().map(tonic::Response::into_inner)
+    };
+    within(patience, Box::pin(whole)).await.flatten()
+}
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -4,9 +4,9 @@
 use crate::clock::{duration, tenths};
 use crate::desk::Desk;
 use crate::fleet;
-pub use crate::running::{RUNNING, Versions, message, stamp};
+pub use crate::running::{RUNNING, Versions, message, push_message, push_of, stamp};
 use corkspan_api::v1::{self, control_client::ControlClient};
-use corkspan_control::{Admitted, Counts, Pace, Push, Retry, Said};
+use corkspan_control::{Admitted, Counts, Pace, Push, Retry, Said, Shelf};
 use corkspan_fleet::record::How;
 use corkspan_rpc::Link;
 use futures_lite::{FutureExt, future};
@@ -25,22 +25,6 @@
 /// Bytes of one push at the most.
 const PUSH: usize = 8 << 20;
 
-/// None where its stamps are none.
-fn push_of(push: v1::Push) -> Option<Push> {
-    Some(Push {
-        nonce: push.nonce,
-        stamp: stamp(push.stamp.as_ref()?).filter(|stamp| stamp.number > 0)?,
-        follows: push.follows.iter().filter_map(stamp).collect(),
-        onto: match &push.onto {
-            Some(onto) => Some(stamp(onto)?),
-            None => None,
-        },
-        changes: push.parts.into_iter().collect(),
-        removed: push.removed,
-        cuts: push.cuts,
-    })
-}
-
 fn counts(desk: &Desk) -> Counts {
     let (asked, refused) = desk.asked_and_refused();
     Counts { asked, refused }
@@ -159,7 +143,7 @@
                 }
             }
             let Some(push) = desk.versions.with(|state| state.subscriber.take()) else { continue };
-            let said = apply(desk, &push).await;
+            let said = apply(desk, &push, How::Push).await;
             if let Said::Refused(why) = &said {
                 warn!(version = push.stamp.number, ?why, "a version is turned down");
                 desk.versions.with(|state| state.refused_last = Some((push.stamp, why.clone())));
@@ -209,7 +193,8 @@
     Ok(())
 }
 
-async fn apply(desk: &Desk, push: &Push) -> Said {
+/// Checks a version, keeps it on disk and puts it in force, on trial.
+pub async fn apply(desk: &Desk, push: &Push, how: How) -> Said {
     let versions = &desk.versions;
     let _step = versions.step.lock().await;
     let texts = match versions.with(|state| state.subscriber.admit(push)) {
@@ -225,7 +210,7 @@
         return Said::Refused(why);
     }
     let (now, counted) = (desk.clock.now(), counts(desk));
-    let kept = versions.with(|state| state.subscriber.to_keep(now, counted, push.stamp, texts));
+    let kept = versions.with(|state| state.subscriber.to_keep(now, counted, push.stamp, texts.clone()));
     if let Err(why) = versions.keep(&kept).await {
         return Said::Refused(vec![format!("it can't be kept on disk: {why}")]);
     }
@@ -239,10 +224,13 @@
             "more names have come and gone than are kept; a restart is needed".into(),
         ]);
     }
-    versions.with(|state| state.subscriber.applied(desk.clock.now(), kept, counts(desk)));
+    versions.with(|state| {
+        state.subscriber.applied(desk.clock.now(), kept, counts(desk));
+        state.shelf.runs(push.stamp, texts, push.cuts, &push.follows);
+    });
     RUNNING.store(push.stamp.number, Ordering::Relaxed);
-    desk.fleet.began(push.stamp, How::Push);
-    info!(number = push.stamp.number, digest = ?push.stamp.digest, "a version is in force, on trial");
+    desk.fleet.began(push.stamp, how);
+    info!(number = push.stamp.number, ?how, digest = ?push.stamp.digest, "a version is in force, on trial");
     Said::Applied
 }
 
@@ -274,7 +262,16 @@
         }
         versions.with(|state| {
             state.subscriber.decided(desk.clock.now(), kept, counts(&desk));
-            RUNNING.store(state.subscriber.running().0.number, Ordering::Relaxed);
+            let (stamp, texts) = state.subscriber.running();
+            RUNNING.store(stamp.number, Ordering::Relaxed);
+            if why.is_some() {
+                // What was given up here is not handed on.
+                let texts = texts.clone();
+                state.shelf = Shelf::default();
+                if stamp.number > 0 {
+                    state.shelf.runs(stamp, texts, false, &[]);
+                }
+            }
         });
         match why {
             Some(why) => {
@@ -298,7 +295,10 @@
         let shut_out = self.0.shut_out().is_some();
         let status = self.0.versions.status(&self.0.deployment());
         let (dispatcher, life) = (self.0.deployment().cluster.number as u32, self.0.fleet.life);
-        let (unwritten, (spans, acts)) = (self.0.fleet.unwritten(), self.0.fleet.told());
+        let (unwritten, (spans, counted)) = (self.0.fleet.unwritten(), self.0.fleet.told());
+        // For an audit of an earlier program, which knows no kinds.
+        let mut acts = std::collections::HashMap::new();
+        counted.iter().for_each(|own| *acts.entry(own.version).or_default() += own.many);
         Ok(Response::new(v1::VersionStatus {
             floor,
             shut_out,
@@ -306,11 +306,22 @@
             life,
             spans,
             acts,
+            counted,
             unwritten,
             ..status
         }))
     }
 
+    async fn give(&self, request: Request<v1::GiveAsk>) -> Result<Response<v1::Push>, Status> {
+        let Some(_given) = self.0.fleet.gives() else {
+            return Err(Status::resource_exhausted("as many as may be are brought up from here"));
+        };
+        let theirs = request.into_inner().running.as_ref().and_then(stamp);
+        let theirs = theirs.ok_or_else(|| Status::invalid_argument("running: no stamp"))?;
+        let push = self.0.versions.with(|state| state.shelf.push_for(theirs));
+        Ok(Response::new(push.map(push_message).unwrap_or_default()))
+    }
+
     async fn raise(&self, request: Request<v1::FloorAsk>) -> Result<Response<v1::FloorWord>, Status> {
         fleet::raise(&self.0, request.into_inner().lowest).await.map(Response::new)
     }
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -20,6 +20,8 @@
 use corkspan_api::v1;
 use corkspan_control::change;
 use corkspan_deployment::Deployment;
+use corkspan_deployment::version::{Digest, Stamp};
+use corkspan_fleet::acts::Kind;
 use corkspan_host::{Asked, Host, NotTaken, Slice, service};
 use corkspan_roll::ClaimId;
 use corkspan_roll::conductor::Withdrawn;
@@ -78,7 +80,12 @@
         let (versions, deployment) = Versions::start(deployment, now);
         let (gives_back, given_back) = async_channel::bounded(GIVEN_BACK);
         let store = Arc::new(store);
-        let fleet = Fleet::new(seed, store.spans(), deployment.stamp);
+        let spans = store.spans();
+        versions.learn(spans.iter().filter_map(|span| {
+            let (number, digest) = (span.version, Digest::read(&span.digest)?);
+            Some(Stamp { number, digest })
+        }));
+        let fleet = Fleet::new(seed, spans, deployment.stamp);
         let kept = store.read();
         // Whatever an earlier life had started beside a copy, and was killed before it had put away one of the two.
         let orphans = kept.1.iter().filter_map(|held| {
@@ -253,7 +260,7 @@
                 refuse(v1::refused::Why::Stopping, "this dispatcher is about to stop".into());
                 return None;
             }
-            let (task, shot) = (ask.task.clone(), self.shot(&ask, &asked, 0, String::new()));
+            let (task, shot) = (ask.task.clone(), self.shot(&ask, &asked, 0, String::new(), Kind::Attend));
             let service_name = ask.service.clone();
             let client = Client::new(ask, &words);
             let current = client.current.clone();
@@ -307,7 +314,7 @@
         })
     }
 
-    fn shot(&self, ask: &v1::Ask, asked: &Asked, number: usize, version: String) -> v1::Shot {
+    fn shot(&self, ask: &v1::Ask, asked: &Asked, number: usize, version: String, kind: Kind) -> v1::Shot {
         v1::Shot {
             placing: ask.placing.clone(),
             number: number as u32,
@@ -321,16 +328,16 @@
             dispatcher: self.deployment().cluster.number as u32,
             priority: u32::from(self.deployment().cluster.tracks[asked.track.0].priority),
             version,
-            by: Some(self.by(1)),
+            by: Some(self.by(kind, 1)),
             floor: self.fleet.floor().map(standing::message),
         }
     }
 
     /// Who acts, and under which version: told with each act, from what is in force as it is decided. `many`: nodes that
     /// it goes to.
-    pub fn by(&self, many: usize) -> v1::By {
+    pub fn by(&self, kind: Kind, many: usize) -> v1::By {
         let deployment = self.deployment();
-        self.fleet.acts(deployment.stamp, many);
+        self.fleet.acts(deployment.stamp, kind, many);
         let stamp = Some(running::message(deployment.stamp));
         v1::By { stamp, life: self.fleet.life, dispatcher: deployment.cluster.number as u32 }
     }
--- a/crates/dispatcher/src/desk/copies.rs
+++ b/crates/dispatcher/src/desk/copies.rs
@@ -9,6 +9,7 @@
 use crate::store::Pair;
 use corkspan::interface::*;
 use corkspan_api::v1;
+use corkspan_fleet::acts::Kind;
 use corkspan_host::{Asked, Host};
 use corkspan_roll::conductor::Withdrawn;
 use corkspan_roll::{ClaimId, Roll};
@@ -241,7 +242,7 @@
                         task: orphan.task.clone(),
                         moved: true,
                         but: String::new(),
-                        by: Some(self.by(1)),
+                        by: Some(self.by(Kind::Move, 1)),
                     };
                     let mut stops: Vec<v1::StopAsk> = orphan.placings.iter().map(stop).collect();
                     stops.extend(orphan.but.iter().map(|but| v1::StopAsk {
@@ -249,7 +250,7 @@
                         task: orphan.task.clone(),
                         moved: true,
                         but: but.clone(),
-                        by: Some(self.by(1)),
+                        by: Some(self.by(Kind::Move, 1)),
                     }));
                     (index, *machine, Arc::clone(node), stops)
                 })
--- a/crates/dispatcher/src/desk/port.rs
+++ b/crates/dispatcher/src/desk/port.rs
@@ -8,6 +8,7 @@
 use crate::shots;
 use corkspan::interface::*;
 use corkspan_api::v1;
+use corkspan_fleet::acts::Kind;
 use corkspan_host::{Asked, Wire};
 use corkspan_roll::ClaimId;
 use corkspan_roll::conductor::Withdrawn;
@@ -49,7 +50,8 @@
     pub fn stop(&mut self, desk: &Arc<Desk>, client: &Client, machine: MachineId, moved: bool) {
         let Some(node) = self.node(machine) else { return };
         let (placing, task) = (client.ask.placing.clone(), client.ask.task.clone());
-        let stop = v1::StopAsk { placing, task, moved, but: String::new(), by: Some(desk.by(1)) };
+        let kind = if moved { Kind::Move } else { Kind::Stop };
+        let stop = v1::StopAsk { placing, task, moved, but: String::new(), by: Some(desk.by(kind, 1)) };
         desk.tasks.spawn(shots::stop(desk.clone(), node, stop)).detach();
     }
 
@@ -157,7 +159,7 @@
                 conductor.only_once(&client.ask.task);
             }
         }
-        let shot = desk.shot(&client.ask, &asked, allocation.shots.len(), client.version.clone());
+        let shot = desk.shot(&client.ask, &asked, allocation.shots.len(), client.version.clone(), Kind::Shot);
         let node = self.node(machine);
         let most = desk.deployment().bounds.offers_a_node;
         let open: Option<Counted> = node.as_ref().and_then(|node| node.offer(most));
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -4,16 +4,22 @@
 use crate::clock::duration;
 use crate::desk::Desk;
 use crate::keepers::ask_all;
+use crate::running;
 use crate::standing::say;
 pub use crate::standing::{message, read};
 use corkspan_api::v1::{self, keep_ask::Ask};
+use corkspan_deployment::FloorWatch;
+use corkspan_fleet::bring::lays;
+use corkspan_fleet::rule::{Rule, Watch};
 use corkspan_fleet::{Floor, next};
 use corkspan_keeper::in_force;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tonic::Status;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// Between two writes of the record.
 const WRITTEN_EVERY: Duration = Duration::from_secs(1);
@@ -44,23 +50,74 @@
     }
 }
 
-/// Asks the keepers again and again, for as long as it is polled.
+/// Asks the keepers again and again, for as long as it is polled: for the floor, for what enough of the fleet have taken
+/// where a rule raises the floor by that, and to lay a version on their shelves for stragglers.
 pub async fn run(desk: Arc<Desk>) {
-    let Some(every) = desk.deployment().floor else { return };
-    loop {
-        let told = ask(&desk).await;
-        let (deployment, fleet) = (desk.deployment(), &desk.fleet);
-        let news = fleet.standing().keepers_tell(&told, deployment.keepers.len());
-        if let Some(floor) = fleet.floor().filter(|_| news) {
+    if desk.deployment().floor.is_none() {
+        return;
+    }
+    let (mut watch, mut rng) = (Watch::default(), Pcg64Mcg::seed_from_u64(desk.fleet.life));
+    while let Some(own) = desk.deployment().floor.clone() {
+        let words = tell(&desk, &own).await;
+        let deployment = desk.deployment();
+        let (keepers, now) = (deployment.keepers.len(), desk.clock.now());
+        let told: Vec<Option<Floor>> = words.iter().map(|word| word.floor.as_ref().map(read)).collect();
+        let news = desk.fleet.standing().keepers_tell(&told, keepers);
+        if let Some(floor) = desk.fleet.floor().filter(|_| news) {
             say(floor, deployment.stamp, "the keepers");
         }
-        async_io::Timer::after(duration(every)).await;
+        if own.behind.is_some() || own.after.is_some() {
+            let rule = Rule { behind: own.behind, after: own.after, part: own.part };
+            let taken: Vec<Option<u64>> = words.iter().map(|word| word.taken).collect();
+            let stands = in_force(told.iter().flatten(), keepers).map(|floor| floor.lowest);
+            // Hundreds see it in the same round: a few that ask are enough.
+            let chance = rng.random::<f64>() < 3.0 / deployment.cluster.schedulers.max(1) as f64;
+            let lowest = watch.look(now, rule, &taken, keepers, stands).filter(|_| chance);
+            if let Some(lowest) = lowest {
+                match raise(&desk, lowest).await {
+                    Ok(word) if word.taken => info!(lowest, "the floor of versions is raised by its rule"),
+                    Ok(word) => info!(lowest, why = word.text, "the floor of versions is not raised"),
+                    Err(why) => info!(lowest, why = why.message(), "the floor of versions is not raised"),
+                }
+            }
+        }
+        lay(&desk, &words, rng.random()).await;
+        async_io::Timer::after(duration(own.every)).await;
+    }
+}
+
+/// What the keepers that answer hold of the fleet, told what runs here.
+async fn tell(desk: &Arc<Desk>, own: &FloorWatch) -> Vec<v1::KeepWord> {
+    let (running, on_trial) =
+        desk.versions.with(|state| (state.subscriber.running().0, state.subscriber.on_trial()));
+    let cluster = &desk.deployment().cluster;
+    let (dispatcher, fleet) = (cluster.number as u32, cluster.schedulers as u32);
+    let runs = Some(v1::InForce { dispatcher, stamp: Some(running::message(running)), on_trial });
+    ask_all(desk, Ask::Tell(v1::Tell { floor_only: true, runs, part: own.part, fleet })).await
+}
+
+/// Lays the version that has stood its trial here on the shelves of keepers where an older one lies, or none.
+async fn lay(desk: &Arc<Desk>, words: &[v1::KeepWord], chance: f64) {
+    let good = desk.versions.with(|state| match state.subscriber.on_trial() {
+        true => None,
+        false => state.shelf.lies(),
+    });
+    let Some(good) = good else { return };
+    let oldest = words.iter().map(|word| word.lies.as_ref().and_then(running::stamp)).min();
+    let Some(theirs) = oldest else { return };
+    let fleet = desk.deployment().cluster.schedulers;
+    if !lays(good.number, theirs.map(|stamp| stamp.number), fleet, chance) {
+        return;
     }
+    let Some(push) = desk.versions.with(|state| state.shelf.push_to(theirs)) else { return };
+    ask_all(desk, Ask::Lay(running::push_message(push))).await;
+    info!(number = good.number, "a version is laid on the keepers' shelves for stragglers");
 }
 
 /// The wishes that stand at those keepers that answer.
 async fn ask(desk: &Arc<Desk>) -> Vec<Option<Floor>> {
-    let words = ask_all(desk, Ask::Tell(v1::Tell { floor_only: true })).await;
+    let tell = v1::Tell { floor_only: true, ..v1::Tell::default() };
+    let words = ask_all(desk, Ask::Tell(tell)).await;
     words.iter().map(|word| word.floor.as_ref().map(read)).collect()
 }
 
--- a/crates/dispatcher/src/keepers.rs
+++ b/crates/dispatcher/src/keepers.rs
@@ -24,6 +24,12 @@
     words
 }
 
+/// Asks the how-manieth keeper alone.
+pub async fn ask_one(desk: &Arc<Desk>, which: usize, ask: Ask) -> Option<v1::KeepWord> {
+    let keeper = *desk.deployment().keepers.get(which)?;
+    keep(desk, &desk.node(keeper)?, v1::KeepAsk { ask: Some(ask) }).await
+}
+
 async fn keep(desk: &Desk, node: &Arc<NodeLink>, ask: v1::KeepAsk) -> Option<v1::KeepWord> {
     let _call = node.call();
     let whole = async {
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -2,6 +2,7 @@
 //! offered the work, and the answers go back. It turns what it reads straight into calls, and answers straight
 //! into messages; docs/dispatcher.md says how and why.
 
+mod bring;
 mod clients;
 mod conductors;
 pub mod control;
@@ -118,6 +119,7 @@
         tasks.spawn(control::run(Arc::clone(&desk))),
         tasks.spawn(fleet::run(Arc::clone(&desk))),
         tasks.spawn(fleet::keep(Arc::clone(&desk))),
+        tasks.spawn(bring::run(Arc::clone(&desk))),
         tasks.spawn(sweep(Arc::clone(&desk), clock::duration(bounds.idle_close) / 4)),
     ];
     ready(address);
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -6,6 +6,7 @@
 use crate::keepers::ask_all;
 pub use crate::store::{Closes, Held, Kept, Pair, Store};
 use corkspan_api::v1;
+use corkspan_fleet::acts::Kind;
 use corkspan_roll::Grant;
 use corkspan_roll::conductor::{Conductor, Look, Votes};
 use corkspan_roll::{ClaimId, Order, Phase, Roll, in_force, majority, to_follow};
@@ -151,7 +152,7 @@
         if keep_claim(desk, claim, service, &task, false, None).await {
             let dispatcher = desk.deployment().cluster.number as u32;
             let slot = v1::Slot { slot, claim: claim.0, task: task.clone(), dispatcher };
-            let by = Some(desk.by(desk.deployment().keepers.len()));
+            let by = Some(desk.by(Kind::Claim, desk.deployment().keepers.len()));
             let ask = v1::Claim { service: service.into(), number: roll.number, slot: Some(slot), by };
             let words = ask_all(desk, Ask::Claim(ask)).await;
             granted = words.iter().filter(|word| word.granted).count();
--- a/crates/dispatcher/src/running.rs
+++ b/crates/dispatcher/src/running.rs
@@ -2,7 +2,7 @@
 
 use crate::versions;
 use corkspan_api::v1;
-use corkspan_control::{Kept, Subscriber};
+use corkspan_control::{Kept, Push, Shelf, Subscriber};
 use corkspan_deployment::Deployment;
 use corkspan_deployment::version::{Digest, Stamp, Texts};
 use std::net::SocketAddr;
@@ -32,6 +32,8 @@
     pub refused: u64,
     pub superseded: u64,
     pub refused_last: Option<(Stamp, Vec<String>)>,
+    /// What runs, for stragglers that ask for it.
+    pub shelf: Shelf,
 }
 
 impl Versions {
@@ -67,11 +69,22 @@
             warn!("a version on trial is given up: this dispatcher was started under it again and again");
         }
         RUNNING.store(subscriber.running().0.number, Ordering::Relaxed);
-        let state =
-            State { subscriber, service: None, applied: 0, refused: 0, superseded: 0, refused_last: None };
+        let (service, applied, refused, superseded, refused_last, shelf) = Default::default();
+        let state = State { subscriber, service, applied, refused, superseded, refused_last, shelf };
         (Versions { state: Mutex::new(state), file, path, step: async_lock::Mutex::new(()) }, in_force)
     }
 
+    /// Versions that earlier lives had in force: each was taken as one that follows the one before.
+    pub fn learn(&self, earlier: impl Iterator<Item = Stamp>) {
+        self.with(|state| {
+            let (stamp, texts) = state.subscriber.running();
+            let before: Vec<Stamp> = earlier.filter(|own| (1..stamp.number).contains(&own.number)).collect();
+            if stamp.number > 0 {
+                state.shelf.runs(stamp, texts.clone(), false, &before);
+            }
+        });
+    }
+
     pub fn with<R>(&self, call: impl FnOnce(&mut State) -> R) -> R {
         call(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -121,6 +134,35 @@
     v1::Stamp { number: stamp.number, digest: stamp.digest.to_string() }
 }
 
+/// A whole version on its way to a straggler or a keeper.
+pub fn push_message(push: Push) -> v1::Push {
+    v1::Push {
+        nonce: push.nonce,
+        stamp: Some(message(push.stamp)),
+        follows: push.follows.into_iter().map(message).collect(),
+        onto: push.onto.map(message),
+        parts: push.changes.iter().map(|(name, text)| (name.into(), text.into())).collect(),
+        removed: push.removed,
+        cuts: push.cuts,
+    }
+}
+
+/// None where its stamps are none.
+pub fn push_of(push: v1::Push) -> Option<Push> {
+    Some(Push {
+        nonce: push.nonce,
+        stamp: stamp(push.stamp.as_ref()?).filter(|stamp| stamp.number > 0)?,
+        follows: push.follows.iter().filter_map(stamp).collect(),
+        onto: match &push.onto {
+            Some(onto) => Some(stamp(onto)?),
+            None => None,
+        },
+        changes: push.parts.into_iter().collect(),
+        removed: push.removed,
+        cuts: push.cuts,
+    })
+}
+
 pub fn stamp(message: &v1::Stamp) -> Option<Stamp> {
     Some(Stamp { number: message.number, digest: Digest::read(&message.digest)? })
 }
--- a/crates/fleet/src/acts.rs
+++ b/crates/fleet/src/acts.rs
@@ -15,6 +15,22 @@
     Claim,
 }
 
+impl Kind {
+    pub const ALL: [Kind; 5] = [Kind::Shot, Kind::Attend, Kind::Stop, Kind::Move, Kind::Claim];
+}
+
+impl std::fmt::Display for Kind {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            Kind::Shot => "shots",
+            Kind::Attend => "attendances",
+            Kind::Stop => "stops",
+            Kind::Move => "moves",
+            Kind::Claim => "claims",
+        })
+    }
+}
+
 /// Who acted: the process, and the version that it had decided under.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct By {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,9 @@
 
 pub mod acts;
 pub mod audit;
+pub mod bring;
 pub mod record;
+pub mod rule;
 
 use corkspan_keeper::{Wish, in_force, majority, to_follow};
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,6 +1,7 @@
 //! What a dispatcher remembers of itself: which version was in force from when to when, how it came, and its acts.
 //! Bounded; times are told by the caller, in milliseconds since 1970.
 
+use crate::acts::Kind;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -8,6 +9,7 @@
 const SPANS: usize = 256;
 /// Versions of this life whose acts are counted.
 const VERSIONS: usize = 256;
+const KINDS: usize = 5;
 
 /// How a version came to be in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +22,8 @@
     Push,
     /// The one in force before it was given up.
     GaveUp,
+    /// Brought by another dispatcher or a keeper.
+    Brought,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,8 +40,8 @@
 pub struct Record {
     /// The oldest first; each goes on until the next begins.
     spans: VecDeque<Span>,
-    /// Acts of the life that goes on, by version.
-    acts: BTreeMap<u64, u64>,
+    /// Acts of the life that goes on.
+    acts: BTreeMap<(u64, Kind), u64>,
 }
 
 impl Record {
@@ -56,19 +60,19 @@
     }
 
     /// So many acts are about to be sent. Counted before they can reach anybody, so nobody can have seen more.
-    pub fn acts(&mut self, version: u64, many: u64) {
-        if self.acts.len() >= VERSIONS && !self.acts.contains_key(&version) {
+    pub fn acts(&mut self, version: u64, kind: Kind, many: u64) {
+        if self.acts.len() >= VERSIONS * KINDS && !self.acts.contains_key(&(version, kind)) {
             self.acts.pop_first();
         }
-        *self.acts.entry(version).or_default() += many;
+        *self.acts.entry((version, kind)).or_default() += many;
     }
 
     pub fn spans(&self) -> &VecDeque<Span> {
         &self.spans
     }
 
-    /// Acts of this life, by version.
-    pub fn by_version(&self) -> impl Iterator<Item = (u64, u64)> {
-        self.acts.iter().map(|(&version, &many)| (version, many))
+    /// Acts of this life, by version and kind.
+    pub fn by_version(&self) -> impl Iterator<Item = (u64, Kind, u64)> {
+        self.acts.iter().map(|(&(version, kind), &many)| (version, kind, many))
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/rule_search.rs
@@ -0,0 +1,169 @@
+//! That no rule shuts out by a version that too few had for good: every state of three dispatchers that take versions, stand
+//! trials and give up, before three keepers of which one tells what is not so, with words lost and late. And that the
+//! search is able to find a rule that does, by mistakes planted in it.
+
+use corkspan_fleet::Runs;
+use corkspan_fleet::rule::{Rows, Rule, Watch};
+use std::collections::HashSet;
+use test_case::test_case;
+
+const FLEET: usize = 3;
+const KEEPERS: usize = 3;
+const NEWEST: u64 = 3;
+const RULE: Rule = Rule { behind: Some(1), after: Some(2), part: 600 };
+/// Two of three.
+const ENOUGH: usize = 2;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mistake {
+    None,
+    /// A version on trial counts as taken.
+    Trials,
+    /// One keeper's word is enough.
+    OneKeeper,
+    /// The rule looks at who has told only, and not at how many there are.
+    OfThoseWhoTold,
+    /// What was taken once counts for good, whoever has given it up since.
+    NeverAnew,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    now: u64,
+    runs: [Runs; FLEET],
+    /// The highest that each ever ran for good.
+    ever: [u64; FLEET],
+    /// Of the two that tell what they were told.
+    rows: [Rows; KEEPERS - 1],
+    told: [usize; KEEPERS - 1],
+    watch: Watch,
+    /// With how many ran so much for good at each moment, for the judge: by version from 0.
+    good_since: [Option<u64>; NEWEST as usize + 1],
+    breach: Option<&'static str>,
+}
+
+fn start() -> World {
+    World {
+        now: 0,
+        runs: [Runs { version: 1, on_trial: false }; FLEET],
+        ever: [1; FLEET],
+        rows: [Rows::default(), Rows::default()],
+        told: [0; KEEPERS - 1],
+        watch: Watch::default(),
+        good_since: [None; NEWEST as usize + 1],
+        breach: None,
+    }
+}
+
+fn look(world: &mut World, part: usize, mistake: Mistake) {
+    let fleet = |keeper: usize| match mistake {
+        Mistake::OfThoseWhoTold => world.told[keeper],
+        _ => FLEET,
+    };
+    // The last one says that all run a version that nobody has.
+    let words = (0..KEEPERS).filter(|keeper| part >> keeper & 1 == 1).map(|keeper| match keeper {
+        2 => Some(NEWEST + 5),
+        own => world.rows[own].taken(fleet(own), RULE.part),
+    });
+    let words: Vec<Option<u64>> = words.collect();
+    let keepers = if mistake == Mistake::OneKeeper { 1 } else { KEEPERS };
+    if mistake == Mistake::NeverAnew {
+        world.watch = Watch::default();
+        let highest = *world.ever.iter().max().expect("three");
+        world.watch.look(0, RULE, &[Some(highest); KEEPERS], KEEPERS, None);
+    }
+    let Some(lowest) = world.watch.look(world.now, RULE, &words, keepers, None) else { return };
+    let had = world.ever.iter().filter(|ever| **ever >= lowest).count();
+    if had < ENOUGH {
+        world.breach = Some("a floor that too few ever had for good");
+    }
+    // By the rule of far behind it is one below what enough have told; by that of long, what they told long enough ago.
+    let far = world.ever.iter().filter(|ever| **ever > lowest).count() >= ENOUGH;
+    let long =
+        usize::try_from(lowest).ok().and_then(|lowest| world.good_since.get(lowest).copied().flatten());
+    if !far && long.is_none_or(|since| since + 2 > world.now) {
+        world.breach = Some("a floor neither far nor long enough behind");
+    }
+}
+
+fn follow(world: &World, mistake: Mistake) -> Vec<World> {
+    let mut all = Vec::new();
+    let mut step = |change: &dyn Fn(&mut World)| {
+        let mut next = world.clone();
+        change(&mut next);
+        for version in 1..=NEWEST as usize {
+            let good = next.ever.iter().filter(|ever| **ever >= version as u64).count();
+            if good >= ENOUGH && next.good_since[version].is_none() {
+                next.good_since[version] = Some(next.now);
+            }
+        }
+        all.push(next);
+    };
+    for own in 0..FLEET {
+        let runs = world.runs[own];
+        if runs.on_trial {
+            step(&|next| {
+                next.runs[own].on_trial = false;
+                next.ever[own] = next.ever[own].max(runs.version);
+            });
+            step(&|next| next.runs[own] = Runs { version: runs.version - 1, on_trial: false });
+        } else if runs.version < NEWEST {
+            step(&|next| next.runs[own] = Runs { version: runs.version + 1, on_trial: true });
+        }
+        for keeper in 0..KEEPERS - 1 {
+            step(&|next| {
+                let on_trial = next.runs[own].on_trial && mistake != Mistake::Trials;
+                next.rows[keeper].tells(own as u32, Runs { on_trial, ..next.runs[own] });
+                next.told[keeper] |= 1 << own;
+                next.told[keeper] = next.told[keeper].min(7);
+            });
+        }
+    }
+    if world.now < 3 {
+        step(&|next| next.now += 1);
+    }
+    for part in 1..1 << KEEPERS {
+        step(&|next| {
+            let counts: Vec<usize> = next.told.iter().map(|told| told.count_ones() as usize).collect();
+            let bits = std::mem::replace(&mut next.told, [counts[0], counts[1]]);
+            look(next, part, mistake);
+            next.told = bits;
+        });
+    }
+    all
+}
+
+fn search(mistake: Mistake, depth: usize) -> (Option<&'static str>, usize) {
+    let first = start();
+    let (mut seen, mut open) = (HashSet::from([format!("{first:?}")]), vec![first]);
+    for _ in 0..depth {
+        let mut further = Vec::new();
+        for world in &open {
+            for next in follow(world, mistake) {
+                if next.breach.is_some() {
+                    return (next.breach, seen.len());
+                }
+                if seen.insert(format!("{next:?}")) {
+                    further.push(next);
+                }
+            }
+        }
+        open = further;
+    }
+    (None, seen.len())
+}
+
+#[test]
+fn no_rule_raises_the_floor_above_what_enough_had_for_good() {
+    let (breach, states) = search(Mistake::None, 9);
+    assert_eq!(breach, None);
+    assert!(states > 50_000, "only {states} states");
+}
+
+#[test_case(Mistake::Trials, 12)]
+#[test_case(Mistake::OneKeeper, 6)]
+#[test_case(Mistake::OfThoseWhoTold, 9)]
+#[test_case(Mistake::NeverAnew, 9)]
+fn a_planted_mistake_is_found(mistake: Mistake, depth: usize) {
+    assert!(search(mistake, depth).0.is_some());
+}
--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -130,6 +130,12 @@
         dispatcher: u32,
         state: DispatcherState,
     },
+    /// Links of a dispatcher are held, or late by so much, from here on or no longer.
+    Wires {
+        dispatcher: u32,
+        struck: bool,
+        late_us: u64,
+    },
     /// The script sets a trouble going.
     Trouble {
         name: String,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod relay;
 pub mod roster;
 pub mod table;
+pub mod wires;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -7,9 +7,11 @@
 use async_net::TcpListener;
 use corkspan::interface::Amount;
 use corkspan_api::v1::{self, node_server::NodeServer, said::Said, turned::Why};
-use corkspan_dispatcher::fleet;
+use corkspan_control::Shelf;
+use corkspan_dispatcher::{control, fleet};
 use corkspan_fleet::acts::{Acts, By, Kind};
-use corkspan_fleet::{Disk, Fence, Floor, Look};
+use corkspan_fleet::rule::Rows;
+use corkspan_fleet::{Disk, Fence, Floor, Look, Runs};
 use corkspan_roll::{Claimed, Grant, Keeper};
 use corkspan_rpc::{Bounds, Tasks};
 use futures_lite::Stream;
@@ -129,6 +131,8 @@
     /// On its disk: it survives the process.
     keeper: Mutex<Keeper>,
     floors: Mutex<corkspan_keeper::Keeper<Floor>>,
+    rows: Mutex<Rows>,
+    shelf: Mutex<Shelf>,
     fence: Mutex<Fence>,
     /// On its disk too.
     acts: Mutex<Acts>,
@@ -148,6 +152,8 @@
             listener: Mutex::default(),
             keeper: Mutex::default(),
             floors: Mutex::default(),
+            rows: Mutex::default(),
+            shelf: Mutex::default(),
             fence: Mutex::new(Fence::start(Disk::Whole(None))),
             acts: Mutex::default(),
         })
@@ -710,9 +716,28 @@
                 let mut floors = self.0.floors.lock().expect("no one panics while it is held");
                 word.floor = floors.propose(fleet::read(&floor)).copied().map(fleet::message);
             }
+            Some(Ask::Lay(push)) => {
+                let push = control::push_of(push).ok_or_else(|| Status::invalid_argument("no version"))?;
+                let mut shelf = self.0.shelf.lock().expect("no one panics while it is held");
+                shelf.lay(push.stamp, push.changes, push.cuts, &push.follows);
+                word.lies = shelf.lies().map(control::message);
+            }
+            Some(Ask::Fetch(ask)) => {
+                let theirs = ask.running.as_ref().and_then(control::stamp);
+                let theirs = theirs.ok_or_else(|| Status::invalid_argument("no stamp"))?;
+                let shelf = self.0.shelf.lock().expect("no one panics while it is held");
+                word.given = shelf.push_for(theirs).map(control::push_message);
+            }
             Some(Ask::Tell(tell)) => {
                 let floors = self.0.floors.lock().expect("no one panics while it is held");
                 word.floor = floors.all().next().map(|kept| fleet::message(kept.wish));
+                let mut rows = self.0.rows.lock().expect("no one panics while it is held");
+                if let Some(v1::InForce { dispatcher, stamp: Some(stamp), on_trial }) = tell.runs {
+                    rows.tells(dispatcher, Runs { version: stamp.number, on_trial });
+                }
+                word.taken = (tell.part > 0).then(|| rows.taken(tell.fleet as usize, tell.part)).flatten();
+                let shelf = self.0.shelf.lock().expect("no one panics while it is held");
+                word.lies = shelf.lies().map(control::message);
                 if tell.floor_only {
                     return Ok(Response::new(word));
                 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -2,13 +2,16 @@
 //! script's troubles strike.
 
 use crate::capture::{self, Capture, DispatcherState, NodeState, Repeat, Rules, Seen};
-use crate::day::{Day, Kind, Trouble};
+use crate::control::Control;
+use crate::day::{Day, End, Kind, Trouble};
 use crate::node::{Cold, Node, Plan, World};
 use crate::owner::{self, Front, Task};
 use crate::roster::Roster;
+use crate::wires::Wires;
 use async_io::Timer;
 use corkspan::interface::Amount;
 use corkspan_api::v1;
+use corkspan_deployment::version::Texts;
 use corkspan_rpc::{Tasks, within};
 use futures_lite::future;
 use rand::seq::SliceRandom;
@@ -38,6 +41,8 @@
 
 const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 const TRACKS: [&str; 3] = ["web", "index", "ledger"];
+/// The nodes that hold wishes and floors.
+const KEEPERS: [u32; 3] = [100, 101, 102];
 /// The service of the copies that run all day.
 pub const HELD: &str = "held";
 const SPREAD: usize = 4;
@@ -77,7 +82,7 @@
         }
     }
 
-    fn deployment(&self, number: usize, roster: SocketAddr, folder: &Path) -> String {
+    fn deployment(&self, number: usize, roster: SocketAddr, more: &str, folder: &Path) -> String {
         let Day { dispatchers, .. } = self.day;
         let hall = HALLS[number % HALLS.len()];
         let kept = folder.join(format!("list-{number}.json"));
@@ -92,7 +97,7 @@
     (index (repeat deduplicated) (within hall) (window 6 s) (contract-time 1500 ms) (priority 1))
     (ledger (repeat unrepeatable) (contract-time 1500 ms) (priority 2) (spread machine) (most {SPREAD})))
   (accepts (cores 2) (memory 1.5)) (makes-room #t) (placed-when accepted) (shows-room #t) (may-probe #t)
-  (keepers 100 101 102) (rolls {rolls:?})
+  (keepers 100 101 102) (rolls {rolls:?}) {more}
   (cold (lasts 6 s) (window 1 s) (offers {BEARS})) (other-hall-price 0.03))
 "#,
             seed = self.seed,
@@ -145,17 +150,47 @@
             let address = node.up(false).await.map_err(text)?;
             roster.change(Duration::ZERO, entry(node, address, 0));
         }
+        let control = Control::up(&world).await.map_err(text)?;
+        let wires = match self.day.has_wires() {
+            true => {
+                let service = self.day.versions.map(|_| control.0.address);
+                let listed: Vec<(u32, SocketAddr)> = nodes
+                    .iter()
+                    .filter_map(|node| {
+                        let entry = roster.entry(node.plan.id)?;
+                        Some((entry.node, entry.address.parse().ok()?))
+                    })
+                    .collect();
+                let many = self.day.dispatchers;
+                Some(Wires::up(&tasks, many, &roster, service, &listed, &KEEPERS).await.map_err(text)?)
+            }
+            false => None,
+        };
         let front = Front::new(&world, &nodes, self.day.dispatchers);
         let mut fleet = Vec::new();
         for number in 0..self.day.dispatchers {
             let file = folder.path().join(format!("dispatcher-{number}.sexp"));
-            std::fs::write(&file, self.deployment(number, roster_address, folder.path())).map_err(text)?;
+            let wired = |end| wires.as_ref().and_then(|wires| wires.address(number, end));
+            let roster = wired(End::Roster).unwrap_or(roster_address);
+            let more = self.day.versions.map(|_| {
+                let (kept, control) = (
+                    folder.path().join(format!("versions-{number}.json")),
+                    wired(End::Control).unwrap_or(control.0.address),
+                );
+                let peers = wires.iter().flat_map(|wires| wires.addresses(number, End::Dispatchers));
+                let peers: String = peers.map(|peer| format!(" \"{peer}\"")).collect();
+                let peers = if peers.is_empty() { peers } else { format!("(peers{peers})") };
+                format!("(control \"{control}\") (versions {kept:?}) (floor (every 1 s) {peers})")
+            });
+            let file_text = self.deployment(number, roster, &more.unwrap_or_default(), folder.path());
+            std::fs::write(&file, file_text).map_err(text)?;
             let log = self.logs.as_ref().map(|logs| logs.join(format!("dispatcher-{number}.log")));
             let program = self.program.clone();
-            fleet.push(Dispatcher { number, file, program, log, child: None });
+            let fills = self.day.fills_disks();
+            fleet.push(Dispatcher { number, file, program, log, fills, child: None });
         }
         for dispatcher in &mut fleet {
-            dispatcher.up(&front).await?;
+            dispatcher.up(&front, wires.as_ref()).await?;
         }
         // The day begins when dispatchers have had a moment to hear of the nodes.
         let heard = async {
@@ -170,7 +205,13 @@
         let until = start + self.day.length;
         let room = tasks.spawn(tell_room(Arc::clone(&roster), nodes.clone(), self.day.dispatchers));
         let mut stage =
-            Stage { day: &self.day, front: &front, nodes: &nodes, roster: &roster, fleet, rng, start };
+            Stage { day: &self.day, front: &front, nodes: &nodes, roster: &roster, fleet, rng, start, wires };
+        let versions = self.day.versions.map(|every| {
+            let text = self.deployment(0, roster_address, "", folder.path());
+            let texts = Texts::of("day", &text).map_err(|why| why.to_string());
+            texts.map(|texts| tasks.spawn(push_versions(control.0.clone(), texts, every)))
+        });
+        let versions = versions.transpose()?;
         let owners = stage.through(until).await?;
         // Whoever still waits or runs has so long to come to an end.
         let rest = async {
@@ -179,7 +220,7 @@
             }
         };
         let ended = within(Duration::from_secs(40), rest).await;
-        drop(room);
+        drop((room, versions));
         for dispatcher in &mut stage.fleet {
             dispatcher.down(&front).await?;
         }
@@ -209,6 +250,16 @@
     }
 }
 
+/// An operator pushes one sound version after the other: the same but for what nobody feels.
+async fn push_versions(control: Control, texts: Texts, every: Duration) {
+    for which in 0u64.. {
+        let accounts = format!("(accounts (a (share-cores {})))", 1_000_000 + which);
+        let changes = [("accounts".to_string(), accounts)];
+        control.publish(texts.changed(&changes.into_iter().collect(), &[]), false);
+        Timer::after(every).await;
+    }
+}
+
 /// Lines a second that the roster tells all dispatchers together of room alone.
 const ROOM_LINES: usize = 10_000;
 
@@ -236,6 +287,7 @@
     fleet: Vec<Dispatcher>,
     rng: Pcg64Mcg,
     start: Instant,
+    wires: Option<Wires>,
 }
 
 /// What is undone at the end of a trouble.
@@ -244,6 +296,8 @@
     Undrain(usize),
     Restart(usize),
     GoOn(usize),
+    Heal(usize, Vec<End>),
+    Room(usize),
 }
 
 impl Stage<'_> {
@@ -436,6 +490,25 @@
                     undos.push(Undo::Restart(index));
                 }
             }
+            Kind::CutDispatchers | Kind::DelayDispatchers | Kind::HoldVersions => {
+                let Some(wires) = &self.wires else { return Err("no relays stand".into()) };
+                for index in running {
+                    self.see_wires(index, true, trouble.by);
+                    if trouble.kind == Kind::HoldVersions {
+                        wires.hold_versions(index);
+                        undos.push(Undo::Heal(index, vec![End::Control]));
+                    } else {
+                        wires.strike(index, trouble);
+                        undos.push(Undo::Heal(index, trouble.from.clone()));
+                    }
+                }
+            }
+            Kind::FullDisk => {
+                for index in running {
+                    self.fleet[index].disk(Some(0))?;
+                    undos.push(Undo::Room(index));
+                }
+            }
             Kind::PauseDispatchers => {
                 for index in running {
                     self.fleet[index].signal(
@@ -450,6 +523,11 @@
         Ok(undos)
     }
 
+    fn see_wires(&self, index: usize, struck: bool, late: Duration) {
+        let (dispatcher, late_us) = (index as u32, late.as_micros() as u64);
+        self.front.world.capture.see(Seen::Wires { dispatcher, struck, late_us });
+    }
+
     fn kill(&mut self, index: usize) {
         self.nodes[index].kill(NodeState::Gone);
         self.tell(index, v1::entry::State::Gone);
@@ -483,9 +561,14 @@
             }
             Undo::Restart(index) => {
                 if self.fleet[index].child.is_none() {
-                    self.fleet[index].up(self.front).await?;
+                    self.fleet[index].up(self.front, self.wires.as_ref()).await?;
                 }
             }
+            Undo::Heal(index, ends) => {
+                self.see_wires(index, false, Duration::ZERO);
+                self.wires.iter().for_each(|wires| wires.heal(index, &ends));
+            }
+            Undo::Room(index) => self.fleet[index].disk(None)?,
             Undo::GoOn(index) => {
                 if self.fleet[index].child.is_some() {
                     self.fleet[index].signal(
@@ -511,6 +594,8 @@
     file: PathBuf,
     program: Vec<OsString>,
     log: Option<PathBuf>,
+    /// Its disk is filled at some time of the day.
+    fills: bool,
     child: Option<Child>,
 }
 
@@ -519,9 +604,17 @@
         front.world.capture.see(Seen::Dispatcher { dispatcher: self.number as u32, state });
     }
 
-    async fn up(&mut self, front: &Arc<Front>) -> Result<(), String> {
+    async fn up(&mut self, front: &Arc<Front>, wires: Option<&Wires>) -> Result<(), String> {
         let (program, first) = self.program.split_first().ok_or("no program is given")?;
-        let mut command = Command::new(program);
+        let mut command = match self.fills {
+            false => Command::new(program),
+            // A write beyond what its files may hold fails as on a full disk, once the signal for it is passed over.
+            true => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]).arg(program);
+                shell
+            }
+        };
         command.args(first).arg("serve").arg(&self.file).stdin(Stdio::null()).stdout(Stdio::piped());
         match &self.log {
             Some(log) => {
@@ -545,6 +638,7 @@
         let address = address.ok_or_else(|| format!("a dispatcher did not start: `{}`", line.trim()))?;
         self.see(front, DispatcherState::Up);
         front.open(self.number, Some(address));
+        wires.iter().for_each(|wires| wires.listens(self.number, address));
         Ok(())
     }
 
@@ -555,6 +649,15 @@
         child.kill().and_then(|()| child.wait()).map(drop).map_err(|why| why.to_string())
     }
 
+    /// Its files may hold so many bytes from now on; none: as many as they like.
+    fn disk(&mut self, most: Option<u64>) -> Result<(), String> {
+        let Some(child) = &self.child else { return Ok(()) };
+        let limit = rustix::process::Rlimit { current: most, maximum: None };
+        let pid = rustix::process::Pid::from_child(child);
+        let set = rustix::process::prlimit(Some(pid), rustix::process::Resource::Fsize, limit);
+        set.map(drop).map_err(|why| format!("a disk can't be filled: {why}"))
+    }
+
     fn signal(
         &mut self,
         front: &Front,
--- a/crates/lab/src/roster.rs
+++ b/crates/lab/src/roster.rs
@@ -2,6 +2,7 @@
 
 use crate::capture::{NodeState, Seen};
 use crate::node::World;
+use crate::relay::Relay;
 use async_io::Timer;
 use async_net::TcpListener;
 use corkspan_api::v1::{self, entry::State, roster_server::RosterServer};
@@ -20,6 +21,8 @@
     listener: TcpListener,
     server: Mutex<Option<async_executor::Task<()>>>,
     log: Mutex<Log>,
+    /// Where a dispatcher finds a node, other than at the node's own address.
+    pub ways: Mutex<BTreeMap<(u32, u32), Relay>>,
 }
 
 #[derive(Default)]
@@ -38,8 +41,8 @@
     pub async fn up(world: &Arc<World>) -> std::io::Result<(Arc<Self>, SocketAddr)> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (server, log) = Default::default();
-        let roster = Arc::new(Roster { world: Arc::clone(world), address, listener, server, log });
+        let (server, log, ways) = Default::default();
+        let roster = Arc::new(Roster { world: Arc::clone(world), address, listener, server, log, ways });
         roster.listen();
         Ok((roster, address))
     }
@@ -68,6 +71,10 @@
 
     /// Changes an entry; watchers hear of it so much later.
     pub fn change(&self, late: Duration, entry: v1::Entry) {
+        if let Ok(to) = entry.address.parse() {
+            let ways = self.ways.lock().expect("no one panics while it is held");
+            ways.iter().filter(|((_, node), _)| *node == entry.node).for_each(|(_, relay)| relay.lead(to));
+        }
         let mut log = self.log.lock().expect("no one panics while it is held");
         let earliest = log.changes.last().map_or_else(Instant::now, |(at, _)| *at);
         // Changes are told in their order.
@@ -86,7 +93,7 @@
         dispatcher: u32,
         version: u64,
         whole: bool,
-        entries: Vec<v1::Entry>,
+        mut entries: Vec<v1::Entry>,
         told: &mut BTreeMap<u32, (NodeState, u64)>,
     ) -> v1::Listing {
         let now_ms = corkspan_dispatcher::clock::wall_ms();
@@ -101,6 +108,12 @@
                 self.world.capture.see(Seen::Told { dispatcher, node: entry.node, state });
             }
         }
+        let ways = self.ways.lock().expect("no one panics while it is held");
+        for entry in &mut entries {
+            if let Some(relay) = ways.get(&(dispatcher, entry.node)) {
+                entry.address = relay.address.to_string();
+            }
+        }
         v1::Listing { version, whole, now_ms, entries }
     }
 
--- /dev/null
+++ b/crates/lab/src/wires.rs
@@ -0,0 +1,105 @@
+//! The links of a day's dispatchers, each through a relay of its own, so that a day's troubles can strike them one by one.
+
+use crate::day::{End, Trouble};
+use crate::relay::{Relay, Way};
+use crate::roster::Roster;
+use corkspan_rpc::Tasks;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Nobody listens there: what leads there is refused until it leads elsewhere.
+const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+/// Others that one dispatcher may have a newer version from.
+const PEERS: usize = 3;
+
+/// Relays that stand, but for those to nodes, which the roster keeps, since it tells of them.
+pub struct Wires {
+    relays: BTreeMap<(usize, End), Vec<Relay>>,
+    /// Whom each one's peers' relays lead to.
+    peers: Vec<Vec<usize>>,
+    keepers: Vec<u32>,
+    roster: Arc<Roster>,
+}
+
+impl Wires {
+    pub async fn up(
+        tasks: &Tasks,
+        dispatchers: usize,
+        roster: &Arc<Roster>,
+        control: Option<SocketAddr>,
+        nodes: &[(u32, SocketAddr)],
+        keepers: &[u32],
+    ) -> io::Result<Wires> {
+        let (mut relays, mut peers) = (BTreeMap::new(), Vec::new());
+        for own in 0..dispatchers {
+            relays.insert((own, End::Roster), vec![Relay::up(tasks, roster.address).await?]);
+            if let Some(control) = control {
+                relays.insert((own, End::Control), vec![Relay::up(tasks, control).await?]);
+            }
+            let others: Vec<usize> =
+                (1..dispatchers).take(PEERS).map(|step| (own + step * step) % dispatchers).collect();
+            let mut links = Vec::new();
+            for _ in &others {
+                links.push(Relay::up(tasks, NOBODY).await?);
+            }
+            relays.insert((own, End::Dispatchers), links);
+            peers.push(others);
+            for &(node, address) in nodes {
+                let relay = Relay::up(tasks, address).await?;
+                roster.ways.lock().expect("unshared").insert((own as u32, node), relay);
+            }
+        }
+        Ok(Wires { relays, peers, keepers: keepers.to_vec(), roster: Arc::clone(roster) })
+    }
+
+    /// Where a dispatcher finds the one that is at this end; none where there is none.
+    pub fn address(&self, dispatcher: usize, end: End) -> Option<SocketAddr> {
+        self.addresses(dispatcher, end).first().copied()
+    }
+
+    pub fn addresses(&self, dispatcher: usize, end: End) -> Vec<SocketAddr> {
+        self.relays.get(&(dispatcher, end)).into_iter().flatten().map(|relay| relay.address).collect()
+    }
+
+    /// A dispatcher listens here from now on.
+    pub fn listens(&self, dispatcher: usize, at: SocketAddr) {
+        for (own, peers) in self.peers.iter().enumerate() {
+            let links = self.relays.get(&(own, End::Dispatchers)).into_iter().flatten();
+            links.zip(peers).filter(|(_, peer)| **peer == dispatcher).for_each(|(relay, _)| relay.lead(at));
+        }
+    }
+
+    /// Does it to each link of a dispatcher that ends there. Keepers are nodes: links to these alone, or to the others.
+    fn each(&self, dispatcher: usize, end: End, what: impl Fn(&Relay)) {
+        self.relays.get(&(dispatcher, end)).into_iter().flatten().for_each(&what);
+        let ways = self.roster.ways.lock().expect("no one panics while it is held");
+        let mine = ways.iter().filter(|((own, _), _)| *own as usize == dispatcher);
+        let there = mine.filter(|((_, node), _)| match end {
+            End::Keepers => self.keepers.contains(node),
+            End::Nodes => !self.keepers.contains(node),
+            _ => false,
+        });
+        there.for_each(|(_, relay)| what(relay));
+    }
+
+    pub fn strike(&self, dispatcher: usize, trouble: &Trouble) {
+        for &end in &trouble.from {
+            self.each(dispatcher, end, |relay| match trouble.by {
+                Duration::ZERO => relay.hold(&trouble.ways),
+                by => relay.delay(&trouble.ways, by),
+            });
+        }
+    }
+
+    /// Nothing of newer versions reaches it, though its stream stands.
+    pub fn hold_versions(&self, dispatcher: usize) {
+        self.each(dispatcher, End::Control, |relay| relay.hold(&[Way::In]));
+    }
+
+    pub fn heal(&self, dispatcher: usize, ends: &[End]) {
+        ends.iter().for_each(|&end| self.each(dispatcher, end, Relay::heal));
+    }
+}
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -38,6 +38,22 @@
     assert_eq!(table.asked, table.placed + table.refused + table.failed + table.cancelled + table.unanswered);
 }
 
+/// Eight processes whose links run through relays.
+#[test]
+fn dispatchers_that_are_cut_off_held_up_and_out_of_disk_keep_the_rules_while_versions_come() {
+    let lines = play(include_str!("../days/cuts.sexp"), 1, |text| text);
+    assert_eq!(broken(&lines), [0; 0]);
+    let table = Table::of(&lines);
+    assert!(table.placed > 500, "{table}");
+    let newest = lines.iter().filter_map(|line| match line.seen {
+        Seen::Offered { decided, .. } => Some(decided),
+        _ => None,
+    });
+    assert!(newest.max() >= Some(5), "versions came, and were acted on");
+    let struck = lines.iter().filter(|line| matches!(line.seen, Seen::Wires { struck: true, .. }));
+    assert!(struck.count() >= 12);
+}
+
 const UNREPEATABLE: &str = "(day (length 4 s) (dispatchers 2) (nodes 4) (rate 40) (unrepeatable 80)
     (life 2 s) (troubles (lose-answers (at 500 ms) (for 3 s) (many 2))))";
 const RACK: &str = "(day (length 5 s) (dispatchers 2) (nodes 4) (rate 60) (life 1 s)
@@ -101,6 +117,9 @@
 #[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (kill-nodes (at 9 s) (for 1 s))))", "after the day's end"; "a trouble too late")]
 #[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (kill-nodes (at 1 s) (for 1 s) (many 5))))", "from 1 to 4"; "more nodes than there are")]
 #[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (deduplicated 70) (unrepeatable 40))", "over 100 together"; "parts beyond the whole")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (cut-dispatchers (at 1 s) (for 1 s))))", "lacks `(from …)`"; "a cut of no links")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (cut-dispatchers (at 1 s) (for 1 s) (from owners))))", "`owners` is none of"; "a cut of unknown links")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (hold-versions (at 1 s) (for 1 s))))", "only beside `(versions …)`"; "versions held where none come")]
 #[test_case("(day (length 4 s)", "d:1:"; "cut off")]
 fn a_malformed_day_is_told_with_its_place(script: &str, why: &str) {
     let fault = Day::read("d", script).expect_err("a fault").to_string();
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -395,3 +395,37 @@
         false => script.breaks(8, &[3, 4, 5]),
     }
 }
+
+/// A second shot 1 s after the first, which its node sees let go after this long.
+fn two_shots(wires: &[(u64, bool, u64)], over: u64) -> Vec<u8> {
+    let mut script = Script::new().asks(0, 1, 0).offer(1_000, 1, 0, 7).says(1_010, 1, 0, 7, Accepted);
+    let mut all: Vec<(u64, Option<(bool, u64)>)> =
+        wires.iter().map(|(at, struck, late)| (*at, Some((*struck, *late)))).collect();
+    all.extend([(2_000, None), (over, None)]);
+    all.sort_by_key(|(at, _)| *at);
+    for (at, wires) in all {
+        script = match wires {
+            Some((struck, late)) => {
+                script.see(at, Seen::Wires { dispatcher: 0, struck, late_us: late * 1_000 })
+            }
+            None if at == over => script.lets_go(at, 1, 0, 7),
+            None => script.offer(at, 1, 1, 8),
+        };
+    }
+    let found = judge(&script.0).expect("readable").into_iter();
+    found.filter(|breach| breach.rule == 2).map(|breach| breach.rule).collect()
+}
+
+#[test_case(&[], 2_100, 0; "seen within the slack")]
+#[test_case(&[], 2_500, 1; "kept beside the second")]
+#[test_case(&[(1_500, true, 0), (2_600, false, 0)], 2_700, 0; "given up behind a cut and seen once it is healed")]
+#[test_case(&[(1_500, true, 0), (2_600, false, 0)], 3_000, 1; "kept on after the cut")]
+#[test_case(&[(1_500, true, 400), (4_000, false, 0)], 2_550, 0; "given up on links that are late")]
+#[test_case(&[(1_500, true, 400), (4_000, false, 0)], 2_700, 1; "kept for longer than they are late")]
+fn what_a_struck_dispatcher_gave_up_may_be_seen_later_and_no_later_than_that(
+    wires: &[(u64, bool, u64)],
+    over: u64,
+    breaches: usize,
+) {
+    assert_eq!(two_shots(wires, over).len(), breaches);
+}
