--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -136,6 +136,31 @@
         struck: bool,
         late_us: u64,
     },
+    /// The control service has another version.
+    Pushed {
+        number: u64,
+    },
+    /// A dispatcher has told the control service, or an operator, what runs there.
+    InForce {
+        dispatcher: u32,
+        number: u64,
+    },
+    /// A majority of keepers has taken a floor.
+    Raised {
+        lowest: u64,
+    },
+    /// What an audit of all told. `equal`: of acts just what crossed the nodes' sockets.
+    Audited {
+        took_ms: u64,
+        bytes: u64,
+        findings: usize,
+        equal: bool,
+    },
+    /// Resident, of all dispatchers that run.
+    Memory {
+        mean_kib: u64,
+        most_kib: u64,
+    },
     /// The script sets a trouble going.
     Trouble {
         name: String,
--- a/crates/lab/src/control.rs
+++ b/crates/lab/src/control.rs
@@ -1,6 +1,7 @@
 //! A stand-in control service: streams what its books say to each subscriber, or what a story puts on the wire, and
 //! keeps every reply.
 
+use crate::capture::Seen;
 use crate::node::World;
 use async_net::TcpListener;
 use corkspan_api::v1::{self, control_server};
@@ -41,6 +42,7 @@
 #[derive(Clone)]
 pub struct Control {
     state: Arc<Mutex<State>>,
+    world: Arc<World>,
     pub address: SocketAddr,
 }
 
@@ -51,24 +53,25 @@
 const WAITING: usize = 100_000;
 
 impl Control {
-    pub async fn up(world: &World) -> std::io::Result<(Control, Up)> {
+    pub async fn up(world: &Arc<World>) -> std::io::Result<(Control, Up)> {
         Control::up_at(world, "127.0.0.1:0").await
     }
 
-    pub async fn up_at(world: &World, address: &str) -> std::io::Result<(Control, Up)> {
+    pub async fn up_at(world: &Arc<World>, address: &str) -> std::io::Result<(Control, Up)> {
         let listener = TcpListener::bind(address).await?;
-        let control = Control { state: Arc::default(), address: listener.local_addr()? };
+        let control =
+            Control { state: Arc::default(), world: Arc::clone(world), address: listener.local_addr()? };
         let up = control.serve(world, listener);
         Ok((control, up))
     }
 
     /// The same service with its books, on its former address, after it was away.
-    pub async fn up_again(&self, world: &World) -> std::io::Result<Up> {
+    pub async fn up_again(&self, world: &Arc<World>) -> std::io::Result<Up> {
         let listener = TcpListener::bind(self.address).await?;
         Ok(self.serve(world, listener))
     }
 
-    fn serve(&self, world: &World, listener: TcpListener) -> Up {
+    fn serve(&self, world: &Arc<World>, listener: TcpListener) -> Up {
         let service = control_server::ControlServer::new(Service(self.clone(), Arc::clone(&world.tasks)));
         let tasks = &world.tasks;
         Up(tasks.spawn(async move {
@@ -89,6 +92,7 @@
     pub fn publish(&self, texts: Texts, cuts: bool) -> Stamp {
         self.with(|state| {
             let stamp = state.books.publish(texts, cuts);
+            self.world.capture.see(Seen::Pushed { number: stamp.number });
             state.flush();
             stamp
         })
@@ -205,6 +209,10 @@
         let replies = async move {
             while let Ok(Some(told)) = tells.message().await {
                 control.with(|state| {
+                    if let Some(running) = &told.running {
+                        let (dispatcher, number) = (told.dispatcher, running.number);
+                        control.world.capture.see(Seen::InForce { dispatcher, number });
+                    }
                     let heard = match told.running.as_ref().and_then(stamp_of) {
                         Some(running) => {
                             state.books.heard(told.dispatcher, told.nonce, &said(&told), running)
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -25,6 +25,9 @@
     pub roll: Option<Roll>,
     /// The control service pushes a sound version so often; none where there is no such service.
     pub versions: Option<Duration>,
+    /// An operator raises the floor to the newest version then, and audits the fleet at the end of the day.
+    pub floor: Option<Duration>,
+    pub audit: bool,
     pub troubles: Vec<Trouble>,
 }
 
@@ -135,6 +138,8 @@
                 "copies",
                 "roll",
                 "versions",
+                "floor",
+                "audit",
                 "troubles",
             ];
             let parts = form.parts(&known)?;
@@ -155,11 +160,19 @@
                 copies: parts.or("copies", 0, |form| Ok(form.whole(0, 10_000)? as usize))?,
                 roll: parts.find("roll").map(roll).transpose()?,
                 versions: parts.find("versions").map(every).transpose()?,
+                floor: parts
+                    .find("floor")
+                    .map(|form| span(form.parts(&["at"])?.need("at")?, 600))
+                    .transpose()?,
+                audit: parts.or("audit", false, Form::truth)?,
                 troubles: Vec::new(),
             };
             if let (Some(form), 0) = (parts.find("roll"), day.copies) {
                 return Err(form.fault("stands only beside `(copies …)`"));
             }
+            if let (Some(form), None) = (parts.find("floor").or(parts.find("audit")), day.versions) {
+                return Err(form.fault("stands only beside `(versions …)`"));
+            }
             if day.deduplicated + day.unrepeatable > 100.0 {
                 return Err(form.fault("deduplicated and unrepeatable are over 100 together"));
             }
@@ -178,6 +191,10 @@
         self.troubles.iter().any(on_links)
     }
 
+    pub fn strikes(&self, end: End) -> bool {
+        self.troubles.iter().any(|trouble| trouble.from.contains(&end))
+    }
+
     pub fn fills_disks(&self) -> bool {
         self.troubles.iter().any(|trouble| trouble.kind == Kind::FullDisk)
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod relay;
 pub mod roster;
 pub mod table;
+pub mod versions;
 pub mod wires;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -83,6 +83,11 @@
             "an ask: {whole:.1} us of CPU, {decided:.1} in the decisions and the host, {:.1} outside",
             whole - decided
         );
+        let stamp = median_of(&mut (0..self.rounds).map(|_| stamp_us()).collect::<Vec<f64>>());
+        println!(
+            "the stamp, life and floor of its shot: {stamp:.2} us, {:.1}% of that",
+            100.0 * stamp / whole
+        );
         println!("placed {} of {} asked", after.placed - before.placed, after.asked - before.asked);
         Ok(())
     }
@@ -383,3 +388,34 @@
         let _ = self.child.kill().and_then(|()| self.child.wait());
     }
 }
+
+fn median_of(all: &mut [f64]) -> f64 {
+    all.sort_by(f64::total_cmp);
+    all.get(all.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// What it costs a shot to carry who decided it under which version, counted and written, over one that tells nothing.
+fn stamp_us() -> f64 {
+    use prost::Message;
+    const MANY: u32 = 100_000;
+    let mut record = corkspan_fleet::record::Record::default();
+    let digest = "0f".repeat(32);
+    let mut time = |stamped: bool| {
+        let (began, mut bytes) = (Instant::now(), Vec::with_capacity(1_024));
+        for number in 0..MANY {
+            let mut shot = v1::Shot { placing: "p1234#0".into(), number, ..v1::Shot::default() };
+            if stamped {
+                record.acts(12, corkspan_fleet::acts::Kind::Shot, 1);
+                let stamp = Some(v1::Stamp { number: 12, digest: digest.clone() });
+                shot.by = Some(v1::By { stamp, life: u64::from(number) << 32, dispatcher: 7 });
+                shot.floor = Some(v1::Floor { number: 3, asker: 1 << 60, lowest: 11 });
+            }
+            bytes.clear();
+            shot.encode(&mut bytes).expect("a vector has room");
+            std::hint::black_box(&bytes);
+        }
+        began.elapsed().as_secs_f64() * 1e6 / f64::from(MANY)
+    };
+    let plain = time(false);
+    time(true) - plain
+}
--- a/crates/lab/src/owner.rs
+++ b/crates/lab/src/owner.rs
@@ -4,7 +4,8 @@
 use crate::node::{Node, World};
 use async_io::Timer;
 use corkspan_api::v1::{
-    self, placement_client::PlacementClient, rolls_client::RollsClient, word::Word as Said,
+    self, placement_client::PlacementClient, rolls_client::RollsClient, versions_client::VersionsClient,
+    word::Word as Said,
 };
 use corkspan_rpc::{Bounds, Link, within};
 use rand::RngExt;
@@ -47,6 +48,14 @@
         self.link(dispatcher).await.map(PlacementClient::new)
     }
 
+    pub async fn versions(&self, dispatcher: usize) -> Option<VersionsClient<Link>> {
+        self.link(dispatcher).await.map(VersionsClient::new)
+    }
+
+    pub fn address(&self, dispatcher: usize) -> Option<SocketAddr> {
+        self.doors[dispatcher].lock().expect("unshared").address
+    }
+
     pub async fn rolls(&self, dispatcher: usize) -> Option<RollsClient<Link>> {
         self.link(dispatcher).await.map(RollsClient::new)
     }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -17,6 +17,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -154,8 +155,9 @@
         let wires = match self.day.has_wires() {
             true => {
                 let service = self.day.versions.map(|_| control.0.address);
-                let listed: Vec<(u32, SocketAddr)> = nodes
-                    .iter()
+                let all = self.day.strikes(End::Nodes);
+                let struck = nodes.iter().filter(|node| all || KEEPERS.contains(&node.plan.id));
+                let listed: Vec<(u32, SocketAddr)> = struck
                     .filter_map(|node| {
                         let entry = roster.entry(node.plan.id)?;
                         Some((entry.node, entry.address.parse().ok()?))
@@ -221,6 +223,9 @@
         };
         let ended = within(Duration::from_secs(40), rest).await;
         drop((room, versions));
+        if self.day.audit {
+            stage.audit(&self.program).await?;
+        }
         for dispatcher in &mut stage.fleet {
             dispatcher.down(&front).await?;
         }
@@ -250,6 +255,12 @@
     }
 }
 
+fn resident_kib(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
 /// An operator pushes one sound version after the other: the same but for what nobody feels.
 async fn push_versions(control: Control, texts: Texts, every: Duration) {
     for which in 0u64.. {
@@ -313,13 +324,14 @@
         for copy in 0..self.day.copies {
             owners.push(self.hold(copy, until));
         }
-        let mut roll = self.day.roll;
+        let (mut roll, mut floor) = (self.day.roll, self.day.floor);
         loop {
             let rolls = roll.map(|roll| self.start + roll.at);
+            let floors = floor.map(|at| self.start + at);
             let trouble = troubles.peek().map(|trouble| self.start + trouble.at);
             let undo = undos.iter().map(|(at, _)| *at).min();
             let asks = (next < until).then_some(next);
-            let Some(at) = [trouble, undo, asks, rolls].into_iter().flatten().min() else {
+            let Some(at) = [trouble, undo, asks, rolls, floors].into_iter().flatten().min() else {
                 return Ok(owners);
             };
             Timer::at(at).await;
@@ -327,6 +339,9 @@
                 && let Some(roll) = roll.take()
             {
                 self.roll(roll).await?;
+            } else if floors == Some(at) {
+                floor = None;
+                self.raise().await?;
             } else if undo == Some(at) {
                 let index = undos.iter().position(|(when, _)| *when == at).unwrap_or_default();
                 let (_, undo) = undos.swap_remove(index);
@@ -409,6 +424,71 @@
         Err("no dispatcher has taken the roll".into())
     }
 
+    /// An operator raises the floor to the newest version, asking one dispatcher after the other.
+    async fn raise(&mut self) -> Result<(), String> {
+        let newest = self.front.world.capture.lines().iter().rev().find_map(|line| match line.seen {
+            Seen::Pushed { number } => Some(number),
+            _ => None,
+        });
+        let lowest = newest.ok_or("no version has been pushed yet")?;
+        for dispatcher in 0..self.fleet.len() {
+            if let Some(mut client) = self.front.versions(dispatcher).await
+                && let Some(Ok(word)) =
+                    within(Duration::from_secs(5), Box::pin(client.raise(v1::FloorAsk { lowest }))).await
+                && word.get_ref().taken
+            {
+                self.front.world.capture.see(Seen::Raised { lowest });
+                return Ok(());
+            }
+        }
+        Err("no dispatcher has had the floor raised".into())
+    }
+
+    /// The operator's command line over the whole fleet, and its acts against what the nodes' sockets saw.
+    async fn audit(&self, program: &[OsString]) -> Result<(), String> {
+        let (first, rest) = program.split_first().ok_or("no program is given")?;
+        let mut command = Command::new(first);
+        command.args(rest).args(["fleet", "audit", "--json"]);
+        for node in self.nodes {
+            if let Some(entry) = self.roster.entry(node.plan.id).filter(|_| node.is_up()) {
+                command.args(["--node", &entry.address]);
+            }
+        }
+        let addresses = (0..self.fleet.len()).filter_map(|number| self.front.address(number));
+        command.args(addresses.map(|address| address.to_string()));
+        let began = Instant::now();
+        let output = blocking::unblock(move || command.output()).await.map_err(|why| why.to_string())?;
+        let took_ms = began.elapsed().as_millis() as u64;
+        let told: serde_json::Value = serde_json::from_slice(&output.stdout)
+            .map_err(|why| format!("the audit tells no JSON: {why}"))?;
+        let mut sockets: BTreeMap<(u64, u64), u64> = BTreeMap::new();
+        for line in self.front.world.capture.lines() {
+            if let Seen::Offered { dispatcher, decided, .. } = line.seen {
+                *sockets.entry((u64::from(dispatcher), decided)).or_default() += 1;
+            }
+        }
+        let number = |row: &serde_json::Value, name: &str| row[name].as_u64().unwrap_or(u64::MAX);
+        let rows = told["acts"].as_array().into_iter().flatten();
+        let rows =
+            rows.map(|row| ((number(row, "dispatcher"), number(row, "version")), number(row, "shots")));
+        let equal = rows.filter(|(_, shots)| *shots > 0).collect::<BTreeMap<_, _>>() == sockets;
+        let capture = &self.front.world.capture;
+        // What runs where at the end: those that were brought up by others told no control service.
+        for own in told["dispatchers"].as_array().into_iter().flatten() {
+            if let (Some(dispatcher), Some(version)) = (own["number"].as_u64(), own["version"].as_u64()) {
+                capture.see(Seen::InForce { dispatcher: dispatcher as u32, number: version });
+            }
+        }
+        let findings = told["findings"].as_array().map_or(0, Vec::len);
+        let bytes = output.stdout.len() as u64;
+        capture.see(Seen::Audited { took_ms, bytes, findings, equal });
+        let pages = self.fleet.iter().filter_map(|dispatcher| resident_kib(dispatcher.child.as_ref()?.id()));
+        let kib: Vec<u64> = pages.collect();
+        let (mean_kib, most_kib) = (kib.iter().sum::<u64>() / kib.len().max(1) as u64, kib.iter().max());
+        capture.see(Seen::Memory { mean_kib, most_kib: most_kib.copied().unwrap_or(0) });
+        Ok(())
+    }
+
     fn ask(&mut self, number: u64, until: Instant) -> async_executor::Task<()> {
         let rng = &mut self.rng;
         let draw = rng.random_range(0.0..100.0);
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -2,6 +2,7 @@
 
 use crate::capture::*;
 use crate::play::HELD;
+use crate::versions::VersionFigures;
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
@@ -27,6 +28,7 @@
     pub fell_over: u64,
     pub roll: Option<RollFigures>,
     pub copies: Option<CopyFigures>,
+    pub versions: Option<VersionFigures>,
     pub troubles: BTreeMap<String, u64>,
 }
 
@@ -223,6 +225,7 @@
         }
         table.roll = RollFigures::of(lines);
         table.copies = CopyFigures::of(lines);
+        table.versions = VersionFigures::of(lines);
         table.unanswered = calls.values().filter(|(_, _, answered)| !answered).count() as u64;
         if let Some(times) = times {
             let ms = |part| times.value_at_quantile(part) as f64 / 1000.0;
@@ -266,6 +269,9 @@
             let part = 100.0 * lost_s / all_s.max(1e-3);
             writeln!(f, "copies' time lost    {lost_s:.1} of {all_s:.0} s of {copies} copies, {part:.2}%")?;
         }
+        if let Some(versions) = &self.versions {
+            write!(f, "{versions}")?;
+        }
         let troubles: Vec<String> =
             self.troubles.iter().map(|(name, many)| format!("{name} {many}")).collect();
         write!(
--- a/crates/lab/src/wires.rs
+++ b/crates/lab/src/wires.rs
@@ -47,6 +47,7 @@
             }
             relays.insert((own, End::Dispatchers), links);
             peers.push(others);
+            // Thousands of links where all nodes have theirs: only those that a trouble strikes.
             for &(node, address) in nodes {
                 let relay = Relay::up(tasks, address).await?;
                 roster.ways.lock().expect("unshared").insert((own as u32, node), relay);
