Begin taking machines out: wish, slots, phases at keepers, doors, the next step

First the decisions, without I/O or clock: a wish at a majority, outings with numbered slots under four limits, phases that only go on, a door at each machine that remembers which outings are over, an order from bounded bids, and what whoever looks does next. Nobody owns an outing. Not searched yet and not in any process: both come next.

--- /dev/null
+++ b/crates/maintenance/src/look.rs
@@ -0,0 +1,219 @@
+//! What a dispatcher does next, by what a majority of the keepers and the machines tell. It keeps nothing: whoever looks may
+//! go on where another died.
+
+use crate::board::End;
+use crate::order::order;
+use crate::{At, ClaimId, Course, Machine, Outing, Phase, Slots, Then, Wish, majority, shares};
+use corkspan_keeper::in_force;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What one keeper tells.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Word {
+    pub wish: Option<Wish>,
+    pub outings: BTreeMap<Machine, Outing>,
+    pub ended: BTreeMap<Machine, End>,
+    pub withdrawn: BTreeSet<ClaimId>,
+    pub bids: BTreeMap<Machine, f64>,
+}
+
+/// What a machine says of itself; none where it does not answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Says {
+    pub closed: Option<ClaimId>,
+    /// Of the outings asked about, those that are over there.
+    pub over: BTreeSet<ClaimId>,
+    /// Allocations that run there.
+    pub runs: u32,
+    /// Since it is closed, or open, or started: whichever came last.
+    pub since_ms: u64,
+}
+
+/// What a majority says of one outing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    pub outing: Outing,
+    /// Which a majority has heard of at least; none where no majority has it at all.
+    pub phase: Option<Phase>,
+    pub tell: usize,
+    pub withdrawn: usize,
+}
+
+/// What all keepers that answer come to.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub wish: Option<Wish>,
+    pub outings: Vec<(Machine, Known)>,
+    pub ended: BTreeMap<Machine, End>,
+    bids: Vec<BTreeMap<Machine, f64>>,
+}
+
+impl View {
+    /// None where no majority answers: then nothing is known.
+    pub fn of(words: &[Word], keepers: usize) -> Option<View> {
+        if !majority(words.len(), keepers) {
+            return None;
+        }
+        let wishes: Vec<Wish> = words.iter().filter_map(|word| word.wish.clone()).collect();
+        let mut by_claim: BTreeMap<(Machine, ClaimId), Vec<Outing>> = BTreeMap::new();
+        for (machine, outing) in words.iter().flat_map(|word| &word.outings) {
+            by_claim.entry((*machine, outing.claim)).or_default().push(*outing);
+        }
+        let outings = by_claim.into_iter().map(|((machine, claim), all)| {
+            let mut phases: Vec<Phase> = all.iter().map(|outing| outing.phase).collect();
+            phases.sort_unstable_by(|a, b| b.cmp(a));
+            let withdrawn = words.iter().filter(|word| word.withdrawn.contains(&claim)).count();
+            let known =
+                Known { outing: all[0], phase: phases.get(keepers / 2).copied(), tell: all.len(), withdrawn };
+            (machine, known)
+        });
+        let ended = |machine: &Machine| {
+            let told: Vec<End> = words.iter().filter_map(|word| word.ended.get(machine).copied()).collect();
+            majority(told.len(), keepers).then(|| told[0])
+        };
+        let machines: BTreeSet<Machine> = words.iter().flat_map(|word| word.ended.keys().copied()).collect();
+        Some(View {
+            wish: in_force(&wishes, keepers).cloned(),
+            outings: outings.collect(),
+            ended: machines.into_iter().filter_map(|own| Some((own, ended(&own)?))).collect(),
+            bids: words.iter().map(|word| word.bids.clone()).collect(),
+        })
+    }
+
+    /// Out, by a majority's word: closed or about to be, in work, or not warm yet.
+    pub fn out(&self) -> impl Iterator<Item = (Machine, ClaimId, Phase)> {
+        let held = |(machine, known): &(Machine, Known)| {
+            Some((*machine, known.outing.claim, known.phase.filter(|phase| *phase >= Phase::Held)?))
+        };
+        self.outings.iter().filter_map(held)
+    }
+}
+
+/// What is to be told, all of it to all keepers or to the machine named.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Look {
+    /// To keepers: a claim of this wish, and the slots for it.
+    pub claim: Option<(u64, Machine, ClaimId, Slots)>,
+    pub withdraw: Vec<(Machine, ClaimId)>,
+    pub advance: Vec<(Machine, ClaimId, Phase)>,
+    pub release: Vec<(Machine, ClaimId, Option<(u64, End)>)>,
+    /// To machines.
+    pub close: Vec<(Machine, ClaimId)>,
+    pub open: Vec<(Machine, ClaimId)>,
+    /// What still runs there is to be stopped.
+    pub stop: Vec<(Machine, ClaimId)>,
+}
+
+/// What one who looks knows beside what keepers and machines tell.
+#[derive(Clone, Debug)]
+pub struct Own<'a> {
+    pub keepers: usize,
+    /// For a claim, if one is made: drawn anew for each.
+    pub claim: ClaimId,
+    /// Whether it may claim in this look: hundreds that see a free slot at once would all be turned away.
+    pub claims: bool,
+    /// Whether claims that no majority holds have been seen for so long that whoever made them has had time enough.
+    pub old: &'a BTreeSet<ClaimId>,
+    /// Machines of the roster that are lost or leaving by themselves, where they stand: they count as out.
+    pub lost: &'a BTreeMap<Machine, At>,
+    /// Nothing further is to be taken now: demand has jumped, or a roll needs the copies.
+    pub gives_way: bool,
+}
+
+pub fn look(view: &View, says: &BTreeMap<Machine, Says>, own: &Own) -> Look {
+    let mut look = Look::default();
+    let aborted = view.wish.as_ref().is_none_or(|wish| wish.course == Course::Aborted);
+    for &(machine, known) in &view.outings {
+        let claim = known.outing.claim;
+        match known.phase {
+            // A majority will never have it: what a minority holds of it goes.
+            _ if majority(known.withdrawn, own.keepers) => look.release.push((machine, claim, None)),
+            None | Some(Phase::Asked) if own.old.contains(&claim) || aborted => {
+                look.withdraw.push((machine, claim));
+            }
+            None => {}
+            Some(Phase::Asked) => look.advance.push((machine, claim, Phase::Held)),
+            Some(phase) => {
+                // One that does not answer is where it is, and stays out until it does.
+                let Some(says) = says.get(&machine) else { continue };
+                next(&mut look, view.wish.as_ref(), machine, claim, phase, says);
+            }
+        }
+    }
+    if own.claims && !own.gives_way {
+        look.claim = take(view, says, own);
+    }
+    look
+}
+
+/// The next step of a machine whose slots are held.
+fn next(look: &mut Look, wish: Option<&Wish>, machine: Machine, claim: ClaimId, phase: Phase, says: &Says) {
+    let (job, warm_ms) = wish.map_or((0, 0), |wish| (wish.job, wish.warm_ms));
+    // A machine that a later wish no longer names is not to be worked on.
+    let wanted =
+        wish.is_some_and(|wish| wish.course != Course::Aborted && wish.machines.contains_key(&machine));
+    let late = wish.is_some_and(|wish| says.since_ms >= wish.empty_within_ms);
+    let then = wish.map_or(Then::Wait, |wish| wish.then);
+    let over = says.over.contains(&claim);
+    match phase {
+        Phase::Asked => {}
+        // Opened by word of one that saw it aborted or late: it goes no further, whoever sees it otherwise.
+        Phase::Held | Phase::Closed if over => {
+            let skipped = wanted && phase == Phase::Closed && then == Then::Skip;
+            look.release.push((machine, claim, skipped.then_some((job, End::Skipped))));
+        }
+        Phase::Held | Phase::Closed if !wanted => look.open.push((machine, claim)),
+        Phase::Held if says.closed == Some(claim) => look.advance.push((machine, claim, Phase::Closed)),
+        Phase::Held => look.close.push((machine, claim)),
+        // It was closed and says that it is not: a machine that lost its disk. It is closed anew.
+        Phase::Closed if says.closed != Some(claim) => look.close.push((machine, claim)),
+        Phase::Closed if says.runs == 0 => look.advance.push((machine, claim, Phase::Handed)),
+        Phase::Closed if late && then == Then::Skip => look.open.push((machine, claim)),
+        Phase::Closed if late && then == Then::Stop => look.stop.push((machine, claim)),
+        Phase::Closed => {}
+        // The worker's: only his word goes on from here.
+        Phase::Handed => {}
+        Phase::Done if !over => look.open.push((machine, claim)),
+        Phase::Done if says.since_ms >= warm_ms => {
+            look.release.push((machine, claim, Some((job, End::Worked))));
+        }
+        Phase::Done => {}
+    }
+}
+
+/// The next machine to claim, and its slots: the first of the order that every limit has room for.
+fn take(view: &View, says: &BTreeMap<Machine, Says>, own: &Own) -> Option<(u64, Machine, ClaimId, Slots)> {
+    let wish = view.wish.as_ref().filter(|wish| wish.course == Course::Going)?;
+    let taken: BTreeSet<Machine> = view.outings.iter().map(|(machine, _)| *machine).collect();
+    // Only such as answer: what is lost by itself can't be told to close.
+    let free = wish.machines.keys().copied().filter(|machine| {
+        let ready = says.get(machine).is_some_and(|says| says.closed.is_none());
+        ready && !taken.contains(machine) && !view.ended.contains_key(machine)
+    });
+    let limits = wish.limits.each();
+    for machine in order(free, &view.bids) {
+        let at = wish.machines[&machine];
+        let slot = |limit: usize| {
+            let near: Vec<u32> = view
+                .outings
+                .iter()
+                .filter(|(_, known)| shares(limit, known.outing.at, at))
+                .map(|(_, known)| known.outing.slots[limit])
+                .collect();
+            let out: BTreeSet<Machine> = view.out().map(|(machine, _, _)| machine).collect();
+            let lost = own.lost.iter().filter(|(lost, other)| {
+                **lost != machine && !out.contains(lost) && shares(limit, **other, at)
+            });
+            let lost = lost.count() as u32;
+            if near.len() as u32 + lost >= limits[limit] {
+                return None;
+            }
+            (0..limits[limit]).find(|slot| !near.contains(slot))
+        };
+        let slots: Option<Vec<u32>> = (0..4).map(slot).collect();
+        if let Some(slots) = slots.and_then(|slots| Slots::try_from(slots).ok()) {
+            return Some((wish.number, machine, own.claim, slots));
+        }
+    }
+    None
+}
