--- a/crates/maintenance/src/board.rs
+++ b/crates/maintenance/src/board.rs
@@ -1,12 +1,14 @@
 //! A keeper's part: the wish, the outings with their slots, and what has come of them. Answered from what survives its
 //! own restart.
 
-use crate::{At, ClaimId, Course, Machine, Outing, Phase, Slots, Wish, shares};
+use crate::{ClaimId, Course, Machine, Outing, Phase, Slots, Wish, shares};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Claims that a keeper remembers as withdrawn.
 const WITHDRAWN: usize = 1_024;
+/// Outings whose vote is remembered.
+const VOTES: usize = 1_024;
 /// Dispatchers whose bids a keeper remembers, and machines that one may bid for.
 const BIDDERS: usize = 1_024;
 /// No bid counts for more: one that is not a number, or huge, must not hold a machine back for good.
@@ -38,6 +40,8 @@
     /// With the job that each belongs to.
     ended: BTreeMap<Machine, (u64, End)>,
     withdrawn: VecDeque<ClaimId>,
+    /// Whether an outing is to be handed over or returned.
+    votes: VecDeque<(ClaimId, Phase)>,
     bids: BTreeMap<u32, BTreeMap<Machine, f64>>,
 }
 
@@ -72,18 +76,31 @@
         if self.ended.contains_key(&machine) || self.withdrawn.contains(&claim) || (0..4).any(taken) {
             return Claimed::Taken;
         }
-        self.outings.insert(machine, Outing { claim, at, slots, phase: Phase::Asked });
+        let job = wish.job;
+        self.outings.insert(machine, Outing { claim, job, at, slots, phase: Phase::Asked });
         Claimed::Granted
     }
 
-    /// An outing has come so far. One that this keeper has not heard of is none here: it may have been withdrawn, and another
-    /// may hold its slots.
+    /// An outing has come so far. One that this keeper has not heard of is none here, but for its vote: it may have been
+    /// withdrawn, and another may hold its slots.
     pub fn advance(&mut self, machine: Machine, claim: ClaimId, phase: Phase) {
-        if let Some(outing) = self.outings.get_mut(&machine).filter(|outing| outing.claim == claim) {
+        if matches!(phase, Phase::Handed | Phase::Returned) {
+            if !self.votes.iter().any(|(of, _)| *of == claim) {
+                self.votes.push_back((claim, phase));
+            }
+            if self.votes.len() > VOTES {
+                self.votes.pop_front();
+            }
+        } else if let Some(outing) = self.outings.get_mut(&machine).filter(|outing| outing.claim == claim) {
             outing.phase = outing.phase.max(phase);
         }
     }
 
+    /// Of the outings that are out by any word, told by all keepers.
+    pub fn votes(&self) -> impl Iterator<Item = (ClaimId, Phase)> {
+        self.votes.iter().copied()
+    }
+
     /// A claim that a majority has never held is never to be held: from here on this keeper does not let it.
     pub fn withdraw(&mut self, machine: Machine, claim: ClaimId) {
         let here = self.outings.get(&machine).filter(|outing| outing.claim == claim);
@@ -145,9 +162,4 @@
         }
         sums
     }
-
-    /// For tests of limits: where machines of this board stand.
-    pub fn at(&self, machine: Machine) -> Option<At> {
-        self.outings.get(&machine).map(|outing| outing.at)
-    }
 }
--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -116,7 +116,8 @@
     }
 }
 
-/// How far a machine has come. Each is told to a majority before the next is begun, and none is taken back.
+/// How far a machine has come. Each is told to a majority before the next is begun, and none is taken back. From
+/// [`Phase::Closed`] it is either handed over or returned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
@@ -130,12 +131,18 @@
     Handed,
     /// The worker says that the work is done.
     Done,
+    /// It is to be opened again unworked. Of each outing a keeper votes once, for this or for [`Phase::Handed`], and all
+    /// keepers vote, also one that never held it: or one who has seen a wish ended could open what another has just handed
+    /// over, and a keeper without a vote could leave the two even for good.
+    Returned,
 }
 
 /// A machine that is out, or about to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Outing {
     pub claim: ClaimId,
+    /// Of the wish that it was claimed under.
+    pub job: u64,
     pub at: At,
     pub slots: Slots,
     pub phase: Phase,
--- a/crates/maintenance/src/look.rs
+++ b/crates/maintenance/src/look.rs
@@ -14,6 +14,7 @@
     pub outings: BTreeMap<Machine, Outing>,
     pub ended: BTreeMap<Machine, End>,
     pub withdrawn: BTreeSet<ClaimId>,
+    pub votes: BTreeMap<ClaimId, Phase>,
     pub bids: BTreeMap<Machine, f64>,
 }
 
@@ -35,8 +36,9 @@
     pub outing: Outing,
     /// Which a majority has heard of at least; none where no majority has it at all.
     pub phase: Option<Phase>,
-    pub tell: usize,
     pub withdrawn: usize,
+    /// A keeper says that it is over and how: it was told so by who had seen it open and warm.
+    pub ended: Option<End>,
 }
 
 /// What all keepers that answer come to.
@@ -62,9 +64,18 @@
         let outings = by_claim.into_iter().map(|((machine, claim), all)| {
             let mut phases: Vec<Phase> = all.iter().map(|outing| outing.phase).collect();
             phases.sort_unstable_by(|a, b| b.cmp(a));
+            let votes = |phase| words.iter().filter(|word| word.votes.get(&claim) == Some(&phase)).count();
+            let phase = phases.get(keepers / 2).map(|&phase| match phase {
+                Phase::Held | Phase::Closed if majority(votes(Phase::Returned), keepers) => Phase::Returned,
+                Phase::Held | Phase::Closed if majority(votes(Phase::Handed), keepers) => Phase::Handed,
+                phase => phase,
+            });
+            let ended = words.iter().find_map(|word| {
+                let mine = word.wish.as_ref().is_some_and(|wish| wish.job == all[0].job);
+                word.ended.get(&machine).copied().filter(|_| mine)
+            });
             let withdrawn = words.iter().filter(|word| word.withdrawn.contains(&claim)).count();
-            let known =
-                Known { outing: all[0], phase: phases.get(keepers / 2).copied(), tell: all.len(), withdrawn };
+            let known = Known { outing: all[0], phase, withdrawn, ended };
             (machine, known)
         });
         let ended = |machine: &Machine| {
@@ -80,15 +91,34 @@
         })
     }
 
+    /// The worker's, by a majority's word and the machine's own.
+    pub fn in_work(&self, says: &BTreeMap<Machine, Says>) -> Vec<(Machine, ClaimId)> {
+        let closed = |machine, claim| says.get(&machine).is_some_and(|says| says.closed == Some(claim));
+        let handed = self.out().filter(|(_, _, phase)| *phase == Phase::Handed);
+        handed
+            .map(|(machine, claim, _)| (machine, claim))
+            .filter(|&(own, claim)| closed(own, claim))
+            .collect()
+    }
+
     /// Out, by a majority's word: closed or about to be, in work, or not warm yet.
     pub fn out(&self) -> impl Iterator<Item = (Machine, ClaimId, Phase)> {
         let held = |(machine, known): &(Machine, Known)| {
-            Some((*machine, known.outing.claim, known.phase.filter(|phase| *phase >= Phase::Held)?))
+            let phase = known.phase.filter(|phase| *phase >= Phase::Held && known.ended.is_none())?;
+            Some((*machine, known.outing.claim, phase))
         };
         self.outings.iter().filter_map(held)
     }
 }
 
+/// The slots of a claim are free again; `ended`: of this job, the machine has come to its end so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Release {
+    pub machine: Machine,
+    pub claim: ClaimId,
+    pub ended: Option<(u64, End)>,
+}
+
 /// What is to be told, all of it to all keepers or to the machine named.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Look {
@@ -96,7 +126,7 @@
     pub claim: Option<(u64, Machine, ClaimId, Slots)>,
     pub withdraw: Vec<(Machine, ClaimId)>,
     pub advance: Vec<(Machine, ClaimId, Phase)>,
-    pub release: Vec<(Machine, ClaimId, Option<(u64, End)>)>,
+    pub release: Vec<Release>,
     /// To machines.
     pub close: Vec<(Machine, ClaimId)>,
     pub open: Vec<(Machine, ClaimId)>,
@@ -127,7 +157,12 @@
         let claim = known.outing.claim;
         match known.phase {
             // A majority will never have it: what a minority holds of it goes.
-            _ if majority(known.withdrawn, own.keepers) => look.release.push((machine, claim, None)),
+            _ if majority(known.withdrawn, own.keepers) => {
+                look.release.push(Release { machine, claim, ended: None })
+            }
+            _ if let Some(end) = known.ended => {
+                look.release.push(Release { machine, claim, ended: Some((known.outing.job, end)) });
+            }
             None | Some(Phase::Asked) if own.old.contains(&claim) || aborted => {
                 look.withdraw.push((machine, claim));
             }
@@ -136,7 +171,7 @@
             Some(phase) => {
                 // One that does not answer is where it is, and stays out until it does.
                 let Some(says) = says.get(&machine) else { continue };
-                next(&mut look, view.wish.as_ref(), machine, claim, phase, says);
+                next(&mut look, view.wish.as_ref(), machine, &known.outing, phase, says);
             }
         }
     }
@@ -147,35 +182,43 @@
 }
 
 /// The next step of a machine whose slots are held.
-fn next(look: &mut Look, wish: Option<&Wish>, machine: Machine, claim: ClaimId, phase: Phase, says: &Says) {
-    let (job, warm_ms) = wish.map_or((0, 0), |wish| (wish.job, wish.warm_ms));
+fn next(look: &mut Look, wish: Option<&Wish>, machine: Machine, outing: &Outing, phase: Phase, says: &Says) {
+    let (claim, job, warm_ms) = (outing.claim, outing.job, wish.map_or(0, |wish| wish.warm_ms));
     // A machine that a later wish no longer names is not to be worked on.
     let wanted =
         wish.is_some_and(|wish| wish.course != Course::Aborted && wish.machines.contains_key(&machine));
     let late = wish.is_some_and(|wish| says.since_ms >= wish.empty_within_ms);
     let then = wish.map_or(Then::Wait, |wish| wish.then);
     let over = says.over.contains(&claim);
+    // Machines are opened only once a majority has heard that it is returned, or done. Where that is so and a majority no
+    // longer tells it, some have let go of it already.
+    let phase = match phase {
+        Phase::Held | Phase::Closed if over => Phase::Returned,
+        Phase::Handed if over => Phase::Done,
+        phase => phase,
+    };
     match phase {
         Phase::Asked => {}
-        // Opened by word of one that saw it aborted or late: it goes no further, whoever sees it otherwise.
-        Phase::Held | Phase::Closed if over => {
-            let skipped = wanted && phase == Phase::Closed && then == Then::Skip;
-            look.release.push((machine, claim, skipped.then_some((job, End::Skipped))));
-        }
-        Phase::Held | Phase::Closed if !wanted => look.open.push((machine, claim)),
+        Phase::Held | Phase::Closed if !wanted => look.advance.push((machine, claim, Phase::Returned)),
         Phase::Held if says.closed == Some(claim) => look.advance.push((machine, claim, Phase::Closed)),
         Phase::Held => look.close.push((machine, claim)),
         // It was closed and says that it is not: a machine that lost its disk. It is closed anew.
         Phase::Closed if says.closed != Some(claim) => look.close.push((machine, claim)),
         Phase::Closed if says.runs == 0 => look.advance.push((machine, claim, Phase::Handed)),
-        Phase::Closed if late && then == Then::Skip => look.open.push((machine, claim)),
+        Phase::Closed if late && then == Then::Skip => {
+            look.advance.push((machine, claim, Phase::Returned));
+        }
         Phase::Closed if late && then == Then::Stop => look.stop.push((machine, claim)),
         Phase::Closed => {}
         // The worker's: only his word goes on from here.
         Phase::Handed => {}
-        Phase::Done if !over => look.open.push((machine, claim)),
+        Phase::Done | Phase::Returned if !over => look.open.push((machine, claim)),
+        Phase::Returned => {
+            let skipped = wanted && then == Then::Skip;
+            look.release.push(Release { machine, claim, ended: skipped.then_some((job, End::Skipped)) });
+        }
         Phase::Done if says.since_ms >= warm_ms => {
-            look.release.push((machine, claim, Some((job, End::Worked))));
+            look.release.push(Release { machine, claim, ended: Some((job, End::Worked)) });
         }
         Phase::Done => {}
     }
--- a/crates/maintenance/src/order.rs
+++ b/crates/maintenance/src/order.rs
@@ -22,3 +22,10 @@
     all.sort_by(|(cost, machine), (other, than)| cost.total_cmp(other).then(machine.cmp(than)));
     all.into_iter().map(|(_, machine)| machine).collect()
 }
+
+/// What it would cost one dispatcher to have a machine taken out: a move for each allocation that may be moved, and for each
+/// that may not the wait for its end, which holds up the whole order.
+pub fn bid(movable: usize, unrepeatable: usize) -> f64 {
+    const WAIT: f64 = 10.0;
+    movable as f64 + WAIT * unrepeatable as f64
+}
--- /dev/null
+++ b/crates/maintenance/tests/stories.rs
@@ -0,0 +1,95 @@
+//! Slots, bids and the order, one story each.
+
+use corkspan_maintenance::board::{Board, Claimed, DEAREST, End};
+use corkspan_maintenance::door::Door;
+use corkspan_maintenance::order::{bid, order};
+use corkspan_maintenance::{At, ClaimId, Course, Limits, Machine, Phase, Then, Wish};
+use std::collections::BTreeMap;
+
+/// Four machines in two halls, each in a cell of its own.
+fn wish(number: u64, limits: Limits) -> Wish {
+    let at = |own: u32| At { hall: own % 2, cell: u64::from(own), kind: 0 };
+    Wish {
+        number,
+        asker: 1,
+        job: 1,
+        machines: (0..4).map(|own| (Machine(own), at(own))).collect(),
+        limits,
+        warm_ms: 0,
+        empty_within_ms: 1_000,
+        then: Then::Wait,
+        course: Course::Going,
+    }
+}
+
+const TWO: Limits = Limits { all: 2, hall: 1, cell: 1, kind: 9 };
+
+fn board() -> Board {
+    let mut board = Board::default();
+    board.propose(wish(1, TWO));
+    board
+}
+
+#[test]
+fn a_slot_is_held_by_one_outing_under_each_limit() {
+    let mut board = board();
+    assert_eq!(board.claim(1, Machine(0), ClaimId(1), [0, 0, 0, 0]), Claimed::Granted);
+    assert_eq!(board.claim(1, Machine(0), ClaimId(1), [0, 0, 0, 0]), Claimed::Granted, "doubled");
+    assert_eq!(board.claim(1, Machine(1), ClaimId(2), [0, 0, 0, 1]), Claimed::Taken, "the same of all");
+    assert_eq!(board.claim(1, Machine(2), ClaimId(2), [1, 0, 0, 1]), Claimed::Taken, "the same of its hall");
+    assert_eq!(board.claim(1, Machine(1), ClaimId(2), [2, 0, 0, 1]), Claimed::Taken, "beyond the limit");
+    assert_eq!(board.claim(1, Machine(9), ClaimId(2), [1, 0, 0, 1]), Claimed::OtherWish, "not wished for");
+    assert_eq!(board.claim(1, Machine(1), ClaimId(2), [1, 0, 0, 1]), Claimed::Granted);
+}
+
+#[test]
+fn limits_that_shrink_let_nobody_in_until_fewer_are_out() {
+    let mut board = board();
+    board.claim(1, Machine(0), ClaimId(1), [0, 0, 0, 0]);
+    board.claim(1, Machine(1), ClaimId(2), [1, 0, 0, 1]);
+    board.propose(wish(2, Limits { all: 1, ..TWO }));
+    assert_eq!(board.claim(2, Machine(2), ClaimId(3), [0, 0, 0, 2]), Claimed::Taken);
+    board.release(Machine(0), ClaimId(1), Some((1, End::Worked)));
+    assert_eq!(board.claim(2, Machine(2), ClaimId(3), [0, 0, 0, 2]), Claimed::Granted);
+    assert_eq!(board.claim(2, Machine(0), ClaimId(4), [0, 0, 0, 3]), Claimed::Taken, "it has had its work");
+    board.propose(wish(3, Limits { all: 0, ..TWO }));
+    assert_eq!(board.claim(3, Machine(3), ClaimId(5), [0, 1, 0, 3]), Claimed::Taken, "none at all");
+}
+
+#[test]
+fn late_word_to_close_finds_its_outing_over() {
+    let mut door = Door::default();
+    assert!(door.close(ClaimId(1)) && !door.close(ClaimId(2)));
+    door.open(ClaimId(1));
+    assert!(!door.close(ClaimId(1)) && door.closed().is_none());
+    door.open(ClaimId(3));
+    assert!(!door.close(ClaimId(3)), "opened before it was ever closed");
+}
+
+#[test]
+fn no_bid_holds_a_machine_up_or_captures_the_order() {
+    let mut board = board();
+    let all = |costs: [f64; 4]| (0..4).map(Machine).zip(costs);
+    board.bid(0, all([bid(3, 0), bid(0, 1), bid(1, 0), bid(0, 0)]));
+    board.bid(1, all([f64::NAN, -1.0, f64::INFINITY, 1e300]));
+    board.bid(77, all([0.0, 0.0, 0.0, 9.0]));
+    let sums = board.bids(2);
+    let sums: Vec<Option<f64>> = (0..4).map(|own| sums.get(&Machine(own)).copied()).collect();
+    assert_eq!(sums, [Some(3.0), Some(10.0), Some(1.0), Some(DEAREST)]);
+    let told = board.bids(2);
+    let liar: BTreeMap<Machine, f64> = all([0.0, 0.0, 0.0, 0.0]).collect();
+    let all_machines = || (0..4).map(Machine);
+    let sound = order(all_machines(), &[told.clone(), told.clone(), liar.clone()]);
+    assert_eq!(sound, [2, 0, 1, 3].map(Machine), "one keeper's word moves nothing");
+    assert_eq!(order(all_machines(), &[liar, told.clone(), told]), sound, "in whatever order they answer");
+    assert_eq!(order(all_machines(), &[]), [0, 1, 2, 3].map(Machine), "nobody has bid");
+}
+
+#[test]
+fn an_outing_is_handed_over_or_returned_and_never_both() {
+    let mut board = board();
+    board.claim(1, Machine(0), ClaimId(1), [0, 0, 0, 0]);
+    board.advance(Machine(0), ClaimId(1), Phase::Returned);
+    board.advance(Machine(0), ClaimId(1), Phase::Handed);
+    assert_eq!(board.votes().collect::<Vec<_>>(), [(ClaimId(1), Phase::Returned)]);
+}
