Put machines taken out for work through real processes: keepers, doors, operator, worker

Change: keepers keep the board, nodes a door (call Door), dispatchers look each so often and a few of them act, move what may be moved off a machine that is being emptied, and bid; corkspan maintenance start, status, pause, resume, abort, done; (maintenance (every …)) in the deployment file, off without it, and nothing of it in platform. Keepers among the machines are refused where no majority would be left.

Result: a story of five processes and eight nodes, one cut off from all nodes, two killed and one started anew meanwhile: six machines have their work once each, two at a time and never more by the nodes' own doors, nothing runs on one that is the worker's, no closed one accepts anything, none is left closed. Measured at full size: not yet.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The command line of corkspan.
 
 mod fleet;
+mod maintenance;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use corkspan_api::v1::{
@@ -77,6 +78,11 @@
         #[command(subcommand)]
         call: fleet::Fleet,
     },
+    /// Machines taken out for work, few at a time.
+    Maintenance {
+        #[command(subcommand)]
+        call: maintenance::Maintenance,
+    },
     /// Prints what a dispatcher holds and has answered.
     Status {
         /// Where the dispatcher listens.
@@ -193,6 +199,7 @@
         Call::Schema { version_only } => schema(version_only),
         Call::Control { call } => control(call),
         Call::Roll { call } => roll(call),
+        Call::Maintenance { call } => maintenance::run(call),
         Call::Fleet { call } => fleet::run(call),
     };
     match result {
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -53,6 +53,8 @@
     pub allow: Vec<IpNet>,
     /// How the floor of versions is followed; none where it is not.
     pub floor: Option<FloorWatch>,
+    /// Between two looks at machines taken out for work; none where none are.
+    pub maintenance: Option<Tenths>,
     /// What it shares with the others, as written.
     pub texts: Texts,
     /// What names that: number 0 for a file.
@@ -123,6 +125,7 @@
                 bounds: shared.bounds,
                 allow: shared.allow,
                 floor: parts.find("floor").map(floor).transpose()?,
+                maintenance: parts.find("maintenance").map(maintenance).transpose()?,
                 stamp: Stamp { number: 0, digest: shared.texts.digest() },
                 texts: shared.texts,
             })
@@ -293,6 +296,14 @@
     })
 }
 
+/// `(maintenance (every 500 ms))`
+fn maintenance(form: &Form) -> Result<Tenths, Fault> {
+    form.parts(&["every"])?.or("every", 5_000, |form| match form.time()? {
+        time if time >= 1_000 => Ok(time),
+        _ => Err(form.fault("must be 100 ms or more")),
+    })
+}
+
 fn keepers(form: &Form) -> Result<Vec<MachineId>, Fault> {
     let ids = form.wholes(u64::from(u32::MAX))?;
     Ok(ids.into_iter().map(|id| MachineId(id as u32)).collect())
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -108,6 +108,7 @@
                 desk: desk.clone(),
                 now,
                 nodes: BTreeMap::new(),
+                entries: BTreeMap::new(),
                 counters: Counters::default(),
                 stopping: false,
                 decided: Duration::ZERO,
@@ -389,7 +390,14 @@
                 port.nodes.retain(|id, _| entries.iter().any(|(entry, _)| entry.machine == *id));
             }
             let dispatcher = self.deployment().cluster.number as u32;
+            if scope == Scope::Whole {
+                port.entries.clear();
+            }
             for (entry, address) in entries {
+                match entry.state {
+                    State::Gone => drop(port.entries.remove(&entry.machine)),
+                    _ => drop(port.entries.insert(entry.machine, *entry)),
+                }
                 match port.nodes.get(&entry.machine) {
                     Some(node) if node.address == *address => {}
                     _ => drop(
@@ -403,6 +411,37 @@
         });
     }
 
+    /// The machines that the roster names.
+    pub fn entries(&self) -> BTreeMap<MachineId, Entry> {
+        self.lock().port.entries.clone()
+    }
+
+    /// Our allocations on a machine: how many may be moved, and how many may not.
+    pub fn held_on(&self, machine: MachineId) -> (usize, usize) {
+        let mut inner = self.lock();
+        let there = there(&mut inner.host, machine);
+        let once = there.iter().filter(|(_, track)| self.once(*track)).count();
+        (there.len() - once, once)
+    }
+
+    fn once(&self, track: TrackId) -> bool {
+        let deployment = self.deployment();
+        deployment.cluster.tracks.get(track.0).is_none_or(|track| track.repeat == Repeat::Unrepeatable)
+    }
+
+    /// Moves what may be moved off a machine that is taken out, each once: its owner asks for it anew.
+    pub fn empty(self: &Arc<Self>, machine: MachineId) {
+        self.with(|_, host, port| {
+            for (id, track) in there(host, machine) {
+                let Some((client, _)) = host.own(id).filter(|(client, _)| !client.moving) else { continue };
+                if !self.once(track) {
+                    client.moving = true;
+                    port.stop(self, client, machine, true);
+                }
+            }
+        });
+    }
+
     pub fn count_serving(&self, serving: usize) {
         self.lock().port.serving = serving;
     }
@@ -494,6 +533,18 @@
 /// Some 2 ms of work, and as long for the sockets.
 const SLICE: Slice = Slice { most: 32, apart: 20 };
 
+/// What stands on a machine.
+fn there(host: &mut Host<Client>, machine: MachineId) -> Vec<(AllocationId, TrackId)> {
+    let placed: Vec<AllocationId> =
+        host.all().filter(|(_, _, placed)| *placed).map(|(id, _, _)| id).collect();
+    let on = |id: AllocationId, host: &mut Host<Client>| {
+        let (_, allocation) = host.own(id)?;
+        let there = allocation.shots.last().is_some_and(|shot| shot.machine == machine);
+        there.then_some((id, allocation.track))
+    };
+    placed.into_iter().filter_map(|id| on(id, host)).collect()
+}
+
 /// No owner waits longer for a placing.
 const LONGEST: Tenths = 24 * 3600 * 10_000;
 
--- a/crates/dispatcher/src/desk/port.rs
+++ b/crates/dispatcher/src/desk/port.rs
@@ -32,6 +32,8 @@
     pub desk: Weak<Desk>,
     pub now: Tenths,
     pub nodes: BTreeMap<MachineId, Arc<NodeLink>>,
+    /// As the roster told last.
+    pub entries: BTreeMap<MachineId, Entry>,
     pub counters: Counters,
     pub stopping: bool,
     pub decided: Duration,
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -93,7 +93,7 @@
     let cluster = &desk.deployment().cluster;
     let (dispatcher, fleet) = (cluster.number as u32, cluster.schedulers as u32);
     let runs = Some(v1::InForce { dispatcher, stamp: Some(running::message(running)), on_trial });
-    ask_all(desk, Ask::Tell(v1::Tell { floor_only: true, runs, part: own.part, fleet })).await
+    ask_all(desk, Ask::Tell(v1::Tell { floor_only: true, runs, part: own.part, fleet, board: false })).await
 }
 
 /// Lays the version that has stood its trial here on the shelves of keepers where an older one lies, or none.
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod fleet;
 mod keepers;
 mod links;
+mod maintenance;
+pub mod outings;
 pub mod rolls;
 mod roster;
 mod running;
@@ -120,6 +122,7 @@
         tasks.spawn(fleet::run(Arc::clone(&desk))),
         tasks.spawn(fleet::keep(Arc::clone(&desk))),
         tasks.spawn(bring::run(Arc::clone(&desk))),
+        tasks.spawn(maintenance::run(Arc::clone(&desk))),
         tasks.spawn(sweep(Arc::clone(&desk), clock::duration(bounds.idle_close) / 4)),
     ];
     ready(address);
--- /dev/null
+++ b/crates/dispatcher/src/maintenance.rs
@@ -0,0 +1,264 @@
+//! Taking machines out for work: keepers and machines asked, steps told. What is decided stands in
+//! `corkspan_maintenance`; whoever looks takes the next step, whoever took the one before.
+
+use crate::clock::duration;
+use crate::desk::Desk;
+use crate::keepers::ask_all;
+use crate::outings;
+use corkspan::interface::{MachineId, Tenths};
+use corkspan_api::v1::door_ask::What as Do;
+use corkspan_api::v1::{self, keep_ask::Ask, maintain_ask::What, node_client::NodeClient};
+use corkspan_keeper::to_follow;
+use corkspan_maintenance::look::{Own, Says, View, look};
+use corkspan_maintenance::order::bid;
+use corkspan_maintenance::{At, ClaimId, Course, Limits, Machine, Phase, Wish};
+use corkspan_rpc::within;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use tonic::Status;
+use tracing::info;
+
+/// A claim that no majority holds after so long has been left behind by whoever made it.
+const LEFT_BEHIND: Tenths = 100_000;
+/// Between two bids.
+const BID_EVERY: Tenths = 50_000;
+/// Machines that are asked in one look whether they could be taken next.
+const CANDIDATES: usize = 16;
+/// In one look so many dispatchers act, whatever the size of the fleet: more would only get in each other's way.
+const ACT: f64 = 3.0;
+
+/// Looks again and again, for as long as it is polled.
+pub async fn run(desk: Arc<Desk>) {
+    let mut rng = Pcg64Mcg::seed_from_u64(desk.fleet.life ^ 2);
+    let mut first_seen: BTreeMap<ClaimId, Tenths> = BTreeMap::new();
+    let mut bid_at = 0;
+    while let Some(every) = desk.deployment().maintenance {
+        if let Some(view) = view(&desk).await {
+            let now = desk.clock.now();
+            for (machine, _, phase) in view.out() {
+                if matches!(phase, Phase::Closed) {
+                    desk.empty(MachineId(machine.0));
+                }
+            }
+            let waiting = view
+                .outings
+                .iter()
+                .filter(|(_, known)| known.phase.is_none_or(|phase| phase == Phase::Asked));
+            let waiting: BTreeSet<ClaimId> = waiting.map(|(_, known)| known.outing.claim).collect();
+            first_seen.retain(|claim, _| waiting.contains(claim));
+            for claim in waiting {
+                first_seen.entry(claim).or_insert(now);
+            }
+            let old = first_seen.iter().filter(|(_, at)| **at + LEFT_BEHIND <= now).map(|(claim, _)| *claim);
+            let old: BTreeSet<ClaimId> = old.collect();
+            if let Some(wish) = view.wish.as_ref().filter(|_| bid_at <= now) {
+                bid_at = now + BID_EVERY;
+                bids(&desk, wish).await;
+            }
+            let fleet = desk.deployment().cluster.schedulers.max(1) as f64;
+            if rng.random::<f64>() < ACT / fleet {
+                act(&desk, &view, &old, ClaimId(rng.random_range(1..=u64::MAX))).await;
+            }
+        }
+        async_io::Timer::after(duration(every)).await;
+    }
+}
+
+/// What the keepers come to; none without a majority.
+async fn view(desk: &Arc<Desk>) -> Option<View> {
+    let fleet = desk.deployment().cluster.schedulers as u32;
+    let tell = v1::Tell { floor_only: true, board: true, fleet, ..v1::Tell::default() };
+    let words = ask_all(desk, Ask::Tell(tell)).await;
+    let words: Vec<_> = words.iter().filter_map(|word| word.board.as_ref().map(outings::word)).collect();
+    View::of(&words, desk.deployment().keepers.len())
+}
+
+async fn bids(desk: &Arc<Desk>, wish: &Wish) {
+    let cost = |machine: &Machine| {
+        let (movable, once) = desk.held_on(MachineId(machine.0));
+        (machine.0, bid(movable, once))
+    };
+    let costs = wish.machines.keys().map(cost).filter(|(_, cost)| *cost > 0.0).collect();
+    let dispatcher = desk.deployment().cluster.number as u32;
+    ask_all(desk, Ask::Bids(v1::Bids { dispatcher, costs })).await;
+}
+
+/// What machines say, of those that are out and of some that could be next.
+async fn says(desk: &Arc<Desk>, view: &View) -> BTreeMap<Machine, Says> {
+    let out = view.outings.iter().map(|(machine, known)| (*machine, known.outing.claim));
+    let mut asks: BTreeMap<Machine, ClaimId> = out.collect();
+    let free = view.wish.iter().flat_map(|wish| wish.machines.keys());
+    let free = free.filter(|own| !view.ended.contains_key(own)).take(CANDIDATES + asks.len());
+    for machine in free {
+        asks.entry(*machine).or_insert(ClaimId(0));
+    }
+    let mut calls = Vec::new();
+    for (machine, claim) in asks {
+        let own = Arc::clone(desk);
+        calls.push((
+            machine,
+            claim,
+            desk.tasks.spawn(async move { door(&own, machine, claim, Do::Look).await }),
+        ));
+    }
+    let mut says = BTreeMap::new();
+    for (machine, claim, call) in calls {
+        if let Some(word) = call.await {
+            let closed = (word.closed != 0).then_some(ClaimId(word.closed));
+            let over = word.over.then_some(claim).into_iter().collect();
+            says.insert(machine, Says { closed, over, runs: word.runs, since_ms: word.since_ms });
+        }
+    }
+    says
+}
+
+async fn door(desk: &Arc<Desk>, machine: Machine, claim: ClaimId, what: Do) -> Option<v1::DoorWord> {
+    let node = desk.node(MachineId(machine.0))?;
+    let _call = node.call();
+    let ask = v1::DoorAsk { claim: claim.0, what: what.into() };
+    let whole = async {
+        let link = node.ready(&desk.tasks, &desk.link_bounds).await.ok()?;
+        NodeClient::new(link).door(ask).await.ok().map(tonic::Response::into_inner)
+    };
+    within(desk.link_bounds.connect_within * 2, Box::pin(whole)).await.flatten()
+}
+
+async fn act(desk: &Arc<Desk>, view: &View, old: &BTreeSet<ClaimId>, claim: ClaimId) {
+    let says = says(desk, view).await;
+    let lost = BTreeMap::new();
+    let keepers = desk.deployment().keepers.len();
+    // A roll needs its copies: while one goes on nothing further is taken.
+    let gives_way = desk.with_rolls(|_, rolls| rolls.goes_on());
+    let own = Own { keepers, claim, claims: true, old, lost: &lost, gives_way };
+    let next = look(view, &says, &own);
+    // Machines first: what keepers are told in this look does not depend on what they answer.
+    for (machine, claim, what) in next
+        .close
+        .iter()
+        .map(|(machine, claim)| (*machine, *claim, Do::Close))
+        .chain(next.open.iter().map(|(machine, claim)| (*machine, *claim, Do::Open)))
+        .chain(next.stop.iter().map(|(machine, claim)| (*machine, *claim, Do::Stop)))
+    {
+        door(desk, machine, claim, what).await;
+    }
+    for step in outings::steps(&next) {
+        ask_all(desk, Ask::Step(step)).await;
+    }
+    if let Some((number, machine, claim, slots)) = next.claim {
+        let (node, claim, slots) = (machine.0, claim.0, slots.to_vec());
+        ask_all(desk, Ask::Take(v1::WorkClaim { number, node, claim, slots })).await;
+    }
+}
+
+/// What an operator asks.
+pub async fn maintain(desk: &Arc<Desk>, ask: v1::MaintainAsk) -> Result<v1::MaintainWord, Status> {
+    let keepers = desk.deployment().keepers.len();
+    if keepers == 0 || desk.deployment().maintenance.is_none() {
+        return Err(Status::failed_precondition(
+            "the deployment names no keepers, or has no `(maintenance …)`",
+        ));
+    }
+    let Some(view) = view(desk).await else {
+        return Err(Status::unavailable("no majority of the keepers answers"));
+    };
+    let what = ask.what();
+    let taken = match what {
+        What::Status => true,
+        What::Done => done(desk, &view, &ask).await?,
+        _ => propose(desk, &view, ask).await?,
+    };
+    let text = if taken { "" } else { "turned down: another wish stands, or no majority has taken it" };
+    let after = self::view(desk).await.unwrap_or(view);
+    let says = says(desk, &after).await;
+    let phase = |(machine, claim, phase): (Machine, ClaimId, Phase)| {
+        let known = after.outings.iter().find(|(own, known)| *own == machine && known.outing.claim == claim);
+        known.map(|(_, known)| outings::outing(machine, &known.outing, phase))
+    };
+    use corkspan_maintenance::board::End;
+    let ended = |end| after.ended.iter().filter(move |(_, own)| **own == end).map(|(machine, _)| machine.0);
+    Ok(v1::MaintainWord {
+        taken,
+        text: text.into(),
+        stands: after.wish.as_ref().map(outings::work),
+        out: after.out().filter_map(phase).collect(),
+        worked: ended(End::Worked).collect(),
+        skipped: ended(End::Skipped).collect(),
+        in_work: after.in_work(&says).into_iter().map(|(machine, _)| machine.0).collect(),
+    })
+}
+
+/// The worker's word on each machine named.
+async fn done(desk: &Arc<Desk>, view: &View, ask: &v1::MaintainAsk) -> Result<bool, Status> {
+    let says = says(desk, view).await;
+    let in_work: BTreeMap<Machine, ClaimId> = view.in_work(&says).into_iter().collect();
+    for node in &ask.nodes {
+        let machine = Machine(*node);
+        let Some(claim) = in_work.get(&machine) else {
+            return Err(Status::failed_precondition(format!("machine {node} is not in work")));
+        };
+        let step = v1::WorkStep {
+            node: *node,
+            claim: claim.0,
+            step: v1::work_step::Step::Done.into(),
+            ..v1::WorkStep::default()
+        };
+        ask_all(desk, Ask::Step(step)).await;
+    }
+    Ok(true)
+}
+
+async fn propose(desk: &Arc<Desk>, view: &View, ask: v1::MaintainAsk) -> Result<bool, Status> {
+    let asker = desk.clock.now().rotate_left(24) ^ desk.fleet.life;
+    let number = view.wish.as_ref().map_or(0, |wish| wish.number).saturating_add(1);
+    let wish = match (ask.what(), &view.wish) {
+        (What::Start, _) => start(desk, view, ask, number, asker)?,
+        (_, None) => return Err(Status::not_found("there is no work under way")),
+        (What::Pause, Some(wish)) => Wish { number, asker, course: Course::Paused, ..wish.clone() },
+        (What::Resume, Some(wish)) => Wish { number, asker, course: Course::Going, ..wish.clone() },
+        (_, Some(wish)) => Wish { number, asker, course: Course::Aborted, ..wish.clone() },
+    };
+    let words = ask_all(desk, Ask::Work(outings::work(&wish))).await;
+    let stands: Vec<Wish> =
+        words.iter().filter_map(|word| outings::wish(word.board.as_ref()?.work.as_ref()?)).collect();
+    info!(number, course = ?wish.course, machines = wish.machines.len(), "a wish for work on machines");
+    Ok(to_follow(&stands, desk.deployment().keepers.len()).as_ref() == Some(&wish))
+}
+
+fn start(
+    desk: &Arc<Desk>,
+    view: &View,
+    ask: v1::MaintainAsk,
+    number: u64,
+    asker: u64,
+) -> Result<Wish, Status> {
+    let wrong = |why: String| Status::invalid_argument(why);
+    let [all, hall, cell, kind] = ask.limits[..] else { return Err(wrong("limits: four are wanted".into())) };
+    let entries = desk.entries();
+    let mut machines = BTreeMap::new();
+    for node in &ask.nodes {
+        let entry = entries.get(&MachineId(*node));
+        let entry = entry.ok_or_else(|| wrong(format!("machine {node} is not in the roster's list")))?;
+        let at = At { hall: entry.hall.0 as u32, cell: entry.cell.0, kind: entry.kind.0 as u32 };
+        machines.insert(Machine(*node), at);
+    }
+    if machines.is_empty() || machines.len() > corkspan_maintenance::MOST {
+        return Err(wrong(format!("1 to {} machines are wanted", corkspan_maintenance::MOST)));
+    }
+    // So many keepers in work at once that no majority is left could never be ended.
+    let keepers = &desk.deployment().keepers;
+    let named = machines.keys().filter(|own| keepers.contains(&MachineId(own.0))).count() as u32;
+    let spare = (keepers.len() as u32 - 1) / 2;
+    if named.min(all) > spare {
+        let text = format!("{named} of the machines are keepers, and of these {spare} may be out at a time");
+        return Err(Status::failed_precondition(text));
+    }
+    if view.out().next().is_some() {
+        return Err(Status::failed_precondition("machines of an earlier wish are out still"));
+    }
+    let (warm_ms, empty_within_ms) = (ask.warm_ms, ask.empty_within_ms);
+    let (limits, then) = (Limits { all, hall, cell, kind }, outings::then(ask.then()));
+    let job = asker;
+    Ok(Wish { number, asker, job, machines, limits, warm_ms, empty_within_ms, then, course: Course::Going })
+}
--- a/crates/dispatcher/src/rolls.rs
+++ b/crates/dispatcher/src/rolls.rs
@@ -378,6 +378,13 @@
         .await
     }
 
+    async fn maintain(
+        &self,
+        request: Request<v1::MaintainAsk>,
+    ) -> Result<Response<v1::MaintainWord>, Status> {
+        crate::maintenance::maintain(&self.0, request.into_inner()).await.map(Response::new)
+    }
+
     async fn change(&self, request: Request<v1::ChangeAsk>) -> Result<Response<v1::RollWord>, Status> {
         let ask = request.into_inner();
         let Some(roll) = self.stands(&ask.service).await? else {
--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -136,6 +136,11 @@
         struck: bool,
         late_us: u64,
     },
+    /// A node is closed for work, or open again.
+    Door {
+        node: u32,
+        closed: bool,
+    },
     /// The control service has another version.
     Pushed {
         number: u64,
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -303,6 +303,10 @@
         Ok(Response::new(v1::ProbeWord { load: None }))
     }
 
+    async fn door(&self, _: Request<v1::DoorAsk>) -> Result<Response<v1::DoorWord>, Status> {
+        Ok(Response::new(v1::DoorWord::default()))
+    }
+
     async fn acts(&self, _: Request<v1::ActsAsk>) -> Result<Response<v1::ActsWord>, Status> {
         Err(Status::unimplemented("it keeps no record"))
     }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -8,10 +8,13 @@
 use corkspan::interface::Amount;
 use corkspan_api::v1::{self, node_server::NodeServer, said::Said, turned::Why};
 use corkspan_control::Shelf;
-use corkspan_dispatcher::{control, fleet};
+use corkspan_dispatcher::{control, fleet, outings};
 use corkspan_fleet::acts::{Acts, By, Kind};
 use corkspan_fleet::rule::Rows;
 use corkspan_fleet::{Disk, Fence, Floor, Look, Runs};
+use corkspan_maintenance::board::Board;
+use corkspan_maintenance::door::Door;
+use corkspan_maintenance::{ClaimId, Machine};
 use corkspan_roll::{Claimed, Grant, Keeper};
 use corkspan_rpc::{Bounds, Tasks};
 use futures_lite::Stream;
@@ -133,6 +136,9 @@
     floors: Mutex<corkspan_keeper::Keeper<Floor>>,
     rows: Mutex<Rows>,
     shelf: Mutex<Shelf>,
+    board: Mutex<Board>,
+    /// With since when it is as it is.
+    door: Mutex<(Door, Instant)>,
     fence: Mutex<Fence>,
     /// On its disk too.
     acts: Mutex<Acts>,
@@ -154,6 +160,8 @@
             floors: Mutex::default(),
             rows: Mutex::default(),
             shelf: Mutex::default(),
+            board: Mutex::default(),
+            door: Mutex::new((Door::default(), Instant::now())),
             fence: Mutex::new(Fence::start(Disk::Whole(None))),
             acts: Mutex::default(),
         })
@@ -171,6 +179,7 @@
             let mut state = self.lock();
             *state = State { life: state.life + 1, up: true, ..State::default() };
             state.started = cold.then(Instant::now);
+            self.door().1 = Instant::now();
         }
         let seen = if cold { NodeState::Cold } else { NodeState::Serving };
         self.world.capture.see(Seen::Node { node: self.plan.id, state: seen });
@@ -319,6 +328,15 @@
         words.close();
     }
 
+    /// Allocations that stand here.
+    pub fn guests(&self) -> usize {
+        self.lock().guests.len()
+    }
+
+    fn door(&self) -> MutexGuard<'_, (Door, Instant)> {
+        self.door.lock().expect("no one panics while it is held")
+    }
+
     fn acts(&self) -> MutexGuard<'_, Acts> {
         self.acts.lock().expect("no one panics while it is held")
     }
@@ -473,7 +491,8 @@
     }
 
     fn fits(&self, state: &mut State, shot: &v1::Shot) -> Result<(), Why> {
-        if state.draining || state.guests.contains_key(&shot.placing) {
+        let closed = self.door().0.closed().is_some();
+        if closed || state.draining || state.guests.contains_key(&shot.placing) {
             return Err(Why::NotHere);
         }
         let most = self.plan.size * self.plan.accepts;
@@ -716,6 +735,24 @@
                 let mut floors = self.0.floors.lock().expect("no one panics while it is held");
                 word.floor = floors.propose(fleet::read(&floor)).copied().map(fleet::message);
             }
+            Some(Ask::Work(work)) => {
+                let wish = outings::wish(&work).ok_or_else(|| Status::invalid_argument("four limits"))?;
+                let mut board = self.0.board.lock().expect("no one panics while it is held");
+                board.propose(wish);
+                word.board = Some(outings::board(&board, u32::MAX));
+            }
+            Some(Ask::Take(claim)) => {
+                let mut board = self.0.board.lock().expect("no one panics while it is held");
+                word.granted = outings::claimed(&mut board, &claim);
+            }
+            Some(Ask::Step(step)) => {
+                outings::arrives(&mut self.0.board.lock().expect("no one panics while it is held"), &step);
+            }
+            Some(Ask::Bids(bids)) => {
+                let costs = bids.costs.iter().map(|(node, cost)| (Machine(*node), *cost));
+                let mut board = self.0.board.lock().expect("no one panics while it is held");
+                board.bid(bids.dispatcher, costs);
+            }
             Some(Ask::Lay(push)) => {
                 let push = control::push_of(push).ok_or_else(|| Status::invalid_argument("no version"))?;
                 let mut shelf = self.0.shelf.lock().expect("no one panics while it is held");
@@ -738,6 +775,10 @@
                 word.taken = (tell.part > 0).then(|| rows.taken(tell.fleet as usize, tell.part)).flatten();
                 let shelf = self.0.shelf.lock().expect("no one panics while it is held");
                 word.lies = shelf.lies().map(control::message);
+                if tell.board {
+                    let board = self.0.board.lock().expect("no one panics while it is held");
+                    word.board = Some(outings::board(&board, tell.fleet));
+                }
                 if tell.floor_only {
                     return Ok(Response::new(word));
                 }
@@ -756,6 +797,34 @@
         Ok(Response::new(word))
     }
 
+    async fn door(&self, request: Request<v1::DoorAsk>) -> Result<Response<v1::DoorWord>, Status> {
+        let ask = request.into_inner();
+        let claim = ClaimId(ask.claim);
+        let mut state = self.0.lock();
+        let mut door = self.0.door();
+        let before = door.0.closed();
+        match ask.what() {
+            v1::door_ask::What::Look => {}
+            v1::door_ask::What::Close => drop(door.0.close(claim)),
+            v1::door_ask::What::Open => door.0.open(claim),
+            v1::door_ask::What::Stop if before == Some(claim) => {
+                let guests: Vec<String> = state.guests.keys().cloned().collect();
+                guests.iter().for_each(|name| self.0.end(&mut state, name, v1::over::How::SentAway));
+            }
+            v1::door_ask::What::Stop => {}
+        }
+        let closed = door.0.closed();
+        if before != closed {
+            door.1 = Instant::now();
+            self.0.world.capture.see(Seen::Door { node: self.0.plan.id, closed: closed.is_some() });
+        }
+        // One that waits to be looked at may still be taken.
+        let runs = (state.guests.len() + state.waiting) as u32;
+        let since_ms = door.1.elapsed().as_millis() as u64;
+        let (closed, over) = (closed.map_or(0, |claim| claim.0), door.0.is_over(claim));
+        Ok(Response::new(v1::DoorWord { closed, over, runs, since_ms }))
+    }
+
     async fn acts(&self, _: Request<v1::ActsAsk>) -> Result<Response<v1::ActsWord>, Status> {
         let (acts, floor) = (self.0.acts().clone(), self.0.fence().floor());
         let rows = acts.rows().map(|(by, kind, many)| v1::Act {
--- a/crates/lab/tests/full_path/fleet.rs
+++ b/crates/lab/tests/full_path/fleet.rs
@@ -24,9 +24,9 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_corkspan-lab");
 
 /// A dispatcher's process; killed when it is dropped.
-struct Process {
+pub struct Process {
     child: Child,
-    address: SocketAddr,
+    pub address: SocketAddr,
 }
 
 impl Drop for Process {
@@ -36,7 +36,7 @@
 }
 
 impl Process {
-    async fn start(file: std::path::PathBuf) -> Process {
+    pub async fn start(file: std::path::PathBuf) -> Process {
         Process::start_logging(file, "error", Stdio::inherit()).await
     }
 
--- a/crates/lab/tests/full_path/main.rs
+++ b/crates/lab/tests/full_path/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod hard_cases;
 mod loads;
+mod maintenance;
 mod rig;
 mod rolls;
 mod stores;
