--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -136,6 +136,18 @@
         struck: bool,
         late_us: u64,
     },
+    /// Machines are wished to be taken out: so many, at a time and of one hall.
+    Maintenance {
+        machines: usize,
+        at_a_time: usize,
+        by_hall: usize,
+    },
+    /// The worker begins or ends his work on a node. `runs`: what stands there then, which must be nothing.
+    Worked {
+        node: u32,
+        begins: bool,
+        runs: usize,
+    },
     /// A node is closed for work, or open again.
     Door {
         node: u32,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -28,6 +28,8 @@
     /// An operator raises the floor to the newest version then, and audits the fleet at the end of the day.
     pub floor: Option<Duration>,
     pub audit: bool,
+    /// All machines that may be are taken out for work, and a worker works on each.
+    pub maintenance: Option<Maintenance>,
     pub troubles: Vec<Trouble>,
 }
 
@@ -39,6 +41,15 @@
     pub start_first: bool,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Maintenance {
+    pub at: Duration,
+    pub at_a_time: u32,
+    pub by_hall: u32,
+    /// The work on one machine.
+    pub takes: Duration,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trouble {
     pub kind: Kind,
@@ -140,6 +151,7 @@
                 "versions",
                 "floor",
                 "audit",
+                "maintenance",
                 "troubles",
             ];
             let parts = form.parts(&known)?;
@@ -165,6 +177,7 @@
                     .map(|form| span(form.parts(&["at"])?.need("at")?, 600))
                     .transpose()?,
                 audit: parts.or("audit", false, Form::truth)?,
+                maintenance: parts.find("maintenance").map(maintenance).transpose()?,
                 troubles: Vec::new(),
             };
             if let (Some(form), 0) = (parts.find("roll"), day.copies) {
@@ -215,6 +228,18 @@
     Ok(time)
 }
 
+/// `(maintenance (at 5 s) (at-a-time 10) (by-hall 6) (takes 1 s))`
+fn maintenance(form: &Form) -> Result<Maintenance, Fault> {
+    let parts = form.parts(&["at", "at-a-time", "by-hall", "takes"])?;
+    let at_a_time = parts.need("at-a-time")?.whole(1, 1_000)? as u32;
+    Ok(Maintenance {
+        at: span(parts.need("at")?, 600)?,
+        at_a_time,
+        by_hall: parts.or("by-hall", at_a_time, |form| Ok(form.whole(1, 1_000)? as u32))?,
+        takes: parts.or("takes", Duration::from_secs(1), |form| span(form, 600))?,
+    })
+}
+
 /// `(versions (every 5 s))`
 fn every(form: &Form) -> Result<Duration, Fault> {
     span(form.parts(&["every"])?.need("every")?, 600)
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod loads;
 pub mod measure;
 pub mod node;
+pub mod outings;
 pub mod owner;
 pub mod play;
 pub mod pushes;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -17,7 +17,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsString;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -184,7 +184,11 @@
                 let peers = if peers.is_empty() { peers } else { format!("(peers{peers})") };
                 format!("(control \"{control}\") (versions {kept:?}) (floor (every 1 s) {peers})")
             });
-            let file_text = self.deployment(number, roster, &more.unwrap_or_default(), folder.path());
+            let mut more = more.unwrap_or_default();
+            if self.day.maintenance.is_some() {
+                more.push_str(" (maintenance (every 500 ms))");
+            }
+            let file_text = self.deployment(number, roster, &more, folder.path());
             std::fs::write(&file, file_text).map_err(text)?;
             let log = self.logs.as_ref().map(|logs| logs.join(format!("dispatcher-{number}.log")));
             let program = self.program.clone();
@@ -206,8 +210,17 @@
         let start = Instant::now();
         let until = start + self.day.length;
         let room = tasks.spawn(tell_room(Arc::clone(&roster), nodes.clone(), self.day.dispatchers));
-        let mut stage =
-            Stage { day: &self.day, front: &front, nodes: &nodes, roster: &roster, fleet, rng, start, wires };
+        let mut stage = Stage {
+            day: &self.day,
+            front: &front,
+            nodes: &nodes,
+            roster: &roster,
+            fleet,
+            rng,
+            start,
+            wires,
+            worker: None,
+        };
         let versions = self.day.versions.map(|every| {
             let text = self.deployment(0, roster_address, "", folder.path());
             let texts = Texts::of("day", &text).map_err(|why| why.to_string());
@@ -223,6 +236,10 @@
         };
         let ended = within(Duration::from_secs(40), rest).await;
         drop((room, versions));
+        if let Some(worker) = stage.worker.take() {
+            let worked = within(Duration::from_secs(600), worker).await;
+            worked.ok_or("the work on machines does not come to its end")??;
+        }
         if self.day.audit {
             stage.audit(&self.program).await?;
         }
@@ -255,6 +272,60 @@
     }
 }
 
+/// The worker: asks one dispatcher after the other which machines are his, restarts each, and says that it is done.
+async fn works(
+    front: Arc<Front>,
+    nodes: Vec<Arc<Node>>,
+    roster: Arc<Roster>,
+    dispatchers: usize,
+    work: crate::day::Maintenance,
+    seed: u64,
+) -> Result<(), String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut under_way: BTreeMap<u32, (Instant, bool)> = BTreeMap::new();
+    loop {
+        Timer::after(Duration::from_millis(300)).await;
+        let Some(mut client) = front.rolls(rng.random_range(0..dispatchers)).await else { continue };
+        let ask = v1::MaintainAsk::default();
+        let word = within(Duration::from_secs(10), Box::pin(client.maintain(ask))).await;
+        let Some(Ok(word)) = word else { continue };
+        let word = word.into_inner();
+        // While it is worked on it does not answer, and so is not told as the worker's: he knows.
+        under_way.retain(|id, _| !word.worked.contains(id));
+        let mine: BTreeSet<u32> = word.in_work.iter().copied().chain(under_way.keys().copied()).collect();
+        let mut done = Vec::new();
+        for id in &mine {
+            let Some(node) = nodes.iter().find(|node| node.plan.id == *id) else { continue };
+            match under_way.get_mut(id) {
+                None => {
+                    let runs = node.guests();
+                    front.world.capture.see(Seen::Worked { node: *id, begins: true, runs });
+                    node.kill(NodeState::Gone);
+                    under_way.insert(*id, (Instant::now() + work.takes, false));
+                }
+                Some((until, up)) if !*up && Instant::now() >= *until => {
+                    let address = node.up(true).await.map_err(|why| why.to_string())?;
+                    let entry = entry(node, address, corkspan_dispatcher::clock::wall_ms());
+                    roster.change(Duration::from_millis(rng.random_range(50..500)), entry);
+                    front.world.capture.see(Seen::Worked { node: *id, begins: false, runs: node.guests() });
+                    *up = true;
+                }
+                Some((_, true)) if word.in_work.contains(id) => done.push(*id),
+                Some(_) => {}
+            }
+        }
+        if !done.is_empty() {
+            let what = v1::maintain_ask::What::Done.into();
+            let ask = v1::MaintainAsk { what, nodes: done, ..v1::MaintainAsk::default() };
+            within(Duration::from_secs(10), Box::pin(client.maintain(ask))).await;
+        }
+        let all = word.stands.as_ref().map_or(usize::MAX, |work| work.machines.len());
+        if word.worked.len() + word.skipped.len() >= all && word.out.is_empty() {
+            return Ok(());
+        }
+    }
+}
+
 fn resident_kib(process: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
     let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
@@ -299,6 +370,7 @@
     rng: Pcg64Mcg,
     start: Instant,
     wires: Option<Wires>,
+    worker: Option<async_executor::Task<Result<(), String>>>,
 }
 
 /// What is undone at the end of a trouble.
@@ -324,14 +396,15 @@
         for copy in 0..self.day.copies {
             owners.push(self.hold(copy, until));
         }
-        let (mut roll, mut floor) = (self.day.roll, self.day.floor);
+        let (mut roll, mut floor, mut works_) = (self.day.roll, self.day.floor, self.day.maintenance);
         loop {
             let rolls = roll.map(|roll| self.start + roll.at);
             let floors = floor.map(|at| self.start + at);
+            let works = works_.map(|own| self.start + own.at);
             let trouble = troubles.peek().map(|trouble| self.start + trouble.at);
             let undo = undos.iter().map(|(at, _)| *at).min();
             let asks = (next < until).then_some(next);
-            let Some(at) = [trouble, undo, asks, rolls, floors].into_iter().flatten().min() else {
+            let Some(at) = [trouble, undo, asks, rolls, floors, works].into_iter().flatten().min() else {
                 return Ok(owners);
             };
             Timer::at(at).await;
@@ -339,6 +412,10 @@
                 && let Some(roll) = roll.take()
             {
                 self.roll(roll).await?;
+            } else if works == Some(at)
+                && let Some(work) = works_.take()
+            {
+                self.maintain(work).await?;
             } else if floors == Some(at) {
                 floor = None;
                 self.raise().await?;
@@ -424,6 +501,39 @@
         Err("no dispatcher has taken the roll".into())
     }
 
+    /// An operator has all machines taken out for work but so many keepers that a majority stays, and the worker begins.
+    async fn maintain(&mut self, work: crate::day::Maintenance) -> Result<(), String> {
+        let nodes = self.nodes.iter().map(|node| node.plan.id);
+        let nodes: Vec<u32> = nodes.filter(|id| !KEEPERS[1..].contains(id)).collect();
+        let machines = nodes.len();
+        let (at_a_time, by_hall) = (work.at_a_time, work.by_hall);
+        let ask = v1::MaintainAsk {
+            what: v1::maintain_ask::What::Start.into(),
+            nodes,
+            limits: vec![at_a_time, by_hall, at_a_time, at_a_time],
+            warm_ms: COLD.lasts.as_millis() as u64,
+            empty_within_ms: 3_600_000,
+            ..v1::MaintainAsk::default()
+        };
+        for dispatcher in 0..self.fleet.len() {
+            if let Some(mut client) = self.front.rolls(dispatcher).await
+                && let Some(Ok(word)) =
+                    within(Duration::from_secs(5), Box::pin(client.maintain(ask.clone()))).await
+                && word.into_inner().taken
+            {
+                let (at_a_time, by_hall) = (at_a_time as usize, by_hall as usize);
+                self.front.world.capture.see(Seen::Maintenance { machines, at_a_time, by_hall });
+                let (front, nodes, roster) =
+                    (Arc::clone(self.front), self.nodes.to_vec(), Arc::clone(self.roster));
+                let seed = self.rng.random();
+                let works = works(front, nodes, roster, self.fleet.len(), work, seed);
+                self.worker = Some(self.front.world.tasks.spawn(works));
+                return Ok(());
+            }
+        }
+        Err("no dispatcher has taken the wish for work on machines".into())
+    }
+
     /// An operator raises the floor to the newest version, asking one dispatcher after the other.
     async fn raise(&mut self) -> Result<(), String> {
         let newest = self.front.world.capture.lines().iter().rev().find_map(|line| match line.seen {
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -1,6 +1,7 @@
 //! A day in figures, from its capture.
 
 use crate::capture::*;
+use crate::outings::WorkFigures;
 use crate::play::HELD;
 use crate::versions::VersionFigures;
 use hdrhistogram::Histogram;
@@ -29,6 +30,7 @@
     pub roll: Option<RollFigures>,
     pub copies: Option<CopyFigures>,
     pub versions: Option<VersionFigures>,
+    pub work: Option<WorkFigures>,
     pub troubles: BTreeMap<String, u64>,
 }
 
@@ -226,6 +228,7 @@
         table.roll = RollFigures::of(lines);
         table.copies = CopyFigures::of(lines);
         table.versions = VersionFigures::of(lines);
+        table.work = WorkFigures::of(lines);
         table.unanswered = calls.values().filter(|(_, _, answered)| !answered).count() as u64;
         if let Some(times) = times {
             let ms = |part| times.value_at_quantile(part) as f64 / 1000.0;
@@ -272,6 +275,9 @@
         if let Some(versions) = &self.versions {
             write!(f, "{versions}")?;
         }
+        if let Some(work) = &self.work {
+            write!(f, "{work}")?;
+        }
         let troubles: Vec<String> =
             self.troubles.iter().map(|(name, many)| format!("{name} {many}")).collect();
         write!(
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -54,6 +54,16 @@
     assert!(struck.count() >= 12);
 }
 
+#[test]
+fn all_machines_have_their_work_within_the_limits_whoever_is_cut_killed_or_stands_still() {
+    let lines = play(include_str!("../days/work-short.sexp"), 1, |text| text);
+    assert_eq!(broken(&lines), [0; 0]);
+    let work = Table::of(&lines).work.expect("machines were taken out");
+    // The other two are keepers, and stay.
+    assert_eq!((work.worked.len(), work.times, work.left_closed, work.unsound), (22, 22, 0, 0), "{work}");
+    assert!((2..=6).contains(&work.most) && work.most_of_a_hall <= 4, "{work}");
+}
+
 const UNREPEATABLE: &str = "(day (length 4 s) (dispatchers 2) (nodes 4) (rate 40) (unrepeatable 80)
     (life 2 s) (troubles (lose-answers (at 500 ms) (for 3 s) (many 2))))";
 const RACK: &str = "(day (length 5 s) (dispatchers 2) (nodes 4) (rate 60) (life 1 s)
