--- a/crates/fleet/tests/rule_search.rs
+++ b/crates/fleet/tests/rule_search.rs
@@ -2,9 +2,10 @@
 //! trials and give up, before three keepers of which one tells what is not so, with words lost and late. And that the
 //! search is able to find a rule that does, by mistakes planted in it.
 
+mod states;
+
 use corkspan_fleet::Runs;
 use corkspan_fleet::rule::{Rows, Rule, Watch};
-use std::collections::HashSet;
 use test_case::test_case;
 
 const FLEET: usize = 3;
@@ -134,23 +135,7 @@
 }
 
 fn search(mistake: Mistake, depth: usize) -> (Option<&'static str>, usize) {
-    let first = start();
-    let (mut seen, mut open) = (HashSet::from([format!("{first:?}")]), vec![first]);
-    for _ in 0..depth {
-        let mut further = Vec::new();
-        for world in &open {
-            for next in follow(world, mistake) {
-                if next.breach.is_some() {
-                    return (next.breach, seen.len());
-                }
-                if seen.insert(format!("{next:?}")) {
-                    further.push(next);
-                }
-            }
-        }
-        open = further;
-    }
-    (None, seen.len())
+    states::search(start(), depth, |world| follow(world, mistake), |world| world.breach)
 }
 
 #[test]
--- a/crates/fleet/tests/search.rs
+++ b/crates/fleet/tests/search.rs
@@ -2,9 +2,10 @@
 //! lost and doubled, keepers asked in any part, and nodes and dispatchers that start anew can lead to. And that the
 //! search is able to find a protocol that lets something through, by mistakes planted in it.
 
+mod states;
+
 use corkspan_fleet::{Disk, Fence, Floor, Look, Standing};
 use corkspan_keeper::Keeper;
-use std::collections::HashSet;
 use test_case::test_case;
 
 const KEEPERS: usize = 3;
@@ -220,25 +221,8 @@
     all
 }
 
-/// The first breach in all that may follow within so many steps, and how many states there were.
 fn search(mistake: Mistake, depth: usize) -> (Option<&'static str>, usize) {
-    let first = start();
-    let (mut seen, mut open) = (HashSet::from([format!("{first:?}")]), vec![first]);
-    for _ in 0..depth {
-        let mut further = Vec::new();
-        for world in &open {
-            for next in follow(world, mistake) {
-                if next.breach.is_some() {
-                    return (next.breach, seen.len());
-                }
-                if seen.insert(format!("{next:?}")) {
-                    further.push(next);
-                }
-            }
-        }
-        open = further;
-    }
-    (None, seen.len())
+    states::search(start(), depth, |world| follow(world, mistake), |world| world.breach)
 }
 
 #[test]
