--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -429,11 +429,12 @@
         deployment.cluster.tracks.get(track.0).is_none_or(|track| track.repeat == Repeat::Unrepeatable)
     }
 
-    /// Moves what may be moved off a machine that is taken out, each once: its owner asks for it anew.
+    /// Moves what may be moved off a machine that is taken out: its owner asks for it anew. Told again in each look, since word
+    /// to the machine is one try, and one that is lost would hold it up until that allocation ends by itself.
     pub fn empty(self: &Arc<Self>, machine: MachineId) {
         self.with(|_, host, port| {
             for (id, track) in there(host, machine) {
-                let Some((client, _)) = host.own(id).filter(|(client, _)| !client.moving) else { continue };
+                let Some((client, _)) = host.own(id) else { continue };
                 if !self.once(track) {
                     client.moving = true;
                     port.stop(self, client, machine, true);
--- a/crates/dispatcher/src/fleet.rs
+++ b/crates/dispatcher/src/fleet.rs
@@ -12,7 +12,7 @@
 use corkspan_fleet::bring::lays;
 use corkspan_fleet::rule::{Rule, Watch};
 use corkspan_fleet::{Floor, next};
-use corkspan_keeper::in_force;
+use corkspan_keeper::{in_force, of_a_few};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
@@ -71,7 +71,7 @@
             let taken: Vec<Option<u64>> = words.iter().map(|word| word.taken).collect();
             let stands = in_force(told.iter().flatten(), keepers).map(|floor| floor.lowest);
             // Hundreds see it in the same round: a few that ask are enough.
-            let chance = rng.random::<f64>() < 3.0 / deployment.cluster.schedulers.max(1) as f64;
+            let chance = of_a_few(deployment.cluster.schedulers, rng.random());
             let lowest = watch.look(now, rule, &taken, keepers, stands).filter(|_| chance);
             if let Some(lowest) = lowest {
                 match raise(&desk, lowest).await {
--- a/crates/dispatcher/src/maintenance.rs
+++ b/crates/dispatcher/src/maintenance.rs
@@ -8,7 +8,7 @@
 use corkspan::interface::{MachineId, Tenths};
 use corkspan_api::v1::door_ask::What as Do;
 use corkspan_api::v1::{self, keep_ask::Ask, maintain_ask::What, node_client::NodeClient};
-use corkspan_keeper::to_follow;
+use corkspan_keeper::{in_force, majority, of_a_few};
 use corkspan_maintenance::look::{Own, Says, View, look};
 use corkspan_maintenance::order::bid;
 use corkspan_maintenance::{At, ClaimId, Course, Limits, Machine, Phase, Wish};
@@ -24,10 +24,8 @@
 const LEFT_BEHIND: Tenths = 100_000;
 /// Between two bids.
 const BID_EVERY: Tenths = 50_000;
-/// Machines that are asked in one look whether they could be taken next.
-const CANDIDATES: usize = 16;
-/// In one look so many dispatchers act, whatever the size of the fleet: more would only get in each other's way.
-const ACT: f64 = 3.0;
+/// Machines that are asked in one look whether they could be taken next: of the cheapest, and by chance.
+const CANDIDATES: usize = 8;
 
 /// Looks again and again, for as long as it is polled.
 pub async fn run(desk: Arc<Desk>) {
@@ -57,9 +55,8 @@
                 bid_at = now + BID_EVERY;
                 bids(&desk, wish).await;
             }
-            let fleet = desk.deployment().cluster.schedulers.max(1) as f64;
-            if rng.random::<f64>() < ACT / fleet {
-                act(&desk, &view, &old, ClaimId(rng.random_range(1..=u64::MAX))).await;
+            if of_a_few(desk.deployment().cluster.schedulers, rng.random()) {
+                act(&desk, &view, &old, &mut rng).await;
             }
         }
         async_io::Timer::after(duration(every)).await;
@@ -85,18 +82,11 @@
     ask_all(desk, Ask::Bids(v1::Bids { dispatcher, costs })).await;
 }
 
-/// What machines say, of those that are out and of some that could be next.
-async fn says(desk: &Arc<Desk>, view: &View) -> BTreeMap<Machine, Says> {
-    let out = view.outings.iter().map(|(machine, known)| (*machine, known.outing.claim));
-    let mut asks: BTreeMap<Machine, ClaimId> = out.collect();
-    let free = view.wish.iter().flat_map(|wish| wish.machines.keys());
-    let free = free.filter(|own| !view.ended.contains_key(own)).take(CANDIDATES + asks.len());
-    for machine in free {
-        asks.entry(*machine).or_insert(ClaimId(0));
-    }
+/// What these machines say, each of the claim told.
+async fn says(desk: &Arc<Desk>, asks: BTreeMap<Machine, Option<ClaimId>>) -> BTreeMap<Machine, Says> {
     let mut calls = Vec::new();
     for (machine, claim) in asks {
-        let own = Arc::clone(desk);
+        let (claim, own) = (claim.unwrap_or(ClaimId(0)), Arc::clone(desk));
         calls.push((
             machine,
             claim,
@@ -125,8 +115,9 @@
     within(desk.link_bounds.connect_within * 2, Box::pin(whole)).await.flatten()
 }
 
-async fn act(desk: &Arc<Desk>, view: &View, old: &BTreeSet<ClaimId>, claim: ClaimId) {
-    let says = says(desk, view).await;
+async fn act(desk: &Arc<Desk>, view: &View, old: &BTreeSet<ClaimId>, rng: &mut Pcg64Mcg) {
+    let says = says(desk, view.to_ask(CANDIDATES, |of| rng.random_range(0..of))).await;
+    let claim = ClaimId(rng.random_range(1..=u64::MAX));
     let lost = BTreeMap::new();
     let keepers = desk.deployment().keepers.len();
     // A roll needs its copies: while one goes on nothing further is taken.
@@ -171,7 +162,7 @@
     };
     let text = if taken { "" } else { "turned down: another wish stands, or no majority has taken it" };
     let after = self::view(desk).await.unwrap_or(view);
-    let says = says(desk, &after).await;
+    let says = says(desk, after.to_ask(0, |_| 0)).await;
     let phase = |(machine, claim, phase): (Machine, ClaimId, Phase)| {
         let known = after.outings.iter().find(|(own, known)| *own == machine && known.outing.claim == claim);
         known.map(|(_, known)| outings::outing(machine, &known.outing, phase))
@@ -191,7 +182,7 @@
 
 /// The worker's word on each machine named.
 async fn done(desk: &Arc<Desk>, view: &View, ask: &v1::MaintainAsk) -> Result<bool, Status> {
-    let says = says(desk, view).await;
+    let says = says(desk, view.to_ask(0, |_| 0)).await;
     let in_work: BTreeMap<Machine, ClaimId> = view.in_work(&says).into_iter().collect();
     for node in &ask.nodes {
         let machine = Machine(*node);
@@ -204,14 +195,20 @@
             step: v1::work_step::Step::Done.into(),
             ..v1::WorkStep::default()
         };
-        ask_all(desk, Ask::Step(step)).await;
+        let heard = ask_all(desk, Ask::Step(step)).await.len();
+        let keepers = desk.deployment().keepers.len();
+        if !majority(heard, keepers) {
+            let text =
+                format!("{heard} of {keepers} keepers have heard that machine {node} is done: say it again");
+            return Err(Status::unavailable(text));
+        }
     }
     Ok(true)
 }
 
 async fn propose(desk: &Arc<Desk>, view: &View, ask: v1::MaintainAsk) -> Result<bool, Status> {
     let asker = desk.clock.now().rotate_left(24) ^ desk.fleet.life;
-    let number = view.wish.as_ref().map_or(0, |wish| wish.number).saturating_add(1);
+    let number = view.highest.saturating_add(1);
     let wish = match (ask.what(), &view.wish) {
         (What::Start, _) => start(desk, view, ask, number, asker)?,
         (_, None) => return Err(Status::not_found("there is no work under way")),
@@ -223,7 +220,7 @@
     let stands: Vec<Wish> =
         words.iter().filter_map(|word| outings::wish(word.board.as_ref()?.work.as_ref()?)).collect();
     info!(number, course = ?wish.course, machines = wish.machines.len(), "a wish for work on machines");
-    Ok(to_follow(&stands, desk.deployment().keepers.len()).as_ref() == Some(&wish))
+    Ok(in_force(&stands, desk.deployment().keepers.len()) == Some(&wish))
 }
 
 fn start(
@@ -243,22 +240,12 @@
         let at = At { hall: entry.hall.0 as u32, cell: entry.cell.0, kind: entry.kind.0 as u32 };
         machines.insert(Machine(*node), at);
     }
-    if machines.is_empty() || machines.len() > corkspan_maintenance::MOST {
-        return Err(wrong(format!("1 to {} machines are wanted", corkspan_maintenance::MOST)));
-    }
-    // So many keepers in work at once that no majority is left could never be ended.
-    let keepers = &desk.deployment().keepers;
-    let named = machines.keys().filter(|own| keepers.contains(&MachineId(own.0))).count() as u32;
-    let spare = (keepers.len() as u32 - 1) / 2;
-    if named.min(all) > spare {
-        let text = format!("{named} of the machines are keepers, and of these {spare} may be out at a time");
-        return Err(Status::failed_precondition(text));
-    }
-    if view.out().next().is_some() {
-        return Err(Status::failed_precondition("machines of an earlier wish are out still"));
-    }
+    let limits = Limits { all, hall, cell, kind };
+    let keepers: Vec<Machine> = desk.deployment().keepers.iter().map(|own| Machine(own.0)).collect();
+    let begun = view.may_begin(&machines, &limits, &keepers);
+    begun.map_err(|why| Status::failed_precondition(why.to_string()))?;
     let (warm_ms, empty_within_ms) = (ask.warm_ms, ask.empty_within_ms);
-    let (limits, then) = (Limits { all, hall, cell, kind }, outings::then(ask.then()));
+    let then = outings::then(ask.then());
     let job = asker;
     Ok(Wish { number, asker, job, machines, limits, warm_ms, empty_within_ms, then, course: Course::Going })
 }
--- a/crates/dispatcher/src/outings.rs
+++ b/crates/dispatcher/src/outings.rs
@@ -182,6 +182,10 @@
 /// A claim arrives at a keeper; whether it is granted.
 pub fn claimed(board: &mut Board, told: &v1::WorkClaim) -> bool {
     let Ok(slots) = Slots::try_from(told.slots.clone()) else { return false };
+    // No claim: a door tells by 0 that it is open.
+    if told.claim == 0 {
+        return false;
+    }
     let claim = board.claim(told.number, Machine(told.node), ClaimId(told.claim), slots);
     claim == Claimed::Granted
 }
--- a/crates/fleet/src/bring.rs
+++ b/crates/fleet/src/bring.rs
@@ -1,6 +1,7 @@
 //! How a straggler is brought up: from whom it asks for the newest version next, and when. Without a clock: moments are
 //! told, in any unit that [`Pace`] is told in too.
 
+use corkspan_keeper::of_a_few;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -127,6 +128,5 @@
 /// Whether a dispatcher lays its good version on a keeper's shelf in this round: all of a fleet know at once that one is
 /// wanted there, and a few are enough. `chance` is drawn from 0 to 1.
 pub fn lays(good: u64, lies: Option<u64>, fleet: usize, chance: f64) -> bool {
-    const WANTED: f64 = 3.0;
-    good > lies.unwrap_or(0) && chance < WANTED / fleet.max(1) as f64
+    good > lies.unwrap_or(0) && of_a_few(fleet, chance)
 }
--- a/crates/fleet/src/rule.rs
+++ b/crates/fleet/src/rule.rs
@@ -24,9 +24,10 @@
 
     /// The highest version that so many thousandths of a fleet run, or a later one, for good. None where as many have
     /// never told.
+    /// A dispatcher beyond the fleet's size has no say.
     pub fn taken(&self, fleet: usize, part: u32) -> Option<u64> {
-        let mut good: Vec<u64> =
-            self.0.values().filter(|runs| !runs.on_trial).map(|runs| runs.version).collect();
+        let own = self.0.range(..u32::try_from(fleet).unwrap_or(u32::MAX)).map(|(_, runs)| runs);
+        let mut good: Vec<u64> = own.filter(|runs| !runs.on_trial).map(|runs| runs.version).collect();
         good.sort_unstable_by(|a, b| b.cmp(a));
         let wanted = (fleet * part.min(1_000) as usize).div_ceil(1_000).max(1);
         good.get(wanted - 1).copied()
--- a/crates/fleet/tests/rule.rs
+++ b/crates/fleet/tests/rule.rs
@@ -21,6 +21,13 @@
     assert_eq!(rows(versions).taken(fleet, part), taken);
 }
 
+#[test]
+fn dispatchers_beyond_the_fleet_have_no_say() {
+    let mut rows = rows(&[(4, false), (4, false)]);
+    (90..99).for_each(|own| rows.tells(own, Runs { version: 9, on_trial: false }));
+    assert_eq!(rows.taken(2, 1000), Some(4));
+}
+
 #[test]
 fn one_that_falls_back_to_an_older_version_holds_the_floor_back() {
     let mut rows = rows(&[(9, false), (9, false)]);
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -152,3 +152,10 @@
     let base = in_force(told, keepers).unwrap_or(highest);
     Some(base.numbered(highest.number()))
 }
+
+/// Whether one of a fleet acts on what all of it sees in the same round: a few are enough, and more would only get in each
+/// other's way at the keepers. `chance` is drawn from 0 to 1.
+pub fn of_a_few(fleet: usize, chance: f64) -> bool {
+    const FEW: f64 = 3.0;
+    chance < FEW / fleet.max(1) as f64
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -396,11 +396,11 @@
         for copy in 0..self.day.copies {
             owners.push(self.hold(copy, until));
         }
-        let (mut roll, mut floor, mut works_) = (self.day.roll, self.day.floor, self.day.maintenance);
+        let (mut roll, mut floor, mut maintenance) = (self.day.roll, self.day.floor, self.day.maintenance);
         loop {
             let rolls = roll.map(|roll| self.start + roll.at);
             let floors = floor.map(|at| self.start + at);
-            let works = works_.map(|own| self.start + own.at);
+            let works = maintenance.map(|own| self.start + own.at);
             let trouble = troubles.peek().map(|trouble| self.start + trouble.at);
             let undo = undos.iter().map(|(at, _)| *at).min();
             let asks = (next < until).then_some(next);
@@ -413,7 +413,7 @@
             {
                 self.roll(roll).await?;
             } else if works == Some(at)
-                && let Some(work) = works_.take()
+                && let Some(work) = maintenance.take()
             {
                 self.maintain(work).await?;
             } else if floors == Some(at) {
--- a/crates/maintenance/src/board.rs
+++ b/crates/maintenance/src/board.rs
@@ -3,12 +3,15 @@
 
 use crate::{ClaimId, Course, Machine, Outing, Phase, Slots, Wish, shares};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Claims that a keeper remembers as withdrawn.
 const WITHDRAWN: usize = 1_024;
-/// Outings whose vote is remembered.
-const VOTES: usize = 1_024;
+/// Votes that are remembered on outings which are not here: of those that are, each is, however many come meanwhile, or this
+/// keeper could vote twice on one.
+const VOTES: usize = 4 * crate::MOST;
+/// Votes of those that are told at a time: word is asked for twice a second by each of hundreds.
+const TOLD: usize = 512;
 /// Dispatchers whose bids a keeper remembers, and machines that one may bid for.
 const BIDDERS: usize = 1_024;
 /// No bid counts for more: one that is not a number, or huge, must not hold a machine back for good.
@@ -89,16 +92,25 @@
                 self.votes.push_back((claim, phase));
             }
             if self.votes.len() > VOTES {
-                self.votes.pop_front();
+                let here = |claim| self.outings.values().any(|outing| outing.claim == claim);
+                let oldest = self.votes.iter().position(|(claim, _)| !here(*claim));
+                oldest.map(|oldest| self.votes.remove(oldest));
             }
         } else if let Some(outing) = self.outings.get_mut(&machine).filter(|outing| outing.claim == claim) {
             outing.phase = outing.phase.max(phase);
         }
     }
 
-    /// Of the outings that are out by any word, told by all keepers.
+    /// On the outings that are here, and the latest of the others.
     pub fn votes(&self) -> impl Iterator<Item = (ClaimId, Phase)> {
-        self.votes.iter().copied()
+        let here: BTreeSet<ClaimId> = self.outings.values().map(|outing| outing.claim).collect();
+        let old = self.votes.len().saturating_sub(TOLD);
+        let told = self
+            .votes
+            .iter()
+            .enumerate()
+            .filter(move |(index, (claim, _))| *index >= old || here.contains(claim));
+        told.map(|(_, vote)| *vote)
     }
 
     /// A claim that a majority has never held is never to be held: from here on this keeper does not let it.
--- a/crates/maintenance/src/look.rs
+++ b/crates/maintenance/src/look.rs
@@ -3,7 +3,7 @@
 
 use crate::board::End;
 use crate::order::order;
-use crate::{At, ClaimId, Course, Machine, Outing, Phase, Slots, Then, Wish, majority, shares};
+use crate::{At, ClaimId, Course, Limits, Machine, Outing, Phase, Slots, Then, Wish, majority, shares};
 use corkspan_keeper::in_force;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -47,6 +47,8 @@
     pub wish: Option<Wish>,
     pub outings: Vec<(Machine, Known)>,
     pub ended: BTreeMap<Machine, End>,
+    /// The highest that any keeper tells of a wish: the next is to be above it, or one that no majority took could bar it.
+    pub highest: u64,
     bids: Vec<BTreeMap<Machine, f64>>,
 }
 
@@ -84,6 +86,7 @@
         };
         let machines: BTreeSet<Machine> = words.iter().flat_map(|word| word.ended.keys().copied()).collect();
         Some(View {
+            highest: wishes.iter().map(|wish| wish.number).max().unwrap_or(0),
             wish: in_force(&wishes, keepers).cloned(),
             outings: outings.collect(),
             ended: machines.into_iter().filter_map(|own| Some((own, ended(&own)?))).collect(),
@@ -101,6 +104,50 @@
             .collect()
     }
 
+    /// Which machines to ask what they say, and of which claim: those that are out, and of those still to come so many of
+    /// the cheapest and as many drawn by chance, or some dead ones that cost nothing would bar all others for good.
+    pub fn to_ask(
+        &self,
+        many: usize,
+        mut drawn: impl FnMut(usize) -> usize,
+    ) -> BTreeMap<Machine, Option<ClaimId>> {
+        // Of two claims on one machine that of the outing which is held.
+        let mut known: Vec<&(Machine, Known)> = self.outings.iter().collect();
+        known.sort_by_key(|(_, known)| known.phase);
+        let mut asks: BTreeMap<Machine, Option<ClaimId>> =
+            known.iter().map(|(machine, known)| (*machine, Some(known.outing.claim))).collect();
+        let wished = self.wish.iter().flat_map(|wish| wish.machines.keys().copied());
+        let free = wished.filter(|own| !asks.contains_key(own) && !self.ended.contains_key(own));
+        let mut free = order(free.collect::<Vec<_>>(), &self.bids);
+        let rest = free.split_off(many.min(free.len()));
+        let chance = (0..many.min(rest.len())).map(|_| rest[drawn(rest.len()) % rest.len()]);
+        free.extend(chance);
+        asks.extend(free.into_iter().map(|machine| (machine, None)));
+        asks
+    }
+
+    /// Whether a new work may begin, of these machines.
+    pub fn may_begin(
+        &self,
+        machines: &BTreeMap<Machine, At>,
+        limits: &Limits,
+        keepers: &[Machine],
+    ) -> Result<(), NotBegun> {
+        if machines.is_empty() || machines.len() > crate::MOST {
+            return Err(NotBegun::Machines { many: machines.len(), most: crate::MOST });
+        }
+        // So many keepers in work at once that no majority is left could never be ended.
+        let named = keepers.iter().filter(|own| machines.contains_key(own)).count();
+        let spare = keepers.len().saturating_sub(1) / 2;
+        if named.min(limits.all as usize) > spare {
+            return Err(NotBegun::Keepers { named, spare });
+        }
+        match self.out().next() {
+            Some((machine, _, _)) => Err(NotBegun::Out(machine.0)),
+            None => Ok(()),
+        }
+    }
+
     /// Out, by a majority's word: closed or about to be, in work, or not warm yet.
     pub fn out(&self) -> impl Iterator<Item = (Machine, ClaimId, Phase)> {
         let held = |(machine, known): &(Machine, Known)| {
@@ -119,6 +166,17 @@
     pub ended: Option<(u64, End)>,
 }
 
+/// Why a work on machines is not begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotBegun {
+    #[error("1 to {most} machines are wanted, not {many}")]
+    Machines { many: usize, most: usize },
+    #[error("{named} of the machines are keepers, and of these {spare} may be out at a time")]
+    Keepers { named: usize, spare: usize },
+    #[error("machines of an earlier wish are out still, {0} among them")]
+    Out(u32),
+}
+
 /// What is to be told, all of it to all keepers or to the machine named.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Look {
--- a/crates/maintenance/tests/stories.rs
+++ b/crates/maintenance/tests/stories.rs
@@ -2,9 +2,11 @@
 
 use corkspan_maintenance::board::{Board, Claimed, DEAREST, End};
 use corkspan_maintenance::door::Door;
+use corkspan_maintenance::look::{NotBegun, View, Word};
 use corkspan_maintenance::order::{bid, order};
 use corkspan_maintenance::{At, ClaimId, Course, Limits, Machine, Phase, Then, Wish};
 use std::collections::BTreeMap;
+use test_case::test_case;
 
 /// Four machines in two halls, each in a cell of its own.
 fn wish(number: u64, limits: Limits) -> Wish {
@@ -93,3 +95,69 @@
     board.advance(Machine(0), ClaimId(1), Phase::Handed);
     assert_eq!(board.votes().collect::<Vec<_>>(), [(ClaimId(1), Phase::Returned)]);
 }
+
+fn word(board: &Board) -> Word {
+    Word {
+        wish: board.wish().cloned(),
+        bids: board.bids(9),
+        outings: board.outings().clone(),
+        ..Word::default()
+    }
+}
+
+#[test]
+fn dead_machines_that_cost_nothing_do_not_bar_those_that_come_after() {
+    let mut board = board();
+    board.bid(0, [(Machine(2), 5.0), (Machine(3), 9.0)]);
+    let view = View::of(&[word(&board), word(&board)], 3).expect("two of three");
+    // Two that never answer are always among the cheapest.
+    let asked = |draw: usize| view.to_ask(2, |of| draw % of).keys().copied().collect::<Vec<_>>();
+    assert_eq!((asked(0), asked(1)), ([0, 1, 2].map(Machine).to_vec(), [0, 1, 3].map(Machine).to_vec()));
+    assert_eq!(view.to_ask(0, |_| 0).len(), 0);
+}
+
+#[test]
+fn a_machine_with_two_claims_is_asked_about_the_one_that_is_held() {
+    let (mut one, mut other) = (board(), board());
+    one.claim(1, Machine(0), ClaimId(9), [0, 0, 0, 0]);
+    other.claim(1, Machine(0), ClaimId(2), [0, 0, 0, 0]);
+    other.advance(Machine(0), ClaimId(2), Phase::Held);
+    let view = View::of(&[word(&one), word(&other), word(&other)], 3).expect("all three");
+    assert_eq!(view.to_ask(0, |_| 0)[&Machine(0)], Some(ClaimId(2)));
+}
+
+#[test]
+fn a_wish_that_no_majority_took_does_not_bar_the_next() {
+    let (mut minority, rest) = (board(), board());
+    minority.propose(wish(7, TWO));
+    let view = View::of(&[word(&minority), word(&rest), word(&rest)], 3).expect("all three");
+    assert_eq!((view.wish.map(|wish| wish.number), view.highest), (Some(1), 7));
+}
+
+#[test_case(0..4, TWO, &[8, 9, 10], Ok(()); "no keeper among them")]
+#[test_case(0..4, TWO, &[2, 3, 9], Err(NotBegun::Keepers { named: 2, spare: 1 }); "two of three keepers at a time")]
+#[test_case(0..4, Limits { all: 1, ..TWO }, &[2, 3, 9], Ok(()); "two keepers, one at a time")]
+#[test_case(0..0, TWO, &[9], Err(NotBegun::Machines { many: 0, most: 2_000 }); "none")]
+#[test_case(0..2_001, TWO, &[9_999], Err(NotBegun::Machines { many: 2_001, most: 2_000 }); "too many")]
+fn a_work_begins_where_it_can_end(
+    machines: std::ops::Range<u32>,
+    limits: Limits,
+    keepers: &[u32],
+    begins: Result<(), NotBegun>,
+) {
+    let at = At { hall: 0, cell: 0, kind: 0 };
+    let machines = machines.map(|own| (Machine(own), at)).collect();
+    let keepers: Vec<Machine> = keepers.iter().copied().map(Machine).collect();
+    assert_eq!(View::default().may_begin(&machines, &limits, &keepers), begins);
+}
+
+#[test]
+fn a_vote_on_an_outing_that_is_here_is_kept_whatever_else_is_voted_on() {
+    let mut board = board();
+    board.claim(1, Machine(0), ClaimId(1), [0, 0, 0, 0]);
+    board.advance(Machine(0), ClaimId(1), Phase::Handed);
+    (2..20_000).for_each(|claim| board.advance(Machine(3), ClaimId(claim), Phase::Returned));
+    board.advance(Machine(0), ClaimId(1), Phase::Returned);
+    assert_eq!(board.votes().next(), Some((ClaimId(1), Phase::Handed)));
+    assert_eq!(board.votes().count(), 513, "the latest of the others are told");
+}
