--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -416,12 +416,15 @@
         self.lock().port.entries.clone()
     }
 
-    /// Our allocations on a machine: how many may be moved, and how many may not.
-    pub fn held_on(&self, machine: MachineId) -> (usize, usize) {
+    /// Our allocations by machine: how many may be moved, and how many may not.
+    pub fn held(&self) -> BTreeMap<MachineId, (usize, usize)> {
         let mut inner = self.lock();
-        let there = there(&mut inner.host, machine);
-        let once = there.iter().filter(|(_, track)| self.once(*track)).count();
-        (there.len() - once, once)
+        let mut held: BTreeMap<MachineId, (usize, usize)> = BTreeMap::new();
+        for (_, machine, track) in standing(&mut inner.host) {
+            let (movable, once) = held.entry(machine).or_default();
+            *(if self.once(track) { once } else { movable }) += 1;
+        }
+        held
     }
 
     fn once(&self, track: TrackId) -> bool {
@@ -433,12 +436,12 @@
     /// to the machine is one try, and one that is lost would hold it up until that allocation ends by itself.
     pub fn empty(self: &Arc<Self>, machine: MachineId) {
         self.with(|_, host, port| {
-            for (id, track) in there(host, machine) {
-                let Some((client, _)) = host.own(id) else { continue };
-                if !self.once(track) {
-                    client.moving = true;
-                    port.stop(self, client, machine, true);
-                }
+            for (id, at, track) in standing(host) {
+                let Some((client, _)) = host.own(id).filter(|_| at == machine && !self.once(track)) else {
+                    continue;
+                };
+                client.moving = true;
+                port.stop(self, client, machine, true);
             }
         });
     }
@@ -534,16 +537,15 @@
 /// Some 2 ms of work, and as long for the sockets.
 const SLICE: Slice = Slice { most: 32, apart: 20 };
 
-/// What stands on a machine.
-fn there(host: &mut Host<Client>, machine: MachineId) -> Vec<(AllocationId, TrackId)> {
+/// What stands, and where.
+fn standing(host: &mut Host<Client>) -> Vec<(AllocationId, MachineId, TrackId)> {
     let placed: Vec<AllocationId> =
         host.all().filter(|(_, _, placed)| *placed).map(|(id, _, _)| id).collect();
-    let on = |id: AllocationId, host: &mut Host<Client>| {
+    let at = |id| {
         let (_, allocation) = host.own(id)?;
-        let there = allocation.shots.last().is_some_and(|shot| shot.machine == machine);
-        there.then_some((id, allocation.track))
+        Some((id, allocation.shots.last()?.machine, allocation.track))
     };
-    placed.into_iter().filter_map(|id| on(id, host)).collect()
+    placed.into_iter().filter_map(at).collect()
 }
 
 /// No owner waits longer for a placing.
--- a/crates/dispatcher/src/maintenance.rs
+++ b/crates/dispatcher/src/maintenance.rs
@@ -73,11 +73,8 @@
 }
 
 async fn bids(desk: &Arc<Desk>, wish: &Wish) {
-    let cost = |machine: &Machine| {
-        let (movable, once) = desk.held_on(MachineId(machine.0));
-        (machine.0, bid(movable, once))
-    };
-    let costs = wish.machines.keys().map(cost).filter(|(_, cost)| *cost > 0.0).collect();
+    let held = desk.held().into_iter().filter(|(own, _)| wish.machines.contains_key(&Machine(own.0)));
+    let costs = held.map(|(own, (movable, once))| (own.0, bid(movable, once))).collect();
     let dispatcher = desk.deployment().cluster.number as u32;
     ask_all(desk, Ask::Bids(v1::Bids { dispatcher, costs })).await;
 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -237,7 +237,7 @@
         let ended = within(Duration::from_secs(40), rest).await;
         drop((room, versions));
         if let Some(worker) = stage.worker.take() {
-            let worked = within(Duration::from_secs(600), worker).await;
+            let worked = within(WORKED_WITHIN, worker).await;
             worked.ok_or("the work on machines does not come to its end")??;
         }
         if self.day.audit {
@@ -773,6 +773,8 @@
     }
 }
 
+/// After the day, all machines have had their work within this.
+const WORKED_WITHIN: Duration = Duration::from_secs(180);
 /// A copy of a day's roll may take so long to get ready.
 const READY_WITHIN: Duration = Duration::from_secs(20);
 /// Nodes and dispatchers may be struck during a day's roll: that is not the version's fault.
