--- a/crates/platform/src/outbox.rs
+++ b/crates/platform/src/outbox.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 #[cfg(test)]
+#[path = "../tests/outbox/turns.rs"]
 mod turns;
 
 /// A peer that reads so slowly that more waits for it is cut off.
