Take the next that waits from its queue only when its turn can still be had

Desk::turn took the next id from the queue and only then looked at the clock, so each turn whose time was up dropped one set-up for good.

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -322,8 +322,9 @@
     /// connections are read, so that what nodes and owners say waits for one turn and not for all set-ups.
     pub fn turn(&self) -> bool {
         self.with(|now, host, port| {
-            while let Some(id) = host.next_turn()
-                && self.clock.now() < now + TURN
+            // In this order: one that has been taken from the queue must have its turn.
+            while self.clock.now() < now + TURN
+                && let Some(id) = host.next_turn()
             {
                 port.catch_up(now, host, id);
                 host.ask(now, id, port);
--- a/crates/platform/tests/desk/bounds.rs
+++ b/crates/platform/tests/desk/bounds.rs
@@ -241,3 +241,17 @@
     while desk.turn() {}
     assert!(waits().shots_out > 0);
 }
+
+/// A turn whose time is up once dropped the one that would have been next, which then never had an answer.
+#[test]
+fn each_that_waits_has_its_turn_however_many_turns_that_takes() {
+    let (desk, _owner, _inbox) = crowded(60);
+    let owners: Vec<(OwnerId, Inbox)> = (0..4).map(|_| desk.owner_came().expect("there is room")).collect();
+    for task in 1_000..2_000 {
+        let small = message(task, "cores:0.01;memory:0.01;service:a");
+        assert!(desk.owner_said(owners[task as usize % 4].0, &small));
+    }
+    let turns = (1..10_000).find(|_| !desk.turn()).expect("an end");
+    assert!(turns > 1, "more than one turn's work");
+    assert_eq!(desk.lock().host.counts().shots_out, 1_000, "all are out after {turns} turns");
+}
