Force each crossing over loopback: late words, late connections, goings, signals, hand-overs

21 stories beside the 29 that stood: what a node says late of an earlier attempt (eight cases), a refusal after an answer, a second answer, connections that come up after their client or their node has gone (the system's queue is filled, so they come up at its second try), ends told as an owner closes, stopping by the settings' longest deadline, what comes when no more is taken, a second SIGTERM with discovery away, a feed that moves meanwhile, 240 answers at the last moment, an address still taken, what a new file says that the feed has told.

--- /dev/null
+++ b/crates/platform/tests/crossings/mod.rs
@@ -0,0 +1,271 @@
+//! What comes between two lines, forced over loopback: one story for each crossing of a request, an answer or a signal.
+
+use crate::world::*;
+use corkspan_platform_wire::node;
+use corkspan_platform_wire::owner::{CAUSE, DESCRIPTION, EXTRAS, Kind, LEFT};
+use corkspan_runtime::Signal;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+fn close(task: u64, cause: u32) -> node::Message {
+    node::Message::new(node::Kind::Close, task).code(cause)
+}
+
+fn note(mut message: node::Message, note: &str) -> node::Message {
+    message.attrs.insert("note".into(), node::Value::Text(note.into()));
+    message
+}
+
+/// The next set-up that the node gets, and its connection.
+fn attempt(world: &mut World, task: u64) -> Link {
+    let mut link = world.nodes[0].opened();
+    let open = link.hears();
+    assert_eq!((open.kind, open.sid), (node::Kind::Open, Some(task)));
+    link
+}
+
+/// Its line is full for a moment: the next attempt goes to the same node, the only one.
+fn refused(link: &mut Link, task: u64) {
+    link.says(note(close(task, 34), "backlog"));
+    assert_eq!(link.hears().kind, node::Kind::Closed);
+}
+
+#[test_case(close(7, 34); "refused twice")]
+#[test_case(close(7, 16); "ended")]
+#[test_case(close(7, 41); "broken off")]
+#[test_case(ready(7, "late"); "answered")]
+#[test_case(node::Message::new(node::Kind::Event, 7); "noted")]
+fn what_a_node_says_late_of_an_earlier_attempt_is_not_taken_for_the_next(late: node::Message) {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut first = attempt(&mut world, 7);
+    refused(&mut first, 7);
+    let mut second = attempt(&mut world, 7);
+    first.says(late);
+    assert!(owner.silent_for(Duration::from_millis(100)));
+    assert!(
+        second.silent_for(Duration::from_millis(300)),
+        "it is still waited for, and no other goes out beside it"
+    );
+    second.says(ready(7, "made"));
+    assert_eq!(owner.hears().bytes(DESCRIPTION), Some(&b"made"[..]));
+}
+
+#[test_case(close(7, 34))]
+#[test_case(close(7, 16))]
+#[test_case(close(7, 41))]
+fn what_a_node_says_late_of_an_earlier_attempt_ends_nothing_that_stands(late: node::Message) {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut first = attempt(&mut world, 7);
+    refused(&mut first, 7);
+    let mut second = attempt(&mut world, 7);
+    second.says(ready(7, "made"));
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    first.says(late);
+    assert!(owner.silent_for(Duration::from_millis(200)), "it stands");
+    second.says(close(7, 16));
+    assert_eq!(owner.hears().kind, Kind::Release);
+}
+
+#[test]
+fn a_refusal_after_an_answer_ends_the_task_on_both_sides() {
+    let mut world = World::new(1);
+    let (mut owner, mut link) = world.placed(7);
+    link.says(close(7, 34));
+    let release = owner.hears();
+    assert_eq!((release.kind, release.bytes(CAUSE)), (Kind::Release, Some(&[41][..])));
+    assert_eq!(link.hears().kind, node::Kind::Closed);
+    assert_eq!(link.hears(), close(7, 16), "what its owner was told is over must be");
+}
+
+#[test]
+fn a_second_answer_is_passed_over() {
+    let mut world = World::new(1);
+    let (mut owner, mut link) = world.placed(7);
+    link.says(ready(7, "again"));
+    assert!(owner.silent_for(Duration::from_millis(200)) && link.silent_for(Duration::from_millis(50)));
+}
+
+/// A client that goes while the connection to its node comes up, late, leaves nothing to be written on it.
+#[test]
+fn a_set_up_is_not_written_on_a_connection_that_comes_up_after_its_client_has_gone() {
+    let mut world =
+        World::with(1, &[("\"max-attempts\":3", "\"max-attempts\":3,\"connect-timeout-us\":5000000")]);
+    let held = world.nodes[0].hold_connections();
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    assert!(owner.silent_for(Duration::from_millis(100)));
+    drop(owner);
+    // Time for the close to be read; the connection is asked for again by the system after 1 s.
+    std::thread::sleep(Duration::from_millis(200));
+    drop(held);
+    world.nodes[0].take_connections();
+    let mut link = world.nodes[0].opened();
+    assert!(link.silent_for(Duration::from_millis(500)));
+}
+
+/// Its system asks for the connection again when another node has the address already.
+#[test]
+fn what_was_meant_for_a_node_that_has_gone_is_not_written_to_the_next_at_its_address() {
+    let mut world =
+        World::with(1, &[("\"max-attempts\":3", "\"max-attempts\":3,\"connect-timeout-us\":5000000")]);
+    let held = world.nodes[0].hold_connections();
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    assert!(owner.silent_for(Duration::from_millis(100)));
+    world.tell(0, "left");
+    drop(held);
+    world.nodes[0].take_connections();
+    let old = world.nodes[0].opened();
+    world.nodes[0].name = "s-00001000".into();
+    world.tell(0, "active");
+    let mut new = attempt(&mut world, 7);
+    new.says(ready(7, "made"));
+    assert_eq!(owner.hears().bytes(DESCRIPTION), Some(&b"made"[..]));
+    let mut old = old;
+    assert!(old.ends(), "nothing was written on the other");
+}
+
+#[test]
+fn a_task_that_is_told_over_as_its_owner_closes_is_told_on_another_connection() {
+    let mut world = World::new(1);
+    let (owner, mut link) = world.placed(7);
+    drop(owner);
+    link.says(close(7, 16));
+    assert_eq!(link.hears().kind, node::Kind::Closed);
+    let mut next = world.owner();
+    next.says(Kind::Test, 1, &[(CAUSE, &[0])]);
+    let said = [next.hears().kind, next.hears().kind];
+    assert!(said.contains(&Kind::Release) && said.contains(&Kind::Tested), "{said:?}");
+}
+
+const SHORT: &[(&str, &str)] = &[("\"on-time-us\":600000", "\"on-time-us\":300000,\"deadline-us\":800000")];
+
+/// SIGKILL may come 1.5 s after SIGTERM where no owner waits for longer than 0.8 s.
+#[test]
+fn where_owners_wait_for_less_a_dispatcher_stops_sooner_and_answers_all() {
+    let mut world = World::with(1, SHORT);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let _held = attempt(&mut world, 7);
+    let since = Instant::now();
+    world.signal(Signal::Term);
+    std::thread::sleep(Duration::from_millis(550));
+    let mut late = world.owner();
+    late.sets_up(8, &[(LEFT, b"800")]);
+    assert_eq!(owner.hears().kind, Kind::Release);
+    assert_eq!(late.hears().kind, Kind::Release);
+    assert!(world.ended());
+    assert!(since.elapsed() < Duration::from_millis(1_500), "{:?}", since.elapsed());
+}
+
+#[test]
+fn what_comes_when_no_more_is_taken_is_refused_at_once() {
+    let mut world = World::with(1, SHORT);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let _held = attempt(&mut world, 7);
+    world.signal(Signal::Term);
+    // Some come before that moment and some after it, whenever it is.
+    let since = Instant::now();
+    for task in (8..).take_while(|_| since.elapsed() < Duration::from_millis(1_200)) {
+        owner.sets_up(task, &[]);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let first = owner.hears();
+    assert!(
+        first.task > 8 && first.bytes(CAUSE) == Some(&[34]),
+        "{first:?} before all that have attempts out"
+    );
+    assert!(world.ended());
+}
+
+#[test]
+fn a_second_signal_to_stop_and_a_feed_that_is_away_change_nothing() {
+    let mut world = World::with(1, SHORT);
+    world.move_feed();
+    drop(std::mem::replace(&mut world.feed.listener, TcpListener::bind("127.0.0.1:0").expect("a port")));
+    world.signal(Signal::Hup);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut link = attempt(&mut world, 7);
+    world.signal(Signal::Term);
+    world.signal(Signal::Term);
+    link.says(ready(7, "made"));
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    assert!(world.ended());
+}
+
+#[test]
+fn a_feed_that_moves_while_a_dispatcher_stops_is_followed() {
+    let mut world = World::new(1);
+    world.feed.asked();
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let _held = attempt(&mut world, 7);
+    world.signal(Signal::Term);
+    world.move_feed();
+    world.signal(Signal::Hup);
+    assert_eq!(world.feed.asked(), 1);
+    assert_eq!(owner.hears().kind, Kind::Release);
+    assert!(world.ended());
+}
+
+/// Hundreds of answers at the last moment are written, not only queued.
+#[test]
+fn all_that_is_owed_at_the_end_is_written_before_it() {
+    let mut world = World::with(1, SHORT);
+    let mut owners: Vec<Owner> = (0..60).map(|_| world.owner()).collect();
+    for (number, owner) in owners.iter_mut().enumerate() {
+        for task in 0..4 {
+            owner.sets_up(1 + number as u64 * 4 + task, &[]);
+        }
+    }
+    let _held: Vec<Link> = (0..20).map(|_| world.nodes[0].opened()).collect();
+    world.signal(Signal::Term);
+    assert!(world.ended());
+    for owner in &mut owners {
+        for _ in 0..4 {
+            assert_eq!(owner.hears().kind, Kind::Release);
+        }
+        assert!(owner.closed());
+    }
+}
+
+#[test]
+fn a_start_beside_one_that_still_stops_waits_for_its_address() {
+    let former = TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
+    let address: SocketAddr = former.local_addr().expect("bound");
+    let gone = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(300));
+        drop(former);
+    });
+    let world = World::by(1, false, 256, address, &[]);
+    gone.join().expect("it stopped");
+    let mut owner = world.owner();
+    owner.says(Kind::Test, 1, &[(CAUSE, &[0])]);
+    assert_eq!(owner.hears().kind, Kind::Tested);
+}
+
+#[test]
+fn what_a_new_file_says_that_the_feed_has_told_is_known_at_once() {
+    let mut world = World::new(1);
+    assert_eq!(world.feed.asked(), 1);
+    world.tell_nobody();
+    world.repost();
+    world.move_feed();
+    world.signal(Signal::Hup);
+    assert_eq!(world.feed.asked(), 2, "the second event stands in the file");
+}
+
+#[test]
+fn a_task_on_a_node_whose_name_is_unknown_is_told_over_and_held_by_nobody() {
+    let world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[(EXTRAS, b"cores:1;memory:1;service:a;at:s-ffffffff")]);
+    assert_eq!(owner.hears().kind, Kind::Release);
+}
--- a/crates/platform/tests/stories.rs
+++ b/crates/platform/tests/stories.rs
@@ -1,5 +1,6 @@
 //! One story for each failure met, told by the sockets of a dispatcher in service.
 
+mod crossings;
 mod world;
 
 use corkspan_platform_wire::node;
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -41,6 +41,8 @@
     told: u64,
     probes: bool,
     sockets: usize,
+    settings: String,
+    listen: SocketAddr,
 }
 
 fn listener() -> TcpListener {
@@ -78,6 +80,25 @@
 
     /// With or without leave to probe, and so many descriptors.
     pub fn start(nodes: usize, probes: bool, sockets: usize) -> World {
+        World::by(nodes, probes, sockets, SocketAddr::from(([127, 0, 0, 1], 0)), &[])
+    }
+
+    /// By other settings, each with what it stands in place of.
+    pub fn with(nodes: usize, replaced: &[(&str, &str)]) -> World {
+        World::by(nodes, false, 256, SocketAddr::from(([127, 0, 0, 1], 0)), replaced)
+    }
+
+    pub fn by(
+        nodes: usize,
+        probes: bool,
+        sockets: usize,
+        listen: SocketAddr,
+        replaced: &[(&str, &str)],
+    ) -> World {
+        let settings = replaced.iter().fold(SETTINGS.to_string(), |settings, (old, new)| {
+            assert!(settings.contains(old), "the settings hold {old}");
+            settings.replace(old, new)
+        });
         let nodes = (0..nodes).map(|number| {
             let listener = listener();
             let address = listener.local_addr().expect("bound");
@@ -97,6 +118,8 @@
             told: 1,
             probes,
             sockets,
+            settings,
+            listen,
         };
         world.post();
         let path = world.dir.path().join("posting.json");
@@ -131,12 +154,13 @@
 
     fn post(&self) {
         let posting = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":{}}},"feed":"{}",
+            r#"{{"name":"n0","listen":"{}","seed":"8c1f","limits":{{"sockets":{}}},"feed":"{}",
             "known":{{"n":1,"events":[{}]}},"settings":{}}}"#,
+            self.listen,
             self.sockets,
             self.feed.listener.local_addr().expect("bound"),
             self.members(None, "active"),
-            SETTINGS.replace("PROBES", if self.probes { "true" } else { "false" }),
+            self.settings.replace("PROBES", if self.probes { "true" } else { "false" }),
         );
         std::fs::write(self.dir.path().join("posting.json"), posting).expect("written");
     }
@@ -198,6 +222,16 @@
         self.post();
     }
 
+    /// The posting is written anew, with what the feed has told so far.
+    pub fn repost(&self) {
+        self.post();
+    }
+
+    /// An event is told to nobody: it stands in the next posting alone.
+    pub fn tell_nobody(&mut self) {
+        self.told += 1;
+    }
+
     pub fn signal(&self, signal: Signal) {
         self.signals.try_send(Ok(signal)).expect("it runs");
     }
@@ -246,6 +280,23 @@
     pub fn stop_listening(&mut self) {
         self.listener = None;
     }
+
+    /// Connections to it do not come up, and nobody says why: those that its system takes in its stead are all taken.
+    /// What is returned holds them.
+    pub fn hold_connections(&mut self) -> Vec<TcpStream> {
+        let listener = self.listener.as_ref().expect("it listens");
+        rustix::net::listen(listener, 0).expect("a smaller backlog");
+        let more =
+            std::iter::repeat_with(|| TcpStream::connect_timeout(&self.address, Duration::from_millis(200)));
+        more.map_while(Result::ok).collect()
+    }
+
+    /// They come up again.
+    pub fn take_connections(&mut self) {
+        let listener = self.listener.as_ref().expect("it listens");
+        rustix::net::listen(listener, 128).expect("a larger backlog");
+        while accept(listener).is_some() {}
+    }
 }
 
 /// A node's answer with this description.
@@ -274,6 +325,15 @@
         }
     }
 
+    /// Nothing comes for so long.
+    pub fn silent_for(&mut self, time: Duration) -> bool {
+        self.stream.set_read_timeout(Some(time)).expect("a socket option");
+        let silent =
+            matches!(self.stream.read(&mut [0; 64]), Err(why) if why.kind() == ErrorKind::WouldBlock);
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        silent
+    }
+
     /// The dispatcher has ended its side.
     pub fn ends(&mut self) -> bool {
         self.stream.read(&mut [0; 64]).expect("words or an end") == 0
