Count what arrives at a cold machine from whole fleets with late connections and restarts

The lead: an offer is counted when it is decided, and arrives up to the connect time later, in another window. A search over the decisions of all instances (3, 16, 20, 30 of them, 29 offers; 30 before 7 offers; random late connections, restarts) counts arrivals in every window: never more than the offers, and over 0.6 of them used. Found sound: parts of the budget by number, restarts. Fleet sizes that change at one process before the others: it waits for a window; the others' larger parts meanwhile are not counted against it, so a growing fleet may pass N by one part.

--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -3,7 +3,10 @@
 mod host;
 
 use corkspan::interface::*;
+use corkspan::rules::Scheduler;
 use host::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
 use test_case::test_case;
 
@@ -602,3 +605,71 @@
     let (free, full) = (spent(None), spent(Some((Place::Hall, 4))));
     assert!(full < free * 25, "{full:?} against {free:?}");
 }
+
+/// All of a fleet together: connections that come up late, processes that are started anew, and numbers that are no
+/// multiple of the offers. What arrives is counted in every window, each arrival at its own moment.
+#[test_case(3, 29, true; "three")]
+#[test_case(16, 29, true; "sixteen")]
+#[test_case(20, 29, true; "twenty")]
+#[test_case(30, 29, true; "thirty")]
+#[test_case(30, 7, true; "more processes than offers")]
+#[test_case(16, 29, false; "connections that are up already")]
+fn a_cold_machine_gets_no_more_than_it_bears_from_a_whole_fleet(
+    schedulers: usize,
+    offers: usize,
+    late: bool,
+) {
+    const STEP: Tenths = SECOND / 100;
+    let (window, opens) = (SECOND, SECOND / 4);
+    let fleet = |number| Cluster {
+        number,
+        schedulers,
+        cold: Cold { lasts: 8 * SECOND, window, offers: offers as f64 },
+        opens_within: opens,
+        ..cluster(track(Repeat::Idempotent))
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut hosts: Vec<Host> =
+        (0..schedulers).map(|number| Host::new(fleet(number), number as u64, 1)).collect();
+    let began = hosts[0].now + 20 * SECOND;
+    let started = Entry { started: Some(began), ..entry(0) };
+    for host in &mut hosts {
+        host.now = began;
+        host.scheduler.listed(Scope::Changes, &[started]);
+    }
+    let mut leaves: Vec<(Tenths, usize, Allocation)> = Vec::new();
+    let mut arrived: Vec<Tenths> = Vec::new();
+    for now in (began..began + 6 * SECOND).step_by(STEP as usize) {
+        let (gone, stay) = leaves.into_iter().partition(|(at, _, _)| *at <= now);
+        leaves = stay;
+        for (_, number, mut allocation) in gone as Vec<(Tenths, usize, Allocation)> {
+            let scheduler = &mut hosts[number].scheduler;
+            arrived.push(now);
+            if late {
+                scheduler.left(now, MachineId(0), allocation.shots[0].sent);
+            }
+            allocation.shots[0].fate = Fate::MayHaveRun;
+            let over = Outcome::Returned { ending: Ending::Ended, reason: None, over: true, report: None };
+            scheduler.after(now, &allocation, 0, over);
+        }
+        for (number, host) in hosts.iter_mut().enumerate() {
+            host.now = now;
+            if rng.random_range(0..2_000) == 0 {
+                host.scheduler = Scheduler::new(fleet(number), now, now);
+                host.scheduler.listed(Scope::Changes, &[started]);
+                // What waited for a connection has gone with the process.
+                leaves.retain(|(_, other, _)| *other != number);
+            }
+            let mut allocation = host.ask(1, 0.01, 0.01);
+            if host.sent_to(&mut allocation).is_some() {
+                let wait = if late { rng.random_range(0..=opens / STEP) * STEP } else { 0 };
+                leaves.push((now + wait, number, allocation));
+            }
+        }
+    }
+    let most =
+        arrived.iter().map(|&from| arrived.iter().filter(|&&at| (from..from + window).contains(&at)).count());
+    let (most, used) = (most.max().expect("some"), arrived.len() as f64 / (6 * offers) as f64);
+    assert!(most <= offers, "{most} in a window of {offers}");
+    assert!(used > 0.6, "{used:.2} of what it bears was used");
+}
