Hold the program to a real limit on descriptors while discovery is down

The lead: 0.9 of the limit went to connections that the books count, those that were being closed were not counted, and 48 descriptors left 5 for all else. A test under ulimit -n 48: 60 idle clients that have each said something sound, discovery away; an owner's set-up reaches its node, discovery is asked again once it is back, and never more than 48 are open.

--- /dev/null
+++ b/crates/cli/tests/descriptors.rs
@@ -0,0 +1,123 @@
+//! The program under a real limit on descriptors.
+
+use corkspan_platform_wire::owner::{self, Kind};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const SETTINGS: &str = r#"{"classes":[{"effect":"pure","name":"batch","on-time-us":600000,"deadline-us":6000000}],
+"discovery":"on_request","family-info":{"accepts-memory":1.5,"ack":"accepted","admit-cores":2.0,"class-calm":[1.0],
+"class-most":[2],"kind-cores":[32],"kind-memory":[64.0],"needs-kind":[-1],"priority-by-class":[0],
+"spread-by":["silent"],"view":false,"young-limit":29.0},"fleet-size":1,"limits":{"max-attempts":3,"probes":false},
+"locality":0,"me":0,"penalties":{},"rules":{"ask-every-us":10000000,"cold-us":14000000,"fall-us":1000000},
+"skus":["std"],"zones":["east"]}"#;
+
+struct Program {
+    child: Child,
+    address: SocketAddr,
+    _dir: tempfile::TempDir,
+}
+
+impl Program {
+    /// With so many descriptors, in its own file and by the system's limit.
+    fn start(limit: usize, feed: SocketAddr, node: SocketAddr) -> Program {
+        let dir = tempfile::tempdir().expect("a folder");
+        let path = dir.path().join("posting.json");
+        let member = format!(
+            r#"{{"id":"s-1","host_port":"{node}","locality":"east","flavor":"std","cell":1,"phase":"active"}}"#
+        );
+        let known =
+            format!(r#"{{"n":1,"events":[{{"n":1,"members":{{"complete":true,"members":[{member}]}}}}]}}"#);
+        let posting = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":{limit}}},"feed":"{feed}",
+            "known":{known},"settings":{SETTINGS}}}"#
+        );
+        std::fs::write(&path, posting).expect("written");
+        let mut child = Command::new("sh")
+            .arg("-c")
+            .arg(format!("ulimit -n {limit}; exec {} platform", env!("CARGO_BIN_EXE_corkspan")))
+            .env("NODE_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("started");
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        while !line.contains("listening") {
+            line.clear();
+            assert!(log.read_line(&mut line).expect("text") > 0, "it listens");
+        }
+        let address = line.split("address=").nth(1).expect("an address");
+        let address = address.trim().trim_end_matches("\u{1b}[0m").parse().expect("an address");
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Program { child, address, _dir: dir }
+    }
+
+    fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
+    fn connects(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("connected");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+        stream
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn accepted(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).expect("a socket option");
+    let since = Instant::now();
+    loop {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).expect("a socket option");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+            return stream;
+        }
+        assert!(since.elapsed() < PATIENCE, "nobody came");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Discovery is down while idle clients, each of which has once said something sound, take all that they can get.
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_neither_the_feed_nor_nodes_nor_owners_out() {
+    let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
+    let (node, down) = (listener(), listener());
+    let feed = down.local_addr().expect("bound");
+    drop(down);
+    let program = Program::start(48, feed, node.local_addr().expect("bound"));
+    let test = owner::message(Kind::Test, 1, &[(owner::CAUSE, &[0])]).expect("short");
+    let mut crowd = Vec::new();
+    for _ in 0..60 {
+        let mut idle = program.connects();
+        idle.write_all(&test).expect("written");
+        assert!(idle.read(&mut [0; 64]).expect("an answer") > 0);
+        assert!(program.descriptors() <= 48);
+        crowd.push(idle);
+    }
+    let mut owner = program.connects();
+    let parameters: [(u8, &[u8]); 4] = [
+        (owner::CLASS, b"batch"),
+        (owner::LEFT, b"6000"),
+        (owner::NAME, b"a"),
+        (owner::EXTRAS, b"cores:1;memory:1;service:a"),
+    ];
+    owner.write_all(&owner::message(Kind::SetUp, 7, &parameters).expect("short")).expect("written");
+    let mut link = accepted(&node);
+    assert!(link.read(&mut [0; 1_024]).expect("a set-up") > 0);
+    // Discovery is back, and the crowd still there.
+    let back = TcpListener::bind(feed).expect("its address is free");
+    let mut asks = accepted(&back);
+    let mut request = [0; 1_024];
+    let count = asks.read(&mut request).expect("a request");
+    assert!(String::from_utf8_lossy(&request[..count]).starts_with("GET /v1/events"));
+    assert!(program.descriptors() <= 48);
+}
