Tell a feed's silence by what is whole, and soon enough to ask again within four seconds

What a feed that falls silent would tell counts as told 4 s after that began. Silence was told 2.2 s after the last bytes and the next call follows within 1.5 s of it, which leaves 0.3 s for the call; and bytes that end nothing, one at a time, kept a dead feed alive for ever. Now silence is 1.6 s without a comment or an event.

--- a/crates/platform/src/feed.rs
+++ b/crates/platform/src/feed.rs
@@ -12,11 +12,13 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::{debug, info};
 
-/// A comment comes every second: two that fail to come tell a feed that has stopped while its connection stays.
-const SILENT: Duration = Duration::from_millis(2_200);
+/// A comment comes every second: one that is late by more than half of that tells a feed that has stopped while its
+/// connection stays. What it would tell counts as told 4 s after it stopped, by when the next call must have been
+/// answered; the decisions make that within 1.5 s of the break.
+const SILENT: Duration = Duration::from_millis(1_600);
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 
 #[derive(Debug, thiserror::Error)]
@@ -98,10 +100,14 @@
         }
         desk.watched();
         let (mut body, mut reader, mut first) = (response.into_body(), Reader::default(), true);
+        let mut heard = Instant::now();
         loop {
-            let frame = within(SILENT, body.frame()).await.ok_or(Broken::Silent)?.ok_or(Broken::Ended)??;
+            // Since something whole was told: bytes that come one by one and end nothing are silence too.
+            let left = SILENT.saturating_sub(heard.elapsed());
+            let frame = within(left, body.frame()).await.ok_or(Broken::Silent)?.ok_or(Broken::Ended)??;
             reader.push(frame.data_ref().map_or(&[][..], |bytes| bytes));
             while let Some(told) = reader.told()? {
+                heard = Instant::now();
                 if let Told::Event(event) = told {
                     let (last, n) = (desk.last_event(), event.n);
                     // What is missing between them is told after another call. If it is missing there too, the
--- a/crates/platform/tests/crossings/mod.rs
+++ b/crates/platform/tests/crossings/mod.rs
@@ -4,6 +4,7 @@
 use corkspan_platform_wire::node;
 use corkspan_platform_wire::owner::{CAUSE, DESCRIPTION, EXTRAS, Kind, LEFT};
 use corkspan_runtime::Signal;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -269,3 +270,38 @@
     owner.sets_up(7, &[(EXTRAS, b"cores:1;memory:1;service:a;at:s-ffffffff")]);
     assert_eq!(owner.hears().kind, Kind::Release);
 }
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+/// What a feed that has stopped would tell counts as told 4 s later, or as soon as it is asked again.
+#[test_case(b"", b""; "right after the call")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-", b""; "within the headers")]
+#[test_case(HEAD, b""; "after the headers")]
+#[test_case(HEAD, b":"; "but for bytes that end nothing")]
+#[test_case(HEAD, b"id: 2\ndata: {\"n\":2"; "within an event")]
+fn a_feed_that_falls_silent_is_asked_again_within_four_seconds(said: &[u8], more: &[u8]) {
+    let world = World::new(1);
+    let mut silent = world.feed.called();
+    let since = Instant::now();
+    silent.write_all(said).expect("written");
+    let mut drips = silent.try_clone().expect("cloned");
+    let more = more.to_vec();
+    std::thread::spawn(move || {
+        while !more.is_empty() && drips.write_all(&more).is_ok() {
+            std::thread::sleep(Duration::from_millis(400));
+        }
+    });
+    let _again = world.feed.called();
+    assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
+}
+
+/// The connection breaks between an event's data and its end: it was not told, and is asked for again.
+#[test]
+fn an_event_that_is_cut_off_counts_as_not_told() {
+    let mut world = World::new(1);
+    let mut cut = world.feed.called();
+    cut.write_all(HEAD).expect("written");
+    cut.write_all(b"id: 2\ndata: {\"n\":2}\n").expect("written");
+    drop(cut);
+    assert_eq!(world.feed.asked(), 1);
+}
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -242,6 +242,11 @@
 }
 
 impl Feed {
+    /// The next call of the dispatcher, which is not answered.
+    pub fn called(&self) -> TcpStream {
+        waited(|| accept(&self.listener))
+    }
+
     /// The next call of the dispatcher: the last event that it knows.
     pub fn asked(&mut self) -> u64 {
         let mut stream = waited(|| accept(&self.listener));
