Let the host's stories take turns as the desk does

Host::turn gave way to next_turn and ask, between which the desk catches up on the owner; the host's own stories still called it and did not compile.

--- a/crates/host/tests/stories.rs
+++ b/crates/host/tests/stories.rs
@@ -41,6 +41,11 @@
     sliced(repeat, machines, most, Slice { most: 2, apart: 20 })
 }
 
+/// The next that waits has its turn; false where none does.
+fn turn(host: &mut Host<&'static str>, now: Tenths, wire: &mut Noted) -> bool {
+    host.next_turn().map(|id| host.ask(now, id, wire)).is_some()
+}
+
 fn sliced(repeat: Repeat, machines: u32, most: usize, slice: Slice) -> Host<&'static str> {
     let size = Amount { cores: 40.0, memory: 100.0 };
     let track = Track { repeat, contract_time: SECOND, calm: 1.0, priority: 0, kind: None, spread: None };
@@ -243,7 +248,7 @@
     host.rest(1, &mut wire);
     assert!(!wire.said().contains("shot"), "none by itself");
     for more in [true, true, true, false] {
-        assert_eq!(host.turn(2, &mut wire), more);
+        assert_eq!(turn(&mut host, 2, &mut wire), more);
         assert_eq!(wire.said().matches("shot").count(), usize::from(more), "one a turn");
     }
 }
@@ -256,14 +261,14 @@
     host.woken(SECOND);
     host.rest(SECOND, &mut wire);
     assert_eq!(wire.said().matches("a: shed").count(), 500);
-    while host.turn(SECOND, &mut wire) {}
+    while turn(&mut host, SECOND, &mut wire) {}
     assert_eq!((wire.said(), host.counts()), (String::new(), Default::default()), "once each");
 }
 
 #[test]
 fn those_answered_not_yet_and_new_ones_have_their_turns_in_alternation() {
     let (mut host, mut wire) = by_turns(0, 100);
-    while host.turn(1, &mut wire) {}
+    while turn(&mut host, 1, &mut wire) {}
     host.rest(SECOND / 20 + 1, &mut wire);
     host.listed(Scope::Whole, &[entry(7)]);
     for number in 0..100 {
@@ -271,7 +276,7 @@
         host.place(600, id, &mut wire);
     }
     wire.said();
-    (0..20).for_each(|_| assert!(host.turn(600, &mut wire)));
+    (0..20).for_each(|_| assert!(turn(&mut host, 600, &mut wire)));
     let said = wire.said();
     assert_eq!((said.matches("a: shot").count(), said.matches("new: shot").count()), (10, 10), "{said}");
 }
