--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/process.rs
@@ -1,4 +1,4 @@
-//! The program under a real limit on descriptors.
+//! The program as a process: under a real limit on descriptors, from its start, to its end by a signal.
 
 use corkspan_platform_wire::owner::{self, Kind};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -22,14 +22,19 @@
 
 impl Program {
     /// With so many descriptors, in its own file and by the system's limit.
-    fn start(limit: usize, feed: SocketAddr, node: SocketAddr) -> Program {
+    fn start(limit: usize, feed: SocketAddr, nodes: usize, node: SocketAddr) -> Program {
         let dir = tempfile::tempdir().expect("a folder");
         let path = dir.path().join("posting.json");
-        let member = format!(
-            r#"{{"id":"s-1","host_port":"{node}","locality":"east","flavor":"std","cell":1,"phase":"active"}}"#
-        );
+        let members: Vec<String> = (1..=nodes)
+            .map(|number| {
+                format!(
+                    r#"{{"id":"s-{number}","host_port":"{node}","locality":"east","flavor":"std","phase":"active"}}"#
+                )
+            })
+            .collect();
+        let members = members.join(",");
         let known =
-            format!(r#"{{"n":1,"events":[{{"n":1,"members":{{"complete":true,"members":[{member}]}}}}]}}"#);
+            format!(r#"{{"n":1,"events":[{{"n":1,"members":{{"complete":true,"members":[{members}]}}}}]}}"#);
         let posting = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":{limit}}},"feed":"{feed}",
             "known":{known},"settings":{SETTINGS}}}"#
@@ -93,7 +98,7 @@
     let (node, down) = (listener(), listener());
     let feed = down.local_addr().expect("bound");
     drop(down);
-    let program = Program::start(48, feed, node.local_addr().expect("bound"));
+    let program = Program::start(48, feed, 1, node.local_addr().expect("bound"));
     let test = owner::message(Kind::Test, 1, &[(owner::CAUSE, &[0])]).expect("short");
     let mut crowd = Vec::new();
     for _ in 0..60 {
@@ -121,3 +126,24 @@
     assert!(String::from_utf8_lossy(&request[..count]).starts_with("GET /v1/events"));
     assert!(program.descriptors() <= 48);
 }
+
+/// The front takes a dispatcher in once it has passed a test. Discovery is down, which a start must not wait for.
+#[test]
+fn a_start_that_knows_hundreds_of_nodes_is_ready_within_ten_seconds_and_ends_when_told() {
+    let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
+    let (node, down) = (listener(), listener());
+    let feed = down.local_addr().expect("bound");
+    drop(down);
+    let since = Instant::now();
+    let mut program = Program::start(256, feed, 400, node.local_addr().expect("bound"));
+    let test = owner::message(Kind::Test, 1, &[(owner::CAUSE, &[0])]).expect("short");
+    let mut front = program.connects();
+    front.write_all(&test).expect("written");
+    assert!(front.read(&mut [0; 64]).expect("an answer") > 0);
+    assert!(since.elapsed() < Duration::from_secs(10), "{:?}", since.elapsed());
+    let told = Instant::now();
+    let kill = Command::new("kill").args(["-TERM", &program.child.id().to_string()]).status();
+    assert!(kill.expect("told").success());
+    assert!(program.child.wait().expect("it ends").success());
+    assert!(told.elapsed() < Duration::from_millis(3_700), "{:?}", told.elapsed());
+}
