--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -44,7 +44,7 @@
     }
 }
 
-async fn owner(desk: Arc<Desk>, stream: TcpStream, id: OwnerId, inbox: Inbox, _place: SemaphoreGuardArc) {
+pub async fn owner(desk: Arc<Desk>, stream: TcpStream, id: OwnerId, inbox: Inbox, _place: SemaphoreGuardArc) {
     let _ = stream.set_nodelay(true);
     let input = Input::new(stream.clone());
     desk.owner_input(id, input.clone());
@@ -53,5 +53,7 @@
         desk.owner_left(id);
     })
     .await;
+    // Where the writer ended first: its peer takes no more.
+    desk.owner_left(id);
     desk.retell(untold);
 }
--- a/crates/platform/tests/desk/crossings.rs
+++ b/crates/platform/tests/desk/crossings.rs
@@ -191,3 +191,20 @@
     let failed = owner::message(Kind::Release, 7, &[(owner::CAUSE, &[owner::CAUSE_FAILED])]).expect("short");
     assert!(!inbox.waiting().contains(&failed), "it is tried again or refused, not failed");
 }
+
+/// It reads nothing, so that more waits for it than may: its connection is closed, and it has gone like any other.
+#[test]
+fn a_client_that_is_cut_off_because_it_reads_nothing_has_gone() {
+    let desk = desk(&[]);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
+    let _peer = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
+    let stream = async_net::TcpStream::try_from(listener.accept().expect("accepted").0).expect("a stream");
+    let (id, inbox) = desk.owner_came().expect("there is room");
+    assert!(desk.owner_said(id, &set_up(7)));
+    desk.with(|_, _, port| while port.say(id, Kind::Tested, 1, &[(owner::CAUSE, &[1])]) {});
+    let place = Arc::new(Semaphore::new(1)).try_acquire_arc().expect("free");
+    let carried = crate::front::owner(Arc::clone(&desk), stream, id, inbox, place);
+    futures_lite::future::block_on(carried);
+    let inner = desk.lock();
+    assert_eq!((inner.port.owners.len(), inner.host.counts().in_hand), (0, 0));
+}
