Write the beginnings of two pairs of crossing stories once, and silence once

Two stories began with an attempt refused and a second out, two with a set-up whose connection does not come up, and both stand-ins told silence by the same lines.

--- a/crates/platform/tests/crossings/mod.rs
+++ b/crates/platform/tests/crossings/mod.rs
@@ -5,7 +5,7 @@
 use corkspan_platform_wire::owner::{CAUSE, DESCRIPTION, EXTRAS, Kind, LEFT};
 use corkspan_runtime::Signal;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -32,18 +32,35 @@
     assert_eq!(link.hears().kind, node::Kind::Closed);
 }
 
+/// The first attempt was refused, and the second is out at the same node: the owner, and both connections.
+fn attempted_twice() -> (World, Owner, Link, Link) {
+    let mut world = World::new(1);
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    let mut first = attempt(&mut world, 7);
+    refused(&mut first, 7);
+    let second = attempt(&mut world, 7);
+    (world, owner, first, second)
+}
+
+/// A set-up is out on a connection that does not come up yet; what holds it back, and the owner.
+fn on_its_way() -> (World, Vec<TcpStream>, Owner) {
+    let mut world =
+        World::with(1, &[("\"max-attempts\":3", "\"max-attempts\":3,\"connect-timeout-us\":5000000")]);
+    let held = world.nodes[0].hold_connections();
+    let mut owner = world.owner();
+    owner.sets_up(7, &[]);
+    assert!(owner.silent_for(Duration::from_millis(100)));
+    (world, held, owner)
+}
+
 #[test_case(close(7, 34); "refused twice")]
 #[test_case(close(7, 16); "ended")]
 #[test_case(close(7, 41); "broken off")]
 #[test_case(ready(7, "late"); "answered")]
 #[test_case(node::Message::new(node::Kind::Event, 7); "noted")]
 fn what_a_node_says_late_of_an_earlier_attempt_is_not_taken_for_the_next(late: node::Message) {
-    let mut world = World::new(1);
-    let mut owner = world.owner();
-    owner.sets_up(7, &[]);
-    let mut first = attempt(&mut world, 7);
-    refused(&mut first, 7);
-    let mut second = attempt(&mut world, 7);
+    let (_world, mut owner, mut first, mut second) = attempted_twice();
     first.says(late);
     assert!(owner.silent_for(Duration::from_millis(100)));
     assert!(
@@ -58,12 +75,7 @@
 #[test_case(close(7, 16))]
 #[test_case(close(7, 41))]
 fn what_a_node_says_late_of_an_earlier_attempt_ends_nothing_that_stands(late: node::Message) {
-    let mut world = World::new(1);
-    let mut owner = world.owner();
-    owner.sets_up(7, &[]);
-    let mut first = attempt(&mut world, 7);
-    refused(&mut first, 7);
-    let mut second = attempt(&mut world, 7);
+    let (_world, mut owner, mut first, mut second) = attempted_twice();
     second.says(ready(7, "made"));
     assert_eq!(owner.hears().kind, Kind::Answer);
     first.says(late);
@@ -94,12 +106,7 @@
 /// A client that goes while the connection to its node comes up, late, leaves nothing to be written on it.
 #[test]
 fn a_set_up_is_not_written_on_a_connection_that_comes_up_after_its_client_has_gone() {
-    let mut world =
-        World::with(1, &[("\"max-attempts\":3", "\"max-attempts\":3,\"connect-timeout-us\":5000000")]);
-    let held = world.nodes[0].hold_connections();
-    let mut owner = world.owner();
-    owner.sets_up(7, &[]);
-    assert!(owner.silent_for(Duration::from_millis(100)));
+    let (mut world, held, owner) = on_its_way();
     drop(owner);
     // Time for the close to be read; the connection is asked for again by the system after 1 s.
     std::thread::sleep(Duration::from_millis(200));
@@ -112,12 +119,7 @@
 /// Its system asks for the connection again when another node has the address already.
 #[test]
 fn what_was_meant_for_a_node_that_has_gone_is_not_written_to_the_next_at_its_address() {
-    let mut world =
-        World::with(1, &[("\"max-attempts\":3", "\"max-attempts\":3,\"connect-timeout-us\":5000000")]);
-    let held = world.nodes[0].hold_connections();
-    let mut owner = world.owner();
-    owner.sets_up(7, &[]);
-    assert!(owner.silent_for(Duration::from_millis(100)));
+    let (mut world, held, mut owner) = on_its_way();
     world.tell(0, "left");
     drop(held);
     world.nodes[0].take_connections();
--- a/crates/platform/tests/world/mod.rs
+++ b/crates/platform/tests/world/mod.rs
@@ -356,11 +356,7 @@
 
     /// Nothing comes for so long.
     pub fn silent_for(&mut self, time: Duration) -> bool {
-        self.stream.set_read_timeout(Some(time)).expect("a socket option");
-        let silent =
-            matches!(self.stream.read(&mut [0; 64]), Err(why) if why.kind() == ErrorKind::WouldBlock);
-        self.stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
-        silent
+        silent_for(&mut self.stream, time)
     }
 
     /// The dispatcher has ended its side.
@@ -377,6 +373,13 @@
     }
 }
 
+fn silent_for(stream: &mut TcpStream, time: Duration) -> bool {
+    stream.set_read_timeout(Some(time)).expect("a socket option");
+    let silent = matches!(stream.read(&mut [0; 64]), Err(why) if why.kind() == ErrorKind::WouldBlock);
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
+    silent
+}
+
 fn more(stream: &mut TcpStream) -> Vec<u8> {
     let mut bytes = vec![0; LONGEST];
     let count = stream.read(&mut bytes).expect("a message");
@@ -444,10 +447,6 @@
     }
 
     pub fn silent_for(&mut self, time: Duration) -> bool {
-        self.stream.set_read_timeout(Some(time)).expect("a socket option");
-        let silent =
-            matches!(self.stream.read(&mut [0; 64]), Err(why) if why.kind() == ErrorKind::WouldBlock);
-        self.stream.set_read_timeout(Some(PATIENCE)).expect("a socket option");
-        silent
+        silent_for(&mut self.stream, time)
     }
 }
