Count what passes a dispatcher's links, by kind, and hold it against relays

Bytes are counted at the socket and whole gRPC messages in the bodies of calls, where links begin (crates/rpc), on prometheus-client; the dispatcher sorts them into roster, control, keepers, other dispatchers, nodes and owners, and its status tells them, as does `corkspan status`. A link from outside is sorted by its first call, and what passed before is counted with the rest. Each dispatcher has its own set, so that several may share a process.

The laboratory's relays count by themselves. A story holds both against each other, byte for byte at a moment at which nothing passes: equal for roster, control, keepers and nodes; messages of roster and control equal to what the stand-ins sent.

Failed tries: keepers that were all nodes of the dispatcher's own hall, so that nothing passed to other nodes; a count of stops taken before all were sent.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -442,6 +442,16 @@
         if word.stopping { ", stopping" } else { "" }
     );
     rows.iter().for_each(|(what, value)| println!("{what:>18} {value}"));
+    for count in &word.link_counts {
+        println!(
+            "{:>18} {} bytes in, {} out; {} messages in, {} out",
+            count.kind().as_str_name().to_lowercase(),
+            count.bytes_in,
+            count.bytes_out,
+            count.messages_in,
+            count.messages_out
+        );
+    }
     Ok(())
 }
 
--- a/crates/dispatcher/src/bring.rs
+++ b/crates/dispatcher/src/bring.rs
@@ -2,6 +2,7 @@
 //! taken as a pushed one is. Whom to ask when is decided in `corkspan_fleet::bring`.
 
 use crate::control::apply;
+use crate::counts::LinkKind;
 use crate::desk::Desk;
 use crate::keepers;
 use crate::running::{message, push_of};
@@ -81,7 +82,8 @@
 async fn from_peer(desk: &Arc<Desk>, peer: SocketAddr, ask: v1::GiveAsk) -> Option<v1::Push> {
     let patience = desk.link_bounds.connect_within * 4 + Duration::from_secs(1);
     let whole = async {
-        let link = Link::open(&desk.tasks, peer, &desk.link_bounds).await.ok()?;
+        let meter = desk.counts.meter(LinkKind::Dispatchers);
+        let link = Link::open_counted(&desk.tasks, peer, &desk.link_bounds, &meter).await.ok()?;
         let mut client = VersionsClient::new(link).max_decoding_message_size(PUSH);
         client.give(ask).await.ok().map(tonic::Response::into_inner)
     };
--- a/crates/dispatcher/src/control.rs
+++ b/crates/dispatcher/src/control.rs
@@ -2,6 +2,7 @@
 //! `corkspan_control`.
 
 use crate::clock::{duration, tenths};
+use crate::counts::LinkKind;
 use crate::desk::Desk;
 use crate::fleet;
 pub use crate::running::{RUNNING, Versions, message, push_message, push_of, stamp};
@@ -114,7 +115,8 @@
     given_up: &async_channel::Receiver<String>,
     began: &mut Option<Instant>,
 ) -> String {
-    let link = match Link::open(&desk.tasks, service, &desk.link_bounds).await {
+    let meter = desk.counts.meter(LinkKind::Control);
+    let link = match Link::open_counted(&desk.tasks, service, &desk.link_bounds, &meter).await {
         Ok(link) => link,
         Err(why) => return why.to_string(),
     };
--- /dev/null
+++ b/crates/dispatcher/src/counts.rs
@@ -0,0 +1,76 @@
+//! What passes a dispatcher's links, by kind of link. Each dispatcher has its own, also where several share a process.
+
+use corkspan_api::v1;
+pub use corkspan_api::v1::link_count::Kind as LinkKind;
+use corkspan_rpc::{Meter, Sorts};
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use std::sync::Arc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum Way {
+    In,
+    Out,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Labels {
+    link: &'static str,
+    way: Way,
+}
+
+/// Clones share the counters.
+#[derive(Clone, Default)]
+pub struct Counts {
+    bytes: Family<Labels, Counter>,
+    messages: Family<Labels, Counter>,
+}
+
+const KINDS: [LinkKind; 6] = [
+    LinkKind::Roster,
+    LinkKind::Control,
+    LinkKind::Keepers,
+    LinkKind::Dispatchers,
+    LinkKind::Nodes,
+    LinkKind::Owners,
+];
+
+impl Counts {
+    /// What counts links of this kind.
+    pub fn meter(&self, kind: LinkKind) -> Meter {
+        let labels = |way| Labels { link: kind.as_str_name(), way };
+        let counter = |family: &Family<Labels, Counter>, way| family.get_or_create_owned(&labels(way));
+        Meter {
+            bytes_in: counter(&self.bytes, Way::In),
+            bytes_out: counter(&self.bytes, Way::Out),
+            messages_in: counter(&self.messages, Way::In),
+            messages_out: counter(&self.messages, Way::Out),
+        }
+    }
+
+    /// Links of others to us, by what they call first: another dispatcher asks for a version, and for nothing else.
+    pub fn sorts(&self) -> Sorts {
+        let counts = self.clone();
+        Arc::new(move |path| {
+            counts.meter(match path {
+                "/corkspan.v1.Versions/Give" => LinkKind::Dispatchers,
+                _ => LinkKind::Owners,
+            })
+        })
+    }
+
+    pub fn told(&self) -> Vec<v1::LinkCount> {
+        let told = |kind: LinkKind| {
+            let meter = self.meter(kind);
+            v1::LinkCount {
+                kind: kind.into(),
+                bytes_in: meter.bytes_in.get(),
+                bytes_out: meter.bytes_out.get(),
+                messages_in: meter.messages_in.get(),
+                messages_out: meter.messages_out.get(),
+            }
+        };
+        KINDS.map(told).into()
+    }
+}
--- a/crates/dispatcher/src/desk.rs
+++ b/crates/dispatcher/src/desk.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::{Clock, duration};
 use crate::conductors::Rolls;
+use crate::counts::{Counts, LinkKind};
 use crate::links::NodeLink;
 use crate::running::{self, Versions};
 use crate::shots;
@@ -46,6 +47,7 @@
     pub versions: Versions,
     pub fleet: Fleet,
     pub link_bounds: corkspan_rpc::Bounds,
+    pub counts: Counts,
     pub tasks: Tasks,
     /// When to look again.
     wakes: async_channel::Sender<Instant>,
@@ -121,6 +123,7 @@
                 inner: Mutex::new(Inner { host, port }),
                 clock,
                 link_bounds: crate::links::bounds(&deployment.bounds),
+                counts: Counts::default(),
                 in_force: RwLock::new(Arc::new(deployment)),
                 versions,
                 fleet,
@@ -398,12 +401,11 @@
                     State::Gone => drop(port.entries.remove(&entry.machine)),
                     _ => drop(port.entries.insert(entry.machine, *entry)),
                 }
-                match port.nodes.get(&entry.machine) {
-                    Some(node) if node.address == *address => {}
-                    _ => drop(
-                        port.nodes
-                            .insert(entry.machine, NodeLink::new(*address, entry.machine.0, dispatcher)),
-                    ),
+                if port.nodes.get(&entry.machine).is_none_or(|node| node.address != *address) {
+                    let keeps = self.deployment().keepers.contains(&entry.machine);
+                    let meter = self.counts.meter(if keeps { LinkKind::Keepers } else { LinkKind::Nodes });
+                    let node = NodeLink::new(*address, entry.machine.0, dispatcher, meter);
+                    port.nodes.insert(entry.machine, node);
                 }
             }
             let list: Vec<Entry> = entries.iter().map(|(entry, _)| *entry).collect();
@@ -479,6 +481,7 @@
             machines_known: port.nodes.len() as u64,
             decided_us: port.decided.as_micros() as u64,
             stopping: port.stopping,
+            link_counts: self.counts.told(),
         }
     }
 
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod conductors;
 pub mod control;
+mod counts;
 mod desk;
 pub mod fleet;
 mod keepers;
@@ -110,7 +111,13 @@
         let desk = Arc::clone(&desk);
         move |address| desk.deployment().allows(address)
     };
-    let serving = corkspan_rpc::serve_to(admits, listener, service, desk.link_bounds.clone());
+    let serving = corkspan_rpc::serve_to(
+        admits,
+        Some(desk.counts.sorts()),
+        listener,
+        service,
+        desk.link_bounds.clone(),
+    );
     let background = [
         tasks.spawn(corkspan_runtime::wake(waking, {
             let desk = Arc::clone(&desk);
--- a/crates/dispatcher/src/links.rs
+++ b/crates/dispatcher/src/links.rs
@@ -4,7 +4,7 @@
 use async_lock::Mutex as AsyncMutex;
 use corkspan_api::v1::{self, node_client::NodeClient};
 use corkspan_deployment::Bounds;
-use corkspan_rpc::{Link, NoLink, Tasks, within};
+use corkspan_rpc::{Link, Meter, NoLink, Tasks, within};
 use futures_lite::future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,6 +42,7 @@
 pub struct NodeLink {
     pub address: SocketAddr,
     greeting: v1::Greeting,
+    meter: Meter,
     state: AsyncMutex<State>,
     calls: AtomicUsize,
     unanswered: AtomicUsize,
@@ -75,11 +76,11 @@
 }
 
 impl NodeLink {
-    pub fn new(address: SocketAddr, node: u32, dispatcher: u32) -> Arc<Self> {
+    pub fn new(address: SocketAddr, node: u32, dispatcher: u32, meter: Meter) -> Arc<Self> {
         let greeting = v1::Greeting { node, dispatcher };
         let state = State { link: None, failed: None, used: Instant::now() };
         let (calls, unanswered) = Default::default();
-        Arc::new(NodeLink { address, greeting, state: AsyncMutex::new(state), calls, unanswered })
+        Arc::new(NodeLink { address, greeting, meter, state: AsyncMutex::new(state), calls, unanswered })
     }
 
     /// A link that takes a call now. Nothing has been sent where this fails.
@@ -110,7 +111,7 @@
     /// Opens a link and waits for the node's own word that it stands: a connection that the kernel at the other
     /// end took, for a process that no longer looks, would make of each offer one that may have run.
     async fn open(&self, tasks: &Tasks, bounds: &corkspan_rpc::Bounds) -> Result<Link, NoNode> {
-        let link = Link::open(tasks, self.address, bounds).await?;
+        let link = Link::open_counted(tasks, self.address, bounds, &self.meter).await?;
         let mut client = NodeClient::new(link.clone());
         let greeted = within(bounds.connect_within, client.greet(self.greeting)).await;
         let word = greeted.ok_or(NoNode::Silent(bounds.connect_within))?;
--- a/crates/dispatcher/src/roster.rs
+++ b/crates/dispatcher/src/roster.rs
@@ -1,6 +1,7 @@
 //! The list of machines: watched at the roster when the decisions ask for it, kept on disk for the next start.
 
 use crate::clock::{Clock, tenths, wall_ms};
+use crate::counts::LinkKind;
 use crate::desk::Desk;
 use async_io::Timer;
 use corkspan::interface::*;
@@ -232,7 +233,10 @@
 }
 
 async fn watch(desk: &Arc<Desk>, roster: &mut Roster, path: Option<&Path>) -> Result<(), String> {
-    let link = Link::open(&desk.tasks, desk.deployment().roster, &desk.link_bounds).await;
+    let link = {
+        let (to, meter) = (desk.deployment().roster, desk.counts.meter(LinkKind::Roster));
+        Link::open_counted(&desk.tasks, to, &desk.link_bounds, &meter).await
+    };
     let link = link.map_err(|why| why.to_string())?;
     // A list is longer than a message of a client may be.
     let mut client = RosterClient::new(link).max_decoding_message_size(LARGEST as usize);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod capture;
 pub mod control;
+pub mod counts;
 pub mod day;
 pub mod disk;
 pub mod judge;
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -39,6 +39,8 @@
     to: Option<SocketAddr>,
     /// Links that stand: dropped, they are reset.
     links: Vec<async_channel::Sender<()>>,
+    /// Bytes to and from the process that opens links, in the order of [`Way`], counted at its side.
+    passed: [u64; 2],
     /// Wakes what is held.
     changed: event::Changed,
 }
@@ -97,6 +99,11 @@
         self.set(|state| state.no_new = true);
     }
 
+    /// Bytes that came to the process that opens links through it, and that it sent, as far as this end has taken them.
+    pub fn passed(&self) -> [u64; 2] {
+        lock(&self.state).passed
+    }
+
     /// Breaks all links that stand, at both ends.
     pub fn reset(&self) {
         self.set(|state| state.links.clear());
@@ -148,6 +155,9 @@
     let read = async {
         let mut bytes = vec![0; AT_ONCE];
         while let Ok(count @ 1..) = from.read(&mut bytes).await {
+            if way == Way::Out {
+                lock(state).passed[way as usize] += count as u64;
+            }
             if pieces.send((Instant::now(), bytes[..count].to_vec())).await.is_err() {
                 break;
             }
@@ -167,6 +177,9 @@
             if bytes.is_empty() || to.write_all(&bytes).await.is_err() {
                 break;
             }
+            if way == Way::In {
+                lock(state).passed[way as usize] += bytes.len() as u64;
+            }
         }
         let _ = to.shutdown(Shutdown::Write);
         // Nobody takes any more: the reader is not to wait for room.
--- a/crates/lab/src/roster.rs
+++ b/crates/lab/src/roster.rs
@@ -21,6 +21,8 @@
     listener: TcpListener,
     server: Mutex<Option<async_executor::Task<()>>>,
     log: Mutex<Log>,
+    /// Listings that each dispatcher was told.
+    told: Mutex<BTreeMap<u32, u64>>,
     /// Where a dispatcher finds a node, other than at the node's own address.
     pub ways: Mutex<BTreeMap<(u32, u32), Relay>>,
 }
@@ -41,8 +43,9 @@
     pub async fn up(world: &Arc<World>) -> std::io::Result<(Arc<Self>, SocketAddr)> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (server, log, ways) = Default::default();
-        let roster = Arc::new(Roster { world: Arc::clone(world), address, listener, server, log, ways });
+        let (server, log, told, ways) = Default::default();
+        let roster =
+            Arc::new(Roster { world: Arc::clone(world), address, listener, server, log, told, ways });
         roster.listen();
         Ok((roster, address))
     }
@@ -87,6 +90,11 @@
         self.log.lock().expect("no one panics while it is held").entries.get(&node).cloned()
     }
 
+    /// Listings that a dispatcher was told.
+    pub fn told(&self, dispatcher: u32) -> u64 {
+        self.told.lock().expect("unshared").get(&dispatcher).copied().unwrap_or(0)
+    }
+
     /// `told` is what this watch was told before: only what differs is worth a line of the capture.
     fn listing(
         &self,
@@ -192,12 +200,19 @@
 
     async fn watch(&self, request: Request<v1::ListAsk>) -> Result<Response<Listings>, Status> {
         let (to, listings) = async_channel::bounded(16);
-        let watch = Arc::clone(&self.0).watch(request.into_inner(), to);
+        let ask = request.into_inner();
+        let dispatcher = ask.dispatcher;
+        let watch = Arc::clone(&self.0).watch(ask, to);
         // Carried by the stream itself, so that it ends with it.
         let task = self.0.world.tasks.spawn(watch);
-        let stream = futures_lite::stream::unfold((listings, task), |(listings, task)| async move {
-            let listing = listings.recv().await.ok()?;
-            Some((Ok(listing), (listings, task)))
+        let roster = Arc::clone(&self.0);
+        let stream = futures_lite::stream::unfold((listings, task), move |(listings, task)| {
+            let roster = Arc::clone(&roster);
+            async move {
+                let listing = listings.recv().await.ok()?;
+                *roster.told.lock().expect("unshared").entry(dispatcher).or_default() += 1;
+                Some((Ok(listing), (listings, task)))
+            }
         });
         Ok(Response::new(Box::pin(stream)))
     }
--- a/crates/lab/src/wires.rs
+++ b/crates/lab/src/wires.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Bytes that came to a dispatcher from this end, and that it sent there.
+    pub fn passed(&self, dispatcher: usize, end: End) -> [u64; 2] {
+        let passed = std::cell::Cell::new([0; 2]);
+        self.each(dispatcher, end, |relay| {
+            let (sum, own) = (passed.get(), relay.passed());
+            passed.set([sum[0] + own[0], sum[1] + own[1]]);
+        });
+        passed.get()
+    }
+
     /// Does it to each link of a dispatcher that ends there. Keepers are nodes: links to these alone, or to the others.
     fn each(&self, dispatcher: usize, end: End, what: impl Fn(&Relay)) {
         self.relays.get(&(dispatcher, end)).into_iter().flatten().for_each(&what);
--- a/crates/lab/tests/full_path/main.rs
+++ b/crates/lab/tests/full_path/main.rs
@@ -1,5 +1,6 @@
 //! The dispatcher between owners, nodes and roster, all over real sockets on loopback.
 
+mod counts;
 mod fleet;
 mod hard_cases;
 mod loads;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,6 +1,8 @@
 //! gRPC over smol: HTTP/2 links for tonic's clients and services, without a tokio runtime. Everything here is
 //! bounded and timed by what the caller hands over; what a broken link means is the caller's affair.
 
+mod counts;
+
 use async_executor::Executor;
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
@@ -8,6 +10,7 @@
 use http_body::Body as _;
 use hyper::client::conn::http2 as client;
 use hyper_util::service::TowerToHyperService;
+use prometheus_client::metrics::counter::Counter;
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 use std::convert::Infallible;
 use std::future::Future;
@@ -21,6 +24,8 @@
 use tower_service::Service;
 
 pub use corkspan_runtime::{Tasks, Within, within};
+pub use counts::{Counted, Meter, Sorts};
+use counts::{Socket, Tap};
 
 /// Why a link did not come to stand. Nothing was sent on it.
 #[derive(Debug, thiserror::Error)]
@@ -73,12 +78,32 @@
 #[derive(Clone)]
 pub struct Link {
     to: SocketAddr,
-    sender: client::SendRequest<Body>,
+    sender: client::SendRequest<Counted<Body>>,
+    meter: Option<Meter>,
 }
 
 impl Link {
     /// Opens a link. Dropping all clones, and the bodies of calls on it, closes it.
     pub async fn open(tasks: &Tasks, to: SocketAddr, bounds: &Bounds) -> Result<Link, NoLink> {
+        Link::open_with(tasks, to, bounds, None).await
+    }
+
+    /// The same with all that passes on it counted.
+    pub async fn open_counted(
+        tasks: &Tasks,
+        to: SocketAddr,
+        bounds: &Bounds,
+        meter: &Meter,
+    ) -> Result<Link, NoLink> {
+        Link::open_with(tasks, to, bounds, Some(meter)).await
+    }
+
+    async fn open_with(
+        tasks: &Tasks,
+        to: SocketAddr,
+        bounds: &Bounds,
+        meter: Option<&Meter>,
+    ) -> Result<Link, NoLink> {
         let opened = async {
             let stream = TcpStream::connect(to).await.map_err(NoLink::Refused)?;
             stream.set_nodelay(true).map_err(NoLink::Refused)?;
@@ -91,13 +116,14 @@
                 .initial_max_send_streams(bounds.calls as usize)
                 .initial_connection_window_size(bounds.window())
                 .max_header_list_size(16 * 1024);
-            builder.handshake(FuturesIo::new(stream)).await.map_err(NoLink::NotHttp)
+            let socket = Socket { stream, tap: meter.map(Tap::of) };
+            builder.handshake(FuturesIo::new(socket)).await.map_err(NoLink::NotHttp)
         };
         let (sender, connection) = within(bounds.connect_within, opened)
             .await
             .unwrap_or(Err(NoLink::TimedOut(bounds.connect_within)))?;
         tasks.spawn(async move { drop(connection.await) }).detach();
-        Ok(Link { to, sender })
+        Ok(Link { to, sender, meter: meter.cloned() })
     }
 
     /// Whether calls may still be sent on it.
@@ -107,7 +133,7 @@
 }
 
 impl Service<http::Request<Body>> for Link {
-    type Response = http::Response<hyper::body::Incoming>;
+    type Response = http::Response<Counted<hyper::body::Incoming>>;
     type Error = hyper::Error;
     type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
 
@@ -122,7 +148,10 @@
             // A path that was a path stays one beside an address.
             Err(_) => unreachable!("an address and a path make a URI"),
         }
-        Box::pin(self.sender.send_request(request))
+        let counter = |which: fn(&Meter) -> &Counter| self.meter.as_ref().map(|meter| which(meter).clone());
+        let (sent, heard) = (counter(|meter| &meter.messages_out), counter(|meter| &meter.messages_in));
+        let answered = self.sender.send_request(request.map(|body| Counted::new(body, sent)));
+        Box::pin(async move { Ok(answered.await?.map(|body| Counted::new(body, heard))) })
     }
 }
 
@@ -136,12 +165,14 @@
         + 'static,
     S::Future: Send + 'static,
 {
-    serve_to(|_| true, listener, service, bounds).await
+    serve_to(|_| true, None, listener, service, bounds).await
 }
 
-/// The same to peers at such addresses alone; others are closed unread.
+/// The same to peers at such addresses alone; others are closed unread. What passes is counted where it is said how
+/// links are sorted.
 pub async fn serve_to<S>(
     admits: impl Fn(IpAddr) -> bool,
+    sorts: Option<Sorts>,
     listener: TcpListener,
     service: S,
     bounds: Bounds,
@@ -178,8 +209,9 @@
             links.fetch_add(1, Ordering::Relaxed);
             let (service, links, bounds) = (service.clone(), Arc::clone(&links), bounds.clone());
             let tasks = Own(Arc::downgrade(&own));
+            let tap = sorts.as_ref().map(Tap::sorted);
             own.spawn(async move {
-                carry(tasks, stream, service, bounds).await;
+                carry(tasks, Socket { stream, tap }, service, bounds).await;
                 links.fetch_sub(1, Ordering::Relaxed);
             })
             .detach();
@@ -201,7 +233,7 @@
     }
 }
 
-async fn carry<S>(tasks: Own, stream: TcpStream, service: S, bounds: Bounds)
+async fn carry<S>(tasks: Own, socket: Socket, service: S, bounds: Bounds)
 where
     S: Service<http::Request<Body>, Response = http::Response<Body>, Error = Infallible>
         + Clone
@@ -209,10 +241,10 @@
         + 'static,
     S::Future: Send + 'static,
 {
-    if stream.set_nodelay(true).is_err() {
+    if socket.stream.set_nodelay(true).is_err() {
         return;
     }
-    let service = ToBody { inner: service, most: bounds.message };
+    let service = ToBody { inner: service, most: bounds.message, tap: socket.tap.clone() };
     let mut builder = hyper::server::conn::http2::Builder::new(tasks);
     builder
         .timer(SmolTimer::new())
@@ -222,7 +254,7 @@
         .max_send_buf_size(64 * 1024)
         .keep_alive_interval(bounds.keep_alive)
         .keep_alive_timeout(bounds.keep_alive);
-    let served = builder.serve_connection(FuturesIo::new(stream), TowerToHyperService::new(service));
+    let served = builder.serve_connection(FuturesIo::new(socket), TowerToHyperService::new(service));
     // A link that ends badly is its peer's affair: garbage, a reset, silence.
     drop(served.await);
 }
@@ -232,6 +264,7 @@
 struct ToBody<S> {
     inner: S,
     most: usize,
+    tap: Option<Tap>,
 }
 
 impl<S> Service<http::Request<hyper::body::Incoming>> for ToBody<S>
@@ -253,6 +286,12 @@
             let status = tonic::Status::resource_exhausted(format!("a message over {} bytes", self.most));
             return Box::pin(future::ready(Ok(status.into_http())));
         }
-        Box::pin(self.inner.call(request.map(Body::new)))
+        let Some(tap) = &self.tap else {
+            return Box::pin(self.inner.call(request.map(Body::new)));
+        };
+        let meter = tap.called(request.uri().path());
+        let (heard, sent) = (meter.messages_in.clone(), meter.messages_out.clone());
+        let answered = self.inner.call(request.map(|body| Body::new(Counted::new(body, Some(heard)))));
+        Box::pin(async move { Ok(answered.await?.map(|body| Body::new(Counted::new(body, Some(sent))))) })
     }
 }
