Heed a release on an earlier attempt's connection once the task's own has ended

Wrong was the line in node_said that takes every word on such a connection for one of that attempt.

Now a release or a note there is of the task that stands, if the connection of its set-up has ended and the node itself ended the attempt there, by another cause. A copy of that refusal, and any word where the attempt was withdrawn, is still passed over. Two stories force it over loopback; both fail without the mend (the owner waits in vain for 20 s).

--- a/crates/platform/src/desk.rs
+++ b/crates/platform/src/desk.rs
@@ -121,6 +121,9 @@
     /// The connections that its attempts went on. A node's words name the task and not the attempt, so none of them
     /// may carry two.
     links: Vec<LinkId>,
+    /// Those among them on which the node itself has ended the attempt, and by which cause: of that one it has no more
+    /// to say.
+    ended: Vec<(LinkId, u32)>,
 }
 
 /// An owner's connection.
--- a/crates/platform/src/desk/attempts.rs
+++ b/crates/platform/src/desk/attempts.rs
@@ -148,7 +148,17 @@
         let found = host.find(&sid(task)).and_then(|id| {
             let (placing, _) = host.own(id)?;
             let out = placing.out.filter(|out| out.machine == machine)?;
-            let earlier = out.link != Some(link) && placing.links.contains(&link);
+            let stands = placing.stage != Stage::Asked;
+            // Where the connection of its set-up has ended, a node tells what concerns a task on any that is open, be it
+            // one on which an attempt at the same task ended before. That attempt's cause can only be its copy.
+            let moved = stands && !out.link.is_some_and(|own| self.links.stands(own));
+            let ended = placing.ended.iter().find(|(on, _)| *on == link);
+            let of_this = moved
+                && ended.is_some_and(|&(_, cause)| match message.kind {
+                    node::Kind::Close => message.code != Some(cause),
+                    kind => kind == node::Kind::Event,
+                });
+            let earlier = out.link != Some(link) && placing.links.contains(&link) && !of_this;
             Some((id, out, placing.stage, earlier))
         });
         if found.is_some_and(|(_, _, _, earlier)| earlier) {
@@ -182,6 +192,7 @@
                         };
                         if let Some((placing, _)) = host.own(id) {
                             placing.out = None;
+                            placing.ended.push((link, code));
                         }
                         self.due.remove(&(out.until, Due::Attempt(id, out.number)));
                         out.link.into_iter().for_each(|link| self.links.done(link, id, now));
--- a/crates/platform/src/desk/clients.rs
+++ b/crates/platform/src/desk/clients.rs
@@ -242,6 +242,7 @@
             stage: Stage::Asked,
             out: None,
             links: Vec::new(),
+            ended: Vec::new(),
         };
         if let Some(at) = set_up.at {
             let ended =
--- a/crates/platform/tests/crossings/mod.rs
+++ b/crates/platform/tests/crossings/mod.rs
@@ -84,6 +84,27 @@
     assert_eq!(owner.hears().kind, Kind::Release);
 }
 
+/// The connection of its set-up ends, and its node tells its end on the other one that is open. That was once taken for
+/// the attempt which the node had refused there.
+#[test_case(close(7, 16), 16; "ended")]
+#[test_case(close(7, 41), 41; "cut")]
+fn a_release_on_the_connection_of_an_earlier_attempt_is_told_once_its_own_has_ended(
+    release: node::Message,
+    cause: u8,
+) {
+    let (_world, mut owner, mut first, mut second) = attempted_twice();
+    second.says(ready(7, "made"));
+    assert_eq!(owner.hears().kind, Kind::Answer);
+    drop(second);
+    // Loopback keeps no order between connections: the end of the other one is read by then.
+    assert!(owner.silent_for(Duration::from_millis(100)));
+    first.says(note(close(7, 34), "backlog"));
+    assert!(owner.silent_for(Duration::from_millis(100)), "a copy of the refusal ends nothing");
+    first.says(release);
+    let told = owner.hears();
+    assert_eq!((told.kind, told.bytes(CAUSE)), (Kind::Release, Some(&[cause][..])));
+}
+
 #[test]
 fn a_refusal_after_an_answer_ends_the_task_on_both_sides() {
     let mut world = World::new(1);
