--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -1,5 +1,6 @@
 //! What crossed the stand-ins' sockets, one JSON line each: the judge's only source.
 
+use crate::cost;
 use serde::{Deserialize, Serialize};
 use std::io::{BufRead, Write};
 use std::path::Path;
@@ -178,6 +179,15 @@
         mean_kib: u64,
         most_kib: u64,
     },
+    /// The stand-ins' one thread, over the day: how busy it was, by how much it was late at the worst, and whether that
+    /// spoils the day's figures.
+    StandIns {
+        busy: f64,
+        late_us: u64,
+        spoilt: bool,
+    },
+    /// What the dispatchers cost over the day.
+    Cost(Box<cost::Costs>),
     /// The script sets a trouble going.
     Trouble {
         name: String,
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -2,6 +2,7 @@
 
 use crate::relay::Way;
 use corkspan_deployment::sexp::{self, Fault, Form};
+use std::ops::Range;
 use std::path::Path;
 use std::time::Duration;
 
@@ -10,7 +11,12 @@
     /// Owners ask for new tasks so long.
     pub length: Duration,
     pub dispatchers: usize,
+    /// So many of them, the last ones, are hollow: they share processes, with so many in each.
+    pub hollow: usize,
+    pub a_process: usize,
     pub nodes: usize,
+    /// Nodes that fail together, in two halls; none where nothing is said of it.
+    pub zones: Option<usize>,
     /// New tasks a second.
     pub rate: f64,
     /// Of each hundred, so many are deduplicated and unrepeatable; the others are idempotent.
@@ -94,6 +100,7 @@
     LosePrograms,
     DrainNodes,
     RestartRack,
+    LoseZone,
     RosterAway,
     Demand,
     KillDispatchers,
@@ -105,7 +112,7 @@
     FullDisk,
 }
 
-pub const KINDS: [(&str, Kind); 17] = [
+pub const KINDS: [(&str, Kind); 18] = [
     ("kill-nodes", Kind::KillNodes),
     ("stall-nodes", Kind::StallNodes),
     ("cut-links", Kind::CutLinks),
@@ -114,6 +121,7 @@
     ("lose-programs", Kind::LosePrograms),
     ("drain-nodes", Kind::DrainNodes),
     ("restart-rack", Kind::RestartRack),
+    ("lose-zone", Kind::LoseZone),
     ("roster-away", Kind::RosterAway),
     ("demand", Kind::Demand),
     ("kill-dispatchers", Kind::KillDispatchers),
@@ -125,6 +133,9 @@
     ("full-disk", Kind::FullDisk),
 ];
 
+/// Hollow dispatchers in a process, where a script does not say.
+pub const A_PROCESS: usize = 50;
+
 /// The built-in day of trouble.
 pub const BUILT_IN: &str = include_str!("../days/trouble.sexp");
 /// A short one, for CI.
@@ -140,7 +151,9 @@
             let known = [
                 "length",
                 "dispatchers",
+                "hollow",
                 "nodes",
+                "zones",
                 "rate",
                 "deduplicated",
                 "unrepeatable",
@@ -163,7 +176,10 @@
             let day = Day {
                 length,
                 dispatchers: parts.need("dispatchers")?.whole(1, 300)? as usize,
-                nodes: parts.need("nodes")?.whole(1, 1000)? as usize,
+                hollow: 0,
+                a_process: A_PROCESS,
+                nodes: parts.need("nodes")?.whole(1, 2600)? as usize,
+                zones: None,
                 rate: parts.need("rate")?.above_zero()?,
                 deduplicated: parts.or("deduplicated", 10.0, percent)?,
                 unrepeatable: parts.or("unrepeatable", 5.0, percent)?,
@@ -180,6 +196,13 @@
                 maintenance: parts.find("maintenance").map(maintenance).transpose()?,
                 troubles: Vec::new(),
             };
+            let (hollow, a_process) = match parts.find("hollow") {
+                Some(form) => hollow(form, &day)?,
+                None => (0, A_PROCESS),
+            };
+            let most = day.nodes.min(100) as u64;
+            let zones = parts.find("zones").map(|form| form.whole(2, most)).transpose()?;
+            let day = Day { hollow, a_process, zones: zones.map(|zones| zones as usize), ..day };
             if let (Some(form), 0) = (parts.find("roll"), day.copies) {
                 return Err(form.fault("stands only beside `(copies …)`"));
             }
@@ -192,10 +215,47 @@
             let kinds = KINDS.map(|(name, _)| name);
             let troubles = parts.or("troubles", Vec::new(), |form| form.all(&kinds))?;
             let troubles = troubles.iter().map(|form| trouble(form, &day)).collect::<Result<_, _>>()?;
-            Ok(Day { troubles, ..day })
+            let day = Day { troubles, ..day };
+            if let Some(form) = parts.find("hollow").filter(|_| day.needs_disks()) {
+                return Err(form.fault(
+                    "a hollow dispatcher has no disk, and a roll, work on machines or a full disk needs one",
+                ));
+            }
+            Ok(day)
         })
     }
 
+    /// Whether what dispatchers keep on disk is part of the day.
+    fn needs_disks(&self) -> bool {
+        self.roll.is_some() || self.maintenance.is_some() || self.fills_disks()
+    }
+
+    pub fn is_hollow(&self, dispatcher: usize) -> bool {
+        dispatcher >= self.dispatchers - self.hollow
+    }
+
+    /// The dispatchers of each process.
+    pub fn processes(&self) -> Vec<Range<usize>> {
+        let real = self.dispatchers - self.hollow;
+        let hollow = (real..self.dispatchers).step_by(self.a_process);
+        let hollow = hollow.map(|first| first..(first + self.a_process).min(self.dispatchers));
+        (0..real).map(|number| number..number + 1).chain(hollow).collect()
+    }
+
+    /// Cell and hall of the node that is the how-manieth. A zone is in one hall; without zones a cell is in both.
+    pub fn place(&self, node: usize) -> (u64, usize) {
+        let cell = (node / 4) as u64;
+        match self.zones {
+            Some(zones) => (cell, usize::from(self.zone(cell) >= zones.div_ceil(2))),
+            None => (cell, node / 2 % 2),
+        }
+    }
+
+    /// Of a cell.
+    pub fn zone(&self, cell: u64) -> usize {
+        (cell % self.zones.unwrap_or(1) as u64) as usize
+    }
+
     /// Whether the dispatchers' links run through relays.
     pub fn has_wires(&self) -> bool {
         let on_links = |trouble: &Trouble| {
@@ -228,6 +288,18 @@
     Ok(time)
 }
 
+/// `(hollow (many 99) (a-process 50))`: at least one dispatcher is a process of its own.
+fn hollow(form: &Form, day: &Day) -> Result<(usize, usize), Fault> {
+    let parts = form.parts(&["many", "a-process"])?;
+    let most = day.dispatchers as u64 - 1;
+    if most == 0 {
+        return Err(form.fault("at least one dispatcher is a process of its own, and there is one alone"));
+    }
+    let many = parts.need("many")?.whole(1, most)?;
+    let a_process = parts.or("a-process", A_PROCESS as u64, |form| form.whole(1, 100))?;
+    Ok((many as usize, a_process as usize))
+}
+
 /// `(maintenance (at 5 s) (at-a-time 10) (by-hall 6) (takes 1 s))`
 fn maintenance(form: &Form) -> Result<Maintenance, Fault> {
     let parts = form.parts(&["at", "at-a-time", "by-hall", "takes"])?;
@@ -303,6 +375,9 @@
             _ => {}
         }
     }
+    if kind == Kind::LoseZone && day.zones.is_none() {
+        return Err(form.fault("stands only beside `(zones …)`"));
+    }
     let no_versions = day.versions.is_none();
     if let (Kind::HoldVersions, true) = (kind, no_versions) {
         return Err(form.fault("stands only beside `(versions …)`"));
--- /dev/null
+++ b/crates/lab/src/hollow/fleet.rs
@@ -0,0 +1,205 @@
+//! A fleet of dispatchers before stand-ins of nodes, run for a while without asks or with them, and read.
+
+use crate::capture::Seen;
+use crate::cost::{CONTROL, Cost, Costs, KINDS, between};
+use crate::day::Day;
+use crate::pace::Pace;
+use crate::play::{Play, Stage, tell_room};
+use crate::process::Programs;
+use async_io::Timer;
+use clap::Args;
+use corkspan_api::v1::link_count::Kind;
+use corkspan_rpc::{Tasks, within};
+use futures_lite::future;
+use std::time::{Duration, Instant};
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Dispatchers with a process each.
+    pub real: usize,
+    /// Further ones, that share processes.
+    pub hollow: usize,
+    pub nodes: usize,
+}
+
+/// A span of time in figures.
+#[derive(Clone, Debug, Default)]
+pub struct Span {
+    pub real: Cost,
+    pub hollow: Cost,
+    /// Busy share of the stand-ins' one thread, how late it was at the worst, and whether that spoils the figures.
+    pub busy: f64,
+    pub late: Duration,
+    pub spoilt: bool,
+    /// As owners heard it.
+    pub asked: usize,
+    pub placed: usize,
+}
+
+/// Dispatchers and stand-ins, up. Nothing of the stand-ins moves but within [`Fleet::run`], so calls are to follow one
+/// another closely.
+pub struct Fleet {
+    tasks: Tasks,
+    stage: Stage,
+    _room: async_executor::Task<()>,
+}
+
+impl Fleet {
+    /// Refused at once, with what is short, where it does not fit the machine. Each dispatcher knows all nodes when this
+    /// returns.
+    pub fn up(size: Size, seed: u64, programs: &Programs) -> Result<Fleet, String> {
+        let Size { real, hollow, nodes } = size;
+        if real == 0 || real + hollow > 300 || !(1..=2600).contains(&nodes) {
+            return Err(format!(
+                "1 to 300 dispatchers with a real one among them, and 1 to 2600 nodes, not {size:?}"
+            ));
+        }
+        let script = match hollow {
+            0 => String::new(),
+            many => format!("(hollow (many {many}))"),
+        };
+        let script = format!(
+            "(day (length 600 s) (dispatchers {}) {script} (nodes {nodes}) (rate 1) (cancels 0))",
+            real + hollow
+        );
+        let mut day = Day::read("fleet", &script).map_err(|why| why.to_string())?;
+        day.rate = 0.0;
+        let (tell, programs) = ((|text| text) as fn(String) -> String, programs.clone());
+        let play = Play { day, seed, programs, capture: None, tell, logs: None };
+        let tasks = Tasks::default();
+        let stage = future::block_on(tasks.run(play.up(&tasks)))?;
+        let room = tasks.spawn(tell_room(stage.roster.clone(), stage.nodes.clone(), stage.day.dispatchers));
+        Ok(Fleet { tasks, stage, _room: room })
+    }
+
+    /// Runs for so long while owners ask so many times a second, each for a task of a mean life of so long; at a rate of 0
+    /// nobody asks.
+    pub fn run(&mut self, time: Duration, rate: f64, life: Duration) -> Result<Span, String> {
+        let tasks = self.tasks.clone();
+        let stage = &mut self.stage;
+        (stage.day.rate, stage.day.life) = (rate, life);
+        let whole = async {
+            let (before, from) = (stage.read().await?, stage.front.world.capture.lines().len());
+            let (pace, until) = (Pace::begin(&tasks)?, Instant::now() + time);
+            stage.start = Instant::now();
+            let owners = stage.through(until).await?;
+            Timer::at(until).await;
+            let seen = pace.end()?;
+            let after = stage.read().await?;
+            // Those that are still here when the span is over are not waited for.
+            drop(owners);
+            let Costs { real, hollow } = between(&before, &after);
+            let mut span = Span { real, hollow, ..Span::default() };
+            if let Seen::StandIns { busy, late_us, spoilt } = seen {
+                (span.busy, span.late, span.spoilt) = (busy, Duration::from_micros(late_us), spoilt);
+            }
+            for line in &stage.front.world.capture.lines()[from..] {
+                match line.seen {
+                    Seen::Asked(_) => span.asked += 1,
+                    Seen::Heard { word: crate::capture::Word::Placed, .. } => span.placed += 1,
+                    _ => {}
+                }
+            }
+            Ok(span)
+        };
+        let most = time + Duration::from_secs(60);
+        let whole = within(most, Box::pin(whole));
+        future::block_on(self.tasks.run(whole)).ok_or("a span of a fleet does not come to its end")?
+    }
+
+    /// All processes end, and each with 0.
+    pub fn down(mut self) -> Result<(), String> {
+        let tasks = self.tasks.clone();
+        let front = self.stage.front.clone();
+        future::block_on(tasks.run(async {
+            for process in &mut self.stage.fleet {
+                process.down(&front).await?;
+            }
+            Ok(())
+        }))
+    }
+}
+
+/// `hollow against`
+#[derive(Args)]
+pub struct Against {
+    #[arg(long, default_value_t = 20)]
+    dispatchers: usize,
+    #[arg(long, default_value_t = 140)]
+    nodes: usize,
+    /// Of each span.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// Asks a second of the spans with asks.
+    #[arg(long, default_value_t = 100.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 3)]
+    rounds: usize,
+}
+
+/// Mean life of a task.
+const LIFE: Duration = Duration::from_secs(4);
+
+/// Real ones alone and hollow ones with one real among them, in turn, so that both meet the same machine.
+impl Against {
+    pub fn run(self) -> Result<(), String> {
+        let programs = Programs::here()?;
+        if self.dispatchers < 2
+            || !(0.5..=600.0).contains(&self.seconds)
+            || !(0.0..=5_000.0).contains(&self.rate)
+        {
+            return Err("2 dispatchers or more, 0.5 to 600 seconds and 0 to 5000 asks a second".into());
+        }
+        let time = Duration::from_secs_f64(self.seconds);
+        let (mut spoilt, mut apart) = (0, 0);
+        let rates = [0.0, self.rate];
+        for round in 0..self.rounds.clamp(1, 100) as u64 {
+            let mut spans = Vec::new();
+            for hollow in [0, self.dispatchers - 1] {
+                let size = Size { real: self.dispatchers - hollow, hollow, nodes: self.nodes };
+                let mut fleet = Fleet::up(size, round + 1, &programs)?;
+                for rate in rates {
+                    // What was learnt at the start, or of another rate, settles first.
+                    fleet.run(Duration::from_secs(3), rate, LIFE)?;
+                    spans.push(fleet.run(time, rate, LIFE)?);
+                }
+                fleet.down()?;
+            }
+            for (rate, (first, second)) in
+                std::iter::zip(rates, std::iter::zip(&spans, &spans[rates.len()..]))
+            {
+                println!("round {}, {rate} asks a second:", round + 1);
+                println!("  real               {}", first.real);
+                println!("  hollow             {}", second.hollow);
+                println!("  real among hollow  {}", second.real);
+                for (span, name) in [(first, "real"), (second, "hollow")] {
+                    println!(
+                        "  stand-ins, {name}: {:.0}% busy, late by {} ms at the worst{}; {} asked, {} placed",
+                        span.busy * 100.0,
+                        span.late.as_millis(),
+                        if span.spoilt { ", SPOILT" } else { "" },
+                        span.asked,
+                        span.placed
+                    );
+                }
+                let ratio = |cost: &Cost, kinds: &[Kind]| cost.bytes(kinds) / first.real.bytes(kinds);
+                let (ratio, beside, control) = (
+                    ratio(&second.hollow, &KINDS),
+                    ratio(&second.real, &KINDS),
+                    ratio(&second.hollow, &CONTROL),
+                );
+                println!(
+                    "  bytes a second and dispatcher, over real ones alone: hollow {ratio:.3} (control {control:.3}), real among them {beside:.3}"
+                );
+                spoilt += usize::from(first.spoilt || second.spoilt);
+                apart += usize::from(!(0.9..=1.1).contains(&ratio));
+            }
+        }
+        println!("{apart} spans apart by more than a tenth, {spoilt} spoilt");
+        match apart {
+            0 => Ok(()),
+            _ => Err("hollow dispatchers don't pass what real ones do".into()),
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,16 +3,21 @@
 
 pub mod capture;
 pub mod control;
+pub mod cost;
 pub mod counts;
 pub mod day;
 pub mod disk;
+pub mod hollow;
 pub mod judge;
 pub mod loads;
 pub mod measure;
+pub mod needs;
 pub mod node;
 pub mod outings;
 pub mod owner;
+pub mod pace;
 pub mod play;
+pub mod process;
 pub mod pushes;
 pub mod relay;
 pub mod roster;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,7 +2,8 @@
 
 use clap::{Parser, Subcommand};
 use corkspan_lab::{
-    capture, day::Day, judge, loads, measure::Measure, play::Play, pushes::Pushes, table::Table,
+    capture, day::Day, hollow, judge, loads, measure::Measure, play::Play, process::Programs, pushes::Pushes,
+    table::Table,
 };
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -37,6 +38,8 @@
         #[arg(long)]
         logs: Option<PathBuf>,
     },
+    /// Hollow dispatchers: many in a process, without a disk or a log, for the laboratory alone; see docs/days.md.
+    Hollow(hollow::Line),
     /// Judges a capture alone.
     Judge { capture: PathBuf },
     /// Measures a dispatcher against the RPC stack alone, side by side.
@@ -124,11 +127,12 @@
                 (None, false) => Day::read("the built-in day", corkspan_lab::day::BUILT_IN),
             };
             day.map_err(|why| why.to_string()).and_then(|day| {
-                let program = match program {
+                let real = match program {
                     Some(program) => vec![program.into_os_string()],
                     None => own()?,
                 };
-                let lines = Play { day, seed, program, capture, tell: |text| text, logs }.run()?;
+                let programs = Programs { real, ..Programs::here()? };
+                let lines = Play { day, seed, programs, capture, tell: |text| text, logs }.run()?;
                 println!("{}", Table::of(&lines));
                 judged(&lines)
             })
@@ -154,6 +158,7 @@
             println!("the same, at the same time, by one owner that waits for its answers:\n{closed}");
             Ok(())
         }),
+        Call::Hollow(line) => hollow::run(line),
         Call::Judge { capture } => judge_file(&capture),
         Call::Corkspan { line } => {
             return corkspan_cli::run(std::iter::once("corkspan".into()).chain(line));
--- /dev/null
+++ b/crates/lab/src/needs.rs
@@ -0,0 +1,105 @@
+//! What a day needs of the machine, worked out before anything is started, and what the machine has. Plain arithmetic, but
+//! for [`Limits::here`].
+
+use crate::day::{Day, End, Kind};
+use std::time::Duration;
+
+/// Real dispatchers and hollow ones, with a thousand nodes' records and some tasks each: above what was seen.
+const REAL_KIB: u64 = 32 * 1024;
+const HOLLOW_KIB: u64 = 16 * 1024;
+/// The stand-ins: at the start, a node, and a task from its first ask on, with its lines of the capture.
+const LAB_KIB: u64 = 128 * 1024;
+const NODE_KIB: u64 = 64;
+const TASK_KIB: u64 = 16;
+/// Told at the start of each dispatcher of each node, and kept in the capture.
+const TOLD_BYTES: u64 = 200;
+/// A link without a call on it is closed after so long, or a quarter later.
+const IDLE: Duration = Duration::from_secs(19);
+/// "A few hundred".
+const PROCESSES: u64 = 400;
+
+/// What is needed at the most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Needs {
+    pub memory_kib: u64,
+    pub processes: u64,
+    /// In the stand-ins' process.
+    pub descriptors: u64,
+    /// In the hollow process that needs most.
+    pub hollow_descriptors: u64,
+}
+
+/// What may be used.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_kib: u64,
+    pub processes: u64,
+    pub descriptors: u64,
+}
+
+impl Needs {
+    pub fn of(day: &Day) -> Needs {
+        let (dispatchers, hollow, nodes) = (day.dispatchers as u64, day.hollow as u64, day.nodes as u64);
+        let highest = day.troubles.iter().filter(|trouble| trouble.kind == Kind::Demand);
+        let rate = highest.fold(day.rate, |rate, step| rate.max(day.rate * step.times));
+        let burst = day.troubles.iter().filter(|trouble| trouble.kind == Kind::Burst);
+        let burst: u64 = burst.map(|trouble| trouble.many as u64).sum();
+        // Each task may have a link of its own, from its offer to its end and until that has been idle for long.
+        let stands = day.length.min(day.life.mul_f64(1.7) + IDLE);
+        let tasks = (rate * stands.as_secs_f64()) as u64 + burst + day.copies as u64;
+        let links = tasks.min(dispatchers * nodes);
+        let relayed = match (day.has_wires(), day.strikes(End::Nodes)) {
+            (false, _) => 0,
+            (true, all) => dispatchers * (if all { nodes } else { 3 } + 6),
+        };
+        let processes = day.processes().len() as u64;
+        let a_process = (day.a_process as u64).min(hollow);
+        let asked = (rate * day.length.as_secs_f64()) as u64 + burst;
+        Needs {
+            memory_kib: LAB_KIB
+                + (dispatchers - hollow) * REAL_KIB
+                + hollow * HOLLOW_KIB
+                + nodes * NODE_KIB
+                + asked * TASK_KIB
+                + dispatchers * nodes * TOLD_BYTES / 1024,
+            processes: processes + 1,
+            // A relay listens, and has a link to either side.
+            descriptors: nodes + links + dispatchers * 4 + relayed + 2 * links.min(relayed) + 100,
+            hollow_descriptors: a_process * 8 + (links * a_process).div_ceil(dispatchers) * 2 + 100,
+        }
+    }
+
+    /// What is short, all of it.
+    pub fn fit(&self, limits: &Limits) -> Result<(), String> {
+        let rows = [
+            ("KiB of memory, half of the machine's", self.memory_kib, limits.memory_kib),
+            ("processes", self.processes, limits.processes),
+            ("descriptors of one process", self.descriptors.max(self.hollow_descriptors), limits.descriptors),
+        ];
+        let short = rows.iter().filter(|(_, wanted, there)| wanted > there);
+        let short: Vec<String> =
+            short.map(|(what, wanted, there)| format!("{wanted} {what}, and {there} may be used")).collect();
+        match short.is_empty() {
+            true => Ok(()),
+            false => Err(format!("too large for this machine: it may need {}", short.join("; "))),
+        }
+    }
+}
+
+impl Limits {
+    pub fn here() -> Result<Limits, String> {
+        let text = std::fs::read_to_string("/proc/meminfo").map_err(|why| format!("/proc/meminfo: {why}"))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"));
+        let all: Option<u64> = line.and_then(|rest| rest.split_whitespace().next()?.parse().ok());
+        let all = all.ok_or("the kernel does not tell the machine's memory")?;
+        // A container may have less than the machine.
+        let own = std::fs::read_to_string("/sys/fs/cgroup/memory.max").ok();
+        let own = own.and_then(|text| text.trim().parse::<u64>().ok()).map_or(all, |bytes| bytes / 1024);
+        let limit = |resource| rustix::process::getrlimit(resource).current.unwrap_or(u64::MAX);
+        Ok(Limits {
+            memory_kib: all.min(own) / 2,
+            processes: PROCESSES.min(limit(rustix::process::Resource::Nproc)),
+            descriptors: limit(rustix::process::Resource::Nofile),
+        })
+    }
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -2,10 +2,14 @@
 //! script's troubles strike.
 
 use crate::capture::{self, Capture, DispatcherState, NodeState, Repeat, Rules, Seen};
-use crate::control::Control;
+use crate::control::{self, Control};
+use crate::cost;
 use crate::day::{Day, End, Kind, Trouble};
+use crate::needs::{Limits, Needs};
 use crate::node::{Cold, Node, Plan, World};
 use crate::owner::{self, Front, Task};
+use crate::pace::Pace;
+use crate::process::{Process, Programs};
 use crate::roster::Roster;
 use crate::wires::Wires;
 use async_io::Timer;
@@ -19,10 +23,9 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsString;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -30,8 +33,7 @@
 pub struct Play {
     pub day: Day,
     pub seed: u64,
-    /// The program and its first arguments; the deployment file follows `serve`.
-    pub program: Vec<OsString>,
+    pub programs: Programs,
     /// Where the capture goes, if it is kept.
     pub capture: Option<PathBuf>,
     /// Changes what the dispatchers are told, for tests that must find a wrong one out.
@@ -88,9 +90,14 @@
         let hall = HALLS[number % HALLS.len()];
         let kept = folder.join(format!("list-{number}.json"));
         let rolls = folder.join(format!("rolls-{number}.redb"));
+        // A hollow one has no disk.
+        let disk = match self.day.is_hollow(number) {
+            true => String::new(),
+            false => format!("(remembered {kept:?}) (rolls {rolls:?})"),
+        };
         let text = format!(
             r#"(deployment
-  (listen "127.0.0.1:0") (roster "{roster}") (remembered {kept:?}) (seed {seed})
+  (listen "127.0.0.1:0") (roster "{roster}") (seed {seed})
   (hall {hall}) (number {number}) (schedulers {dispatchers}) (halls hall-a hall-b)
   (kinds (compact (cores 24) (memory 40)) (wide (cores 40) (memory 60)))
   (tracks
@@ -98,7 +105,7 @@
     (index (repeat deduplicated) (within hall) (window 6 s) (contract-time 1500 ms) (priority 1))
     (ledger (repeat unrepeatable) (contract-time 1500 ms) (priority 2) (spread machine) (most {SPREAD})))
   (accepts (cores 2) (memory 1.5)) (makes-room #t) (placed-when accepted) (shows-room #t) (may-probe #t)
-  (keepers 100 101 102) (rolls {rolls:?}) {more}
+  (keepers 100 101 102) {disk} {more}
   (cold (lasts 6 s) (window 1 s) (offers {BEARS})) (other-hall-price 0.03))
 "#,
             seed = self.seed,
@@ -110,11 +117,12 @@
         let plan = |id: usize| {
             let wide = id % 2 == 1;
             let (cores, memory) = if wide { (40.0, 60.0) } else { (24.0, 40.0) };
+            let (cell, hall) = self.day.place(id);
             Plan {
                 id: 100 + id as u32,
                 kind: if wide { "wide" } else { "compact" }.into(),
-                hall: HALLS[id / 2 % HALLS.len()].into(),
-                cell: (id / 4) as u64,
+                hall: HALLS[hall].into(),
+                cell,
                 size: Amount { cores, memory },
                 accepts: Amount { cores: 2.0, memory: 1.5 },
                 look: Duration::from_micros(rng.random_range(4_000..12_000)),
@@ -138,23 +146,63 @@
     }
 
     async fn play(self, tasks: Tasks) -> Result<Vec<capture::Line>, String> {
+        let mut stage = self.up(&tasks).await?;
+        let Stage { roster, nodes, front, start, .. } = &stage;
+        let (front, until) = (Arc::clone(front), *start + self.day.length);
+        let room = tasks.spawn(tell_room(Arc::clone(roster), nodes.clone(), self.day.dispatchers));
+        let versions = self.day.versions.map(|every| {
+            let text = self.deployment(0, roster.address, "", stage.folder.path());
+            let texts = Texts::of("day", &text).map_err(|why| why.to_string());
+            texts.map(|texts| tasks.spawn(push_versions(stage.control.clone(), texts, every)))
+        });
+        let versions = versions.transpose()?;
+        let (pace, before) = (Pace::begin(&tasks)?, stage.read().await?);
+        let owners = stage.through(until).await?;
+        let after = stage.read().await?;
+        front.world.capture.see(pace.end()?);
+        front.world.capture.see(Seen::Cost(Box::new(cost::between(&before, &after))));
+        // Whoever still waits or runs has so long to come to an end.
+        let rest = async {
+            for owner in owners {
+                owner.await;
+            }
+        };
+        let ended = within(Duration::from_secs(40), rest).await;
+        drop((room, versions));
+        if let Some(worker) = stage.worker.take() {
+            let worked = within(WORKED_WITHIN, worker).await;
+            worked.ok_or("the work on machines does not come to its end")??;
+        }
+        if self.day.audit {
+            stage.audit(&self.programs.real).await?;
+        }
+        for process in &mut stage.fleet {
+            process.down(&front).await?;
+        }
+        ended.ok_or("owners are still waiting long after the day's end")?;
+        Ok(front.world.capture.lines())
+    }
+
+    /// All stand-ins and dispatchers, which have heard of all nodes.
+    pub(crate) async fn up(&self, tasks: &Tasks) -> Result<Stage, String> {
         let text = |why: std::io::Error| why.to_string();
+        Needs::of(&self.day).fit(&Limits::here()?)?;
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
         let folder = tempfile::tempdir().map_err(text)?;
         let capture = Capture::new(self.capture.as_deref()).map_err(text)?;
         let plans = self.plans(&mut rng);
         capture.see(Seen::Day(self.rules(&plans)));
-        let world = World::new(capture, &tasks, Some(TRACKS[1].into()));
+        let world = World::new(capture, tasks, Some(TRACKS[1].into()));
         let (roster, roster_address) = Roster::up(&world).await.map_err(text)?;
         let nodes: Vec<Arc<Node>> = plans.into_iter().map(|plan| Node::new(plan, &world)).collect();
         for node in &nodes {
             let address = node.up(false).await.map_err(text)?;
             roster.change(Duration::ZERO, entry(node, address, 0));
         }
-        let control = Control::up(&world).await.map_err(text)?;
+        let (control, control_up) = Control::up(&world).await.map_err(text)?;
         let wires = match self.day.has_wires() {
             true => {
-                let service = self.day.versions.map(|_| control.0.address);
+                let service = self.day.versions.map(|_| control.address);
                 let all = self.day.strikes(End::Nodes);
                 let struck = nodes.iter().filter(|node| all || KEEPERS.contains(&node.plan.id));
                 let listed: Vec<(u32, SocketAddr)> = struck
@@ -164,12 +212,12 @@
                     })
                     .collect();
                 let many = self.day.dispatchers;
-                Some(Wires::up(&tasks, many, &roster, service, &listed, &KEEPERS).await.map_err(text)?)
+                Some(Wires::up(tasks, many, &roster, service, &listed, &KEEPERS).await.map_err(text)?)
             }
             false => None,
         };
         let front = Front::new(&world, &nodes, self.day.dispatchers);
-        let mut fleet = Vec::new();
+        let mut files = Vec::new();
         for number in 0..self.day.dispatchers {
             let file = folder.path().join(format!("dispatcher-{number}.sexp"));
             let wired = |end| wires.as_ref().and_then(|wires| wires.address(number, end));
@@ -177,12 +225,16 @@
             let more = self.day.versions.map(|_| {
                 let (kept, control) = (
                     folder.path().join(format!("versions-{number}.json")),
-                    wired(End::Control).unwrap_or(control.0.address),
+                    wired(End::Control).unwrap_or(control.address),
                 );
                 let peers = wires.iter().flat_map(|wires| wires.addresses(number, End::Dispatchers));
                 let peers: String = peers.map(|peer| format!(" \"{peer}\"")).collect();
                 let peers = if peers.is_empty() { peers } else { format!("(peers{peers})") };
-                format!("(control \"{control}\") (versions {kept:?}) (floor (every 1 s) {peers})")
+                let versions = match self.day.is_hollow(number) {
+                    true => String::new(),
+                    false => format!("(versions {kept:?})"),
+                };
+                format!("(control \"{control}\") {versions} (floor (every 1 s) {peers})")
             });
             let mut more = more.unwrap_or_default();
             if self.day.maintenance.is_some() {
@@ -190,64 +242,45 @@
             }
             let file_text = self.deployment(number, roster, &more, folder.path());
             std::fs::write(&file, file_text).map_err(text)?;
-            let log = self.logs.as_ref().map(|logs| logs.join(format!("dispatcher-{number}.log")));
-            let program = self.program.clone();
-            let fills = self.day.fills_disks();
-            fleet.push(Dispatcher { number, file, program, log, fills, child: None });
+            files.push(file);
         }
-        for dispatcher in &mut fleet {
-            dispatcher.up(&front, wires.as_ref()).await?;
+        let mut fleet = Vec::new();
+        for numbers in self.day.processes() {
+            let hollow = self.day.is_hollow(numbers.start);
+            let log = self.logs.as_ref().map(|logs| logs.join(format!("dispatcher-{}.log", numbers.start)));
+            let program = if hollow { &self.programs.hollow } else { &self.programs.real };
+            let files = files[numbers.clone()].to_vec();
+            let (program, log) = (program.clone(), log.filter(|_| !hollow));
+            let fills = self.day.fills_disks();
+            let mut process = Process { numbers, hollow, files, program, log, fills, child: None };
+            process.up(&front, wires.as_ref()).await?;
+            fleet.push(process);
         }
         // The day begins when dispatchers have had a moment to hear of the nodes.
         let heard = async {
-            for number in 0..fleet.len() {
+            for number in 0..self.day.dispatchers {
                 while front.serving(number).await < nodes.len() as u64 {
                     Timer::after(Duration::from_millis(10)).await;
                 }
             }
         };
-        within(Duration::from_secs(10), heard).await.ok_or("the dispatchers don't hear of the nodes")?;
-        let start = Instant::now();
-        let until = start + self.day.length;
-        let room = tasks.spawn(tell_room(Arc::clone(&roster), nodes.clone(), self.day.dispatchers));
-        let mut stage = Stage {
-            day: &self.day,
-            front: &front,
-            nodes: &nodes,
-            roster: &roster,
+        within(Duration::from_secs(30), heard).await.ok_or("the dispatchers don't hear of the nodes")?;
+        let (day, start) = (self.day.clone(), Instant::now());
+        let up = control_up;
+        Ok(Stage {
+            day,
+            front,
+            nodes,
+            roster,
             fleet,
             rng,
             start,
             wires,
             worker: None,
-        };
-        let versions = self.day.versions.map(|every| {
-            let text = self.deployment(0, roster_address, "", folder.path());
-            let texts = Texts::of("day", &text).map_err(|why| why.to_string());
-            texts.map(|texts| tasks.spawn(push_versions(control.0.clone(), texts, every)))
-        });
-        let versions = versions.transpose()?;
-        let owners = stage.through(until).await?;
-        // Whoever still waits or runs has so long to come to an end.
-        let rest = async {
-            for owner in owners {
-                owner.await;
-            }
-        };
-        let ended = within(Duration::from_secs(40), rest).await;
-        drop((room, versions));
-        if let Some(worker) = stage.worker.take() {
-            let worked = within(WORKED_WITHIN, worker).await;
-            worked.ok_or("the work on machines does not come to its end")??;
-        }
-        if self.day.audit {
-            stage.audit(&self.program).await?;
-        }
-        for dispatcher in &mut stage.fleet {
-            dispatcher.down(&front).await?;
-        }
-        ended.ok_or("owners are still waiting long after the day's end")?;
-        Ok(world.capture.lines())
+            folder,
+            control,
+            _up: up,
+        })
     }
 }
 
@@ -326,12 +359,6 @@
     }
 }
 
-fn resident_kib(process: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-    line.split_whitespace().nth(1)?.parse().ok()
-}
-
 /// An operator pushes one sound version after the other: the same but for what nobody feels.
 async fn push_versions(control: Control, texts: Texts, every: Duration) {
     for which in 0u64.. {
@@ -346,7 +373,7 @@
 const ROOM_LINES: usize = 10_000;
 
 /// Tells the roster again and again what nobody has asked for: every second, and less often to a large fleet.
-async fn tell_room(roster: Arc<Roster>, nodes: Vec<Arc<Node>>, dispatchers: usize) {
+pub(crate) async fn tell_room(roster: Arc<Roster>, nodes: Vec<Arc<Node>>, dispatchers: usize) {
     let lines = nodes.len() * dispatchers;
     let apart = Duration::from_secs_f64((lines as f64 / ROOM_LINES as f64).max(1.0));
     loop {
@@ -361,16 +388,19 @@
     }
 }
 
-struct Stage<'a> {
-    day: &'a Day,
-    front: &'a Arc<Front>,
-    nodes: &'a [Arc<Node>],
-    roster: &'a Arc<Roster>,
-    fleet: Vec<Dispatcher>,
+pub(crate) struct Stage {
+    pub day: Day,
+    pub front: Arc<Front>,
+    pub nodes: Vec<Arc<Node>>,
+    pub roster: Arc<Roster>,
+    pub fleet: Vec<Process>,
     rng: Pcg64Mcg,
-    start: Instant,
+    pub start: Instant,
     wires: Option<Wires>,
     worker: Option<async_executor::Task<Result<(), String>>>,
+    folder: tempfile::TempDir,
+    control: Control,
+    _up: control::Up,
 }
 
 /// What is undone at the end of a trouble.
@@ -383,9 +413,9 @@
     Room(usize),
 }
 
-impl Stage<'_> {
+impl Stage {
     /// Lets owners ask and troubles strike until the day is over.
-    async fn through(&mut self, until: Instant) -> Result<Vec<async_executor::Task<()>>, String> {
+    pub async fn through(&mut self, until: Instant) -> Result<Vec<async_executor::Task<()>>, String> {
         let mut troubles = self.day.troubles.clone();
         troubles.sort_by_key(|trouble| trouble.at);
         let mut troubles = troubles.into_iter().peekable();
@@ -403,7 +433,7 @@
             let works = maintenance.map(|own| self.start + own.at);
             let trouble = troubles.peek().map(|trouble| self.start + trouble.at);
             let undo = undos.iter().map(|(at, _)| *at).min();
-            let asks = (next < until).then_some(next);
+            let asks = (next < until && self.day.rate > 0.0).then_some(next);
             let Some(at) = [trouble, undo, asks, rolls, floors, works].into_iter().flatten().min() else {
                 return Ok(owners);
             };
@@ -459,7 +489,7 @@
             cancels: None,
         };
         let own = Pcg64Mcg::seed_from_u64(self.rng.random());
-        let lives = owner::live(Arc::clone(self.front), task, own, until);
+        let lives = owner::live(Arc::clone(&self.front), task, own, until);
         self.front.world.tasks.spawn(async move {
             within(until.saturating_duration_since(Instant::now()), Box::pin(lives)).await;
         })
@@ -489,7 +519,7 @@
             failures_most: FAILURES_MOST,
             start_first: roll.start_first,
         };
-        for dispatcher in 0..self.fleet.len() {
+        for dispatcher in 0..self.day.dispatchers {
             if let Some(mut client) = self.front.rolls(dispatcher).await
                 && let Some(Ok(word)) =
                     within(Duration::from_secs(5), Box::pin(client.start(ask.clone()))).await
@@ -515,7 +545,7 @@
             empty_within_ms: 3_600_000,
             ..v1::MaintainAsk::default()
         };
-        for dispatcher in 0..self.fleet.len() {
+        for dispatcher in 0..self.day.dispatchers {
             if let Some(mut client) = self.front.rolls(dispatcher).await
                 && let Some(Ok(word)) =
                     within(Duration::from_secs(5), Box::pin(client.maintain(ask.clone()))).await
@@ -524,9 +554,9 @@
                 let (at_a_time, by_hall) = (at_a_time as usize, by_hall as usize);
                 self.front.world.capture.see(Seen::Maintenance { machines, at_a_time, by_hall });
                 let (front, nodes, roster) =
-                    (Arc::clone(self.front), self.nodes.to_vec(), Arc::clone(self.roster));
+                    (Arc::clone(&self.front), self.nodes.clone(), Arc::clone(&self.roster));
                 let seed = self.rng.random();
-                let works = works(front, nodes, roster, self.fleet.len(), work, seed);
+                let works = works(front, nodes, roster, self.day.dispatchers, work, seed);
                 self.worker = Some(self.front.world.tasks.spawn(works));
                 return Ok(());
             }
@@ -541,7 +571,7 @@
             _ => None,
         });
         let lowest = newest.ok_or("no version has been pushed yet")?;
-        for dispatcher in 0..self.fleet.len() {
+        for dispatcher in 0..self.day.dispatchers {
             if let Some(mut client) = self.front.versions(dispatcher).await
                 && let Some(Ok(word)) =
                     within(Duration::from_secs(5), Box::pin(client.raise(v1::FloorAsk { lowest }))).await
@@ -559,12 +589,12 @@
         let (first, rest) = program.split_first().ok_or("no program is given")?;
         let mut command = Command::new(first);
         command.args(rest).args(["fleet", "audit", "--json"]);
-        for node in self.nodes {
+        for node in &self.nodes {
             if let Some(entry) = self.roster.entry(node.plan.id).filter(|_| node.is_up()) {
                 command.args(["--node", &entry.address]);
             }
         }
-        let addresses = (0..self.fleet.len()).filter_map(|number| self.front.address(number));
+        let addresses = (0..self.day.dispatchers).filter_map(|number| self.front.address(number));
         command.args(addresses.map(|address| address.to_string()));
         let began = Instant::now();
         let output = blocking::unblock(move || command.output()).await.map_err(|why| why.to_string())?;
@@ -592,7 +622,7 @@
         let findings = told["findings"].as_array().map_or(0, Vec::len);
         let bytes = output.stdout.len() as u64;
         capture.see(Seen::Audited { took_ms, bytes, findings, equal });
-        let pages = self.fleet.iter().filter_map(|dispatcher| resident_kib(dispatcher.child.as_ref()?.id()));
+        let pages = self.fleet.iter().filter_map(Process::resident_kib);
         let kib: Vec<u64> = pages.collect();
         let (mean_kib, most_kib) = (kib.iter().sum::<u64>() / kib.len().max(1) as u64, kib.iter().max());
         capture.see(Seen::Memory { mean_kib, most_kib: most_kib.copied().unwrap_or(0) });
@@ -626,7 +656,7 @@
             cancels: cancels.then(|| Duration::from_millis(rng.random_range(0..3000))),
         };
         let own = Pcg64Mcg::seed_from_u64(rng.random());
-        self.front.world.tasks.spawn(owner::live(Arc::clone(self.front), task, own, until))
+        self.front.world.tasks.spawn(owner::live(Arc::clone(&self.front), task, own, until))
     }
 
     fn strike(&mut self, trouble: &Trouble) -> Result<Vec<Undo>, String> {
@@ -637,6 +667,7 @@
         let mut up: Vec<usize> = (0..self.nodes.len()).filter(|&index| self.nodes[index].is_up()).collect();
         up.shuffle(&mut self.rng);
         up.truncate(trouble.many);
+        // Processes, each with all its dispatchers.
         let mut running: Vec<usize> =
             (0..self.fleet.len()).filter(|&index| self.fleet[index].child.is_some()).collect();
         running.shuffle(&mut self.rng);
@@ -651,8 +682,16 @@
             }
             Kind::RestartRack => {
                 let cell = up.first().map(|&index| self.nodes[index].plan.cell);
-                for index in (0..self.nodes.len()).filter(|&index| Some(self.nodes[index].plan.cell) == cell)
-                {
+                let of = |index: &usize| Some(self.nodes[*index].plan.cell) == cell;
+                for index in (0..self.nodes.len()).filter(of).collect::<Vec<_>>() {
+                    self.kill(index);
+                    undos.push(Undo::Up(index));
+                }
+            }
+            Kind::LoseZone => {
+                let zone = up.first().map(|&index| self.day.zone(self.nodes[index].plan.cell));
+                let lost = |index: &usize| Some(self.day.zone(self.nodes[*index].plan.cell)) == zone;
+                for index in (0..self.nodes.len()).filter(lost).collect::<Vec<_>>() {
                     self.kill(index);
                     undos.push(Undo::Up(index));
                 }
@@ -676,13 +715,14 @@
             Kind::Demand | Kind::Burst => {}
             Kind::KillDispatchers => {
                 for index in running {
-                    self.fleet[index].kill(self.front)?;
+                    self.fleet[index].kill(&self.front)?;
                     undos.push(Undo::Restart(index));
                 }
             }
             Kind::CutDispatchers | Kind::DelayDispatchers | Kind::HoldVersions => {
                 let Some(wires) = &self.wires else { return Err("no relays stand".into()) };
-                for index in running {
+                let numbers = running.iter().flat_map(|&index| self.fleet[index].numbers.clone());
+                for index in numbers.take(trouble.many) {
                     self.see_wires(index, true, trouble.by);
                     if trouble.kind == Kind::HoldVersions {
                         wires.hold_versions(index);
@@ -702,7 +742,7 @@
             Kind::PauseDispatchers => {
                 for index in running {
                     self.fleet[index].signal(
-                        self.front,
+                        &self.front,
                         rustix::process::Signal::STOP,
                         DispatcherState::Paused,
                     )?;
@@ -713,6 +753,25 @@
         Ok(undos)
     }
 
+    /// What each process has cost so far, and what its dispatchers counted.
+    pub async fn read(&self) -> Result<Vec<cost::Reading>, String> {
+        let mut read = Vec::new();
+        for process in &self.fleet {
+            let Some(mut own) = process.cost() else { continue };
+            for number in process.numbers.clone() {
+                let told = async {
+                    let mut client = self.front.client(number).await?;
+                    client.status(v1::StatusAsk {}).await.ok()
+                };
+                // One that stands still, or is away, tells nothing: it is left out of the figures.
+                let told = within(Duration::from_secs(5), Box::pin(told)).await.flatten();
+                own.counts.extend(told.map(|word| (number, word.into_inner().link_counts)));
+            }
+            read.push(own);
+        }
+        Ok(read)
+    }
+
     fn see_wires(&self, index: usize, struck: bool, late: Duration) {
         let (dispatcher, late_us) = (index as u32, late.as_micros() as u64);
         self.front.world.capture.see(Seen::Wires { dispatcher, struck, late_us });
@@ -751,7 +810,7 @@
             }
             Undo::Restart(index) => {
                 if self.fleet[index].child.is_none() {
-                    self.fleet[index].up(self.front, self.wires.as_ref()).await?;
+                    self.fleet[index].up(&self.front, self.wires.as_ref()).await?;
                 }
             }
             Undo::Heal(index, ends) => {
@@ -762,7 +821,7 @@
             Undo::GoOn(index) => {
                 if self.fleet[index].child.is_some() {
                     self.fleet[index].signal(
-                        self.front,
+                        &self.front,
                         rustix::process::Signal::CONT,
                         DispatcherState::GoesOn,
                     )?;
@@ -779,120 +838,3 @@
 const READY_WITHIN: Duration = Duration::from_secs(20);
 /// Nodes and dispatchers may be struck during a day's roll: that is not the version's fault.
 const FAILURES_MOST: u32 = 1_000;
-
-/// A dispatcher's process.
-struct Dispatcher {
-    number: usize,
-    file: PathBuf,
-    program: Vec<OsString>,
-    log: Option<PathBuf>,
-    /// Its disk is filled at some time of the day.
-    fills: bool,
-    child: Option<Child>,
-}
-
-impl Dispatcher {
-    fn see(&self, front: &Front, state: DispatcherState) {
-        front.world.capture.see(Seen::Dispatcher { dispatcher: self.number as u32, state });
-    }
-
-    async fn up(&mut self, front: &Arc<Front>, wires: Option<&Wires>) -> Result<(), String> {
-        let (program, first) = self.program.split_first().ok_or("no program is given")?;
-        let mut command = match self.fills {
-            false => Command::new(program),
-            // A write beyond what its files may hold fails as on a full disk, once the signal for it is passed over.
-            true => {
-                let mut shell = Command::new("sh");
-                shell.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]).arg(program);
-                shell
-            }
-        };
-        command.args(first).arg("serve").arg(&self.file).stdin(Stdio::null()).stdout(Stdio::piped());
-        match &self.log {
-            Some(log) => {
-                let file = std::fs::OpenOptions::new().create(true).append(true).open(log);
-                command.stderr(file.map_err(|why| format!("{}: {why}", log.display()))?);
-            }
-            None => {
-                command.arg("--level").arg("error").stderr(Stdio::inherit());
-            }
-        }
-        let mut child = command.spawn().map_err(|why| format!("{}: {why}", program.display()))?;
-        let out = child.stdout.take().ok_or("no standard output")?;
-        let line = blocking::unblock(move || {
-            let mut line = String::new();
-            BufReader::new(out).read_line(&mut line).map(|_| line)
-        });
-        let line = within(Duration::from_secs(10), line).await;
-        let line = line.ok_or("a dispatcher does not start to listen")?.map_err(|why| why.to_string())?;
-        self.child = Some(child);
-        let address = line.trim().strip_prefix("listening ").and_then(|address| address.parse().ok());
-        let address = address.ok_or_else(|| format!("a dispatcher did not start: `{}`", line.trim()))?;
-        self.see(front, DispatcherState::Up);
-        front.open(self.number, Some(address));
-        wires.iter().for_each(|wires| wires.listens(self.number, address));
-        Ok(())
-    }
-
-    fn kill(&mut self, front: &Front) -> Result<(), String> {
-        let Some(mut child) = self.child.take() else { return Ok(()) };
-        self.see(front, DispatcherState::Killed);
-        front.open(self.number, None);
-        child.kill().and_then(|()| child.wait()).map(drop).map_err(|why| why.to_string())
-    }
-
-    /// Its files may hold so many bytes from now on; none: as many as they like.
-    fn disk(&mut self, most: Option<u64>) -> Result<(), String> {
-        let Some(child) = &self.child else { return Ok(()) };
-        let limit = rustix::process::Rlimit { current: most, maximum: None };
-        let pid = rustix::process::Pid::from_child(child);
-        let set = rustix::process::prlimit(Some(pid), rustix::process::Resource::Fsize, limit);
-        set.map(drop).map_err(|why| format!("a disk can't be filled: {why}"))
-    }
-
-    fn signal(
-        &mut self,
-        front: &Front,
-        signal: rustix::process::Signal,
-        state: DispatcherState,
-    ) -> Result<(), String> {
-        let Some(child) = &self.child else { return Ok(()) };
-        // Going on counts from before it does, standing still from before it does: neither flatters it.
-        self.see(front, state);
-        rustix::process::kill_process(rustix::process::Pid::from_child(child), signal)
-            .map_err(|why| why.to_string())
-    }
-
-    /// Asks it to stop and waits for it.
-    async fn down(&mut self, front: &Front) -> Result<(), String> {
-        self.signal(front, rustix::process::Signal::TERM, DispatcherState::Stopping)?;
-        let Some(mut child) = self.child.take() else { return Ok(()) };
-        front.open(self.number, None);
-        let until = Instant::now() + Duration::from_secs(15);
-        let status = loop {
-            match child.try_wait().map_err(|why| why.to_string())? {
-                Some(status) => break Some(status),
-                None if Instant::now() > until => break None,
-                None => drop(Timer::after(Duration::from_millis(10)).await),
-            }
-        };
-        if status.is_some_and(|status| status.success()) {
-            self.see(front, DispatcherState::Ended);
-            return Ok(());
-        }
-        self.see(front, DispatcherState::Broke);
-        if status.is_none() {
-            let _ = child.kill().and_then(|()| child.wait());
-        }
-        Err(format!("dispatcher {} did not stop with 0: {status:?}", self.number))
-    }
-}
-
-impl Drop for Dispatcher {
-    fn drop(&mut self) {
-        // A day that breaks off leaves no process behind.
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill().and_then(|()| child.wait());
-        }
-    }
-}
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -1,6 +1,7 @@
 //! A day in figures, from its capture.
 
 use crate::capture::*;
+use crate::cost::Costs;
 use crate::outings::WorkFigures;
 use crate::play::HELD;
 use crate::versions::VersionFigures;
@@ -31,6 +32,11 @@
     pub copies: Option<CopyFigures>,
     pub versions: Option<VersionFigures>,
     pub work: Option<WorkFigures>,
+    /// Placed calls of owners that stand at a time.
+    pub standing_most: usize,
+    pub cost: Option<Costs>,
+    /// Busy share of the stand-ins' thread, by how much it was late, and whether that spoils the figures.
+    pub stand_ins: Option<(f64, u64, bool)>,
     pub troubles: BTreeMap<String, u64>,
 }
 
@@ -176,6 +182,7 @@
     pub fn of(lines: &[Line]) -> Self {
         let mut table = Table::default();
         let mut calls: HashMap<u64, (u64, usize, bool)> = HashMap::new();
+        let mut standing = BTreeSet::new();
         // A minute at the most, to three figures.
         let mut times = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).ok();
         let tracks = match lines.first() {
@@ -197,6 +204,8 @@
                     match word {
                         Word::Placed => {
                             (table.placed, *answered) = (table.placed + 1, true);
+                            standing.insert(*call);
+                            table.standing_most = table.standing_most.max(standing.len());
                             if let Some(times) = &mut times {
                                 times.saturating_record((t - *since).max(1));
                             }
@@ -217,10 +226,15 @@
                         (table.cancelled, *answered) = (table.cancelled + 1, true);
                     }
                 }
+                Seen::Closed { call, .. } => drop(standing.remove(call)),
                 Seen::Offered { .. } => table.offers += 1,
                 Seen::Probed { .. } => table.probes += 1,
                 Seen::Said { word: Word::Refused, .. } => table.refusals += 1,
                 Seen::Node { state: NodeState::FellOver, .. } => table.fell_over += 1,
+                Seen::Cost(costs) => table.cost = Some((**costs).clone()),
+                Seen::StandIns { busy, late_us, spoilt } => {
+                    table.stand_ins = Some((*busy, *late_us, *spoilt));
+                }
                 Seen::Trouble { name } => *table.troubles.entry(name.clone()).or_default() += 1,
                 _ => {}
             }
@@ -255,6 +269,7 @@
             self.offers,
             part(self.refusals, self.offers)
         )?;
+        writeln!(f, "standing at a time   {}", self.standing_most)?;
         writeln!(f, "probes               {}", self.probes)?;
         writeln!(f, "moves                {}", self.moves)?;
         writeln!(f, "evicted, pushed out  {}", self.evictions)?;
@@ -278,6 +293,18 @@
         if let Some(work) = &self.work {
             write!(f, "{work}")?;
         }
+        if let Some(Costs { real, hollow }) = &self.cost {
+            for (what, cost) in [("real", real), ("hollow", hollow)] {
+                if cost.dispatchers > 0 {
+                    writeln!(f, "{:<21}{cost}", format!("cost, {what}"))?;
+                }
+            }
+        }
+        if let Some((busy, late_us, spoilt)) = self.stand_ins {
+            let late_ms = late_us / 1000;
+            write!(f, "stand-ins            busy {:.0}%, late by {late_ms} ms at the worst", busy * 100.0)?;
+            writeln!(f, "{}", if spoilt { ": SPOILT, the figures are theirs" } else { "" })?;
+        }
         let troubles: Vec<String> =
             self.troubles.iter().map(|(name, many)| format!("{name} {many}")).collect();
         write!(
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -4,6 +4,7 @@
 use corkspan_lab::day::{BUILT_IN, Day, SHORT};
 use corkspan_lab::judge::judge;
 use corkspan_lab::play::Play;
+use corkspan_lab::process::Programs;
 use corkspan_lab::table::Table;
 use std::sync::{PoisonError, RwLock};
 use test_case::test_case;
@@ -18,8 +19,8 @@
 
 fn play_here(script: &str, seed: u64, tell: fn(String) -> String) -> Vec<Line> {
     let day = Day::read("day", script).unwrap_or_else(|why| panic!("{why}"));
-    let program = vec![env!("CARGO_BIN_EXE_corkspan-lab").into(), "corkspan".into()];
-    let played = Play { day, seed, program, capture: None, tell, logs: None }.run();
+    let programs = Programs::of(env!("CARGO_BIN_EXE_corkspan-lab").as_ref());
+    let played = Play { day, seed, programs, capture: None, tell, logs: None }.run();
     played.unwrap_or_else(|why| panic!("{why}"))
 }
 
@@ -130,6 +131,12 @@
 #[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (cut-dispatchers (at 1 s) (for 1 s))))", "lacks `(from …)`"; "a cut of no links")]
 #[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (cut-dispatchers (at 1 s) (for 1 s) (from owners))))", "`owners` is none of"; "a cut of unknown links")]
 #[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (hold-versions (at 1 s) (for 1 s))))", "only beside `(versions …)`"; "versions held where none come")]
+#[test_case("(day (length 4 s) (dispatchers 2) (nodes 4) (rate 1) (hollow (many 2)))", "from 1 to 1"; "no real dispatcher left")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (hollow (many 1)))", "a process of its own"; "one alone and hollow")]
+#[test_case("(day (length 4 s) (dispatchers 2) (nodes 4) (rate 1) (hollow (many 1)) (troubles (full-disk (at 1 s) (for 1 s))))", "has no disk"; "a full disk where there is none")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (troubles (lose-zone (at 1 s) (for 1 s))))", "only beside `(zones …)`"; "a zone lost where there is none")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 4) (rate 1) (zones 5))", "from 2 to 4"; "more zones than nodes")]
+#[test_case("(day (length 4 s) (dispatchers 1) (nodes 2601) (rate 1))", "from 1 to 2600"; "too many nodes")]
 #[test_case("(day (length 4 s)", "d:1:"; "cut off")]
 fn a_malformed_day_is_told_with_its_place(script: &str, why: &str) {
     let fault = Day::read("d", script).expect_err("a fault").to_string();
