Measure what control costs along one axis at a time, links counted on their way

corkspan-lab capacity starts real dispatchers before stand-ins on a thread a role. Relays count the bytes of each kind of link; processor time is the kernel's, of processes and of the stand-ins' threads. Machines, dispatchers, tasks held and started, allocations that wait (machines full by asks, and by use) and versions, each with several places in rounds side by side.

Failed try: machines that the roster told to be full by a room of 0 took all that was to wait, since a node accepts more than its size; told as spoilt by the counts of placed.

--- a/crates/capacity/src/rows.rs
+++ b/crates/capacity/src/rows.rs
@@ -134,21 +134,43 @@
         },
         Row {
             axis: Axis::Waiting,
-            series: "full",
+            series: "full by use",
             figure: "core %",
             at: |size| size.waiting,
             limit: Limit::Core,
             mechanism: "each that waits is asked for again each 50 ms, before all machines",
-            ..row(Dispatcher, "processor, asks in vain: 300 wait before 1,300 full machines", "% of a core")
+            ..row(Dispatcher, "processor, asks in vain: those that wait, machines full by use", "% of a core")
         },
         Row {
             axis: Axis::Waiting,
-            series: "full",
+            series: "full by asks",
+            figure: "core %",
+            at: |size| size.waiting,
+            limit: Limit::Core,
+            mechanism: "the same; the list alone tells that there is no room",
+            ..row(
+                Dispatcher,
+                "processor, asks in vain: those that wait, machines full by asks",
+                "% of a core",
+            )
+        },
+        Row {
+            axis: Axis::Waiting,
+            series: "full by use",
+            figure: "bytes/s",
+            at: |size| size.waiting,
+            limit: Limit::Bytes,
+            mechanism: "probes and offers in vain",
+            ..row(Dispatcher, "links to nodes and keepers while they wait, machines full by use", "bytes/s")
+        },
+        Row {
+            axis: Axis::Waiting,
+            series: "full by use",
             figure: "memory, MiB",
             at: |size| size.waiting,
             limit: Limit::Memory,
             mechanism: "bound `in-hand`",
-            ..row(Dispatcher, "memory, 300 wait before 1,300 full machines", "MiB")
+            ..row(Dispatcher, "memory, the same", "MiB")
         },
         Row {
             axis: Axis::Tasks,
--- /dev/null
+++ b/crates/lab/src/capacity/stage.rs
@@ -0,0 +1,465 @@
+//! Real dispatchers, each a process, before stand-ins that run on a thread a role, with every link counted.
+
+use super::busy::Busy;
+use super::kernel::{self, Ran};
+use super::meter::{self, Meter};
+use crate::capture::Capture;
+use crate::control::{Control, Up};
+use crate::measure::{self, Process, Prompt};
+use crate::node::{Cold, Node, Plan, World};
+use crate::roster::Roster;
+use async_io::Timer;
+use async_net::TcpListener;
+use corkspan::interface::Amount;
+use corkspan_api::v1::{self, node_server::NodeServer, placement_client::PlacementClient};
+use corkspan_deployment::version::{Stamp, Texts};
+use corkspan_rpc::{Bounds, Link, Tasks, within};
+use futures_lite::future;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The nodes that hold wishes and floors, stand-ins that can; all others take everything at once.
+const KEEPERS: u32 = 3;
+const PATIENCE: Duration = Duration::from_secs(90);
+/// Of a second: so many at a time, not all machines in one message.
+const SLICES: u32 = 10;
+/// A thread of stand-ins that is busier than this part of the time may be what is measured.
+const BUSY: f64 = 0.7;
+/// A dispatcher that waits for a processor longer than this part of the time is not measured as it would run.
+const WAITS: f64 = 0.25;
+const STOLEN: f64 = 0.1;
+
+/// The other end of a dispatcher's link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    Roster,
+    Control,
+    Keepers,
+    Nodes,
+    Owners,
+}
+
+/// A thread that carries stand-ins of one role.
+struct Thread {
+    tasks: Tasks,
+    id: i32,
+    ends: async_channel::Sender<()>,
+}
+
+impl Thread {
+    fn up() -> Result<Thread, String> {
+        let tasks = Tasks::default();
+        let (tell, told) = std::sync::mpsc::channel();
+        let (ends, ended) = async_channel::bounded::<()>(1);
+        let own = Arc::clone(&tasks);
+        std::thread::spawn(move || {
+            let _ = tell.send(kernel::this_thread());
+            let _ = future::block_on(own.run(ended.recv()));
+        });
+        let id = told.recv().map_err(|why| why.to_string())??;
+        Ok(Thread { tasks, id, ends })
+    }
+}
+
+impl Drop for Thread {
+    fn drop(&mut self) {
+        self.ends.close();
+    }
+}
+
+/// What machines have room for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    Plenty,
+    /// The roster tells that as much is asked for as nodes accept.
+    NoneByAsks,
+    /// Nodes tell that all is in use, and refuse.
+    NoneByUse,
+}
+
+/// What the dispatchers of a stage are.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    pub machines: u32,
+    pub dispatchers: usize,
+    /// As their files tell; more than stand here where one is measured of many.
+    pub schedulers: usize,
+    pub room: Room,
+    pub seed: u64,
+}
+
+pub struct Stage {
+    pub setting: Setting,
+    pub tasks: Tasks,
+    threads: BTreeMap<End, Thread>,
+    relays: Thread,
+    roster: Arc<Roster>,
+    entries: Vec<v1::Entry>,
+    control: Control,
+    _up: Up,
+    meters: BTreeMap<End, Arc<Meter>>,
+    owners: Vec<SocketAddr>,
+    dispatchers: Vec<Process>,
+    /// Goes last: the dispatchers' files.
+    _folder: tempfile::TempDir,
+    texts: Texts,
+}
+
+/// Words of tasks that are asked for; dropped, the tasks are no longer wanted.
+pub type Held = Vec<tonic::Streaming<v1::Word>>;
+
+/// An ask of half a core.
+pub fn ask(task: &str, life_ms: u64, abandon_ms: u64) -> v1::Ask {
+    v1::Ask {
+        placing: task.into(),
+        task: task.into(),
+        service: format!("s{}", task.len() % 7),
+        track: "web".into(),
+        account: String::new(),
+        cores: 0.5,
+        memory: 1.0,
+        life_ms,
+        abandon_ms,
+        again: false,
+    }
+}
+
+fn text(why: std::io::Error) -> String {
+    why.to_string()
+}
+
+fn keeper(id: u32, seed: u64) -> Plan {
+    Plan {
+        id,
+        kind: "wide".into(),
+        hall: "hall".into(),
+        cell: u64::from(id / 4),
+        size: Amount { cores: 64.0, memory: 256.0 },
+        accepts: Amount { cores: 2.0, memory: 1.5 },
+        look: Duration::from_millis(1),
+        line: 24,
+        start: Duration::from_millis(15),
+        loads: 8,
+        starts_at_once: 4,
+        keeps: 6,
+        makes_room: false,
+        cold: Cold { lasts: Duration::from_secs(5), window: Duration::from_secs(1), most: 16, pace: 0.25 },
+        seed,
+    }
+}
+
+impl Stage {
+    pub async fn up(tasks: &Tasks, program: &[OsString], setting: Setting) -> Result<Stage, String> {
+        let mut threads = BTreeMap::new();
+        for end in [End::Roster, End::Control, End::Keepers, End::Nodes] {
+            threads.insert(end, Thread::up()?);
+        }
+        let relays = Thread::up()?;
+        let world = |end| {
+            let capture = Capture::new(None).map_err(text)?;
+            Ok::<_, String>(World::new(capture, &threads[&end].tasks, None))
+        };
+        let (roster, roster_address) = Roster::up(&world(End::Roster)?).await.map_err(text)?;
+        let (control, up) = Control::up(&world(End::Control)?).await.map_err(text)?;
+        let nodes = TcpListener::bind("127.0.0.1:0").await.map_err(text)?;
+        let nodes_address = nodes.local_addr().map_err(text)?;
+        let tasks_there = &threads[&End::Nodes].tasks;
+        if setting.room == Room::NoneByUse {
+            let served = corkspan_rpc::serve(nodes, NodeServer::new(Busy), Bounds::default());
+            tasks_there.spawn(async move { drop(served.await) }).detach();
+        } else {
+            let served = corkspan_rpc::serve(nodes, NodeServer::new(Prompt), Bounds::default());
+            tasks_there.spawn(async move { drop(served.await) }).detach();
+        }
+        let mut meters = BTreeMap::new();
+        let mut metered = async |end: End, to: SocketAddr| {
+            let (address, meter) = meter::relay(&relays.tasks, to).await.map_err(text)?;
+            meters.insert(end, meter);
+            Ok::<_, String>(address)
+        };
+        let roster_there = metered(End::Roster, roster_address).await?;
+        let control_there = metered(End::Control, control.address).await?;
+        let nodes_there = metered(End::Nodes, nodes_address).await?;
+        // Keepers have a relay each, and one meter.
+        let keepers_world = world(End::Keepers)?;
+        let keepers_meter = Arc::new(Meter::default());
+        let mut entries = Vec::new();
+        for id in 0..setting.machines {
+            let address = match id < KEEPERS {
+                true => {
+                    let node = Node::new(keeper(id, setting.seed), &keepers_world);
+                    let at = node.up(false).await.map_err(text)?;
+                    let to = (at, Arc::clone(&keepers_meter));
+                    meter::relay_onto(&relays.tasks, to.0, to.1).await.map_err(text)?
+                }
+                false => nodes_there,
+            };
+            // Full by asks: what nodes accept is twice the cores and one and a half times the memory of a machine.
+            let full = setting.room == Room::NoneByAsks;
+            let (cores, memory) = if full { (-64.0, -128.0) } else { (30.0, 30.0) };
+            // Keepers' stand-ins would take some.
+            let (cores, memory) =
+                if setting.room == Room::Plenty || id >= KEEPERS { (cores, memory) } else { (-64.0, -128.0) };
+            let unasked = Some(v1::Room { cores, memory });
+            entries.push(v1::Entry { unasked, ..measure::entry(id, address) });
+        }
+        meters.insert(End::Keepers, keepers_meter);
+        entries.iter().for_each(|entry| roster.change(Duration::ZERO, entry.clone()));
+        let folder = tempfile::tempdir().map_err(text)?;
+        let (mut dispatchers, mut owners, mut texts) = (Vec::new(), Vec::new(), None);
+        let owners_meter = Arc::new(Meter::default());
+        for number in 0..setting.dispatchers {
+            let at = |name: &str| folder.path().join(format!("{name}-{number}"));
+            let (versions, rolls, list): (PathBuf, PathBuf, PathBuf) =
+                (at("versions.json"), at("rolls.redb"), at("list.json"));
+            let more = format!(
+                "(shows-room #t) (may-probe #t) (keepers 0 1 2) (rolls {rolls:?}) (remembered {list:?})
+                 (control \"{control_there}\") (versions {versions:?}) (floor (every 2 s)) (seed {})",
+                setting.seed
+            );
+            let file = measure::deployment(roster_there, &more)
+                .replace("(number 0)", &format!("(number {number})"))
+                .replace("(schedulers 1)", &format!("(schedulers {})", setting.schedulers));
+            texts = Some(Texts::of("the first", &file).map_err(|why| why.to_string())?);
+            let process = Process::start_in(program, &at("file.sexp"), &file)?;
+            let there = meter::relay_onto(&relays.tasks, process.address, Arc::clone(&owners_meter)).await;
+            owners.push(there.map_err(text)?);
+            dispatchers.push(process);
+        }
+        meters.insert(End::Owners, owners_meter);
+        let stage = Stage {
+            setting,
+            tasks: Arc::clone(tasks),
+            threads,
+            relays,
+            roster,
+            entries,
+            control,
+            _up: up,
+            meters,
+            owners,
+            dispatchers,
+            _folder: folder,
+            texts: texts.ok_or("no dispatcher is asked for")?,
+        };
+        stage.until_ready().await?;
+        Ok(stage)
+    }
+
+    /// All know all machines and have their stream of versions.
+    async fn until_ready(&self) -> Result<(), String> {
+        let ready = async {
+            for process in &self.dispatchers {
+                let mut client = PlacementClient::new(measure::link(&self.tasks, process.address).await?);
+                loop {
+                    let word = client.status(v1::StatusAsk {}).await.map_err(|why| why.to_string())?;
+                    if word.get_ref().machines_serving >= u64::from(self.setting.machines) {
+                        break;
+                    }
+                    Timer::after(Duration::from_millis(20)).await;
+                }
+            }
+            while self.control.opened() < self.dispatchers.len() {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+            Ok(())
+        };
+        within(PATIENCE, ready).await.ok_or("the dispatchers don't hear of all machines")?
+    }
+
+    pub async fn status(&self) -> Result<v1::StatusWord, String> {
+        let mut client = PlacementClient::new(measure::link(&self.tasks, self.dispatchers[0].address).await?);
+        let word = client.status(v1::StatusAsk {}).await.map_err(|why| why.to_string())?;
+        Ok(word.into_inner())
+    }
+
+    /// A link to the first dispatcher, as owners have it.
+    pub async fn owner(&self) -> Result<PlacementClient<Link>, String> {
+        Ok(PlacementClient::new(measure::link(&self.tasks, self.owners[0]).await?))
+    }
+
+    /// So many asks that nobody ends; dropped, they are no longer wanted.
+    pub async fn wait(&self, many: usize) -> Result<Held, String> {
+        let client = self.owner().await?;
+        let mut held = Vec::new();
+        for number in 0..many {
+            let ask = ask(&format!("waits{number}"), 3_600_000, 600_000);
+            held.push(client.clone().place(ask).await.map_err(|why| why.to_string())?.into_inner());
+        }
+        Ok(held)
+    }
+
+    /// Tells each machine's room every so often, a slice of the machines at a time, until dropped.
+    pub fn tell_room(&self, every: Duration) -> async_executor::Task<()> {
+        let (roster, entries) = (Arc::clone(&self.roster), self.entries.clone());
+        let mut rng = Pcg64Mcg::seed_from_u64(self.setting.seed);
+        self.threads[&End::Roster].tasks.spawn(async move {
+            let mut due = Instant::now();
+            loop {
+                for slice in 0..SLICES {
+                    due += every / SLICES;
+                    Timer::at(due).await;
+                    for entry in entries.iter().filter(|entry| entry.node % SLICES == slice) {
+                        let (cores, memory) = (rng.random_range(1.0..60.0), rng.random_range(1.0..200.0));
+                        let unasked = Some(v1::Room { cores, memory });
+                        roster.change(Duration::ZERO, v1::Entry { unasked, ..entry.clone() });
+                    }
+                }
+            }
+        })
+    }
+
+    /// Tells each machine's room once, and how many lines that was.
+    pub fn tell_once(&self, cores: f64) -> u64 {
+        for entry in &self.entries {
+            let unasked = Some(v1::Room { cores, memory: cores });
+            self.roster.change(Duration::ZERO, v1::Entry { unasked, ..entry.clone() });
+        }
+        self.entries.len() as u64
+    }
+
+    /// Bytes so far, both ways, on links of all dispatchers that end there.
+    pub fn bytes(&self, end: End) -> u64 {
+        self.meters[&end].bytes()
+    }
+
+    /// What a step brings on those links, once no more comes.
+    pub async fn brings(&self, end: End, step: impl FnOnce()) -> u64 {
+        let before = self.bytes(end);
+        step();
+        let (mut last, mut still) = (before, 0);
+        while still < 5 || last == before {
+            Timer::after(Duration::from_millis(100)).await;
+            let now = self.bytes(end);
+            still = if now == last { still + 1 } else { 0 };
+            last = now;
+        }
+        last - before
+    }
+
+    /// The next version, streamed to all: one that changes what nobody feels.
+    pub fn publish(&self, which: u64) -> Stamp {
+        let accounts = format!("(accounts (a (share-cores {})))", 1_000_000 + which);
+        let changes = [("accounts".to_string(), accounts)];
+        self.control.publish(self.texts.changed(&changes.into_iter().collect(), &[]), false)
+    }
+
+    /// Until each has answered that it is in force.
+    pub async fn until_in_force(&self, stamp: Stamp) -> Result<(), String> {
+        let many = self.dispatchers.len() as u32;
+        let all = async {
+            while !(0..many).all(|who| self.control.running(who) == Some(stamp)) {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        };
+        within(PATIENCE, all)
+            .await
+            .ok_or_else(|| format!("{stamp} is not in force everywhere in {PATIENCE:?}"))
+    }
+
+    fn look(&self) -> Result<Look, String> {
+        let ran = self.dispatchers.iter().map(|own| kernel::process(own.id())).collect::<Result<_, _>>()?;
+        let threads = self.threads.iter().map(|(end, own)| Ok((*end, kernel::thread(own.id)?)));
+        Ok(Look {
+            at: Instant::now(),
+            dispatchers: ran,
+            threads: threads.collect::<Result<_, String>>()?,
+            relays: kernel::thread(self.relays.id)?,
+            ticks: kernel::ticks()?,
+            bytes: self.meters.iter().map(|(end, meter)| (*end, meter.bytes())).collect(),
+        })
+    }
+
+    /// Watches for so long.
+    pub async fn watch(&self, time: Duration) -> Result<Watched, String> {
+        let before = self.look()?;
+        Timer::after(time).await;
+        let after = self.look()?;
+        let mut kib = Vec::new();
+        for process in &self.dispatchers {
+            kib.push(process.resident()? as f64);
+        }
+        Ok(Watched::between(&before, &after, &kib))
+    }
+
+    /// Links that dispatchers ever opened, by their other end.
+    pub fn opened(&self) -> BTreeMap<End, u64> {
+        self.meters.iter().map(|(end, meter)| (*end, meter.opened())).collect()
+    }
+}
+
+struct Look {
+    at: Instant,
+    dispatchers: Vec<Ran>,
+    threads: BTreeMap<End, Ran>,
+    relays: Ran,
+    ticks: (u64, u64),
+    bytes: BTreeMap<End, u64>,
+}
+
+/// What a while came to.
+#[derive(Clone, Debug)]
+pub struct Watched {
+    pub seconds: f64,
+    /// Bytes a second, both ways, by link's end, of all dispatchers together.
+    pub bytes: BTreeMap<End, f64>,
+    /// Percent of a core, of one dispatcher.
+    pub core: f64,
+    /// Percent of a core, of the stand-ins' threads.
+    pub threads: BTreeMap<End, f64>,
+    pub mib: f64,
+    pub spoilt: Vec<String>,
+}
+
+impl Watched {
+    fn between(before: &Look, after: &Look, kib: &[f64]) -> Watched {
+        let seconds = (after.at - before.at).as_secs_f64();
+        let percent = |ran: u64| ran as f64 / 1e7 / seconds;
+        let many = before.dispatchers.len().max(1) as f64;
+        let own = std::iter::zip(&after.dispatchers, &before.dispatchers).map(|(a, b)| a.since(*b));
+        let own = own
+            .fold(Ran::default(), |sum, own| Ran { ran: sum.ran + own.ran, waited: sum.waited + own.waited });
+        let threads: BTreeMap<End, f64> = (after.threads.iter())
+            .map(|(end, ran)| (*end, percent(ran.since(before.threads[end]).ran)))
+            .collect();
+        let mut spoilt = Vec::new();
+        let relays = percent(after.relays.since(before.relays).ran);
+        for (name, busy) in
+            threads.iter().map(|(end, busy)| (format!("{end:?}"), *busy)).chain([("relays".into(), relays)])
+        {
+            if busy > BUSY * 100.0 {
+                spoilt.push(format!("the thread of the stand-ins ({name}) was busy {busy:.0}% of the time"));
+            }
+        }
+        let waited = own.waited as f64 / 1e9 / seconds / many;
+        if waited > WAITS {
+            spoilt.push(format!("a dispatcher waited for a processor {:.0}% of the time", waited * 100.0));
+        }
+        let (all, stolen) = (after.ticks.0 - before.ticks.0, after.ticks.1 - before.ticks.1);
+        if stolen as f64 > STOLEN * all.max(1) as f64 {
+            spoilt.push(format!("{:.0}% of the machine was stolen", 100.0 * stolen as f64 / all as f64));
+        }
+        Watched {
+            seconds,
+            bytes: (after.bytes.iter())
+                .map(|(end, bytes)| (*end, (bytes - before.bytes[end]) as f64 / seconds))
+                .collect(),
+            core: percent(own.ran) / many,
+            threads,
+            mib: kib.iter().sum::<f64>() / 1_024.0 / kib.len().max(1) as f64,
+            spoilt,
+        }
+    }
+
+    /// Of control, of one dispatcher: all but owners and what nodes are offered.
+    pub fn control_bytes(&self, dispatchers: usize) -> f64 {
+        let control = [End::Roster, End::Control, End::Keepers, End::Nodes];
+        control.iter().map(|end| self.bytes[end]).sum::<f64>() / dispatchers.max(1) as f64
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,8 @@
 //! `corkspan-lab`: days of trouble, their judge, and measurements.
 
 use clap::{Parser, Subcommand};
+use corkspan_capacity::kept::{self, Axis};
+use corkspan_lab::capacity::Capacity;
 use corkspan_lab::{
     capture, day::Day, hollow, judge, loads, measure::Measure, play::Play, process::Programs, pushes::Pushes,
     table::Table,
@@ -110,6 +112,28 @@
         #[arg(long, default_value_t = 1500)]
         pause_ms: u64,
     },
+    /// Measures what each role costs along one axis at a time; see docs/CAPACITY.md.
+    #[command(args_conflicts_with_subcommands = true)]
+    Capacity {
+        #[command(subcommand)]
+        page: Option<Page>,
+        /// Fewer places and rounds, and shorter ones.
+        #[arg(long)]
+        quick: bool,
+        /// One axis alone.
+        #[arg(long, value_parser = axis)]
+        axis: Option<Axis>,
+        /// A size file, as the `size` of a kept result.
+        #[arg(long)]
+        size: Option<PathBuf>,
+        #[arg(long)]
+        rounds: Option<u32>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Keeps the runs here, in the place of earlier ones of the same axis.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// The program itself, as days start it.
     #[command(hide = true, disable_help_flag = true)]
     Corkspan {
@@ -118,6 +142,27 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Page {
+    /// Prints the tables of docs/CAPACITY.md from a kept result.
+    Page {
+        file: PathBuf,
+        /// Holds a page against them instead.
+        #[arg(long, conflicts_with = "write")]
+        check: Option<PathBuf>,
+        /// Writes them into a page.
+        #[arg(long)]
+        write: Option<PathBuf>,
+    },
+}
+
+fn axis(name: &str) -> Result<Axis, String> {
+    let all = || Axis::ALL.iter();
+    let names: Vec<&str> = all().map(|axis| axis.name()).collect();
+    let found = all().find(|axis| axis.name() == name);
+    found.copied().ok_or_else(|| format!("the axes are {}", names.join(", ")))
+}
+
 fn main() -> ExitCode {
     let result = match Line::parse().call {
         Call::Day { file, seed, short, capture, program, logs } => {
@@ -159,6 +204,10 @@
             Ok(())
         }),
         Call::Hollow(line) => hollow::run(line),
+        Call::Capacity { page: Some(page), .. } => tables(page),
+        Call::Capacity { page: None, quick, axis, size, rounds, seed, json } => {
+            measured(quick, axis, size, rounds, seed, json)
+        }
         Call::Judge { capture } => judge_file(&capture),
         Call::Corkspan { line } => {
             return corkspan_cli::run(std::iter::once("corkspan".into()).chain(line));
@@ -236,6 +285,69 @@
     Ok(())
 }
 
+fn measured(
+    quick: bool,
+    axis: Option<Axis>,
+    size: Option<PathBuf>,
+    rounds: Option<u32>,
+    seed: u64,
+    json: Option<PathBuf>,
+) -> Result<(), String> {
+    let size = match size {
+        None => kept::COMING,
+        Some(path) => {
+            let place = |why: String| format!("{}: {why}", path.display());
+            let text = std::fs::read_to_string(&path).map_err(|why| place(why.to_string()))?;
+            serde_json::from_str(&text).map_err(|why| place(why.to_string()))?
+        }
+    };
+    // Where it is kept changes no figure.
+    let all: Vec<String> = std::env::args().skip(2).collect();
+    let kept_at = all.iter().position(|word| word == "--json");
+    let apart = |at: usize| kept_at.is_none_or(|own| at != own && at != own + 1);
+    let line: Vec<String> =
+        all.into_iter().enumerate().filter(|(at, _)| apart(*at)).map(|(_, word)| word).collect();
+    let capacity = Capacity {
+        program: own()?,
+        axes: axis.map_or(Axis::ALL.to_vec(), |axis| vec![axis]),
+        rounds: rounds.unwrap_or(if quick { 2 } else { 3 }).clamp(1, 100),
+        watch: std::time::Duration::from_secs(if quick { 4 } else { 8 }),
+        size: size.clone(),
+        quick,
+        seed,
+        command: format!("corkspan-lab capacity {}", line.join(" ")).trim().into(),
+    };
+    let mut all = kept::Kept { size: size.clone(), runs: Vec::new() };
+    capacity.run(|run| {
+        if let Some(path) = &json {
+            corkspan_lab::capacity::put(path, &size, run.clone())?;
+        }
+        all.put(run);
+        Ok(())
+    })?;
+    for (_, table) in corkspan_capacity::page::tables(&all) {
+        println!("{table}");
+    }
+    Ok(())
+}
+
+fn tables(Page::Page { file, check, write }: Page) -> Result<(), String> {
+    use corkspan_capacity::page;
+    let read =
+        |path: &Path| std::fs::read_to_string(path).map_err(|why| format!("{}: {why}", path.display()));
+    let kept = kept::Kept::read(&read(&file)?).map_err(|why| format!("{}: {why}", file.display()))?;
+    if let Some(path) = check {
+        page::check(&read(&path)?, &kept).map_err(|why| format!("{}: {why}", path.display()))?;
+        println!("{} is as {} has it", path.display(), file.display());
+    } else if let Some(path) = write {
+        let page = page::fill(&read(&path)?, &kept).map_err(|why| format!("{}: {why}", path.display()))?;
+        std::fs::write(&path, page).map_err(|why| format!("{}: {why}", path.display()))?;
+    } else {
+        page::tables(&kept).iter().for_each(|(_, table)| println!("{table}"));
+    }
+    Ok(())
+}
+
 /// The dispatcher built in, as a process of its own.
 fn own() -> Result<Vec<OsString>, String> {
     let own = std::env::current_exe().map_err(|why| why.to_string())?;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -366,8 +366,12 @@
         rustix::process::kill_process(pid, signal).map_err(|why| why.to_string())
     }
 
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// KiB, as the kernel counts them.
-    fn resident(&self) -> Result<u64, String> {
+    pub(crate) fn resident(&self) -> Result<u64, String> {
         let path = format!("/proc/{}/status", self.child.id());
         let status = std::fs::read_to_string(path).map_err(|why| why.to_string())?;
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
