--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -1,7 +1,7 @@
 //! The tables of docs/CAPACITY.md, printed from a kept result, and a page held against them.
 
-use crate::fit::How;
-use crate::kept::Kept;
+use crate::fit::{Fit, How};
+use crate::kept::{Axis, Kept};
 use crate::rows::{self, MISSING, Out, Role, Told};
 use std::fmt::Write;
 
@@ -10,6 +10,7 @@
     vec![
         ("by factor", by_factor(kept)),
         ("by role", by_role(kept)),
+        ("links", links(kept)),
         ("missing", missing()),
         ("runs", runs(kept)),
     ]
@@ -119,6 +120,33 @@
     )
 }
 
+/// What control costs a dispatcher at the size by kind of link, as relays saw it and as it counted itself.
+fn links(kept: &Kept) -> String {
+    let mut out = String::from(
+        "| link to | told of room | bytes/s, relays | bytes/s, its own count | messages/s, its own count |\n| --- | --- | --- | --- | --- |\n",
+    );
+    let run = kept.run(Axis::Machines, "control");
+    let told = |figure: String| {
+        let fit = Fit::of(&run.map(|run| run.figure(&figure)).unwrap_or_default());
+        fit.ok()
+            .and_then(|fit| fit.at(kept.size.machines).ok())
+            .map_or("not told".into(), |told| number(told.value))
+    };
+    for kind in ["roster", "control", "keepers", "nodes"] {
+        for (name, how) in [("quiet", "nothing"), ("told", "each machine once a second")] {
+            let figure = |of: &str| told(format!("{name}, {kind}, {of}"));
+            let _ = writeln!(
+                out,
+                "| {kind} | {how} | {} | {} | {} |",
+                figure("bytes/s"),
+                figure("bytes/s by its own count"),
+                figure("messages/s"),
+            );
+        }
+    }
+    out
+}
+
 fn missing() -> String {
     let mut out = String::from("| what the size asks for | mechanism |\n| --- | --- |\n");
     for (what, how) in MISSING {
