--- a/crates/lab/src/capture.rs
+++ b/crates/lab/src/capture.rs
@@ -179,11 +179,14 @@
         mean_kib: u64,
         most_kib: u64,
     },
-    /// The stand-ins' one thread, over the day: how busy it was, by how much it was late at the worst, and whether that
-    /// spoils the day's figures.
+    /// The stand-ins' one thread over the day: for which share of it it ran, and waited for a processor; and by how much it
+    /// was late at the worst. `hollow`: the largest share of a second for which a hollow process ran or waited. Whether
+    /// all that spoils the day's figures.
     StandIns {
         busy: f64,
+        waited: f64,
         late_us: u64,
+        hollow: f64,
         spoilt: bool,
     },
     /// What the dispatchers cost over the day.
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -17,6 +17,8 @@
     pub nodes: usize,
     /// Nodes that fail together, in two halls; none where nothing is said of it.
     pub zones: Option<usize>,
+    /// The roster tells room so often; none: every second, and less often to a large fleet.
+    pub room: Option<Duration>,
     /// New tasks a second.
     pub rate: f64,
     /// Of each hundred, so many are deduplicated and unrepeatable; the others are idempotent.
@@ -154,6 +156,7 @@
                 "hollow",
                 "nodes",
                 "zones",
+                "room",
                 "rate",
                 "deduplicated",
                 "unrepeatable",
@@ -180,6 +183,7 @@
                 a_process: A_PROCESS,
                 nodes: parts.need("nodes")?.whole(1, 2600)? as usize,
                 zones: None,
+                room: parts.find("room").map(every).transpose()?,
                 rate: parts.need("rate")?.above_zero()?,
                 deduplicated: parts.or("deduplicated", 10.0, percent)?,
                 unrepeatable: parts.or("unrepeatable", 5.0, percent)?,
@@ -312,7 +316,7 @@
     })
 }
 
-/// `(versions (every 5 s))`
+/// `(versions (every 5 s))`, `(room (every 1 s))`
 fn every(form: &Form) -> Result<Duration, Fault> {
     span(form.parts(&["every"])?.need("every")?, 600)
 }
--- a/crates/lab/src/hollow/fleet.rs
+++ b/crates/lab/src/hollow/fleet.rs
@@ -6,6 +6,7 @@
 use crate::pace::Pace;
 use crate::play::{Play, Stage, tell_room};
 use crate::process::Programs;
+use crate::table::StandIns;
 use async_io::Timer;
 use clap::Args;
 use corkspan_api::v1::link_count::Kind;
@@ -28,10 +29,8 @@
 pub struct Span {
     pub real: Cost,
     pub hollow: Cost,
-    /// Busy share of the stand-ins' one thread, how late it was at the worst, and whether that spoils the figures.
-    pub busy: f64,
-    pub late: Duration,
-    pub spoilt: bool,
+    /// How the laboratory itself kept up.
+    pub stand_ins: StandIns,
     /// As owners heard it.
     pub asked: usize,
     pub placed: usize,
@@ -69,7 +68,7 @@
         let play = Play { day, seed, programs, capture: None, tell, logs: None };
         let tasks = Tasks::default();
         let stage = future::block_on(tasks.run(play.up(&tasks)))?;
-        let room = tasks.spawn(tell_room(stage.roster.clone(), stage.nodes.clone(), stage.day.dispatchers));
+        let room = tasks.spawn(tell_room(stage.roster.clone(), stage.nodes.clone(), stage.day.clone()));
         Ok(Fleet { tasks, stage, _room: room })
     }
 
@@ -81,7 +80,7 @@
         (stage.day.rate, stage.day.life) = (rate, life);
         let whole = async {
             let (before, from) = (stage.read().await?, stage.front.world.capture.lines().len());
-            let (pace, until) = (Pace::begin(&tasks)?, Instant::now() + time);
+            let (pace, until) = (Pace::begin(&tasks, stage.hollow())?, Instant::now() + time);
             stage.start = Instant::now();
             let owners = stage.through(until).await?;
             Timer::at(until).await;
@@ -91,8 +90,8 @@
             drop(owners);
             let Costs { real, hollow } = between(&before, &after);
             let mut span = Span { real, hollow, ..Span::default() };
-            if let Seen::StandIns { busy, late_us, spoilt } = seen {
-                (span.busy, span.late, span.spoilt) = (busy, Duration::from_micros(late_us), spoilt);
+            if let Seen::StandIns { busy, waited, late_us, hollow, spoilt } = seen {
+                span.stand_ins = StandIns { busy, waited, late_us, hollow, spoilt };
             }
             for line in &stage.front.world.capture.lines()[from..] {
                 match line.seen {
@@ -175,12 +174,8 @@
                 println!("  real among hollow  {}", second.real);
                 for (span, name) in [(first, "real"), (second, "hollow")] {
                     println!(
-                        "  stand-ins, {name}: {:.0}% busy, late by {} ms at the worst{}; {} asked, {} placed",
-                        span.busy * 100.0,
-                        span.late.as_millis(),
-                        if span.spoilt { ", SPOILT" } else { "" },
-                        span.asked,
-                        span.placed
+                        "  stand-ins, {name}: {}; {} asked, {} placed",
+                        span.stand_ins, span.asked, span.placed
                     );
                 }
                 let ratio = |cost: &Cost, kinds: &[Kind]| cost.bytes(kinds) / first.real.bytes(kinds);
@@ -192,7 +187,7 @@
                 println!(
                     "  bytes a second and dispatcher, over real ones alone: hollow {ratio:.3} (control {control:.3}), real among them {beside:.3}"
                 );
-                spoilt += usize::from(first.spoilt || second.spoilt);
+                spoilt += usize::from(first.stand_ins.spoilt || second.stand_ins.spoilt);
                 apart += usize::from(!(0.9..=1.1).contains(&ratio));
             }
         }
--- a/crates/lab/src/pace.rs
+++ b/crates/lab/src/pace.rs
@@ -1,5 +1,5 @@
-//! Whether the stand-ins kept up: they share one thread, and a day in which that was the bottleneck measures it, and not the
-//! dispatchers.
+//! Whether the laboratory kept up: stand-ins share one thread, and hollow dispatchers one in each process, and a day in which
+//! such a thread was the bottleneck measures it, and not the dispatchers.
 
 use crate::capture::Seen;
 use async_io::Timer;
@@ -14,18 +14,32 @@
 const LATE: Duration = Duration::from_millis(250);
 /// Looked at so often.
 const EVERY: Duration = Duration::from_millis(25);
+/// Hollow processes are looked at over so long.
+const WINDOW: Duration = Duration::from_secs(1);
 
 pub(crate) struct Pace {
     began: Instant,
-    busy: Duration,
+    own: Threads,
     late: Arc<AtomicU64>,
-    _looks: async_executor::Task<()>,
+    /// The largest share of a window, in parts of a million, for which a hollow process ran or wanted to.
+    hollow: Arc<AtomicU64>,
+    _looks: [async_executor::Task<()>; 2],
+}
+
+/// A thread so far: on a processor, and waiting for one.
+#[derive(Clone, Copy, Debug, Default)]
+struct Threads {
+    ran: Duration,
+    waited: Duration,
 }
 
 impl Pace {
     /// On the thread that carries the stand-ins.
-    pub fn begin(tasks: &Tasks) -> Result<Pace, String> {
+    /// `hollow`: processes whose dispatchers share one thread, which must not be the bottleneck either.
+    pub fn begin(tasks: &Tasks, hollow: Vec<u32>) -> Result<Pace, String> {
         let late = Arc::new(AtomicU64::new(0));
+        let most = Arc::new(AtomicU64::new(0));
+        let watched = tasks.spawn(watch(hollow, Arc::clone(&most)));
         let own = Arc::clone(&late);
         let looks = tasks.spawn(async move {
             loop {
@@ -34,20 +48,47 @@
                 own.fetch_max(due.elapsed().as_micros() as u64, Ordering::Relaxed);
             }
         });
-        Ok(Pace { began: Instant::now(), busy: busy()?, late, _looks: looks })
+        let (began, own) = (Instant::now(), thread(OWN).ok_or(UNTOLD)?);
+        Ok(Pace { began, own, late, hollow: most, _looks: [looks, watched] })
     }
 
     pub fn end(self) -> Result<Seen, String> {
-        let busy = (busy()?.saturating_sub(self.busy)).as_secs_f64() / self.began.elapsed().as_secs_f64();
+        let (now, took) = (thread(OWN).ok_or(UNTOLD)?, self.began.elapsed().as_secs_f64());
+        let share = |now: Duration, then: Duration| now.saturating_sub(then).as_secs_f64() / took.max(1e-3);
+        let (busy, waited) = (share(now.ran, self.own.ran), share(now.waited, self.own.waited));
         let late_us = self.late.load(Ordering::Relaxed);
-        let spoilt = busy > BUSY || Duration::from_micros(late_us) > LATE;
-        Ok(Seen::StandIns { busy, late_us, spoilt })
+        let hollow = self.hollow.load(Ordering::Relaxed) as f64 / 1e6;
+        let spoilt = busy > BUSY || Duration::from_micros(late_us) > LATE || hollow > BUSY;
+        Ok(Seen::StandIns { busy, waited, late_us, hollow, spoilt })
     }
 }
 
-/// Processor time of this thread.
-fn busy() -> Result<Duration, String> {
-    let text = std::fs::read_to_string("/proc/thread-self/schedstat").map_err(|why| why.to_string())?;
-    let time = text.split_whitespace().next().and_then(|nanoseconds| nanoseconds.parse().ok());
-    time.map(Duration::from_nanos).ok_or_else(|| "the kernel does not tell this thread's time".into())
+const OWN: &str = "/proc/thread-self/schedstat";
+const UNTOLD: &str = "the kernel does not tell this thread's time";
+
+/// As the kernel counts a thread; none where it is gone.
+fn thread(path: &str) -> Option<Threads> {
+    let text = std::fs::read_to_string(path).ok()?;
+    let mut times = text.split_whitespace().map_while(|nanoseconds| nanoseconds.parse().ok());
+    let (ran, waited) = (times.next()?, times.next()?);
+    Some(Threads { ran: Duration::from_nanos(ran), waited: Duration::from_nanos(waited) })
+}
+
+async fn watch(processes: Vec<u32>, most: Arc<AtomicU64>) {
+    let read = || -> Vec<Option<Threads>> {
+        let path = |process: &u32| format!("/proc/{process}/task/{process}/schedstat");
+        processes.iter().map(|process| thread(&path(process))).collect()
+    };
+    let (mut before, mut since) = (read(), Instant::now());
+    loop {
+        Timer::at(since + WINDOW).await;
+        let (now, took) = (read(), since.elapsed().as_secs_f64());
+        since = Instant::now();
+        for (now, before) in std::iter::zip(&now, &before) {
+            let (Some(now), Some(before)) = (now, before) else { continue };
+            let wanted = (now.ran + now.waited).saturating_sub(before.ran + before.waited);
+            most.fetch_max((1e6 * wanted.as_secs_f64() / took) as u64, Ordering::Relaxed);
+        }
+        before = now;
+    }
 }
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -149,14 +149,14 @@
         let mut stage = self.up(&tasks).await?;
         let Stage { roster, nodes, front, start, .. } = &stage;
         let (front, until) = (Arc::clone(front), *start + self.day.length);
-        let room = tasks.spawn(tell_room(Arc::clone(roster), nodes.clone(), self.day.dispatchers));
+        let room = tasks.spawn(tell_room(Arc::clone(roster), nodes.clone(), self.day.clone()));
         let versions = self.day.versions.map(|every| {
             let text = self.deployment(0, roster.address, "", stage.folder.path());
             let texts = Texts::of("day", &text).map_err(|why| why.to_string());
             texts.map(|texts| tasks.spawn(push_versions(stage.control.clone(), texts, every)))
         });
         let versions = versions.transpose()?;
-        let (pace, before) = (Pace::begin(&tasks)?, stage.read().await?);
+        let (pace, before) = (Pace::begin(&tasks, stage.hollow())?, stage.read().await?);
         let owners = stage.through(until).await?;
         let after = stage.read().await?;
         front.world.capture.see(pace.end()?);
@@ -372,10 +372,12 @@
 /// Lines a second that the roster tells all dispatchers together of room alone.
 const ROOM_LINES: usize = 10_000;
 
-/// Tells the roster again and again what nobody has asked for: every second, and less often to a large fleet.
-pub(crate) async fn tell_room(roster: Arc<Roster>, nodes: Vec<Arc<Node>>, dispatchers: usize) {
-    let lines = nodes.len() * dispatchers;
-    let apart = Duration::from_secs_f64((lines as f64 / ROOM_LINES as f64).max(1.0));
+/// Tells the roster again and again what nobody has asked for: as often as the day says, or every second, and less often to
+/// a large fleet.
+pub(crate) async fn tell_room(roster: Arc<Roster>, nodes: Vec<Arc<Node>>, day: Day) {
+    let lines = nodes.len() * day.dispatchers;
+    let usual = Duration::from_secs_f64((lines as f64 / ROOM_LINES as f64).max(1.0));
+    let apart = day.room.unwrap_or(usual);
     loop {
         Timer::after(apart).await;
         for node in nodes.iter().filter(|node| node.is_up()) {
@@ -753,6 +755,12 @@
         Ok(undos)
     }
 
+    /// Hollow processes that run.
+    pub fn hollow(&self) -> Vec<u32> {
+        let hollow = self.fleet.iter().filter(|process| process.hollow);
+        hollow.filter_map(|process| Some(process.child.as_ref()?.id())).collect()
+    }
+
     /// What each process has cost so far, and what its dispatchers counted.
     pub async fn read(&self) -> Result<Vec<cost::Reading>, String> {
         let mut read = Vec::new();
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -35,11 +35,34 @@
     /// Placed calls of owners that stand at a time.
     pub standing_most: usize,
     pub cost: Option<Costs>,
-    /// Busy share of the stand-ins' thread, by how much it was late, and whether that spoils the figures.
-    pub stand_ins: Option<(f64, u64, bool)>,
+    pub stand_ins: Option<StandIns>,
     pub troubles: BTreeMap<String, u64>,
 }
 
+/// How the laboratory itself kept up, as [`Seen::StandIns`] tells it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StandIns {
+    pub busy: f64,
+    pub waited: f64,
+    pub late_us: u64,
+    pub hollow: f64,
+    pub spoilt: bool,
+}
+
+impl fmt::Display for StandIns {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            f,
+            "busy {:.0}%, waiting for a core {:.0}%, late by {} ms at the worst; a hollow process {:.0}% of its worst second{}",
+            self.busy * 100.0,
+            self.waited * 100.0,
+            self.late_us / 1000,
+            self.hollow * 100.0,
+            if self.spoilt { ": SPOILT, the figures are the laboratory's" } else { "" }
+        )
+    }
+}
+
 /// How a roll went.
 #[derive(Default)]
 pub struct RollFigures {
@@ -232,8 +255,9 @@
                 Seen::Said { word: Word::Refused, .. } => table.refusals += 1,
                 Seen::Node { state: NodeState::FellOver, .. } => table.fell_over += 1,
                 Seen::Cost(costs) => table.cost = Some((**costs).clone()),
-                Seen::StandIns { busy, late_us, spoilt } => {
-                    table.stand_ins = Some((*busy, *late_us, *spoilt));
+                Seen::StandIns { busy, waited, late_us, hollow, spoilt } => {
+                    let (busy, waited, late_us, hollow) = (*busy, *waited, *late_us, *hollow);
+                    table.stand_ins = Some(StandIns { busy, waited, late_us, hollow, spoilt: *spoilt });
                 }
                 Seen::Trouble { name } => *table.troubles.entry(name.clone()).or_default() += 1,
                 _ => {}
@@ -300,10 +324,8 @@
                 }
             }
         }
-        if let Some((busy, late_us, spoilt)) = self.stand_ins {
-            let late_ms = late_us / 1000;
-            write!(f, "stand-ins            busy {:.0}%, late by {late_ms} ms at the worst", busy * 100.0)?;
-            writeln!(f, "{}", if spoilt { ": SPOILT, the figures are theirs" } else { "" })?;
+        if let Some(stand_ins) = &self.stand_ins {
+            writeln!(f, "stand-ins            {stand_ins}")?;
         }
         let troubles: Vec<String> =
             self.troubles.iter().map(|(name, many)| format!("{name} {many}")).collect();
