Look at those that wait when something has changed that could matter to them

Change: a look is left out where the whole one would end in "not yet". For each machine and track a bound on its room holds until the next view unless something happens to it; only machines whose room passes are weighed, with the filters, weighing and draws of the whole look, and if one may take it the whole look decides as before. Likes (service, track, account; no less asked) share the answer, also later, and are then held against machines that gained since. Rounds keep the steps of 50 ms but come only after a change, with a view, or when a first moment has come; a last moment to answer wakes only those whose it is.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -129,6 +129,8 @@
     by_name: HashMap<String, AllocationId>,
     /// Answered with "not yet", in the order taken.
     not_yet: Vec<AllocationId>,
+    /// The same with their abandon times: some are asked for again alone, as their time is up.
+    not_yet_ends: BTreeSet<(Tenths, AllocationId)>,
     /// Of those, the ones to be asked for again now, slice by slice.
     again: VecDeque<AllocationId>,
     turns: Turns,
@@ -149,6 +151,7 @@
             held: BTreeMap::new(),
             by_name: HashMap::new(),
             not_yet: Vec::new(),
+            not_yet_ends: BTreeSet::new(),
             again: VecDeque::new(),
             turns: Turns::default(),
             slice,
@@ -262,7 +265,10 @@
                 held.allocation.shots.push(Shot { machine, sent: now, fate: Fate::Pending });
                 held.pending += 1;
             }
-            Placement::NotYet => self.not_yet.push(id),
+            Placement::NotYet => {
+                self.not_yet_ends.insert((held.allocation.abandon, id));
+                self.not_yet.push(id);
+            }
             Placement::Shed => self.shed(id, wire),
             Placement::Scrap => self.scrap(id, wire),
         }
@@ -353,6 +359,20 @@
                     wire.lost(&mut held.own, &held.allocation);
                 }
             }
+            if let Some(upto) = wait.ends {
+                while let Some(&(_, id)) = self.not_yet_ends.first().filter(|(end, _)| *end <= upto) {
+                    self.not_yet_ends.pop_first();
+                    self.ask(now, id, wire);
+                }
+                if self.not_yet_ends.is_empty() {
+                    self.scheduler.none_waits();
+                }
+                if wait.ask_again {
+                    continue;
+                }
+            } else if wait.ask_again {
+                self.not_yet_ends.clear();
+            }
             if wait.ask_again && self.slice == Slice::BY_TURNS {
                 for id in self.not_yet.drain(..) {
                     let waits = (self.held.get(&id).map_or(now, |held| held.allocation.abandon), id);
@@ -391,6 +411,7 @@
     pub fn finish(&mut self, id: AllocationId) {
         let Some(held) = self.held.get_mut(&id) else { return };
         held.over = true;
+        self.not_yet_ends.remove(&(held.allocation.abandon, id));
         if held.pending == 0
             && let Some(held) = self.held.remove(&id)
         {
@@ -409,6 +430,7 @@
         }
         waits.into_iter().for_each(|id| self.ask(now, id, wire));
         self.not_yet.clear();
+        self.not_yet_ends.clear();
         self.again.clear();
         self.turns = Turns::default();
     }
--- a/crates/host/tests/stories.rs
+++ b/crates/host/tests/stories.rs
@@ -291,3 +291,35 @@
     }
     assert!(host.kept() < 200, "{} kept", host.kept());
 }
+
+/// All wait as a zone goes, and all at once there is room. What is asked meanwhile goes with the views, not with time.
+#[test]
+fn a_thousand_that_wait_are_left_alone_until_there_is_room_and_then_all_are_asked_for_at_once() {
+    let mut host = sliced(Repeat::Idempotent, 100, 10_000, Slice::BY_TURNS);
+    let report = |host: &mut Host<&'static str>, now, cores| {
+        let report = Some(Report { unused: Amount { cores, memory: 2.0 * cores } });
+        (0..100).for_each(|id| host.probed(now, MachineId(id), Ending::Ended, report));
+    };
+    report(&mut host, 0, 0.0);
+    let mut wire = Noted::default();
+    for number in 0..1_000 {
+        let asks = Amount { cores: 0.5 + f64::from(number % 7) / 10.0, memory: 1.0 };
+        let service = service(&(number % 50).to_string());
+        let id = host.take(0, &number.to_string(), Asked { service, asks, ..asked(SECOND * 60) }, "a");
+        host.place(0, id.expect("room"), &mut wire);
+    }
+    let turns = |host: &mut Host<&'static str>, now, wire: &mut Noted| {
+        host.woken(now);
+        host.rest(now, wire);
+        std::iter::from_fn(|| turn(host, now, wire).then_some(())).count()
+    };
+    let asked: usize = (1..=100).map(|step| turns(&mut host, step * SECOND / 100, &mut wire)).sum();
+    assert!(
+        (2_000..=6_000).contains(&asked),
+        "a thousand with each view in a second, and once at first: {asked}"
+    );
+    assert!(!wire.said().contains("shot"));
+    report(&mut host, SECOND, 30.0);
+    let sent = turns(&mut host, SECOND + SECOND / 20, &mut wire);
+    assert_eq!((sent, wire.said().matches("shot").count()), (1_000, 1_000));
+}
--- /dev/null
+++ b/crates/lab/src/capacity/asks.rs
@@ -0,0 +1,294 @@
+//! What the decisions alone cost where allocations wait for room: one ask, and a second of so many that wait. The clock
+//! is virtual, the processor time that of the thread.
+
+use corkspan::interface::*;
+use corkspan::rules::Scheduler;
+use corkspan_host::{Asked, Host, Slice, Wire};
+
+const SECOND: Tenths = 10_000;
+const SIZE: Amount = Amount { cores: 64.0, memory: 256.0 };
+/// What each machine reports as unused where none has room.
+const CRAMPED: Amount = Amount { cores: 1.0, memory: 4.0 };
+const ROOMY: Amount = Amount { cores: 40.0, memory: 160.0 };
+/// Of ours that run meanwhile: one of a hundred dispatchers' part of 4,300.
+const RUNNING: usize = 43;
+const SERVICES: u64 = 150;
+
+/// One measured place on an axis.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Point {
+    pub figure: &'static str,
+    pub x: f64,
+    pub value: f64,
+    pub unit: &'static str,
+}
+
+/// How unlike those that wait are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Likes {
+    /// Of five services.
+    Few,
+    /// Each of its own service and need.
+    None,
+}
+
+/// What happens each second while they wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Changes {
+    Nothing,
+    /// So many machines report as before.
+    Reports(u32),
+    /// So many of ours end, and others begin in their places.
+    Ends(u32),
+    /// So many times one of those that wait comes to its end, and another comes.
+    Deadlines(u32),
+}
+
+/// Processor time of this thread, in seconds. None where the system doesn't tell.
+fn spent() -> Option<f64> {
+    let told = std::fs::read_to_string("/proc/thread-self/schedstat").ok()?;
+    told.split_whitespace().next()?.parse::<f64>().ok().map(|ns| ns / 1e9)
+}
+
+fn cluster() -> Cluster {
+    let track = |priority| Track {
+        repeat: Repeat::Idempotent,
+        contract_time: SECOND,
+        calm: 0.9,
+        priority,
+        kind: None,
+        spread: None,
+    };
+    Cluster {
+        hall: HallId(0),
+        number: 0,
+        schedulers: 100,
+        kinds: vec![SIZE],
+        tracks: vec![track(0), track(1)],
+        accounts: Vec::new(),
+        accepts: Amount { cores: 3.0, memory: 1.5 },
+        makes_room: true,
+        shots: 3,
+        placed_runs: true,
+        shows_room: false,
+        may_probe: false,
+        ask_list: None,
+        cold: Cold { lasts: SECOND, window: SECOND, offers: 5.0 },
+        opens_within: 0,
+        other_hall_price: 0.0,
+        tells_loss: true,
+    }
+}
+
+fn entries(machines: u32) -> Vec<Entry> {
+    let entry = |id| Entry {
+        machine: MachineId(id),
+        kind: KindId(0),
+        hall: HallId(0),
+        cell: CellId(u64::from(id / 8)),
+        state: State::Serving,
+        started: None,
+        unasked: None,
+    };
+    (0..machines).map(entry).collect()
+}
+
+fn asked(service: u64, asks: Amount, abandon: Tenths) -> Asked {
+    let track = TrackId(service as usize % 2);
+    Asked { service: ServiceId(service), track, account: AccountId(0), asks, abandon }
+}
+
+/// The system tells a thread's time some milliseconds late: less than this much is not measured.
+const LEAST: f64 = 0.02;
+
+/// The time of one ask, in the mean over `least` of them or more: in vain, or one that finds a machine.
+pub fn one_ask(machines: u32, in_vain: bool, least: u64) -> Option<Point> {
+    let mut scheduler = Scheduler::new(cluster(), 1, 0);
+    scheduler.listed(Scope::Remembered, &entries(machines));
+    let unused = if in_vain { CRAMPED } else { ROOMY };
+    for id in 0..machines {
+        scheduler.probed(SECOND, MachineId(id), Ending::Ended, Some(Report { unused }));
+    }
+    let size = if in_vain { Amount { cores: 4.0, memory: 16.0 } } else { Amount { cores: 0.1, memory: 0.1 } };
+    let (mut now, since) = (2 * SECOND, spent()?);
+    let (mut answered, mut asks) = (0, 0);
+    // One that goes out stays: too many would fill the machines.
+    while asks < least || in_vain && asks % 1_000 != 0 || in_vain && spent()? - since < LEAST {
+        let number = asks;
+        asks += 1;
+        // Reports must not be old before all have been asked for.
+        now += 1;
+        let Asked { service, track, account, asks, abandon } =
+            asked(number % SERVICES, size, now + 10 * SECOND);
+        let id = AllocationId(number);
+        let allocation =
+            Allocation { id, service, track, account, asks, taken: now, abandon, shots: Vec::new() };
+        answered += u64::from((scheduler.place(now, &allocation) == Placement::NotYet) == in_vain);
+    }
+    let value = (spent()? - since) * 1e6 / asks as f64;
+    let figure = if in_vain { "one ask in vain" } else { "one ask that finds a machine" };
+    (answered == asks).then_some(Point { figure, x: f64::from(machines), value, unit: "us" })
+}
+
+/// What the host says goes nowhere, but for the timer.
+#[derive(Default)]
+struct Timer {
+    due: Option<Tenths>,
+    now: Tenths,
+    sent: u64,
+    answered: u64,
+}
+
+impl Wire<()> for Timer {
+    fn send(&mut self, _: &mut (), _: &Allocation, _: MachineId, _: Tenths) {
+        self.sent += 1;
+    }
+    fn shed(&mut self, _: &mut (), _: &Allocation) {
+        self.answered += 1;
+    }
+    fn scrap(&mut self, _: &mut (), _: &Allocation) {
+        self.answered += 1;
+    }
+    fn relocate(&mut self, _: &mut (), _: &Allocation) {}
+    fn probe(&mut self, _: MachineId) {}
+    fn watch_list(&mut self) {}
+    fn wake(&mut self, after: Tenths) {
+        let at = self.now + after;
+        self.due = Some(self.due.map_or(at, |due| due.min(at)));
+    }
+}
+
+/// A dispatcher whose machines have no room for those that wait.
+pub struct Waiting {
+    pub machines: u32,
+    pub waiting: u32,
+    pub likes: Likes,
+    pub changes: Changes,
+    pub by_turns: bool,
+}
+
+struct Stage {
+    host: Host<()>,
+    timer: Timer,
+    running: Vec<(AllocationId, MachineId)>,
+    came: u64,
+}
+
+impl Waiting {
+    /// Share of a core, in percent, over so many virtual seconds. None where one found a machine, or the system
+    /// doesn't tell the thread's time.
+    pub fn share_of_core(&self, seconds: u64) -> Option<Point> {
+        let mut stage = self.stage();
+        // The first looks are not what waiting costs.
+        stage.until(4 * SECOND);
+        let before = (spent()?, stage.timer.sent);
+        let rate = match self.changes {
+            Changes::Nothing => 0,
+            Changes::Reports(rate) | Changes::Ends(rate) | Changes::Deadlines(rate) => u64::from(rate),
+        };
+        for number in 0..seconds * rate {
+            stage.until(4 * SECOND + number * SECOND / rate);
+            self.happens(&mut stage, number);
+        }
+        stage.until((4 + seconds) * SECOND);
+        let value = (spent()? - before.0) * 100.0 / seconds as f64;
+        let figure = match self.changes {
+            Changes::Nothing => "waiting while nothing changes",
+            Changes::Reports(_) => "waiting while reports come",
+            Changes::Ends(_) => "waiting while some end",
+            Changes::Deadlines(_) => "waiting to the end",
+        };
+        let still = stage.timer.sent == before.1;
+        still.then_some(Point { figure, x: f64::from(self.waiting), value, unit: "% of a core" })
+    }
+
+    fn stage(&self) -> Stage {
+        let slice = if self.by_turns { Slice::BY_TURNS } else { Slice::ALL };
+        let mut host = Host::new(cluster(), 1, 0, usize::MAX, slice);
+        host.listed(Scope::Remembered, &entries(self.machines));
+        let mut stage = Stage { host, timer: Timer::default(), running: Vec::new(), came: 0 };
+        for _ in 0..RUNNING {
+            stage.runs(0, self.machines);
+        }
+        for id in 0..self.machines {
+            self.reports(&mut stage, 2 * SECOND, id);
+        }
+        stage.until(2 * SECOND);
+        for _ in 0..self.waiting {
+            self.comes(&mut stage, 3_600 * SECOND);
+        }
+        stage
+    }
+
+    fn reports(&self, stage: &mut Stage, now: Tenths, id: u32) {
+        stage.host.probed(now, MachineId(id), Ending::Ended, Some(Report { unused: CRAMPED }));
+    }
+
+    fn comes(&self, stage: &mut Stage, abandon: Tenths) {
+        let now = stage.timer.now;
+        let number = stage.came;
+        let own = match self.likes {
+            Likes::Few => number % 5,
+            Likes::None => number,
+        };
+        let asks = Amount { cores: 4.0, memory: 16.0 } * (1.0 + own as f64 % 97.0 / 100.0);
+        stage.came += 1;
+        let taken = stage.host.take(now, &format!("w{number}"), asked(own, asks, abandon), ());
+        if let Ok(id) = taken {
+            stage.host.place(now, id, &mut stage.timer);
+        }
+        stage.rest();
+    }
+
+    fn happens(&self, stage: &mut Stage, number: u64) {
+        let now = stage.timer.now;
+        match self.changes {
+            Changes::Nothing => {}
+            Changes::Reports(_) => self.reports(stage, now, (number % u64::from(self.machines)) as u32),
+            Changes::Ends(_) => {
+                let (id, machine) = stage.running.remove(0);
+                stage.host.returned(now, id, 0, Ending::Ended, None, true, None, &mut stage.timer);
+                stage.runs(now, machine.0 + 1);
+            }
+            Changes::Deadlines(_) => self.comes(stage, now + SECOND),
+        }
+        stage.rest();
+    }
+}
+
+impl Stage {
+    /// One of ours runs on the last of so many machines, or on any before.
+    fn runs(&mut self, now: Tenths, machines: u32) {
+        let number = self.running.len() as u32 + self.came as u32;
+        let machine = MachineId(if now > 0 { machines - 1 } else { number * 31 % machines });
+        let asks = Amount { cores: 1.0, memory: 4.0 };
+        self.came += 1;
+        let asked = asked(u64::from(number) % SERVICES, asks, 3_600 * SECOND);
+        if let Ok(id) = self.host.take_running(now, &format!("r{}", self.came), asked, machine, ()) {
+            self.host.noted(now, id, Note::Cores(0.5));
+            self.host.noted(now, id, Note::Memory(3.0));
+            self.running.push((id, machine));
+        }
+    }
+
+    /// What a caller does after each thing that it heard.
+    fn rest(&mut self) {
+        let now = self.timer.now;
+        self.host.rest(now, &mut self.timer);
+        while let Some(id) = self.host.next_turn() {
+            self.host.ask(now, id, &mut self.timer);
+        }
+        self.host.rest(now, &mut self.timer);
+    }
+
+    fn until(&mut self, end: Tenths) {
+        while let Some(at) = self.timer.due.filter(|at| *at <= end) {
+            self.timer.due = None;
+            self.timer.now = at.max(self.timer.now);
+            self.host.woken(self.timer.now);
+            self.rest();
+        }
+        self.timer.now = end.max(self.timer.now);
+        self.rest();
+    }
+}
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -1,6 +1,7 @@
 //! What each role costs by machines, dispatchers, tasks, waiting allocations and versions: one axis at a time, several
 //! places each, in rounds side by side. Real dispatchers before stand-ins; the arithmetic is `corkspan_capacity`'s.
 
+pub mod asks;
 mod busy;
 mod kernel;
 mod meter;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,6 +41,10 @@
         Amount { cores: self.cores.max(other.cores), memory: self.memory.max(other.memory) }
     }
 
+    pub fn least(self, other: Amount) -> Amount {
+        Amount { cores: self.cores.min(other.cores), memory: self.memory.min(other.memory) }
+    }
+
     pub fn within(self, limit: Amount) -> bool {
         self.cores <= limit.cores && self.memory <= limit.memory
     }
@@ -183,6 +187,13 @@
     pub shots: Vec<Shot>,
 }
 
+impl Allocation {
+    /// The first shot of which it is not proven that it never ran.
+    pub fn bound(&self) -> Option<&Shot> {
+        self.shots.iter().find(|shot| shot.fate != Fate::NeverRan)
+    }
+}
+
 /// Where to send an allocation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -249,6 +260,9 @@
     pub time: Tenths,
     /// Allocations answered with "not yet" are worth another call now.
     pub ask_again: bool,
+    /// Where told, only such of them are that are abandoned up to then: the others would find no machine.
+    /// [`crate::rules::Scheduler::none_waits`] is the answer where there are no others.
+    pub ends: Option<Tenths>,
     pub watch_list: bool,
     pub probes: Vec<MachineId>,
     pub moves: Vec<AllocationId>,
@@ -286,6 +300,17 @@
     pub unasked: Option<Amount>,
 }
 
+impl Entry {
+    /// Which place of this kind it is.
+    pub fn of(&self, place: Place) -> u64 {
+        match place {
+            Place::Machine => u64::from(self.machine.0),
+            Place::Cell => self.cell.0,
+            Place::Hall => self.hall.0 as u64,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
     Changes,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,11 +6,14 @@
 //! The caller keeps the allocations in hand and the timers, and decides nothing.
 
 use crate::interface::*;
-use crate::state::{Guest, Learnt, Machine, Record, View, Weighed, mix};
+use crate::state::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap};
+
+mod books;
+mod vain;
 
 const SECOND: Tenths = 10_000;
 /// The paper's figures for the share of draws that may cross the line and for the number of draws.
@@ -66,7 +69,7 @@
 const UNWELL: Tenths = SECOND;
 /// Probes for each allocation taken.
 const PROBES: f64 = 1.0;
-/// Between two looks at an allocation that no machine could take.
+/// Between two looks at an allocation that no machine could take, at the least.
 const ASK_AGAIN: Tenths = SECOND / 20;
 /// Weight in the average of what we guess from our own, against one of a fresh report.
 const FAINT: f64 = 0.1;
@@ -74,27 +77,27 @@
 pub struct Scheduler {
     cluster: Cluster,
     rng: Pcg64Mcg,
+    seed: u64,
     machines: BTreeMap<MachineId, Machine>,
     /// Where each allocation of ours is.
     at: BTreeMap<AllocationId, MachineId>,
-    /// How many of each service are on which machines, and where the one asked for now has its others.
-    at_service: BTreeMap<ServiceId, BTreeMap<MachineId, usize>>,
+    at_service: Services,
+    /// Where the one asked for now has the others of its service.
     near: Vec<(u64, usize)>,
-    records: BTreeMap<ServiceId, VecDeque<Record>>,
+    records: Records,
     learnt: Learnt,
     born: Tenths,
     watch_at: Option<Tenths>,
     watch_fails: u32,
-    /// When the allocations answered with "not yet" are to be looked at again.
-    ask_at: Option<Tenths>,
+    waits: Waits,
+    rooms: Rooms,
     /// A large allocation that fits nowhere, though the room that it needs may be there in pieces.
     starved: Option<Allocation>,
+    promise: Option<MachineId>,
     look_at: Tenths,
     view: View,
     /// Probes that may be sent: what they cost stays in step with what is placed.
     probes: f64,
-    /// When an ask last found no machine to bear it.
-    crowded: Option<((Tenths, TrackId, AccountId), Amount)>,
 }
 
 impl Scheduler {
@@ -103,23 +106,31 @@
             watch_at: cluster.ask_list.map(|_| now),
             cluster,
             rng: Pcg64Mcg::seed_from_u64(seed),
+            seed: mix(seed),
             machines: BTreeMap::new(),
             at: BTreeMap::new(),
-            at_service: BTreeMap::new(),
+            at_service: Services::default(),
             near: Vec::new(),
-            records: BTreeMap::new(),
+            records: Records::default(),
             learnt: Learnt::default(),
             born: now,
             watch_fails: 0,
-            ask_at: None,
+            waits: Waits::default(),
+            rooms: Rooms::default(),
             starved: None,
+            promise: None,
             look_at: now,
             view: View::default(),
             probes: 0.0,
-            crowded: None,
         }
     }
 
+    /// For comparison only: each ask is a whole look, each round comes.
+    pub fn always_looking(mut self) -> Self {
+        self.waits.looks_always = true;
+        self
+    }
+
     /// Other figures are in force from here on, for the same kinds and halls. What was learnt stays; so do the ids
     /// of tracks and accounts that allocations in hand have.
     pub fn adopt(&mut self, now: Tenths, cluster: Cluster) {
@@ -130,8 +141,9 @@
             self.born = now;
         }
         self.cluster = cluster;
-        (self.crowded, self.view.taken) = (None, None);
-        self.ask_at = Some(now);
+        self.view.taken = None;
+        self.rooms.void();
+        self.waits.ask_at = Some(now);
     }
 
     /// Where to send this allocation, or not yet, or never.
@@ -140,10 +152,14 @@
             return self.give_up(allocation);
         }
         if allocation.shots.is_empty() && allocation.taken == now {
+            // One that waits may be large from here on.
+            if allocation.asks.cores < self.learnt.ask.or(0.0) {
+                self.waits.open_at = now;
+            }
             self.learnt.ask.add(allocation.asks.cores, KEEP);
             self.probes = (self.probes + PROBES).min(self.machines.len() as f64);
         }
-        let bound = allocation.shots.iter().find(|shot| shot.fate != Fate::NeverRan);
+        let bound = allocation.bound();
         // None: all machines.
         let mut scan: Option<Vec<MachineId>> = None;
         if let Some(shot) = bound {
@@ -168,22 +184,22 @@
             }
             scan = Some(ids);
         }
-        // Nothing has changed since one of the same track that asked for no more found no place.
-        let alike = (now, allocation.track, allocation.account);
-        if self.crowded.is_some_and(|(at, asks)| at == alike && asks.within(allocation.asks)) {
-            return self.not_yet(now, allocation);
-        }
         self.look(now);
         self.near = self.near(allocation);
+        // Where others wait, this one most likely finds no machine either.
+        let waited = self.waits.since(now.saturating_sub(2 * LOOK));
+        let until = if waited { self.vain_until(now, allocation) } else { now };
+        if until > now {
+            return self.not_yet(now, allocation, until);
+        }
         let turn = |(&id, machine)| (self.turn(allocation.service, id, machine), id);
         let scan: Vec<_> = match scan {
             None => self.machines.iter().map(turn).collect(),
             Some(ids) => ids.iter().map(|id| turn((id, &self.machines[id]))).collect(),
         };
-        let mine = |id: &MachineId| self.machines[id].promised.is_some_and(|(_, to)| to == allocation.id);
-        let any = self.machines.values().any(|m| m.promised.is_some_and(|(_, to)| to == allocation.id));
-        let promised = scan.iter().filter(|(_, id)| any && mine(id)).min().map(|&(_, id)| id);
-        let promised = promised.filter(|&id| self.admits(now, id, allocation));
+        let promised = self.promise().filter(|(_, _, to)| *to == allocation.id).map(|(id, ..)| id);
+        let promised = promised.filter(|&id| scan.iter().any(|&(_, other)| other == id));
+        let promised = promised.filter(|&id| self.opens(now, id, allocation) <= now);
         // First under theta those first in the service's order: all schedulers then send it to the same few
         // machines, which so hold its program. It also spares weighing them all.
         // A heap: mostly a few are looked at, and to sort them all would cost as much as all the rest.
@@ -206,14 +222,16 @@
             scan.extend(heap.into_sorted_vec().into_iter().rev().map(|Reverse((_, id))| id));
             passes.iter().find_map(|&last| self.pick(now, &scan, allocation, last))
         });
-        self.crowded = chosen.is_none().then_some((alike, allocation.asks));
-        match chosen {
-            Some(machine) => self.send(now, machine, allocation),
-            None => self.not_yet(now, allocation),
-        }
+        let Some(machine) = chosen else {
+            if bound.is_none() && waited {
+                self.rooms.keep(Kind::of(allocation), allocation.asks, now + 1, SERVICES);
+            }
+            return self.not_yet(now, allocation, now + 1);
+        };
+        self.send(now, machine, allocation)
     }
 
-    fn pick(&mut self, now: Tenths, scan: &[MachineId], new: &Allocation, last: bool) -> Option<MachineId> {
+    fn pick(&self, now: Tenths, scan: &[MachineId], new: &Allocation, last: bool) -> Option<MachineId> {
         let weigh = |&id: &MachineId| self.weigh(now, id, new, last);
         let mut weighed: Vec<Weighed> = scan.iter().filter_map(weigh).collect();
         let bears = weighed.iter().any(|w| w.bears);
@@ -222,12 +240,23 @@
         bears.then(|| self.choose(now, weighed, new)).flatten()
     }
 
-    fn not_yet(&mut self, now: Tenths, allocation: &Allocation) -> Placement {
-        let at = (now + ASK_AGAIN).min(allocation.abandon - MARGIN);
-        self.ask_at = Some(self.ask_at.map_or(at, |other| other.min(at)));
-        let promised = |machine: &Machine| machine.promised.is_some_and(|(until, _)| until > now);
-        if self.large(allocation.asks) && !self.machines.values().any(promised) {
-            self.starved = Some(allocation.clone());
+    fn not_yet(&mut self, now: Tenths, new: &Allocation, until: Tenths) -> Placement {
+        // One that is bound is given up once its window is over.
+        let gives_up = match (self.cluster.tracks[new.track.0].repeat, new.bound()) {
+            (Repeat::Deduplicated { window, .. }, Some(shot)) => shot.sent + window,
+            _ => NEVER,
+        };
+        let until = until.min(gives_up.saturating_sub(self.cluster.opens_within + MARGIN));
+        // With the next view all are looked at again.
+        let end = Some(new.abandon - MARGIN).filter(|end| *end <= now + LOOK + ASK_AGAIN);
+        self.waits.not_yet(now, now + ASK_AGAIN, until, end);
+        if self.large(new.asks) {
+            // Room is asked for anew once what was made is gone, or none could be made.
+            let promised = self.promise().map_or(0, |(_, until, _)| until);
+            if promised <= now {
+                self.starved = Some(new.clone());
+            }
+            self.waits.open_at = self.waits.open_at.min(self.look_at.max(promised));
         }
         Placement::NotYet
     }
@@ -243,6 +272,7 @@
                 let at = self.machines.entry(earlier.machine).or_default();
                 if at.doubted.take_if(|of| *of == allocation.id).is_some() {
                     at.fault(now, UNWELL);
+                    self.rooms.touch(earlier.machine, true);
                 }
             }
             if let Some(guest) = self.guest(allocation.id) {
@@ -259,6 +289,8 @@
         self.leave(now, allocation.id, ending == Ending::Ended);
         self.reported(now, machine, report);
         let at = self.machines.entry(machine).or_default();
+        // A refusal or a fault may put a shorter wait in the place of a longer one.
+        self.rooms.touch(machine, true);
         if matches!(ending, Ending::Ended | Ending::Refused | Ending::Error) {
             at.heard = now;
         }
@@ -286,11 +318,18 @@
     /// How long to wait before asking again, and what to set going meanwhile.
     pub fn wait(&mut self, now: Tenths) -> Wait {
         let mut wait = Wait { time: SECOND, ..Wait::default() };
-        let mut due = |at: &mut Option<Tenths>| {
-            wait.time = at.map_or(wait.time, |at| wait.time.min(at.saturating_sub(now)));
-            at.take_if(|at| *at <= now).is_some()
-        };
-        (wait.watch_list, wait.ask_again) = (due(&mut self.watch_at), due(&mut self.ask_at));
+        wait.watch_list = self.watch_at.take_if(|at| *at <= now).is_some();
+        if self.waits.due(now) {
+            let changed = self.waits.looks_always || self.changed(now);
+            if changed {
+                self.waits.round(self.rooms.changes());
+            }
+            // Else those whose time is up, at the moments at which a round would have been.
+            wait.ends = (!changed).then_some(now + MARGIN);
+            wait.ask_again = changed || self.waits.end(now, now + ASK_AGAIN);
+        }
+        let due = [self.watch_at, self.waits.next()].into_iter().flatten().min();
+        wait.time = due.map_or(wait.time, |at| wait.time.min(at.saturating_sub(now)));
         if self.cluster.may_probe && self.probes >= 1.0 {
             let heard = |machine: &Machine| machine.base.map_or(0, |(at, _)| at).max(machine.probed);
             let unheard = |machine: &Machine| machine.serving() && heard(machine) + TURNOVER <= now;
@@ -312,12 +351,21 @@
         wait
     }
 
+    /// After a time told by [`Wait::ends`]: none is left that was answered "not yet".
+    pub fn none_waits(&mut self) {
+        self.waits.ask_at = None;
+    }
+
     /// A machine that has gone and holds nothing of ours is forgotten: where machines are replaced all the time,
     /// what is kept of them would grow without end.
     fn forget(&mut self) {
         let known = |machine: &Machine| machine.entry.is_some_and(|entry| entry.state != State::Gone);
+        let many = self.machines.len();
         self.machines.retain(|_, machine| known(machine) || !machine.guests.is_empty());
         self.view.open.retain(|id| self.machines.contains_key(id));
+        if self.machines.len() < many {
+            self.rooms.void();
+        }
     }
 
     /// What is placed on a machine that has vanished or is cut off ends without a word. One that says nothing is
@@ -342,11 +390,6 @@
         lost
     }
 
-    /// How much is kept: machines, allocations, and services with records.
-    pub fn kept(&self) -> [usize; 3] {
-        [self.machines.len(), self.at.len(), self.records.len()]
-    }
-
     /// Far larger than the usual, so that room for it comes in pieces.
     fn large(&self, asks: Amount) -> bool {
         asks.cores > LARGE * self.learnt.ask.or(f64::INFINITY)
@@ -368,15 +411,15 @@
     /// schedulers see the same machine: each of ours goes by the chance that makes as many as must go in all.
     fn moves(&mut self, now: Tenths) -> Vec<AllocationId> {
         let mut moves = self.make_room(now);
-        let size = |id: MachineId| self.size(id).unwrap_or_default();
-        let over = |&(&id, machine): &(&MachineId, &Machine)| {
-            !machine.guests.is_empty() && self.present_use(now, id).memory > size(id).memory * OVER
+        let size = |machine: &Machine| self.size(machine).unwrap_or_default();
+        let over = |machine: &&Machine| {
+            !machine.guests.is_empty() && self.present_use(now, machine).memory > size(machine).memory * OVER
         };
-        let part = |id| 1.0 - size(id).memory * OVER / self.present_use(now, id).memory;
-        let over = self.machines.iter().filter(over).map(|(&id, machine)| (part(id), self.movable(machine)));
+        let part = |machine| 1.0 - size(machine).memory * OVER / self.present_use(now, machine).memory;
+        let over = self.machines.values().filter(over).map(|machine| (part(machine), self.movable(machine)));
         let over: Vec<_> = over.collect();
-        let spare = |id: &MachineId| self.present_use(now, *id).share_of(size(*id)) < SPARE;
-        let room = self.view.open.iter().any(spare);
+        let spare = |machine: &Machine| self.present_use(now, machine).share_of(size(machine)) < SPARE;
+        let room = self.view.open.iter().any(|id| spare(&self.machines[id]));
         if !over.is_empty() && room {
             for (part, movable) in over {
                 moves.extend(movable.into_iter().filter(|_| self.rng.random::<f64>() < part).take(4));
@@ -400,9 +443,9 @@
         let mut best: Option<(MachineId, Vec<AllocationId>)> = None;
         for (&id, machine) in &self.machines {
             let usable = machine.serving() && machine.shunned <= now;
-            let Some(size) = self.size(id).filter(|_| usable) else { continue };
-            let mut asked = self.asked(now, id) + starved.asks;
-            let mut used = self.present_use(now, id) + starved.asks * self.learnt.usual.or_one();
+            let Some(size) = self.size(machine).filter(|_| usable) else { continue };
+            let mut asked = self.asked(now, machine, || self.others(now, now, machine)) + starved.asks;
+            let mut used = self.present_use(now, machine) + starved.asks * self.learnt.usual.or_one();
             let fits = |asked: Amount, used: Amount| {
                 asked.within(size * self.cluster.accepts) && used.within(size * LIMIT)
             };
@@ -419,6 +462,9 @@
             }
         }
         let Some((id, cleared)) = best else { return Vec::new() };
+        if let Some(former) = self.promise.replace(id).and_then(|id| self.machines.get_mut(&id)) {
+            former.promised = None;
+        }
         self.machines.entry(id).or_default().promised = Some((now + TURNOVER, starved.id));
         cleared
     }
@@ -426,22 +472,21 @@
     /// The list of machines, or what has changed in it.
     pub fn listed(&mut self, scope: Scope, entries: &[Entry]) {
         if scope == Scope::Whole {
-            for machine in self.machines.values_mut() {
-                if let Some(entry) = machine.entry.as_mut() {
-                    entry.state = State::Gone;
-                }
-            }
+            self.machines.values_mut().for_each(Machine::leave_list);
         }
         if scope != Scope::Remembered {
             self.watch_fails = 0;
         }
-        self.crowded = None;
         for &entry in entries {
             let machine = self.machines.entry(entry.machine).or_default();
+            // Where it stands counts for what all of its place may hold.
+            let was = machine.entry.map(|old| (old.cell, old.hall, old.started));
+            if was != Some((entry.cell, entry.hall, entry.started)) {
+                self.rooms.void();
+            }
+            self.rooms.touch(entry.machine, false);
             if machine.entry.is_some_and(|old| old.started != entry.started) {
-                // Another process under the same id: of what was learnt only our own shots still count.
-                let Machine { guests, offers, .. } = std::mem::take(machine);
-                *machine = Machine { guests, offers, ..Machine::default() };
+                machine.restart();
             }
             machine.entry = Some(entry);
             let size = self.cluster.kinds.get(entry.kind.0).filter(|_| self.cluster.shows_room);
@@ -480,23 +525,16 @@
         let Some(machine) = self.at.get(&id).and_then(|at| self.machines.get_mut(at)) else { return };
         machine.heard = now;
         let Some(guest) = machine.guests.get_mut(&id) else { return };
-        let expected = guest.asks * usual;
+        guest.noted(note, usual);
         match note {
             Note::Runs if !guest.runs => {
                 guest.runs = true;
                 self.learnt.start_time[usize::from(guest.had_program)].add((now - guest.sent) as f64, KEEP);
+                // What any start is taken to need has changed.
+                self.rooms.again(|_| true);
             }
-            Note::Cores(cores) => {
-                guest.present.get_or_insert(expected).cores = cores;
-                guest.highest.cores = guest.highest.cores.max(cores);
-                guest.cores.push(cores);
-                self.learnt.present.cores.add(cores / guest.asks.cores, KEEP);
-            }
-            Note::Memory(memory) => {
-                guest.present.get_or_insert(expected).memory = memory;
-                guest.highest.memory = guest.highest.memory.max(memory);
-                self.learnt.present.memory.add(memory / guest.asks.memory, KEEP);
-            }
+            Note::Cores(cores) => self.learnt.present.cores.add(cores / guest.asks.cores, KEEP),
+            Note::Memory(memory) => self.learnt.present.memory.add(memory / guest.asks.memory, KEEP),
             _ => {}
         }
     }
@@ -508,84 +546,69 @@
             Ending::TimedOut | Ending::Unconnected if !self.cluster.tells_loss => at.fault(now, UNWELL),
             _ => {}
         }
+        self.rooms.touch(machine, true);
         self.reported(now, machine, report);
     }
 
     fn reported(&mut self, now: Tenths, id: MachineId, report: Option<Report>) {
-        let Some((size, report)) = self.size(id).zip(report) else { return };
+        let Some(machine) = self.machines.get(&id) else { return };
+        let Some((size, report)) = self.size(machine).zip(report) else { return };
         // One too young to be in the report would be taken off a sum that never held it.
-        let old = self.machines[&id].guests.values().filter(|guest| guest.runs && guest.sent + LAG <= now);
+        let old = machine.guests.values().filter(|guest| guest.runs && guest.sent + LAG <= now);
         let base = (size - report.unused - old.map(|guest| self.use_of(guest)).sum()).most(Amount::default());
         self.machines.entry(id).or_default().base = Some((now, base));
-        self.crowded = None;
-    }
-
-    fn guest(&mut self, id: AllocationId) -> Option<&mut Guest> {
-        self.machines.get_mut(self.at.get(&id)?)?.guests.get_mut(&id)
     }
 
     /// The smallest promise that holds: a shed reply only where no shot may have run or a repeat is harmless.
     fn give_up(&self, allocation: &Allocation) -> Placement {
-        let unproven = allocation.shots.iter().any(|shot| shot.fate != Fate::NeverRan);
+        let unproven = allocation.bound().is_some();
         let anywhere =
             |repeat| matches!(repeat, Repeat::Idempotent | Repeat::Deduplicated { within: None, .. });
         let harmless = !unproven || anywhere(self.cluster.tracks[allocation.track.0].repeat);
         if harmless { Placement::Shed } else { Placement::Scrap }
     }
 
-    fn same(&self, place: Place, a: MachineId, b: MachineId) -> bool {
-        let entry = |id| self.machines.get(&id).and_then(|machine: &Machine| machine.entry);
-        let Some((one, other)) = entry(a).zip(entry(b)) else { return a == b };
-        match place {
-            Place::Machine => a == b,
-            Place::Cell => one.cell == other.cell,
-            Place::Hall => one.hall == other.hall,
-        }
-    }
-
-    fn size(&self, machine: MachineId) -> Option<Amount> {
-        let entry = self.machines.get(&machine)?.entry?;
-        self.cluster.kinds.get(entry.kind.0).copied()
-    }
-
-    /// The filters: state, kind, health, cold limit, accept limit, spread.
-    fn admits(&self, now: Tenths, id: MachineId, allocation: &Allocation) -> bool {
+    /// The filters: state, kind, health, cold limit, accept limit, spread. From when the machine passes them,
+    /// as far as that comes by itself: `now` or before where it does already.
+    fn opens(&self, now: Tenths, id: MachineId, allocation: &Allocation) -> Tenths {
         let machine = &self.machines[&id];
         let track = &self.cluster.tracks[allocation.track.0];
-        let (Some(entry), Some(size)) = (machine.entry, self.size(id)) else { return false };
-        let full = machine.full.is_some_and(|(until, asks)| until > now && asks.within(allocation.asks));
+        let (Some(entry), Some(size)) = (machine.entry, self.size(machine)) else { return NEVER };
         let wrong = track.kind.is_some_and(|kind| kind != entry.kind);
-        if !machine.serving() || machine.shunned > now || full || wrong || !self.spread_holds(id, allocation)
-        {
-            return false;
+        if !machine.serving() || wrong || !self.spread_holds(id, allocation) {
+            return NEVER;
         }
+        let full =
+            machine.full.filter(|(_, asks)| asks.within(allocation.asks)).map_or(0, |(until, _)| until);
         let room = match machine.promised.filter(|&(until, _)| until > now) {
-            Some((_, to)) => to == allocation.id && !machine.guests.values().any(|guest| guest.moved),
-            None => !self.cluster.shows_room || self.fits(now, id, size, allocation.asks),
+            Some((_, to)) if to == allocation.id && !machine.guests.values().any(|guest| guest.moved) => 0,
+            Some((until, _)) => until,
+            None if !self.cluster.shows_room || self.fits(now, machine, size, allocation.asks) => 0,
+            None => now + 1,
         };
-        room && self.cold_bears(now, id, entry)
+        full.max(machine.shunned).max(room).max(self.cold_opens(now, id, entry))
     }
 
     /// A just started machine falls over under too many offers, and those of others are not known. So each
     /// keeps to its part of what is always borne, in any window; what whole parts leave over goes to as many
     /// schedulers, by the machine's id. The sum is borne however many there are.
-    fn cold_bears(&self, now: Tenths, id: MachineId, entry: Entry) -> bool {
+    fn cold_opens(&self, now: Tenths, id: MachineId, entry: Entry) -> Tenths {
         let cold = &self.cluster.cold;
-        let Some(started) = entry.started else { return true };
-        if now > started + cold.lasts + MARGIN {
-            return true;
+        let Some(started) = entry.started else { return 0 };
+        let warm = started + cold.lasts + MARGIN + 1;
+        if now >= warm {
+            return 0;
         }
         // An earlier life of ours may have used up its part of this window.
         if now < self.born + cold.window && started < self.born {
-            return false;
+            return warm.min(self.born + cold.window);
         }
         let (offers, schedulers) = (cold.offers as usize, self.cluster.schedulers.max(1));
         let place = (mix(u64::from(id.0)) as usize % schedulers + self.cluster.number) % schedulers;
         let part = offers / schedulers + usize::from(place < offers % schedulers);
         // One that still waits for its connection may leave any moment until that must be up.
         let window = cold.window.max(self.cluster.opens_within);
-        let recent = self.machines[&id].offers.iter().filter(|&&at| at + window + MARGIN >= now).count();
-        recent < part
+        warm.min(self.machines[&id].offers_below(part, now, window + MARGIN))
     }
 
     /// Where a machine stands in the order of a service, the same at every scheduler: larger ones earlier in
@@ -598,12 +621,10 @@
 
     /// What all schedulers' allocations on a machine ask for. The listed room is late: what was sent since
     /// counts on top. Where no room is listed, others' asks are guessed from what they use.
-    fn asked(&self, now: Tenths, id: MachineId) -> Amount {
-        let machine = &self.machines[&id];
+    fn asked(&self, now: Tenths, machine: &Machine, others: impl Fn() -> Amount) -> Amount {
         let since = machine.listed.map_or(0, |_| now.saturating_sub(LAG));
         let own = machine.guests.values().filter(|guest| guest.sent >= since).map(|guest| guest.asks);
-        let others = || self.others(now, id) / self.learnt.present.or_one();
-        machine.listed.unwrap_or_else(others) + own.sum()
+        machine.listed.unwrap_or_else(|| others() / self.learnt.present.or_one()) + own.sum()
     }
 
     /// Part of a track's use, or of others' unknown, that counts where one of another track comes: a machine
@@ -615,32 +636,16 @@
         if yields { YIELDS } else { 1.0 }
     }
 
-    fn fits(&self, now: Tenths, id: MachineId, size: Amount, asks: Amount) -> bool {
-        (self.asked(now, id) + asks).within(size * self.cluster.accepts)
+    fn fits(&self, now: Tenths, machine: &Machine, size: Amount, asks: Amount) -> bool {
+        let asked = self.asked(now, machine, || self.others(now, now, machine));
+        (asked + asks).within(size * self.cluster.accepts)
     }
 
     /// How many of its service we hold in each place of the kind that its track spreads by. Counted once for an ask:
     /// where a service has all that its places may hold, each of hundreds of machines is asked about.
     fn near(&self, allocation: &Allocation) -> Vec<(u64, usize)> {
-        let mut near: Vec<(u64, usize)> = Vec::new();
-        let Some((place, _)) = self.cluster.tracks[allocation.track.0].spread else { return near };
-        for (&id, &many) in self.at_service.get(&allocation.service).into_iter().flatten() {
-            let Some(there) = self.place_of(place, id) else { continue };
-            match near.iter_mut().find(|(other, _)| *other == there) {
-                Some((_, sum)) => *sum += many,
-                None => near.push((there, many)),
-            }
-        }
-        near
-    }
-
-    fn place_of(&self, place: Place, id: MachineId) -> Option<u64> {
-        let entry = self.machines.get(&id)?.entry?;
-        Some(match place {
-            Place::Machine => u64::from(id.0),
-            Place::Cell => entry.cell.0,
-            Place::Hall => entry.hall.0 as u64,
-        })
+        let Some((place, _)) = self.cluster.tracks[allocation.track.0].spread else { return Vec::new() };
+        self.at_service.by_place(allocation.service, |id| self.place_of(place, id))
     }
 
     fn spread_holds(&self, id: MachineId, allocation: &Allocation) -> bool {
@@ -668,10 +673,9 @@
 
     /// Present use of a machine by others: what it last reported and, as that ages, what the list leads us to
     /// expect, or the average. One of many schedulers hears of a machine only now and then.
-    fn others(&self, now: Tenths, id: MachineId) -> Amount {
-        let machine = &self.machines[&id];
-        let size = self.size(id).unwrap_or_default();
-        let old = machine.guests.values().filter(|guest| guest.sent + LAG <= now);
+    fn others(&self, aged: Tenths, now: Tenths, machine: &Machine) -> Amount {
+        let size = self.size(machine).unwrap_or_default();
+        let old = machine.guests.values().filter(|guest| guest.sent + LAG <= aged);
         let listed = machine.listed.filter(|_| self.learnt.present.cores.or(0.0) > 0.0);
         let expected = listed.map_or(self.view.average * size, |asked| {
             let others = asked - old.map(|guest| guest.asks).sum();
@@ -680,8 +684,8 @@
         machine.base.map_or(expected, |(at, base)| expected + (base - expected) * weight(now - at))
     }
 
-    fn present_use(&self, now: Tenths, id: MachineId) -> Amount {
-        self.others(now, id) + self.machines[&id].guests.values().map(|guest| self.use_of(guest)).sum()
+    fn present_use(&self, now: Tenths, machine: &Machine) -> Amount {
+        self.others(now, now, machine) + machine.guests.values().map(|guest| self.use_of(guest)).sum()
     }
 
     /// Takes the view over all machines anew when it is old.
@@ -691,8 +695,8 @@
         }
         let (mut all, mut own) = (Amount::ONE * 1e-9, Amount::default());
         let (mut reported, mut weights) = (Amount::default(), 0.0);
-        for (&id, machine) in &self.machines {
-            let Some(size) = self.size(id).filter(|_| machine.serving()) else { continue };
+        for machine in self.machines.values() {
+            let Some(size) = self.size(machine).filter(|_| machine.serving()) else { continue };
             all = all + size;
             own = own + machine.guests.values().map(|guest| self.use_of(guest)).sum();
             if let Some((at, base)) = machine.base {
@@ -708,8 +712,9 @@
         let mut order = Vec::new();
         let (mut need, mut asked) = (Amount::default(), Amount::default());
         for (&id, machine) in &self.machines {
-            let Some(size) = self.size(id) else { continue };
-            (need, asked) = (need + self.present_use(now, id), asked + self.asked(now, id));
+            let Some(size) = self.size(machine) else { continue };
+            need = need + self.present_use(now, machine);
+            asked = asked + self.asked(now, machine, || self.others(now, now, machine));
             if machine.serving() && machine.shunned <= now {
                 order.push((id, size));
             }
@@ -730,26 +735,21 @@
         self.view.open = order.into_iter().map(|(id, _)| id).collect();
     }
 
-    /// Peaks of the records that fit a guest of this age and highest use by asked unit, else the one given.
-    fn fitting(&self, service: ServiceId, age: Tenths, highest: Amount, none: Amount) -> Vec<Amount> {
-        let records = self.records.get(&service).into_iter().flatten();
-        let fits = records.filter(|record| record.life >= age && highest.within(record.peak));
-        let peaks: Vec<Amount> = fits.map(|record| record.peak).collect();
-        if peaks.is_empty() { vec![none] } else { peaks }
+    /// Cores for a start, which takes far more where the program must be loaded: those that do it in contract
+    /// time.
+    fn start(&self, has: bool, track: &Track) -> f64 {
+        let time = self.learnt.start_time[usize::from(has)].or(self.learnt.start_time[1].or(0.0));
+        time / track.contract_time.max(1) as f64
     }
 
     /// W Max with the allocation's expected start use, before any draw.
     fn weigh(&self, now: Tenths, id: MachineId, new: &Allocation, yields: bool) -> Option<Weighed> {
         let stays = |of| if yields { self.stays(new.track, of) } else { 1.0 };
-        let size = self.size(id).filter(|_| self.admits(now, id, new))?;
-        let track = &self.cluster.tracks[new.track.0];
         let machine = &self.machines[&id];
-        let base = self.others(now, id) * stays(None);
-        // A start takes far more where the program must be loaded: the cores that do it in contract time.
-        let start = |has: bool, track: &Track| {
-            let time = self.learnt.start_time[usize::from(has)].or(self.learnt.start_time[1].or(0.0));
-            Amount { cores: time / track.contract_time.max(1) as f64, memory: 0.0 }
-        };
+        let size = self.size(machine).filter(|_| self.opens(now, id, new) <= now)?;
+        let track = &self.cluster.tracks[new.track.0];
+        let base = self.others(now, now, machine) * stays(None);
+        let start = |has: bool, track: &Track| Amount { cores: self.start(has, track), memory: 0.0 };
         let own = machine.guests.values().map(|guest| {
             let starts = start(guest.had_program, &self.cluster.tracks[guest.track.0]);
             self.use_of(guest) * stays(Some(guest.track)) + starts * f64::from(u8::from(!guest.runs))
@@ -766,7 +766,7 @@
             line: size * Amount { cores: track.calm, memory: F_MEMORY },
             load: load.share_of(size),
             bears: load.within(size * Amount { cores: track.calm + FADE, memory: LIMIT }),
-            rank: match self.view.open.contains(&id) && self.fits(now, id, size, new.asks) {
+            rank: match self.view.open.contains(&id) && self.fits(now, machine, size, new.asks) {
                 true => 1 + u8::from(!near && self.cluster.other_hall_price > 0.0),
                 false => HELD_BACK,
             },
@@ -775,24 +775,28 @@
 
     /// Shares of draws that cross the line, with and without the allocation: the base, and for the new one
     /// and each guest of ours a peak from the records that fit it.
-    fn risk(&mut self, now: Tenths, weighed: &Weighed, new: &Allocation) -> (f64, f64) {
+    fn risk(&self, now: Tenths, weighed: &Weighed, new: &Allocation) -> (f64, f64) {
         let guests = self.machines[&weighed.machine].guests.values().map(|guest| {
             let highest = guest.highest / guest.asks;
             // Where no record reaches what it uses: its own highest use, or its ask while nothing is known.
             let own = guest.present.map_or(Amount::ONE, |_| highest);
             let stays = if weighed.yields { self.stays(new.track, Some(guest.track)) } else { 1.0 };
-            (self.fitting(guest.service, now - guest.sent, highest, own), guest.asks * stays)
+            (self.records.fitting(guest.service, now - guest.sent, highest, own), guest.asks * stays)
         });
         let pools: Vec<(Vec<Amount>, Amount)> = guests.collect();
-        let pool = self.fitting(new.service, 0, Amount::default(), Amount::ONE);
+        let pool = self.records.fitting(new.service, 0, Amount::default(), Amount::ONE);
+        // Of its own for each machine, service and moment: a look that is left out moves no later draw, and
+        // likes that ask for more draw alike.
+        let dice = mix(new.service.0 ^ mix(now ^ mix(u64::from(weighed.machine.0) ^ self.seed)));
+        let mut rng = Pcg64Mcg::seed_from_u64(dice);
         let (mut with, mut without) = (0, 0);
         for _ in 0..DRAWS {
             let mut sum = weighed.base;
             for (pool, asks) in &pools {
-                sum = sum + *asks * pool[self.rng.random_range(0..pool.len())];
+                sum = sum + *asks * pool[rng.random_range(0..pool.len())];
             }
             without += usize::from(!sum.within(weighed.line));
-            sum = sum + new.asks * pool[self.rng.random_range(0..pool.len())];
+            sum = sum + new.asks * pool[rng.random_range(0..pool.len())];
             with += usize::from(!sum.within(weighed.line));
             // It is out of the question, and how far is asked only of those that could bear it.
             if !weighed.bears && with as f64 > THETA * DRAWS as f64 {
@@ -804,7 +808,7 @@
 
     /// Lowest W Max among those under theta and not held back; else among the held back under theta; else
     /// the smallest rise in risk. Near ties at random, so that schedulers with one view don't herd.
-    fn choose(&mut self, now: Tenths, mut weighed: Vec<Weighed>, new: &Allocation) -> Option<MachineId> {
+    fn choose(&self, now: Tenths, mut weighed: Vec<Weighed>, new: &Allocation) -> Option<MachineId> {
         weighed.sort_by(|a, b| a.rank.cmp(&b.rank).then(a.load.total_cmp(&b.load)));
         let mut group: Vec<&Weighed> = Vec::new();
         let mut rises = Vec::new();
@@ -827,7 +831,8 @@
             let lowest = group.iter().map(|w| w.load).fold(f64::INFINITY, f64::min);
             group.retain(|w| w.load <= lowest * (1.0 + TIE));
         }
-        (!group.is_empty()).then(|| group[self.rng.random_range(0..group.len())].machine)
+        let mut rng = Pcg64Mcg::seed_from_u64(mix(new.id.0 ^ mix(now ^ self.seed)));
+        (!group.is_empty()).then(|| group[rng.random_range(0..group.len())].machine)
     }
 
     fn send(&mut self, now: Tenths, machine: MachineId, allocation: &Allocation) -> Placement {
@@ -854,23 +859,21 @@
             at.heard = now;
         }
         at.guests.insert(allocation.id, guest);
-        *self.at_service.entry(allocation.service).or_default().entry(machine).or_default() += 1;
-        at.promised.take_if(|(_, to)| *to == allocation.id);
+        let kept = at.promised.take_if(|(_, to)| *to == allocation.id).is_some();
+        self.at_service.add(allocation.service, machine);
+        self.rooms.touch(machine, kept);
     }
 
     /// The machine has answered for a guest: it is gone from there. An ended one leaves a record.
     fn leave(&mut self, now: Tenths, id: AllocationId, ended: bool) {
-        self.crowded = None;
         let Some(at) = self.at.remove(&id) else { return };
         let Some(machine) = self.machines.get_mut(&at) else { return };
         let Some(mut guest) = machine.guests.remove(&id) else { return };
-        if let Some(others) = self.at_service.get_mut(&guest.service) {
-            others.entry(at).and_modify(|many| *many -= 1);
-            others.retain(|_, many| *many > 0);
-            if others.is_empty() {
-                self.at_service.remove(&guest.service);
-            }
-        }
+        self.at_service.remove(guest.service, at);
+        self.rooms.touch(at, false);
+        // Its service may have a place more, and what is drawn for its likes may be less.
+        self.rooms.again(|kind| kind.service == guest.service);
+        self.at_service.of(guest.service).for_each(|(id, _)| self.rooms.touch(id, false));
         if guest.runs {
             machine.keep(guest.service, KEPT);
         }
@@ -882,15 +885,8 @@
         let memory = guest.highest.memory / guest.asks.memory;
         self.learnt.usual.cores.add(cores, KEEP);
         self.learnt.usual.memory.add(memory, KEEP);
-        let records = self.records.entry(guest.service).or_default();
-        records.push_front(Record { peak: Amount { cores, memory }, life: now - guest.sent, ended: now });
-        records.truncate(RECORDS);
-        // Services come and go without end: the one longest without an end gives way.
-        if self.records.len() > SERVICES {
-            let ended = |records: &VecDeque<Record>| records.front().map(|record| record.ended);
-            let oldest = self.records.iter().min_by_key(|(_, records)| ended(records)).map(|(&id, _)| id);
-            oldest.map(|id| self.records.remove(&id));
-        }
+        let record = Record { peak: Amount { cores, memory }, life: now - guest.sent, ended: now };
+        self.records.push(guest.service, record, RECORDS, SERVICES);
     }
 }
 
