--- a/crates/lab/src/capacity/stage.rs
+++ b/crates/lab/src/capacity/stage.rs
@@ -34,6 +34,7 @@
 /// A dispatcher that waits for a processor longer than this part of the time is not measured as it would run.
 const WAITS: f64 = 0.25;
 const STOLEN: f64 = 0.1;
+const CLOSES: Duration = Duration::from_millis(500);
 /// After a refusal, before its owner asks anew.
 const AGAIN_AFTER: Duration = Duration::from_millis(500);
 /// Dispatchers whose own counts are asked for at both ends of a watch.
@@ -228,7 +229,8 @@
         let (mut dispatchers, mut owners, mut texts) = (Vec::new(), Vec::new(), None);
         let owners_meter = Arc::new(Meter::default());
         for number in 0..setting.dispatchers {
-            let at = |name: &str| folder.path().join(format!("{name}-{number}"));
+            // A dispatcher writes beside its file, under the same name but for what stands after the dot.
+            let at = |name: &str| folder.path().join(format!("{number}-{name}"));
             let (versions, rolls, list): (PathBuf, PathBuf, PathBuf) =
                 (at("versions.json"), at("rolls.redb"), at("list.json"));
             let more = format!(
@@ -447,6 +449,15 @@
     }
 }
 
+impl Drop for Stage {
+    /// The dispatchers end first and the threads go on for a moment, so that relays and stand-ins see their links end
+    /// and close them: hundreds of descriptors a place were left open.
+    fn drop(&mut self) {
+        self.dispatchers.clear();
+        std::thread::sleep(CLOSES);
+    }
+}
+
 struct Look {
     counted: Option<BTreeMap<End, [u64; 3]>>,
     at: Instant,
