Let a stand-in node see an offer as its call is served, and never after its death

It is now written down as the call is served, which ends with the process; what was taken before a death waits no further.

--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -386,7 +386,8 @@
         }
     }
 
-    /// An offer is here: counts it, and says whether the node bears it.
+    /// An offer is here: counts it, and says whether the node bears it, and in which life. Called as its call is served, not
+    /// in a task of its own: one that a process saw after its death would be out for good, as the judge sees it.
     fn arrives(self: &Arc<Self>, shot: &v1::Shot) -> Option<u64> {
         self.acts().saw(by(shot.by.as_ref(), shot.dispatcher), Kind::Shot);
         self.world.capture.see(Seen::Offered {
@@ -423,10 +424,12 @@
         state.up.then_some(state.life)
     }
 
-    async fn consider(self: Arc<Self>, shot: v1::Shot, words: async_channel::Sender<v1::Said>) {
-        let Some(life) = self.arrives(&shot) else { return };
+    async fn consider(self: Arc<Self>, life: u64, shot: v1::Shot, words: async_channel::Sender<v1::Said>) {
         {
             let mut state = self.lock();
+            if !state.up || state.life != life {
+                return;
+            }
             if state.waiting >= self.plan.line {
                 return self.refuse(&mut state, &shot, &words, Why::QueueFull);
             }
@@ -675,7 +678,9 @@
         let (words, said) = async_channel::bounded(WORDS);
         let (node, shot) = (Arc::clone(&self.0), request.into_inner());
         let offer = Some((Arc::clone(&node), shot.placing.clone(), shot.number));
-        node.world.tasks.clone().spawn(node.consider(shot, words)).detach();
+        if let Some(life) = node.arrives(&shot) {
+            node.world.tasks.clone().spawn(node.consider(life, shot, words)).detach();
+        }
         Ok(Response::new(Saying { said: Box::pin(said), offer }))
     }
 
