--- a/crates/capacity/src/rows.rs
+++ b/crates/capacity/src/rows.rs
@@ -138,7 +138,7 @@
             figure: "core %",
             at: |size| size.waiting,
             limit: Limit::Core,
-            mechanism: "each that waits is asked for again each 50 ms, before all machines",
+            mechanism: "looks in vain are left out until something has changed (design.md)",
             ..row(Dispatcher, "processor, asks in vain: those that wait, machines full by use", "% of a core")
         },
         Row {
@@ -147,13 +147,29 @@
             figure: "core %",
             at: |size| size.waiting,
             limit: Limit::Core,
-            mechanism: "the same; the list alone tells that there is no room",
+            mechanism: "the same",
             ..row(
                 Dispatcher,
                 "processor, asks in vain: those that wait, machines full by asks",
                 "% of a core",
             )
         },
+        Row {
+            axis: Axis::Waiting,
+            series: "full by use, before",
+            figure: "core %",
+            at: |size| size.waiting,
+            mechanism: "as it was: each that waits asked for again each 50 ms",
+            ..row(Dispatcher, "processor, asks in vain as it was, machines full by use", "% of a core")
+        },
+        Row {
+            axis: Axis::Waiting,
+            series: "full by asks, before",
+            figure: "core %",
+            at: |size| size.waiting,
+            mechanism: "as it was",
+            ..row(Dispatcher, "processor, asks in vain as it was, machines full by asks", "% of a core")
+        },
         Row {
             axis: Axis::Waiting,
             series: "full by use",
@@ -170,7 +186,7 @@
             at: |size| size.waiting,
             limit: Limit::Memory,
             mechanism: "bound `in-hand`",
-            ..row(Dispatcher, "memory, the same", "MiB")
+            ..row(Dispatcher, "memory, those that wait, machines full by use", "MiB")
         },
         Row {
             axis: Axis::Tasks,
@@ -272,7 +288,7 @@
 }
 
 /// What carries nothing yet, and why that matters at the size.
-pub const MISSING: [(&str, &str); 11] = [
+pub const MISSING: [(&str, &str); 10] = [
     (
         "gangs of up to 128",
         "missing: each ask is placed alone; nothing holds room for a whole gang, and none starts or fails as one",
@@ -293,7 +309,6 @@
         "news of room within a budget of bytes",
         "missing: each line goes to each dispatcher, however many there are",
     ),
-    ("waking those that wait", "missing: asked for again each 50 ms whether anything changed or not"),
     (
         "five machines set aside told as such",
         "missing: no kind of machine is kept from asks but by a kind of its own",
