--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -213,8 +213,7 @@
         let feed = Feed::start(
             json!({"n": 1, "members": {"revision": 1, "complete": true, "members": entries}}),
         );
-        let base = std::env::var("TMPDIR").unwrap_or_else(|_| "/tmp".into());
-        let folder = PathBuf::from(base).join(format!("review-{}-{index}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("review-{}-{index}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap_or_else(|error| give_up(&error.to_string()));
         let mut settings = site.settings.clone();
         settings["me"] = json!(index);
