Log which connection to a node each attempt, answer and release used

The cases of the review could not be traced: debug lines named machine and task, but not the connection, and none told that a connection was opened, came up, was closed by us, that a health check timed out, or that a task was given up for its machine's silence.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -145,7 +145,7 @@
         pending.description = String::new();
         let (to, task) = (pending.client, pending.task);
         self.nodes.add_task(active.machine, id);
-        debug!(task = task_key(task), machine = ?active.machine, after = now - active.sent_at, "placed");
+        debug!(task = task_key(task), machine = ?active.machine, connection = active.connection.map(|id| id.0), after = now - active.sent_at, "placed");
         self.send_to_client(
             to,
             MessageType::Answer,
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -46,6 +46,7 @@
         debug!(
             task = task_key(pending.task),
             ?machine,
+            connection = connection.0,
             number,
             class = pending.class,
             name = pending.name,
@@ -78,7 +79,13 @@
         }
     }
 
-    fn lost(&mut self, _: &mut PendingTask, allocation: &Allocation) {
+    fn lost(&mut self, pending: &mut PendingTask, allocation: &Allocation) {
+        let machine = pending.active.map(|active| active.machine);
+        debug!(
+            task = task_key(pending.task),
+            ?machine,
+            "lost with its silent machine"
+        );
         self.deferred.push_back(DeferredEvent::Lost(allocation.id));
     }
 
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::errors::ReconfigureError;
 use corkspan_platform_wire::client::Reader;
+use tracing::debug;
 
 impl PlatformCore {
     /// Applies the events that the configuration file contains at startup.
@@ -59,6 +60,11 @@
                             connection,
                         }) = state.health_checks.remove(&check)
                         {
+                            debug!(
+                                ?machine,
+                                connection = connection.0,
+                                "a health check has timed out"
+                            );
                             state.connections.drain(connection);
                             engine.record_health_check(now, machine, AttemptResult::TimedOut, None);
                         }
@@ -140,7 +146,10 @@
 
     /// Records that a connection to a node is established.
     pub fn connection_established(&mut self, now: Ticks, id: ConnectionId) {
-        self.process_event(now, |_, state| state.connections.mark_established(id, now));
+        self.process_event(now, |_, state| {
+            debug!(connection = id.0, "a connection to a node is established");
+            state.connections.mark_established(id, now);
+        });
     }
 
     /// Returns whether a set-up may still be written; called right before its first byte. If true,
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -50,6 +50,11 @@
                 .evict(&self.nodes, &with_health_check, eviction);
         }
         let (id, queue) = self.connections.open(machine, self.now)?;
+        debug!(
+            ?machine,
+            connection = id.0,
+            "opening a connection to a node"
+        );
         self.effects.connect(NewConnection {
             id,
             address,
@@ -71,7 +76,7 @@
         let Some(connection) = self.connections.remove(id) else {
             return;
         };
-        debug!(?connection.machine, ?end, open = connection.open_attempts.len(), "a connection to a node has ended");
+        debug!(?connection.machine, connection = id.0, ?end, open = connection.open_attempts.len(), "a connection to a node has ended");
         if end == ConnectionEnd::ConnectTimeout {
             // If the node is gone, another one may have its address and must not receive the queued
             // messages.
--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -255,6 +255,7 @@
         debug!(
             task = task_key(task),
             ?machine,
+            connection = origin.connection.0,
             cause,
             ?stage,
             ?note,
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -7,6 +7,7 @@
 use corkspan_platform_wire::node;
 use corkspan_scheduler::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
+use tracing::debug;
 
 /// The maximum number of connections to one node.
 const MAX_CONNECTIONS_PER_NODE: usize = 24;
@@ -299,6 +300,10 @@
     /// beyond the limit both sides are closed at once.
     pub fn close(&mut self, id: ConnectionId) {
         let has_room = self.half_closed.len() < self.max_connections / CONNECTIONS_PER_HALF_CLOSED;
+        debug!(
+            connection = id.0,
+            has_room, "closing a connection to a node"
+        );
         let Some(connection) = self
             .remove(id)
             .filter(|connection| connection.established && has_room)
