Release tasks of a vanished machine in time where health checks are not allowed

Cause: `lost_allocations` (scheduler/src/policy/liveness.rs) returned at once where health checks are not allowed, so silence never counted.

Change: a machine that is silent for 2 s and may not be probed is sent a connection instead, every 0.5 s until something is heard. An established one is a sign of life, since a process that hangs or is idle still has its connections accepted. Its tasks count as lost after 7.5 s without a sign of life if three connections or more neither came up nor were refused. By the protocol ("new ones never come up") that is a machine that has vanished or is cut off; a release is due within 8 s of the end, and a partition may last 6 s. A connection that waited for a descriptor of ours counts for nothing. Connections opened for this replace one another; those that a node may still write on stay open, also when idle, since a node that hung may report on them first.

Where probes are allowed nothing changes: they decide after 5 s as before.

Failed tries: closing the connection unused the longest for each new one, and letting the idle timeout close it, both lost what a node that had hung wrote first; the test of the hang showed it.

--- a/crates/engine/src/effects.rs
+++ b/crates/engine/src/effects.rs
@@ -23,6 +23,10 @@
     fn lost(&mut self, _data: &mut T, _allocation: &Allocation) {}
     /// Sends a health check to a machine.
     fn check_health(&mut self, machine: MachineId);
+    /// Opens a new connection to a silent machine, whose result the caller records with
+    /// [`Engine::record_connection`](crate::Engine::record_connection). Called only if the caller
+    /// does not detect losses itself and health checks may not be sent.
+    fn check_connection(&mut self, _machine: MachineId) {}
     /// Starts a watch on the endpoint list.
     fn watch_endpoints(&mut self);
     /// Schedules a call of [`Engine::timer_fired`](crate::Engine::timer_fired) after this time,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -150,6 +150,11 @@
             .record_health_check(now, machine, result, report);
     }
 
+    /// Records whether a connection to a machine could be established.
+    pub fn record_connection(&mut self, now: Ticks, machine: MachineId, result: ConnectionResult) {
+        self.scheduler.record_connection(now, machine, result);
+    }
+
     /// Applies the endpoint list, or the changes to it.
     pub fn apply_endpoint_list(&mut self, update: ListUpdate, endpoints: &[Endpoint]) {
         self.scheduler.apply_endpoint_list(update, endpoints);
--- a/crates/engine/src/poll.rs
+++ b/crates/engine/src/poll.rs
@@ -44,6 +44,9 @@
         for &machine in &result.health_checks {
             effects.check_health(machine);
         }
+        for &machine in &result.connection_checks {
+            effects.check_connection(machine);
+        }
         for id in &result.migrations {
             if let Some(tracked) = self.tracked.get_mut(id) {
                 effects.migrate(&mut tracked.data, &tracked.allocation);
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -51,8 +51,11 @@
 pub enum ConnectionEnd {
     /// The connection was refused: nothing listens at the address, so the process is dead.
     Refused,
-    /// The connection was not established within the timeout.
+    /// The connection was neither established nor refused within the timeout.
     ConnectTimeout,
+    /// The connection was not attempted for lack of local resources, which says nothing about the
+    /// node.
+    NotAttempted,
     /// The connection was established, and then broke or was closed.
     Broken,
 }
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -110,6 +110,15 @@
         }
     }
 
+    fn check_connection(&mut self, machine: MachineId) {
+        if self.connections.is_connecting(machine) {
+            return;
+        }
+        if let Some(connection) = self.open_connection(machine, Eviction::SpareOnly) {
+            self.connections.mark_check(connection);
+        }
+    }
+
     fn watch_endpoints(&mut self) {
         self.effects.watch_endpoint_list();
     }
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -146,9 +146,8 @@
 
     /// Records that a connection to a node is established.
     pub fn connection_established(&mut self, now: Ticks, id: ConnectionId) {
-        self.process_event(now, |_, state| {
-            debug!(connection = id.0, "a connection to a node is established");
-            state.connections.mark_established(id, now);
+        self.process_event(now, |engine, state| {
+            state.connection_established(now, engine, id);
         });
     }
 
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -40,12 +40,7 @@
     ) -> Option<ConnectionId> {
         let address = self.nodes.address(machine)?;
         if self.connections.is_full() && !self.connections.is_node_full(machine) {
-            // Closing a connection during a health check would count as a failure of its node.
-            let with_health_check: BTreeSet<ConnectionId> = self
-                .health_checks
-                .values()
-                .map(|check| check.connection)
-                .collect();
+            let with_health_check = self.connections_with_health_check();
             self.connections
                 .evict(&self.nodes, &with_health_check, eviction);
         }
@@ -64,6 +59,32 @@
         Some(id)
     }
 
+    /// Returns the connections on which a health check is pending. Closing one would count as a
+    /// failure of its node.
+    fn connections_with_health_check(&self) -> BTreeSet<ConnectionId> {
+        let checks = self.health_checks.values();
+        checks.map(|check| check.connection).collect()
+    }
+
+    /// Handles a connection that is established, which shows that its machine is alive.
+    pub(super) fn connection_established(
+        &mut self,
+        now: Ticks,
+        engine: &mut Engine<PendingTask>,
+        id: ConnectionId,
+    ) {
+        debug!(connection = id.0, "a connection to a node is established");
+        let Some(established) = self.connections.mark_established(id, now) else {
+            return;
+        };
+        engine.record_connection(now, established.machine, ConnectionResult::Established);
+        if established.is_check {
+            let kept = self.connections_with_health_check();
+            self.connections
+                .close_earlier_checks(established.machine, id, &kept);
+        }
+    }
+
     /// Handles the end of a connection: its attempts and health checks fail, and if the machine is
     /// dead its tasks are lost.
     pub(super) fn remove_connection(
@@ -78,6 +99,12 @@
         };
         debug!(?connection.machine, connection = id.0, ?end, open = connection.open_attempts.len(), "a connection to a node has ended");
         if end == ConnectionEnd::ConnectTimeout {
+            engine.record_connection(now, connection.machine, ConnectionResult::Failed);
+        }
+        if matches!(
+            end,
+            ConnectionEnd::ConnectTimeout | ConnectionEnd::NotAttempted
+        ) {
             // If the node is gone, another one may have its address and must not receive the queued
             // messages.
             connection.sender.discard();
--- a/crates/platform/src/node_connection_task.rs
+++ b/crates/platform/src/node_connection_task.rs
@@ -24,19 +24,21 @@
         queue,
     } = connection;
     // Connections that are being closed hold their descriptors until they end.
-    let connected = async {
-        let permit = budget.acquire_arc().await;
-        (permit, TcpStream::connect(address).await)
+    let mut permit = None;
+    let connecting = async {
+        permit = Some(budget.acquire_arc().await);
+        TcpStream::connect(address).await
     };
-    let (_permit, connected) = within(duration(connect_timeout), connected).await.unzip();
+    let connected = within(duration(connect_timeout), connecting).await;
     let stream = match connected {
         // The node is gone in the meantime, and another one may have its address.
         _ if queue.is_discarded() => return,
         Some(Ok(stream)) => stream,
-        Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return handle.connection_ended(id, ConnectionEnd::Refused);
+        Some(Err(error)) => return handle.connection_ended(id, failed_connection_end(&error)),
+        None if permit.is_some() => {
+            return handle.connection_ended(id, ConnectionEnd::ConnectTimeout);
         }
-        _ => return handle.connection_ended(id, ConnectionEnd::ConnectTimeout),
+        None => return handle.connection_ended(id, ConnectionEnd::NotAttempted),
     };
     let _ = stream.set_nodelay(true);
     handle.connection_established(id);
@@ -52,6 +54,18 @@
     handle.connection_ended(id, ConnectionEnd::Broken);
 }
 
+/// Returns how a connection ended that could not be opened. Only an error that the node or the
+/// network causes says something about the node.
+fn failed_connection_end(error: &std::io::Error) -> ConnectionEnd {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => ConnectionEnd::Refused,
+        ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+            ConnectionEnd::ConnectTimeout
+        }
+        _ => ConnectionEnd::NotAttempted,
+    }
+}
+
 /// Handles the next message of the node.
 fn handle_next_message(
     handle: &PlatformHandle,
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -19,10 +19,21 @@
     established: bool,
     /// True if no further set-up may be sent on the connection.
     draining: bool,
+    /// Whether the connection was only opened to see whether its machine is alive, and has carried
+    /// no set-up yet.
+    is_check: bool,
     pub open_attempts: BTreeSet<AllocationId>,
     last_used_at: Ticks,
 }
 
+/// A connection that was just established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EstablishedConnection {
+    pub machine: MachineId,
+    /// Whether the connection was only opened to see whether the machine is alive.
+    pub is_check: bool,
+}
+
 /// The connections that may be closed to make room for a new one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eviction {
@@ -101,6 +112,7 @@
                 sender,
                 established: false,
                 draining: false,
+                is_check: false,
                 open_attempts: open,
                 last_used_at: now,
             },
@@ -222,6 +234,7 @@
     pub fn attempt_started(&mut self, id: ConnectionId, allocation: AllocationId, now: Ticks) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.open_attempts.insert(allocation);
+            connection.is_check = false;
             connection.last_used_at = now;
         }
     }
@@ -234,13 +247,52 @@
         }
     }
 
-    /// Records that a connection is established.
-    pub fn mark_established(&mut self, id: ConnectionId, now: Ticks) {
+    /// Records that a connection is established. Returns `None` if it was closed in the meantime.
+    pub fn mark_established(
+        &mut self,
+        id: ConnectionId,
+        now: Ticks,
+    ) -> Option<EstablishedConnection> {
+        let connection = self.connections.get_mut(&id)?;
+        (connection.established, connection.last_used_at) = (true, now);
+        Some(EstablishedConnection {
+            machine: connection.machine,
+            is_check: connection.is_check,
+        })
+    }
+
+    /// Records that a connection is only opened to see whether its machine is alive.
+    pub fn mark_check(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
-            (connection.established, connection.last_used_at) = (true, now);
+            connection.is_check = true;
         }
     }
 
+    /// Returns whether a connection to a machine is being established.
+    pub fn is_connecting(&self, machine: MachineId) -> bool {
+        let connections = self.available_to(machine);
+        connections
+            .iter()
+            .any(|id| !self.connections[id].established)
+    }
+
+    /// Closes earlier connections to a machine that were only opened to see whether it is alive,
+    /// unless they are in `except`. All others stay open: a process that hangs may write its next
+    /// messages on any connection that it has accepted.
+    pub fn close_earlier_checks(
+        &mut self,
+        machine: MachineId,
+        newest: ConnectionId,
+        except: &BTreeSet<ConnectionId>,
+    ) {
+        let available = self.available_to(machine).into_iter();
+        let earlier: Vec<ConnectionId> = available
+            .filter(|&id| id < newest && !except.contains(&id))
+            .filter(|id| self.connections[id].is_check && self.connections[id].established)
+            .collect();
+        earlier.into_iter().for_each(|id| self.close(id));
+    }
+
     /// Returns whether messages may be sent on the connection at once.
     pub fn is_established(&self, id: ConnectionId) -> bool {
         self.connections
@@ -328,6 +380,7 @@
     }
 
     /// Closes the connections that are idle for too long, but keeps one to each machine with tasks.
+    /// One that was only opened to see whether the machine is alive does not count as that one.
     pub fn close_idle(&mut self, now: Ticks, nodes: &Nodes) {
         let idle = |connection: &NodeConnection| {
             connection.open_attempts.is_empty()
@@ -342,10 +395,17 @@
         for (id, machine) in ids {
             if self.connections[&id].draining
                 || !nodes.has_tasks(machine)
-                || self.available_to(machine).len() > 1
+                || self.has_ordinary_besides(id, machine)
             {
                 self.close(id);
             }
         }
     }
+
+    /// Returns whether a connection other than this one may carry set-ups to a machine, and was not
+    /// only opened to see whether it is alive.
+    fn has_ordinary_besides(&self, id: ConnectionId, machine: MachineId) -> bool {
+        let mut available = self.available_to(machine).into_iter();
+        available.any(|other| other != id && !self.connections[&other].is_check)
+    }
 }
--- a/crates/platform/tests/core/transcript.rs
+++ b/crates/platform/tests/core/transcript.rs
@@ -605,6 +605,7 @@
     match end {
         ConnectionEnd::Refused => "Refused",
         ConnectionEnd::ConnectTimeout => "NotUp",
+        ConnectionEnd::NotAttempted => "NotTried",
         ConnectionEnd::Broken => "Broke",
     }
 }
--- a/crates/platform/tests/scenarios.rs
+++ b/crates/platform/tests/scenarios.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod races;
+mod silence;
 
 use corkspan_platform_wire::client::{
     CAUSE, CLASS, DESCRIPTION, MessageType, REQUIREMENTS, TASK_NAME, TENANT, TIME_LEFT,
--- /dev/null
+++ b/crates/platform/tests/silence/mod.rs
@@ -0,0 +1,70 @@
+//! Tests of nodes that fall silent, forced over loopback: what has ended with its machine is
+//! released, and what may still run is not.
+
+use crate::harness::*;
+use corkspan_platform_wire::client::MessageType;
+use corkspan_platform_wire::node::{self, AttributeValue};
+use std::time::{Duration, Instant};
+
+/// The protocol's limit for the release of a task whose node could send none.
+const RELEASE_LIMIT: Duration = Duration::from_millis(8_050);
+/// The longest partition that tasks must outlast.
+const PARTITION: Duration = Duration::from_secs(6);
+
+fn notification(task: u64) -> node::Message {
+    let mut message = node::Message::new(node::MessageType::Event, task);
+    let attributes = [
+        ("note", AttributeValue::Text("use_cpu".into())),
+        ("value", AttributeValue::Number(0.5)),
+    ];
+    for (name, value) in attributes {
+        message.attributes.insert(name.into(), value);
+    }
+    message
+}
+
+/// Guards against tasks left standing until the list says that their machine is gone: no health
+/// check may be sent, open connections stay silent, and new ones are never established.
+#[test]
+fn without_health_checks_tasks_on_a_vanished_machine_are_released_in_time() {
+    let mut harness = Harness::new(1);
+    let (mut client, _connection) = harness.running_task(7);
+    let since = Instant::now();
+    let _held = harness.nodes[0].fill_backlog();
+    let release = client.receive();
+    assert_eq!(
+        (release.message_type, release.task),
+        (MessageType::Release, 7)
+    );
+    let after = since.elapsed();
+    assert!(
+        (PARTITION..RELEASE_LIMIT).contains(&after),
+        "released after {after:?}"
+    );
+}
+
+/// Guards against releasing tasks that still run: a process that hangs says nothing, but its system
+/// accepts connections.
+#[test]
+fn without_health_checks_tasks_on_a_node_that_hangs_are_kept() {
+    let mut harness = Harness::new(1);
+    let (mut client, mut connection) = harness.running_task(7);
+    assert!(client.silent_for(2 * PARTITION));
+    connection.send(node::Message::new(node::MessageType::Close, 7).with_cause(16));
+    assert_eq!(client.receive().message_type, MessageType::Release);
+}
+
+/// Guards against releasing tasks that still run behind a partition that ends in time.
+#[test]
+fn without_health_checks_tasks_outlast_a_partition() {
+    let mut harness = Harness::new(1);
+    let (mut client, mut connection) = harness.running_task(7);
+    connection.send(notification(7));
+    let held = harness.nodes[0].fill_backlog();
+    assert!(client.silent_for(PARTITION));
+    drop(held);
+    harness.nodes[0].clear_backlog();
+    assert!(client.silent_for(PARTITION));
+    connection.send(node::Message::new(node::MessageType::Close, 7).with_cause(16));
+    assert_eq!(client.receive().message_type, MessageType::Release);
+}
--- a/crates/scheduler/src/interface/allocation.rs
+++ b/crates/scheduler/src/interface/allocation.rs
@@ -103,6 +103,9 @@
     pub watch_endpoints: bool,
     /// The machines to which a health check is to be sent.
     pub health_checks: Vec<MachineId>,
+    /// The machines to which a new connection is to be opened, and its result recorded with
+    /// [`crate::Scheduler::record_connection`].
+    pub connection_checks: Vec<MachineId>,
     /// The placed allocations to migrate away from their machines.
     pub migrations: Vec<AllocationId>,
     /// The placed allocations that are lost with their machines, if the caller doesn't detect
--- a/crates/scheduler/src/interface/outcomes.rs
+++ b/crates/scheduler/src/interface/outcomes.rs
@@ -50,6 +50,15 @@
     NotSent,
 }
 
+/// Whether a connection to a machine could be established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionResult {
+    /// The connection was established.
+    Established,
+    /// The machine neither accepted nor refused the connection in time.
+    Failed,
+}
+
 /// The outcome of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -94,7 +94,7 @@
             self.next_sweep_at = now + SUMMARY_INTERVAL;
             self.forget_removed_machines();
             result.migrations = self.migrations(now);
-            result.lost = self.lost_allocations(now, &mut result.health_checks);
+            self.check_silent_machines(now, &mut result);
         }
         result.next_poll = result.next_poll.min(self.next_sweep_at - now);
         result
--- a/crates/scheduler/src/policy/liveness.rs
+++ b/crates/scheduler/src/policy/liveness.rs
@@ -6,6 +6,17 @@
 /// Time without any answer, health checks included, after which the allocations on a machine count
 /// as lost.
 const LOST_AFTER: Ticks = 5 * SECOND;
+/// Time without any answer and without an established connection after which the allocations on a
+/// machine count as lost where health checks may not be sent. The platform's protocol leaves 8 s
+/// for a release; a shorter time would end allocations that outlast a short partition.
+const UNREACHABLE_AFTER: Ticks = 7 * SECOND + SECOND / 2;
+/// Minimum number of failed connections before the allocations on a machine count as lost. A few
+/// connections fail or are late although the machine is alive.
+const MIN_FAILED_CONNECTIONS: u32 = 3;
+/// The interval of the health checks of a silent machine.
+const HEALTH_CHECK_INTERVAL: Ticks = SECOND;
+/// The interval of the connections opened to a silent machine.
+const CONNECTION_CHECK_INTERVAL: Ticks = SECOND / 2;
 /// Maximum number of times that the delay before a failed watch is retried is doubled.
 const MAX_WATCH_DOUBLINGS: u32 = 2;
 
@@ -40,18 +51,15 @@
         ids
     }
 
-    /// Returns our allocations that are lost. An allocation on a machine that has disappeared or is
-    /// unreachable ends without notice. So a silent machine gets health checks, and when it hasn't
-    /// answered for [`LOST_AFTER`] its allocations count as lost.
-    pub(super) fn lost_allocations(
-        &mut self,
-        now: Ticks,
-        health_checks: &mut Vec<MachineId>,
-    ) -> Vec<AllocationId> {
-        let mut lost = Vec::new();
-        if self.cluster.caller_detects_losses || !self.cluster.health_checks {
-            return lost;
+    /// Checks silent machines that run our allocations, and adds to `result` the checks and the
+    /// allocations that are lost. An allocation on a machine that has disappeared or is unreachable
+    /// ends without notice. So a silent machine is checked, and when it hasn't answered for a time
+    /// its allocations count as lost.
+    pub(super) fn check_silent_machines(&mut self, now: Ticks, result: &mut PollResult) {
+        if self.cluster.caller_detects_losses {
+            return;
         }
+        let health_checks = self.cluster.health_checks;
         for (&id, machine) in &mut self.machines {
             let placed = machine.allocations.iter();
             let placed = placed.filter(|(_, placed)| placed.placed);
@@ -60,15 +68,20 @@
             if placed.is_empty() || silence < CAPACITY_TURNOVER {
                 continue;
             }
-            if silence >= LOST_AFTER {
-                lost.extend(placed);
-                machine.last_heard_at = now;
-            } else if machine.last_health_check + SECOND <= now {
+            if is_lost(machine, silence, health_checks) {
+                result.lost.extend(placed);
+                machine.record_heard(now);
+                continue;
+            }
+            let (checks, interval) = match health_checks {
+                true => (&mut result.health_checks, HEALTH_CHECK_INTERVAL),
+                false => (&mut result.connection_checks, CONNECTION_CHECK_INTERVAL),
+            };
+            if machine.last_health_check + interval <= now {
                 machine.last_health_check = now;
-                health_checks.push(id);
+                checks.push(id);
             }
         }
-        lost
     }
 
     /// Schedules a retry after the request for the endpoint list failed or the watch on it broke;
@@ -92,7 +105,8 @@
         let target = self.machines.entry(machine).or_default();
         match result {
             AttemptResult::Completed => {
-                (target.consecutive_timeouts, target.last_heard_at) = (0, now)
+                target.consecutive_timeouts = 0;
+                target.record_heard(now);
             }
             AttemptResult::TimedOut | AttemptResult::ConnectFailed
                 if !self.cluster.caller_detects_losses =>
@@ -104,4 +118,32 @@
         self.capacity_index.mark_changed(machine, true);
         self.record_report(now, machine, report);
     }
+
+    /// Records whether a connection to a machine could be established. Where health checks may be
+    /// sent they decide instead: a process that answers none may still have its connections
+    /// accepted by the system.
+    pub fn record_connection(&mut self, now: Ticks, machine: MachineId, result: ConnectionResult) {
+        if self.cluster.health_checks {
+            return;
+        }
+        let Some(target) = self.machines.get_mut(&machine) else {
+            return;
+        };
+        match result {
+            ConnectionResult::Established => target.record_heard(now),
+            ConnectionResult::Failed => {
+                target.failed_connections = target.failed_connections.saturating_add(1);
+            }
+        }
+    }
+}
+
+/// Returns whether the allocations on a machine that has been silent for this time are lost.
+fn is_lost(machine: &Machine, silence: Ticks, health_checks: bool) -> bool {
+    match health_checks {
+        true => silence >= LOST_AFTER,
+        false => {
+            silence >= UNREACHABLE_AFTER && machine.failed_connections >= MIN_FAILED_CONNECTIONS
+        }
+    }
 }
--- a/crates/scheduler/src/policy/outcomes.rs
+++ b/crates/scheduler/src/policy/outcomes.rs
@@ -67,7 +67,8 @@
         machine: MachineId,
     ) {
         let target = self.machines.entry(machine).or_default();
-        (target.consecutive_timeouts, target.last_heard_at) = (0, now);
+        target.consecutive_timeouts = 0;
+        target.record_heard(now);
         // Since another machine has placed the allocation, earlier errors were faults of their
         // machines and not of the allocation.
         for earlier in &allocation.attempts[..attempt] {
@@ -100,7 +101,8 @@
         // The new rejection may end before the one that it replaces.
         self.capacity_index.mark_changed(machine, true);
         let target = self.machines.entry(machine).or_default();
-        (target.consecutive_timeouts, target.last_heard_at) = (0, now);
+        target.consecutive_timeouts = 0;
+        target.record_heard(now);
         let (duration, requested) = match reason {
             Some(ReturnReason::NoCores | ReturnReason::NoMemory) => {
                 (CAPACITY_TURNOVER, allocation.requested)
@@ -125,7 +127,7 @@
         self.capacity_index.mark_changed(machine, true);
         let target = self.machines.entry(machine).or_default();
         if matches!(result, AttemptResult::Completed | AttemptResult::Error) {
-            target.last_heard_at = now;
+            target.record_heard(now);
         }
         match result {
             // Possibly no machine can run this allocation; counting each error as a fault would let
--- a/crates/scheduler/src/state/machine.rs
+++ b/crates/scheduler/src/state/machine.rs
@@ -129,9 +129,17 @@
     /// The time from which its silence counts: that of its last answer or metric, of a later
     /// dispatch while it held none of our allocations, or of the loss of its allocations.
     pub last_heard_at: Ticks,
+    /// The number of connections that could not be established since `last_heard_at`.
+    pub failed_connections: u32,
 }
 
 impl Machine {
+    /// Records a sign of life.
+    pub fn record_heard(&mut self, now: Ticks) {
+        self.last_heard_at = now;
+        self.failed_connections = 0;
+    }
+
     /// Returns whether it takes allocations, according to the endpoint list.
     pub fn is_serving(&self) -> bool {
         self.endpoint
--- a/crates/scheduler/src/updates.rs
+++ b/crates/scheduler/src/updates.rs
@@ -68,7 +68,7 @@
         let Some(machine) = machine.and_then(|machine_id| self.machines.get_mut(machine_id)) else {
             return;
         };
-        machine.last_heard_at = now;
+        machine.record_heard(now);
         let Some(placed) = machine.allocations.get_mut(&id) else {
             return;
         };
@@ -119,7 +119,7 @@
         let machine = self.machines.entry(id).or_default();
         let cached = machine.has_program(allocation.service);
         if machine.allocations.is_empty() {
-            machine.last_heard_at = now;
+            machine.record_heard(now);
         }
         let placed = PlacedAllocation::new(allocation, now, cached);
         machine.allocations.insert(allocation.id, placed);
