Open another connection when a node may have written a release on a useless one

Cause: by the protocol a node sends a release on the connection of the set-up and again on the next one that is opened. A connection that ended was replaced only if it was the only one (`remove_connection`), and one closed by us after a timeout was not replaced at all.

Change, for every way in which a connection to a node with tasks ends: if the node may have written something that is lost, another connection is opened, whatever else is open, and a failed one is repeated each second (`node_connections/reconnects.rs`, one request a machine). That is so after a reset or a close by the node, after a message that can't be read, after a half-close that the node did not answer, where there was no room to half-close, and after a close because of a timeout. A connection with an unanswered set-up, or that is to be closed, and that says nothing for 3 s gets another beside it, since an attempt that may not be repeated can last longer than the 8 s. A connection on which a node did not answer is closed only once the node is heard from again: a process that hangs takes it for open and writes releases on it when it goes on. An idle one that the node closes in turn is not replaced.

Tests over loopback: five kinds of spoilt connection, one of them long before the attempt's timeout, and a process that hung for 4 s; all six failed on the code before and hold now. A seventh holds that nothing further is opened while all connections are of use (it held before too). The core's recorded transcripts are new: retained items count the time at which a machine was heard and the requests, and connections are opened and closed at other times; the first line that differs is a count of retained items.

Failed try: replacing each connection at every attempt's timeout opened two for one.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -5,7 +5,7 @@
 use crate::descriptor_budget::DescriptorBudget;
 use crate::errors::ConfigError;
 use crate::ids::{AttemptId, ClientId, ConnectionId};
-use crate::node_connections::{Eviction, NodeConnections};
+use crate::node_connections::{Eviction, NodeConnections, NodeSide};
 use crate::nodes::Nodes;
 use crate::reader::{ConnectionInput, ReadOutcome, ReadProgress};
 use crate::writer::{MessageQueue, message_queue};
@@ -56,8 +56,23 @@
     /// The connection was not attempted for lack of local resources, which says nothing about the
     /// node.
     NotAttempted,
-    /// The connection was established, and then broke or was closed.
+    /// The connection was established, and then broke or was closed by the node.
     Broken,
+    /// The connection was established, and the dispatcher closed it while the node's side was open.
+    Closed,
+}
+
+impl ConnectionEnd {
+    /// Returns what the end means for messages of the node.
+    fn node_side(self) -> NodeSide {
+        match self {
+            ConnectionEnd::Refused
+            | ConnectionEnd::ConnectTimeout
+            | ConnectionEnd::NotAttempted => NodeSide::NotEstablished,
+            ConnectionEnd::Broken => NodeSide::Closed,
+            ConnectionEnd::Closed => NodeSide::Open,
+        }
+    }
 }
 
 /// A connection to a node that must be opened.
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -111,7 +111,7 @@
         );
         // The connection may be open but permanently silent, so no further set-up is sent on it.
         if let Some(connection) = active.connection {
-            self.connections.drain(connection);
+            self.connections.drain(connection, now);
         }
     }
 
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -197,16 +197,7 @@
         closed
             .into_iter()
             .for_each(|id| self.close_client(now, engine, id));
-        self.connections.close_idle(now, &self.nodes);
-        let connected = |machine| !self.connections.available_to(machine).is_empty();
-        for (since, machine) in self.nodes.unreached(connected, now) {
-            let eviction = if since + UNREACHED_GRACE <= now {
-                Eviction::Any
-            } else {
-                Eviction::SpareOnly
-            };
-            self.open_connection(machine, eviction);
-        }
+        self.sweep_node_connections(now);
     }
 
     /// Closes the least useful client's connection without open set-ups: silent ones first, then
--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -30,6 +30,7 @@
             for connection in self.connections.all_to(machine) {
                 self.remove_connection(now, engine, connection, ConnectionEnd::ConnectTimeout);
             }
+            self.connections.forget_machine(machine);
             self.nodes.remove_node(machine);
         }
         for (machine, started) in change.restarted {
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -65,7 +65,7 @@
                                 connection = connection.0,
                                 "a health check has timed out"
                             );
-                            state.connections.drain(connection);
+                            state.connections.drain(connection, now);
                             engine.record_health_check(now, machine, AttemptResult::TimedOut, None);
                         }
                     }
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -42,7 +42,7 @@
         if self.connections.is_full() && !self.connections.is_node_full(machine) {
             let with_health_check = self.connections_with_health_check();
             self.connections
-                .evict(&self.nodes, &with_health_check, eviction);
+                .evict(&self.nodes, &with_health_check, eviction, self.now);
         }
         let (id, queue) = self.connections.open(machine, self.now)?;
         debug!(
@@ -81,7 +81,7 @@
         if established.is_check {
             let kept = self.connections_with_health_check();
             self.connections
-                .close_earlier_checks(established.machine, id, &kept);
+                .close_earlier_checks(established.machine, &kept, now);
         }
     }
 
@@ -94,7 +94,7 @@
         id: ConnectionId,
         end: ConnectionEnd,
     ) {
-        let Some(connection) = self.connections.remove(id) else {
+        let Some(connection) = self.connections.end(id, end.node_side(), now) else {
             return;
         };
         debug!(?connection.machine, connection = id.0, ?end, open = connection.open_attempts.len(), "a connection to a node has ended");
@@ -115,7 +115,7 @@
             self.connection_refused(now, engine, connection.machine);
         } else if self.connections.available_to(connection.machine).is_empty()
             && self.nodes.has_tasks(connection.machine)
-            && end == ConnectionEnd::Broken
+            && matches!(end, ConnectionEnd::Broken | ConnectionEnd::Closed)
         {
             // The node reports the ends of its tasks on the next connection.
             self.open_connection(connection.machine, Eviction::SpareOnly);
@@ -205,4 +205,32 @@
             engine.record_health_check(now, machine, AttemptResult::ConnectFailed, None);
         }
     }
+
+    /// Closes idle connections to nodes, and opens missing ones.
+    pub(super) fn sweep_node_connections(&mut self, now: Ticks) {
+        self.connections.close_idle(now, &self.nodes);
+        let connected = |machine| !self.connections.available_to(machine).is_empty();
+        for (since, machine) in self.nodes.unreached(connected, now) {
+            self.open_connection(machine, sweep_eviction(since, now));
+        }
+        self.connections.check_unanswered(now);
+        for (machine, since) in self.connections.due_reconnects(now) {
+            if !self.nodes.has_tasks(machine) || self.nodes.is_closed_to_connections(machine) {
+                self.connections.cancel_reconnect(machine);
+                continue;
+            }
+            if let Some(connection) = self.open_connection(machine, sweep_eviction(since, now)) {
+                self.connections.mark_check(connection);
+            }
+        }
+    }
+}
+
+/// Returns which connections may be closed for one that has been missing since the given time.
+fn sweep_eviction(since: Ticks, now: Ticks) -> Eviction {
+    if since + UNREACHED_GRACE <= now {
+        Eviction::Any
+    } else {
+        Eviction::SpareOnly
+    }
 }
--- a/crates/platform/src/node_connection_task.rs
+++ b/crates/platform/src/node_connection_task.rs
@@ -44,14 +44,15 @@
     handle.connection_established(id);
     let (input, mut reader) = (ConnectionInput::new(stream.clone()), Reader::default());
     let reading = async {
+        let mut end = ConnectionEnd::Broken;
         input
-            .read_messages(|| handle_next_message(&handle, id, &input, &mut reader))
+            .read_messages(|| handle_next_message(&handle, id, &input, &mut reader, &mut end))
             .await;
-        handle.connection_ended(id, ConnectionEnd::Broken);
+        handle.connection_ended(id, end);
     };
     let may_write_set_up = |attempt| handle.may_write_set_up(id, attempt);
     run_connection(stream, queue, may_write_set_up, reading).await;
-    handle.connection_ended(id, ConnectionEnd::Broken);
+    handle.connection_ended(id, ConnectionEnd::Closed);
 }
 
 /// Returns how a connection ended that could not be opened. Only an error that the node or the
@@ -66,12 +67,13 @@
     }
 }
 
-/// Handles the next message of the node.
+/// Handles the next message of the node. Sets `end` to the way in which the connection ends.
 fn handle_next_message(
     handle: &PlatformHandle,
     id: ConnectionId,
     input: &ConnectionInput,
     reader: &mut Reader,
+    end: &mut ConnectionEnd,
 ) -> ReadProgress {
     loop {
         match reader.next_message() {
@@ -79,6 +81,7 @@
                 return if handle.handle_node_message(id, message) {
                     ReadProgress::Handled
                 } else {
+                    *end = ConnectionEnd::Closed;
                     ReadProgress::Done
                 };
             }
@@ -90,6 +93,7 @@
             Err(error) => {
                 // After an invalid message the rest of the input can't be trusted.
                 debug!(?id, %error, "closing a connection to a node after an invalid message");
+                *end = ConnectionEnd::Closed;
                 return ReadProgress::Done;
             }
         }
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -1,24 +1,42 @@
 //! The pool of connections to nodes.
 
+mod reconnects;
+
 use crate::descriptor_budget::CONNECTIONS_PER_HALF_CLOSED;
 use crate::ids::{AttemptId, ConnectionId};
 use crate::nodes::Nodes;
 use crate::writer::{MessageQueue, MessageSender, message_queue};
 use corkspan_platform_wire::node;
 use corkspan_scheduler::interface::*;
+use reconnects::Reconnects;
 use std::collections::{BTreeMap, BTreeSet};
 use tracing::debug;
 
 /// The maximum number of connections to one node.
 const MAX_CONNECTIONS_PER_NODE: usize = 24;
 
+/// Time without a message on a connection that has an unanswered set-up, or that is to be closed,
+/// after which it may be of no more use. Each time it passes, another connection is opened: a
+/// release must reach its client within 8 s, although its node may have written it on this one.
+const UNANSWERED_TIMEOUT: Ticks = 30_000;
+/// Time after a close by the dispatcher in which the node learns of it.
+const CLOSE_DELAY: Ticks = 5_000;
+/// Time after which a requested connection that failed is opened again.
+const RECONNECT_INTERVAL: Ticks = 10_000;
+/// The maximum number of connections to one machine that are kept although they were only opened to
+/// see whether it is alive, while nothing is heard from it.
+const MAX_CHECKS_PER_NODE: usize = 4;
+
 /// A connection to a node.
 pub struct NodeConnection {
     pub machine: MachineId,
     pub sender: MessageSender,
     established: bool,
-    /// True if no further set-up may be sent on the connection.
-    draining: bool,
+    /// The time since when no further set-up may be sent on the connection.
+    draining_since: Option<Ticks>,
+    /// The time since when nothing has arrived, if a set-up is unanswered or the connection is
+    /// draining.
+    silent_since: Option<Ticks>,
     /// Whether the connection was only opened to see whether its machine is alive, and has carried
     /// no set-up yet.
     is_check: bool,
@@ -26,6 +44,40 @@
     last_used_at: Ticks,
 }
 
+impl NodeConnection {
+    /// Returns whether no message that the dispatcher waits for is pending on the connection.
+    fn is_idle(&self) -> bool {
+        self.established && self.open_attempts.is_empty()
+    }
+}
+
+/// Why the dispatcher closes a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// It is idle, or its descriptor is needed.
+    Unused,
+    /// The node did not answer on it in time, so what it has written may be lost.
+    Unanswered,
+}
+
+/// A connection that only the dispatcher has closed. Messages of its node may still arrive.
+#[derive(Clone, Copy, Debug)]
+struct HalfClosedConnection {
+    machine: MachineId,
+    reason: CloseReason,
+}
+
+/// How a connection to a node has ended, as far as the node is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeSide {
+    /// The node has closed its side, so it writes nothing more.
+    Closed,
+    /// The node's side was still open, and what it wrote last is lost.
+    Open,
+    /// The connection was never established.
+    NotEstablished,
+}
+
 /// A connection that was just established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EstablishedConnection {
@@ -47,8 +99,10 @@
 pub struct NodeConnections {
     connections: BTreeMap<ConnectionId, NodeConnection>,
     by_machine: BTreeMap<MachineId, BTreeSet<ConnectionId>>,
-    /// Connections that only the dispatcher has closed. Messages of their nodes may still arrive.
-    half_closed: BTreeMap<ConnectionId, MachineId>,
+    half_closed: BTreeMap<ConnectionId, HalfClosedConnection>,
+    /// The time of the last message of each machine with an open connection.
+    heard_at: BTreeMap<MachineId, Ticks>,
+    reconnects: Reconnects,
     opened: u64,
     max_connections: usize,
     connect_timeout: Ticks,
@@ -67,6 +121,8 @@
             connections,
             by_machine,
             half_closed,
+            heard_at: BTreeMap::new(),
+            reconnects: Reconnects::default(),
             opened: 0,
             max_connections,
             connect_timeout,
@@ -80,7 +136,7 @@
     pub fn available_to(&self, machine: MachineId) -> Vec<ConnectionId> {
         let connections = self.by_machine.get(&machine).into_iter().flatten().copied();
         connections
-            .filter(|connection| !self.connections[connection].draining)
+            .filter(|connection| self.connections[connection].draining_since.is_none())
             .collect()
     }
 
@@ -117,7 +173,8 @@
                 machine,
                 sender,
                 established: false,
-                draining: false,
+                draining_since: None,
+                silent_since: None,
                 is_check: false,
                 open_attempts: open,
                 last_used_at: now,
@@ -143,19 +200,29 @@
     }
 
     /// Closes the least useful connection: one without an open attempt and not in `except`. A
-    /// connection that is not the only one to a node with tasks is closed first, then the one
-    /// unused the longest. The only connection to a draining node with tasks is kept, because that
-    /// node may accept no other.
-    pub fn evict(&mut self, nodes: &Nodes, except: &BTreeSet<ConnectionId>, eviction: Eviction) {
-        let free = self.connections.iter().filter(|(id, connection)| {
-            connection.established && connection.open_attempts.is_empty() && !except.contains(id)
-        });
+    /// connection that is not the only one to a node with tasks is closed first, then a draining
+    /// one, then the one unused the longest. The only connection to a draining node with tasks is
+    /// kept, because that node may accept no other.
+    pub fn evict(
+        &mut self,
+        nodes: &Nodes,
+        except: &BTreeSet<ConnectionId>,
+        eviction: Eviction,
+        now: Ticks,
+    ) {
+        let idle = self
+            .connections
+            .iter()
+            .filter(|(id, connection)| connection.is_idle() && !except.contains(id));
         let is_only_connection = |connection: &NodeConnection| {
-            nodes.has_tasks(connection.machine) && self.available_to(connection.machine).len() < 2
+            connection.draining_since.is_none()
+                && nodes.has_tasks(connection.machine)
+                && self.available_to(connection.machine).len() < 2
         };
-        let ranked = free.map(|(&id, connection)| {
+        let ranked = idle.map(|(&id, connection)| {
             (
                 is_only_connection(connection),
+                connection.draining_since.is_none(),
                 connection.last_used_at,
                 id,
                 connection.machine,
@@ -165,11 +232,11 @@
             !is_only_connection || eviction == Eviction::Any && !nodes.is_draining(machine)
         };
         let least_useful = ranked
-            .filter(|&(is_only_connection, _, _, machine)| may_evict(is_only_connection, machine))
+            .filter(|&(is_only_connection, .., machine)| may_evict(is_only_connection, machine))
             .min();
-        least_useful
-            .into_iter()
-            .for_each(|(_, _, id, _)| self.close(id));
+        if let Some((.., id, _)) = least_useful {
+            self.close(id, CloseReason::Unused, now);
+        }
     }
 
     /// Returns the number of connections and open attempts, for tests of retained state.
@@ -178,7 +245,11 @@
             .connections
             .values()
             .map(|connection| 1 + connection.open_attempts.len());
-        connections.sum::<usize>() + self.by_machine.len() + self.half_closed.len()
+        connections.sum::<usize>()
+            + self.by_machine.len()
+            + self.half_closed.len()
+            + self.heard_at.len()
+            + self.reconnects.len()
     }
 
     /// Returns the numbers of open and half-closed connections.
@@ -196,10 +267,14 @@
     /// Records all connections as established.
     #[cfg(test)]
     pub fn establish_all(&mut self, now: Ticks) {
-        self.connections
-            .values_mut()
-            .filter(|connection| !connection.established)
-            .for_each(|connection| (connection.established, connection.last_used_at) = (true, now));
+        let connections = self.connections.iter();
+        let connecting: Vec<ConnectionId> = connections
+            .filter(|(_, connection)| !connection.established)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in connecting {
+            self.mark_established(id, now);
+        }
     }
 
     /// Returns an established connection without open attempts, so that no other attempt fails with
@@ -242,6 +317,7 @@
             connection.open_attempts.insert(allocation);
             connection.is_check = false;
             connection.last_used_at = now;
+            connection.silent_since.get_or_insert(now);
         }
     }
 
@@ -250,6 +326,9 @@
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.open_attempts.remove(&allocation);
             connection.last_used_at = now;
+            if connection.is_idle() && connection.draining_since.is_none() {
+                connection.silent_since = None;
+            }
         }
     }
 
@@ -261,10 +340,9 @@
     ) -> Option<EstablishedConnection> {
         let connection = self.connections.get_mut(&id)?;
         (connection.established, connection.last_used_at) = (true, now);
-        Some(EstablishedConnection {
-            machine: connection.machine,
-            is_check: connection.is_check,
-        })
+        let (machine, is_check) = (connection.machine, connection.is_check);
+        self.reconnects.established(machine, id);
+        Some(EstablishedConnection { machine, is_check })
     }
 
     /// Records that a connection is only opened to see whether its machine is alive.
@@ -282,37 +360,48 @@
             .any(|id| !self.connections[id].established)
     }
 
-    /// Closes earlier connections to a machine that were only opened to see whether it is alive,
-    /// unless they are in `except`. All others stay open: a process that hangs may write its next
-    /// messages on any connection that it has accepted.
+    /// Closes connections to a machine that were only opened to see whether it is alive, unless they
+    /// are in `except`: those before its last message, and the oldest of many. A process that hangs
+    /// has not accepted the others yet, and what it writes on them first must be read.
     pub fn close_earlier_checks(
         &mut self,
         machine: MachineId,
-        newest: ConnectionId,
         except: &BTreeSet<ConnectionId>,
+        now: Ticks,
     ) {
+        let heard_at = self.heard_at.get(&machine).copied().unwrap_or(0);
         let available = self.available_to(machine).into_iter();
-        let earlier: Vec<ConnectionId> = available
-            .filter(|&id| id < newest && !except.contains(&id))
+        let checks: Vec<ConnectionId> = available
             .filter(|id| self.connections[id].is_check && self.connections[id].established)
             .collect();
-        earlier.into_iter().for_each(|id| self.close(id));
+        let surplus = checks.len().saturating_sub(MAX_CHECKS_PER_NODE);
+        for (index, &id) in checks.iter().enumerate().rev().skip(1) {
+            let was_accepted = self.connections[&id].last_used_at < heard_at;
+            if (was_accepted || index < surplus) && !except.contains(&id) {
+                self.close(id, CloseReason::Unused, now);
+            }
+        }
     }
 
     /// Returns whether messages may be sent on the connection at once.
     pub fn is_established(&self, id: ConnectionId) -> bool {
         self.connections
             .get(&id)
-            .is_some_and(|connection| connection.established && !connection.draining)
+            .is_some_and(|connection| connection.established && connection.draining_since.is_none())
     }
 
     /// Records that a message has arrived. Returns the machine at the other end, or none if the
     /// connection is closed.
     pub fn touch(&mut self, id: ConnectionId, now: Ticks) -> Option<MachineId> {
         let Some(connection) = self.connections.get_mut(&id) else {
-            return self.half_closed.get(&id).copied();
+            return self
+                .half_closed
+                .get(&id)
+                .map(|connection| connection.machine);
         };
         connection.last_used_at = now;
+        connection.silent_since = connection.silent_since.map(|_| now);
+        self.heard_at.insert(connection.machine, now);
         Some(connection.machine)
     }
 
@@ -341,13 +430,12 @@
         })
     }
 
-    /// Stops sending set-ups on a connection, and closes it once no attempt is open on it.
-    pub fn drain(&mut self, id: ConnectionId) {
+    /// Stops sending set-ups on a connection on which the node did not answer in time. It is closed
+    /// by [`NodeConnections::close_idle`].
+    pub fn drain(&mut self, id: ConnectionId, now: Ticks) {
         if let Some(connection) = self.connections.get_mut(&id) {
-            connection.draining = true;
-            if connection.open_attempts.is_empty() {
-                self.close(id);
-            }
+            connection.draining_since.get_or_insert(now);
+            connection.silent_since.get_or_insert(now);
         }
     }
 
@@ -356,25 +444,96 @@
     /// arrive only on the next connection, which may not be opened for a long time while another
     /// one exists. A half-closed connection keeps its descriptor, so their number is limited;
     /// beyond the limit both sides are closed at once.
-    pub fn close(&mut self, id: ConnectionId) {
+    fn close(&mut self, id: ConnectionId, reason: CloseReason, now: Ticks) {
         let has_room = self.half_closed.len() < self.max_connections / CONNECTIONS_PER_HALF_CLOSED;
         debug!(
             connection = id.0,
-            has_room, "closing a connection to a node"
+            ?reason,
+            has_room,
+            "closing a connection to a node"
         );
-        let Some(connection) = self
-            .remove(id)
-            .filter(|connection| connection.established && has_room)
-        else {
+        let Some(connection) = self.remove(id).filter(|connection| connection.established) else {
             return;
         };
-        self.half_closed.insert(id, connection.machine);
-        connection.sender.half_close();
+        let machine = connection.machine;
+        if has_room {
+            self.half_closed
+                .insert(id, HalfClosedConnection { machine, reason });
+            connection.sender.half_close();
+        } else {
+            self.request_reconnect(machine, now + RECONNECT_INTERVAL);
+        }
+    }
+
+    /// Requests a further connection to a machine: its node may have written a release on one that
+    /// was of no more use, and writes it again on the next one.
+    fn request_reconnect(&mut self, machine: MachineId, due_at: Ticks) {
+        let newest = ConnectionId(self.opened);
+        self.reconnects.request(machine, newest, due_at);
+    }
+
+    /// Handles the end of a connection, and requests another one if a message of its node may be
+    /// lost. Returns `None` if the dispatcher had closed it.
+    pub fn end(
+        &mut self,
+        id: ConnectionId,
+        node_side: NodeSide,
+        now: Ticks,
+    ) -> Option<NodeConnection> {
+        if let Some(HalfClosedConnection { machine, reason }) = self.half_closed.remove(&id) {
+            match (node_side, reason) {
+                (NodeSide::Closed, CloseReason::Unused) => {}
+                (NodeSide::Closed, CloseReason::Unanswered) => self.request_reconnect(machine, now),
+                _ => self.request_reconnect(machine, now + CLOSE_DELAY),
+            }
+            return None;
+        }
+        let connection = self.remove(id)?;
+        let machine = connection.machine;
+        match node_side {
+            NodeSide::Closed => self.request_reconnect(machine, now),
+            NodeSide::Open => self.request_reconnect(machine, now + CLOSE_DELAY),
+            NodeSide::NotEstablished => self.reconnects.failed(machine, now + RECONNECT_INTERVAL),
+        }
+        Some(connection)
     }
 
-    /// Removes a connection that has ended or must end at once.
-    pub fn remove(&mut self, id: ConnectionId) -> Option<NodeConnection> {
-        self.half_closed.remove(&id);
+    /// Requests further connections to the machines of connections that may be of no more use.
+    pub fn check_unanswered(&mut self, now: Ticks) {
+        let mut silent = Vec::new();
+        for connection in self.connections.values_mut() {
+            let since = connection.silent_since;
+            if since.is_some_and(|since| since + UNANSWERED_TIMEOUT <= now) {
+                connection.silent_since = Some(now);
+                silent.push(connection.machine);
+            }
+        }
+        for machine in silent {
+            self.request_reconnect(machine, now);
+        }
+    }
+
+    /// Returns the machines to which a further connection is due and none is being established,
+    /// each with the time since when.
+    pub fn due_reconnects(&self, now: Ticks) -> Vec<(MachineId, Ticks)> {
+        let mut due = self.reconnects.due(now);
+        due.retain(|&(machine, _)| !self.is_connecting(machine));
+        due
+    }
+
+    /// Cancels the request for a further connection to a machine.
+    pub fn cancel_reconnect(&mut self, machine: MachineId) {
+        self.reconnects.cancel(machine);
+    }
+
+    /// Forgets a machine that is gone and has no connection.
+    pub fn forget_machine(&mut self, machine: MachineId) {
+        self.heard_at.remove(&machine);
+        self.reconnects.cancel(machine);
+    }
+
+    /// Removes an open connection.
+    fn remove(&mut self, id: ConnectionId) -> Option<NodeConnection> {
         let connection = self.connections.remove(&id)?;
         if let Some(connections) = self.by_machine.get_mut(&connection.machine) {
             connections.remove(&id);
@@ -388,26 +547,43 @@
     /// Closes the connections that are idle for too long, but keeps one to each machine with tasks.
     /// One that was only opened to see whether the machine is alive does not count as that one.
     pub fn close_idle(&mut self, now: Ticks, nodes: &Nodes) {
-        let idle = |connection: &NodeConnection| {
-            connection.open_attempts.is_empty()
-                && (connection.draining || connection.last_used_at + self.idle_timeout <= now)
-        };
-        let ids: Vec<(ConnectionId, MachineId)> = self
+        let idle: Vec<ConnectionId> = self
             .connections
             .iter()
-            .filter(|(_, connection)| idle(connection))
-            .map(|(&id, connection)| (id, connection.machine))
+            .filter(|(_, connection)| connection.open_attempts.is_empty())
+            .map(|(&id, _)| id)
             .collect();
-        for (id, machine) in ids {
-            if self.connections[&id].draining
-                || !nodes.has_tasks(machine)
-                || self.has_ordinary_besides(id, machine)
-            {
-                self.close(id);
+        for id in idle {
+            if self.connections[&id].draining_since.is_some() {
+                self.close_drained(id, now, nodes);
+            } else {
+                self.close_unused(id, now, nodes);
             }
         }
     }
 
+    fn close_unused(&mut self, id: ConnectionId, now: Ticks, nodes: &Nodes) {
+        let connection = &self.connections[&id];
+        let is_unused = connection.last_used_at + self.idle_timeout <= now;
+        let machine = connection.machine;
+        if is_unused && (!nodes.has_tasks(machine) || self.has_ordinary_besides(id, machine)) {
+            self.close(id, CloseReason::Unused, now);
+        }
+    }
+
+    /// Closes a draining connection once its node has been heard since. A process that hangs may
+    /// still write releases on it, which would be lost.
+    fn close_drained(&mut self, id: ConnectionId, now: Ticks, nodes: &Nodes) {
+        let connection = &self.connections[&id];
+        let since = connection.draining_since.unwrap_or(now);
+        let machine = connection.machine;
+        let heard_at = self.heard_at.get(&machine);
+        let is_responsive = heard_at.is_some_and(|at| *at > since);
+        if is_responsive || !nodes.has_tasks(machine) || since + self.idle_timeout <= now {
+            self.close(id, CloseReason::Unanswered, now);
+        }
+    }
+
     /// Returns whether a connection other than this one may carry set-ups to a machine, and was not
     /// only opened to see whether it is alive.
     fn has_ordinary_besides(&self, id: ConnectionId, machine: MachineId) -> bool {
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -120,6 +120,12 @@
         })
     }
 
+    /// Returns whether a node has refused a connection because it is draining.
+    pub fn is_closed_to_connections(&self, machine: MachineId) -> bool {
+        let node = self.nodes.get(&machine);
+        node.is_some_and(|node| node.closed_to_connections)
+    }
+
     /// Returns the nodes that have tasks and no connection, each with the time since when, ordered
     /// by that time.
     pub fn unreached(
--- a/crates/platform/tests/core/transcript.rs
+++ b/crates/platform/tests/core/transcript.rs
@@ -607,6 +607,7 @@
         ConnectionEnd::ConnectTimeout => "NotUp",
         ConnectionEnd::NotAttempted => "NotTried",
         ConnectionEnd::Broken => "Broke",
+        ConnectionEnd::Closed => "Closed",
     }
 }
 
--- a/crates/platform/tests/harness/mod.rs
+++ b/crates/platform/tests/harness/mod.rs
@@ -333,6 +333,12 @@
         NodeConnection::new(wait_for(|| accept(listener)))
     }
 
+    /// Returns the next connection if one has arrived.
+    pub fn try_accept_connection(&mut self) -> Option<NodeConnection> {
+        let listener = self.listener.as_ref().expect("it listens");
+        accept(listener).map(NodeConnection::new)
+    }
+
     /// Answers each set-up on every connection from now on.
     pub fn answer_set_ups(
         &mut self,
@@ -437,6 +443,13 @@
     pub fn send_bytes(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).expect("written");
     }
+
+    /// Closes the connection in both directions.
+    pub fn shut_down(&mut self) {
+        self.stream
+            .shutdown(std::net::Shutdown::Both)
+            .expect("shut down");
+    }
 }
 
 fn silent_for(stream: &mut TcpStream, time: Duration) -> bool {
--- a/crates/platform/tests/scenarios.rs
+++ b/crates/platform/tests/scenarios.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 mod races;
+mod releases;
 mod silence;
 
 use corkspan_platform_wire::client::{
