Give up tasks of an unreachable machine only after an outage of more than 6 s

Silence was counted from the last message, and with 400 nodes and 261 connections a machine may be silent for 2 s and more only because no connection to it is open.

Now the outage itself is measured: from the opening of the first connection that failed to that of the last one, with nothing heard between them.

--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -111,11 +111,9 @@
     }
 
     fn check_connection(&mut self, machine: MachineId) {
-        if self.connections.is_connecting(machine) {
-            return;
-        }
-        if let Some(connection) = self.open_connection(machine, Eviction::SpareOnly) {
-            self.connections.mark_check(connection);
+        // Without any connection to the machine, the next sweep opens one.
+        if !self.connections.available_to(machine).is_empty() {
+            self.open_check_connection(machine, Eviction::SpareOnly);
         }
     }
 
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -37,6 +37,28 @@
         &mut self,
         machine: MachineId,
         eviction: Eviction,
+    ) -> Option<ConnectionId> {
+        let connect_timeout = self.connections.connect_timeout();
+        self.open_connection_within(machine, eviction, connect_timeout)
+    }
+
+    /// Opens a connection only to see whether its machine is alive, if none is being established.
+    pub(super) fn open_check_connection(&mut self, machine: MachineId, eviction: Eviction) {
+        if self.connections.is_connecting(machine) {
+            return;
+        }
+        let connect_timeout = self.connections.check_connect_timeout();
+        let connection = self.open_connection_within(machine, eviction, connect_timeout);
+        if let Some(connection) = connection {
+            self.connections.mark_check(connection);
+        }
+    }
+
+    fn open_connection_within(
+        &mut self,
+        machine: MachineId,
+        eviction: Eviction,
+        connect_timeout: Ticks,
     ) -> Option<ConnectionId> {
         let address = self.nodes.address(machine)?;
         if self.connections.is_full() && !self.connections.is_node_full(machine) {
@@ -53,7 +75,7 @@
         self.effects.connect(NewConnection {
             id,
             address,
-            connect_timeout: self.connections.connect_timeout(),
+            connect_timeout,
             queue,
         });
         Some(id)
@@ -99,7 +121,12 @@
         };
         debug!(?connection.machine, connection = id.0, ?end, open = connection.open_attempts.len(), "a connection to a node has ended");
         if end == ConnectionEnd::ConnectTimeout {
-            engine.record_connection(now, connection.machine, ConnectionResult::Failed);
+            let opened_at = connection.opened_at;
+            engine.record_connection(
+                now,
+                connection.machine,
+                ConnectionResult::Failed { opened_at },
+            );
         }
         if matches!(
             end,
@@ -219,9 +246,7 @@
                 self.connections.cancel_reconnect(machine);
                 continue;
             }
-            if let Some(connection) = self.open_connection(machine, sweep_eviction(since, now)) {
-                self.connections.mark_check(connection);
-            }
+            self.open_check_connection(machine, sweep_eviction(since, now));
         }
     }
 }
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -23,6 +23,9 @@
 const CLOSE_DELAY: Ticks = 5_000;
 /// Time after which a requested connection that failed is opened again.
 const RECONNECT_INTERVAL: Ticks = 10_000;
+/// Time within which a connection must be established that is only opened to see whether its machine
+/// is alive, unless the settings leave less.
+const CHECK_CONNECT_TIMEOUT: Ticks = 2_500;
 /// The maximum number of connections to one machine that are kept although they were only opened to
 /// see whether it is alive, while nothing is heard from it.
 const MAX_CHECKS_PER_NODE: usize = 4;
@@ -41,6 +44,8 @@
     /// no set-up yet.
     is_check: bool,
     pub open_attempts: BTreeSet<AllocationId>,
+    /// The time at which the connection was opened.
+    pub opened_at: Ticks,
     last_used_at: Ticks,
 }
 
@@ -140,6 +145,13 @@
             .collect()
     }
 
+    /// Returns whether set-ups may be sent on more than one connection to a machine.
+    fn has_several_available(&self, machine: MachineId) -> bool {
+        let connections = self.by_machine.get(&machine).into_iter().flatten();
+        let available = connections.filter(|id| self.connections[id].draining_since.is_none());
+        available.take(2).count() == 2
+    }
+
     /// Returns all connections to a machine, including draining ones.
     pub fn all_to(&self, machine: MachineId) -> Vec<ConnectionId> {
         self.by_machine
@@ -177,6 +189,7 @@
                 silent_since: None,
                 is_check: false,
                 open_attempts: open,
+                opened_at: now,
                 last_used_at: now,
             },
         );
@@ -189,6 +202,12 @@
         self.connect_timeout
     }
 
+    /// Returns the time within which a connection must be established that is only opened to see
+    /// whether its machine is alive.
+    pub fn check_connect_timeout(&self) -> Ticks {
+        self.connect_timeout.min(CHECK_CONNECT_TIMEOUT)
+    }
+
     /// Returns whether the pool is full.
     pub fn is_full(&self) -> bool {
         self.connections.len() >= self.max_connections
@@ -217,7 +236,7 @@
         let is_only_connection = |connection: &NodeConnection| {
             connection.draining_since.is_none()
                 && nodes.has_tasks(connection.machine)
-                && self.available_to(connection.machine).len() < 2
+                && !self.has_several_available(connection.machine)
         };
         let ranked = idle.map(|(&id, connection)| {
             (
--- a/crates/scheduler/src/interface/outcomes.rs
+++ b/crates/scheduler/src/interface/outcomes.rs
@@ -1,6 +1,6 @@
 //! Reports from machines: outcomes of attempts, load reports and metrics.
 
-use crate::interface::Resources;
+use crate::interface::{Resources, Ticks};
 
 /// The reason that a machine gives for rejecting or ending an allocation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,7 +56,10 @@
     /// The connection was established.
     Established,
     /// The machine neither accepted nor refused the connection in time.
-    Failed,
+    Failed {
+        /// The time at which the connection was opened.
+        opened_at: Ticks,
+    },
 }
 
 /// The outcome of an attempt.
--- a/crates/scheduler/src/policy/liveness.rs
+++ b/crates/scheduler/src/policy/liveness.rs
@@ -6,16 +6,19 @@
 /// Time without any answer, health checks included, after which the allocations on a machine count
 /// as lost.
 const LOST_AFTER: Ticks = 5 * SECOND;
-/// Time without any answer and without an established connection after which the allocations on a
-/// machine count as lost where health checks may not be sent. The platform's protocol leaves 8 s
-/// for a release; a shorter time would end allocations that outlast a short partition.
-const UNREACHABLE_AFTER: Ticks = 7 * SECOND + SECOND / 2;
+/// Time without any answer after which connections are opened to a machine where health checks may
+/// not be sent.
+const CONNECTION_CHECK_AFTER: Ticks = SECOND;
+/// The longest partition that allocations outlast where health checks may not be sent. The
+/// platform's protocol leaves 8 s from an allocation's end to its release, of which
+/// [`CONNECTION_CHECK_AFTER`] and the time for the last connections remain.
+const MAX_PARTITION: Ticks = 6 * SECOND;
 /// Minimum number of failed connections before the allocations on a machine count as lost. A few
 /// connections fail or are late although the machine is alive.
 const MIN_FAILED_CONNECTIONS: u32 = 3;
 /// The interval of the health checks of a silent machine.
 const HEALTH_CHECK_INTERVAL: Ticks = SECOND;
-/// The interval of the connections opened to a silent machine.
+/// The minimum interval of the connections opened to a silent machine.
 const CONNECTION_CHECK_INTERVAL: Ticks = SECOND / 2;
 /// Maximum number of times that the delay before a failed watch is retried is doubled.
 const MAX_WATCH_DOUBLINGS: u32 = 2;
@@ -60,12 +63,16 @@
             return;
         }
         let health_checks = self.cluster.health_checks;
+        let check_after = match health_checks {
+            true => CAPACITY_TURNOVER,
+            false => CONNECTION_CHECK_AFTER,
+        };
         for (&id, machine) in &mut self.machines {
             let placed = machine.allocations.iter();
             let placed = placed.filter(|(_, placed)| placed.placed);
             let placed: Vec<AllocationId> = placed.map(|(&id, _)| id).collect();
             let silence = now.saturating_sub(machine.last_heard_at);
-            if placed.is_empty() || silence < CAPACITY_TURNOVER {
+            if placed.is_empty() || silence < check_after {
                 continue;
             }
             if is_lost(machine, silence, health_checks) {
@@ -131,19 +138,34 @@
         };
         match result {
             ConnectionResult::Established => target.record_heard(now),
-            ConnectionResult::Failed => {
-                target.failed_connections = target.failed_connections.saturating_add(1);
+            ConnectionResult::Failed { opened_at } if opened_at > target.last_heard_at => {
+                let failures = target
+                    .connection_failures
+                    .get_or_insert(ConnectionFailures::new(opened_at));
+                failures.record(opened_at);
+                if failures.show_loss() {
+                    // The allocations are released as soon as this is known.
+                    self.next_sweep_at = self.next_sweep_at.min(now);
+                }
             }
+            ConnectionResult::Failed { .. } => {}
         }
     }
 }
 
+impl ConnectionFailures {
+    /// Returns whether they show that the machine's allocations are lost.
+    fn show_loss(&self) -> bool {
+        self.count >= MIN_FAILED_CONNECTIONS && self.duration() >= MAX_PARTITION
+    }
+}
+
 /// Returns whether the allocations on a machine that has been silent for this time are lost.
 fn is_lost(machine: &Machine, silence: Ticks, health_checks: bool) -> bool {
     match health_checks {
         true => silence >= LOST_AFTER,
-        false => {
-            silence >= UNREACHABLE_AFTER && machine.failed_connections >= MIN_FAILED_CONNECTIONS
-        }
+        false => machine
+            .connection_failures
+            .is_some_and(|failures| failures.show_loss()),
     }
 }
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -8,7 +8,9 @@
 mod usage_history;
 
 pub use capacity_index::{AllocationGroup, AvailableCapacity, CapacityIndex};
-pub use machine::{Machine, PlacedAllocation, Rejection, ReportedUsage, Reservation};
+pub use machine::{
+    ConnectionFailures, Machine, PlacedAllocation, Rejection, ReportedUsage, Reservation,
+};
 pub use retry_schedule::RetrySchedule;
 pub use service_placements::{ReplicaCount, ServicePlacements};
 pub use statistics::{ClusterSummary, LearnedStatistics};
--- a/crates/scheduler/src/state/machine.rs
+++ b/crates/scheduler/src/state/machine.rs
@@ -98,6 +98,40 @@
     pub allocation: AllocationId,
 }
 
+/// Connections to a machine that were opened one after the other and not established.
+#[derive(Clone, Copy)]
+pub struct ConnectionFailures {
+    /// The time at which the first one was opened.
+    first_opened_at: Ticks,
+    /// The time at which the last one was opened.
+    last_opened_at: Ticks,
+    /// The number of connections.
+    pub count: u32,
+}
+
+impl ConnectionFailures {
+    /// Creates a record without a connection, for one that was opened at the given time.
+    pub fn new(opened_at: Ticks) -> ConnectionFailures {
+        ConnectionFailures {
+            first_opened_at: opened_at,
+            last_opened_at: opened_at,
+            count: 0,
+        }
+    }
+
+    /// Records a connection that was not established.
+    pub fn record(&mut self, opened_at: Ticks) {
+        self.first_opened_at = self.first_opened_at.min(opened_at);
+        self.last_opened_at = self.last_opened_at.max(opened_at);
+        self.count = self.count.saturating_add(1);
+    }
+
+    /// Returns the time for which the machine has certainly been unreachable.
+    pub fn duration(&self) -> Ticks {
+        self.last_opened_at - self.first_opened_at
+    }
+}
+
 /// The known state of a machine.
 #[derive(Default)]
 pub struct Machine {
@@ -129,15 +163,15 @@
     /// The time from which its silence counts: that of its last answer or metric, of a later
     /// dispatch while it held none of our allocations, or of the loss of its allocations.
     pub last_heard_at: Ticks,
-    /// The number of connections that could not be established since `last_heard_at`.
-    pub failed_connections: u32,
+    /// The connections that were opened after `last_heard_at` and not established.
+    pub connection_failures: Option<ConnectionFailures>,
 }
 
 impl Machine {
     /// Records a sign of life.
     pub fn record_heard(&mut self, now: Ticks) {
         self.last_heard_at = now;
-        self.failed_connections = 0;
+        self.connection_failures = None;
     }
 
     /// Returns whether it takes allocations, according to the endpoint list.
--- a/crates/scheduler/tests/silent_machines.rs
+++ b/crates/scheduler/tests/silent_machines.rs
@@ -50,9 +50,9 @@
         }
     }
 
-    /// Polls until the machine has been silent for that time. Each requested connection ends with
-    /// `result`, or without any.
-    fn run_until(&mut self, silence: Ticks, result: Option<ConnectionResult>) {
+    /// Polls until the machine has been silent for that time. Each requested connection is
+    /// established or fails as the machine is reachable or not, or nothing is known of it.
+    fn run_until(&mut self, silence: Ticks, reachable: Option<bool>) {
         while self.host.now < self.silent_since + silence {
             let now = self.host.now;
             let poll = self.host.scheduler.poll(now);
@@ -62,6 +62,11 @@
             }
             for machine in poll.connection_checks {
                 assert_eq!(machine, MachineId(0), "the other machine runs nothing");
+                let opened_at = now;
+                let result = reachable.map(|reachable| match reachable {
+                    true => ConnectionResult::Established,
+                    false => ConnectionResult::Failed { opened_at },
+                });
                 if let Some(result) = result {
                     self.host.scheduler.record_connection(now, machine, result);
                 }
@@ -75,41 +80,41 @@
 #[test]
 fn allocations_on_an_unreachable_machine_are_lost_in_time_to_be_released() {
     let mut machine = SilentMachine::new();
-    machine.run_until(RELEASE_LIMIT, Some(ConnectionResult::Failed));
+    machine.run_until(RELEASE_LIMIT, Some(false));
     let lost_after = machine.lost_after.expect("lost");
     assert!(lost_after > PARTITION, "lost after {lost_after} ticks");
 }
 
 /// Guards against releasing allocations that still run: the process hangs, or is just idle, but its
 /// machine accepts connections; or nothing is known of connections.
-#[test_case(Some(ConnectionResult::Established); "its machine accepts connections")]
+#[test_case(Some(true); "its machine accepts connections")]
 #[test_case(None; "no connection could be tried")]
-fn allocations_on_a_silent_machine_are_kept_without_evidence(result: Option<ConnectionResult>) {
+fn allocations_on_a_silent_machine_are_kept_without_evidence(reachable: Option<bool>) {
     let mut machine = SilentMachine::new();
-    machine.run_until(60 * SECOND, result);
+    machine.run_until(60 * SECOND, reachable);
     assert_eq!(machine.lost_after, None);
 }
 
 #[test]
 fn allocations_outlast_a_partition_of_their_machine() {
     let mut machine = SilentMachine::new();
-    machine.run_until(PARTITION, Some(ConnectionResult::Failed));
-    machine.run_until(4 * PARTITION, Some(ConnectionResult::Established));
+    machine.run_until(PARTITION, Some(false));
+    machine.run_until(4 * PARTITION, Some(true));
     assert_eq!(machine.lost_after, None);
 }
 
 #[test]
 fn a_metric_counts_as_a_sign_of_life() {
     let mut machine = SilentMachine::new();
-    machine.run_until(PARTITION, Some(ConnectionResult::Failed));
+    machine.run_until(PARTITION, Some(false));
     let heard_at = machine.host.now;
     let running = AllocationId(1);
     machine
         .host
         .scheduler
         .record_metric(heard_at, running, Metric::Running);
-    machine.run_until(PARTITION + 7 * SECOND, Some(ConnectionResult::Failed));
+    machine.run_until(PARTITION + 7 * SECOND, Some(false));
     assert_eq!(machine.lost_after, None, "7 s after it was heard of again");
-    machine.run_until(PARTITION + RELEASE_LIMIT, Some(ConnectionResult::Failed));
+    machine.run_until(PARTITION + RELEASE_LIMIT, Some(false));
     assert!(machine.lost_after.is_some());
 }
