Keep the tasks of a node's next process when its former one has drained and stopped

Cause: a refused connection to a draining node sets a timer 6 s ahead, which ends the tasks that were sent before the refusal. `timer_fired` (platform/src/core/inputs.rs) passed the time at which the timer fires in place of that of the refusal. Now the time of the refusal is passed, and a node that is listed as gone loses its timer, since its tasks have ended by then.

Test: over loopback, a node drains, stops and is back at its address, listed as gone in between or not. Both cases failed before (the task on the next process is released) and hold now.

--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -30,6 +30,8 @@
             for connection in self.connections.all_to(machine) {
                 self.remove_connection(now, engine, connection, ConnectionEnd::ConnectTimeout);
             }
+            self.timers
+                .retain(|(_, timer)| *timer != Timer::Unreachable(machine));
             self.connections.forget_machine(machine);
             self.nodes.remove_node(machine);
         }
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -53,7 +53,11 @@
                     Timer::Stop(id) => {
                         state.task_ended(now, engine, id, AttemptResult::Cancelled, None, None)
                     }
-                    Timer::Unreachable(machine) => state.machine_lost(now, engine, machine, at),
+                    Timer::Unreachable(machine) => {
+                        // What was sent later went to another process of the node.
+                        let refused_at = at - UNREACHABLE_TIMEOUT;
+                        state.machine_lost(now, engine, machine, refused_at);
+                    }
                     Timer::HealthCheck(check) => {
                         if let Some(HealthCheck {
                             machine,
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -102,7 +102,8 @@
     Stop(AllocationId),
     /// The timeout of a health check.
     HealthCheck(u64),
-    /// The time when the tasks on an unreachable machine must be reported as ended.
+    /// The time when the tasks that were sent to a machine before it refused a connection must be
+    /// reported as ended, [`UNREACHABLE_TIMEOUT`](super::UNREACHABLE_TIMEOUT) after the refusal.
     Unreachable(MachineId),
 }
 
--- a/crates/platform/tests/harness/mod.rs
+++ b/crates/platform/tests/harness/mod.rs
@@ -373,6 +373,11 @@
         self.listener = None;
     }
 
+    /// Starts another process of the node at the same address.
+    pub fn listen_again(&mut self) {
+        self.listener = Some(TcpListener::bind(self.address).expect("the address is free"));
+    }
+
     /// Fills the listener's backlog, so that further connections are neither established nor
     /// refused. The returned streams keep it full.
     pub fn fill_backlog(&mut self) -> Vec<TcpStream> {
--- a/crates/platform/tests/silence/mod.rs
+++ b/crates/platform/tests/silence/mod.rs
@@ -100,3 +100,37 @@
     drop(connection);
     assert_eq!(client.receive().task, 8, "its process is dead");
 }
+
+/// Guards against releasing the tasks of a node's next process: the timer that ends those of the
+/// former one, which drained and stopped, is still running when the node is back.
+#[test_case(true; "listed as gone in between")]
+#[test_case(false; "not listed as gone")]
+fn tasks_of_a_restarted_node_outlast_the_timer_of_its_former_process(listed_as_gone: bool) {
+    let mut harness = Harness::new(1);
+    let (mut client, connection) = harness.running_task(7);
+    harness.send_event(0, "leaving");
+    harness.nodes[0].stop_listening();
+    drop(connection);
+    let stopped_at = Instant::now();
+    assert!(client.silent_for(Duration::from_millis(300)));
+    if listed_as_gone {
+        harness.send_event(0, "left");
+        assert_eq!(client.receive().task, 7);
+    }
+    harness.nodes[0].listen_again();
+    harness.send_event(0, "active");
+    client.send_set_up(8, &[]);
+    let mut connection = harness.nodes[0].accept_connection();
+    assert_eq!(connection.receive().task_id, Some(8));
+    connection.send(ready(8, "made"));
+    assert_eq!(client.receive().message_type, MessageType::Answer);
+    if !listed_as_gone {
+        assert_eq!(client.receive().task, 7, "it ended with the former process");
+    }
+    while stopped_at.elapsed() < RELEASE_LIMIT {
+        connection.send(notification(8));
+        assert!(client.silent_for(Duration::from_millis(500)));
+    }
+    connection.send(node::Message::new(node::MessageType::Close, 8).with_cause(16));
+    assert_eq!(client.receive().task, 8);
+}
