--- a/crates/platform/tests/harness/mod.rs
+++ b/crates/platform/tests/harness/mod.rs
@@ -433,7 +433,8 @@
 
     /// Returns whether nothing arrives for the given time.
     pub fn silent_for(&mut self, time: Duration) -> bool {
-        silent_for(&mut self.stream, time)
+        let received = self.reader.next_message().expect("a valid message");
+        received.is_none() && silent_for(&mut self.stream, time)
     }
 
     /// Waits for the next input, and returns whether it is the end of the dispatcher's side.
@@ -551,6 +552,7 @@
     }
 
     pub fn silent_for(&mut self, time: Duration) -> bool {
-        silent_for(&mut self.stream, time)
+        let received = self.reader.next_message().expect("a valid message");
+        received.is_none() && silent_for(&mut self.stream, time)
     }
 }
