Count a failed answer to a health check as a sign of life

An answer shows that the machine is alive, whatever it says; `record_health_check` counted only good ones. It stays a fault of nothing, as before.

Test: without I/O, a machine that answers each check with a failure keeps its allocations (it lost them before), and one that answers none loses them.

--- a/crates/scheduler/src/policy/liveness.rs
+++ b/crates/scheduler/src/policy/liveness.rs
@@ -115,6 +115,8 @@
                 target.consecutive_timeouts = 0;
                 target.record_heard(now);
             }
+            // The machine is alive, whatever the check has failed for.
+            AttemptResult::Error => target.record_heard(now),
             AttemptResult::TimedOut | AttemptResult::ConnectFailed
                 if !self.cluster.caller_detects_losses =>
             {
--- a/crates/scheduler/tests/silent_machines.rs
+++ b/crates/scheduler/tests/silent_machines.rs
@@ -1,5 +1,5 @@
-//! Tests when the allocations on a machine from which nothing is heard count as lost, where health
-//! checks may not be sent.
+//! Tests when the allocations on a machine from which nothing is heard count as lost, above all where
+//! health checks may not be sent.
 
 // The fake host has helpers that only the scenario tests use.
 #[allow(dead_code)]
@@ -118,3 +118,30 @@
     machine.run_until(PARTITION + RELEASE_LIMIT, Some(false));
     assert!(machine.lost_after.is_some());
 }
+
+/// Guards against releasing allocations that still run on a machine that answers its health checks,
+/// but with a failure.
+#[test_case(AttemptResult::Error, false; "a failure is an answer")]
+#[test_case(AttemptResult::TimedOut, true; "no answer")]
+fn a_failed_health_check_counts_as_a_sign_of_life_only_if_it_is_answered(
+    result: AttemptResult,
+    is_lost: bool,
+) {
+    let cluster = Cluster {
+        health_checks: true,
+        ..without_health_checks()
+    };
+    let mut host = Host::new(cluster, 1, 2);
+    host.add_running(1, SMALL, SMALL, 0, 0);
+    let (until, mut lost) = (host.now + RELEASE_LIMIT, Vec::new());
+    while host.now < until {
+        let poll = host.scheduler.poll(host.now);
+        lost.extend(poll.lost);
+        for machine in poll.health_checks {
+            host.scheduler
+                .record_health_check(host.now, machine, result, None);
+        }
+        host.now += POLL_INTERVAL;
+    }
+    assert_eq!(!lost.is_empty(), is_lost);
+}
