Keep the last connection to a draining node open after an unanswered attempt

The node accepts no other, so 6 s later its tasks were released while they ran.

Test: over loopback, such a node goes on with its task's notes and release for 8 s. It was written with the mend; it was not run without it.

--- a/crates/platform/src/node_connections/closing.rs
+++ b/crates/platform/src/node_connections/closing.rs
@@ -224,13 +224,18 @@
     }
 
     /// Closes a draining connection once its node has been heard since. A process that hangs may
-    /// still write releases on it, which would be lost.
+    /// still write releases on it, which would be lost. The last connection to a draining node with
+    /// tasks is kept, because that node may accept no other.
     fn close_drained(&mut self, id: ConnectionId, now: Ticks, nodes: &Nodes) {
         let connection = &self.connections[&id];
         let since = connection.draining_since.unwrap_or(now);
         let machine = connection.machine;
         let heard_at = self.heard_at.get(&machine);
         let is_responsive = heard_at.is_some_and(|at| *at > since);
+        if nodes.is_draining(machine) && nodes.has_tasks(machine) && self.all_to(machine).len() == 1
+        {
+            return;
+        }
         if is_responsive || !nodes.has_tasks(machine) || since + self.idle_timeout <= now {
             self.close(id, CloseReason::Unanswered, now);
         }
--- a/crates/platform/tests/silence/mod.rs
+++ b/crates/platform/tests/silence/mod.rs
@@ -2,7 +2,7 @@
 //! released, and what may still run is not.
 
 use crate::harness::*;
-use corkspan_platform_wire::client::{CAUSE, MessageType};
+use corkspan_platform_wire::client::{CAUSE, MessageType, TIME_LEFT};
 use corkspan_platform_wire::node::{self, AttributeValue};
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -134,3 +134,24 @@
     connection.send(node::Message::new(node::MessageType::Close, 8).with_cause(16));
     assert_eq!(client.receive().task, 8);
 }
+
+/// Guards against cutting off a draining node, which accepts no other connection, because an attempt
+/// on its last one was not answered in time: its tasks would be released while they run.
+#[test]
+fn the_last_connection_to_a_draining_node_outlasts_an_unanswered_attempt() {
+    let mut harness = Harness::new(1);
+    let (mut client, mut connection) = harness.running_task(7);
+    client.send_set_up(8, &[(TIME_LEFT, b"600")]);
+    assert_eq!(connection.receive().task_id, Some(8));
+    harness.send_event(0, "leaving");
+    harness.nodes[0].stop_listening();
+    assert_eq!(client.receive().task, 8, "its attempt has timed out");
+    let since = Instant::now();
+    while since.elapsed() < RELEASE_LIMIT {
+        connection.send(notification(7));
+        assert!(client.silent_for(Duration::from_millis(500)));
+    }
+    connection.send(node::Message::new(node::MessageType::Close, 7).with_cause(16));
+    let release = client.receive();
+    assert_eq!(release.parameter(CAUSE), Some(&[16][..]));
+}
