Check the connection of a machine only after a silence that is unusual for it

Machines there are often silent for a second and more, and where nothing is wrong each check is for nothing.

Change: the silence after which connections are opened follows the times between the machine's own messages (a decaying mean weighted by length, times 1.25), 1 s at the least and 3 s at the most. A machine whose tasks send notes each second or more often is checked as soon as before, and so is one that has never sent two messages.

The tests of silent machines pass; one failed on the way, since the gap of an outage counted as usual, which it no longer does.

--- a/crates/scheduler/src/policy/liveness.rs
+++ b/crates/scheduler/src/policy/liveness.rs
@@ -6,12 +6,16 @@
 /// Time without any answer, health checks included, after which the allocations on a machine count
 /// as lost.
 const LOST_AFTER: Ticks = 5 * SECOND;
-/// Time without any answer after which connections are opened to a machine where health checks may
-/// not be sent.
-const CONNECTION_CHECK_AFTER: Ticks = SECOND;
+/// Shortest time without any answer after which connections are opened to a machine where health
+/// checks may not be sent.
+const MIN_CONNECTION_CHECK_AFTER: Ticks = SECOND;
+/// Longest such time, for a machine that is often silent: each connection costs it work.
+const MAX_CONNECTION_CHECK_AFTER: Ticks = 3 * SECOND;
+/// The usual time between two messages of a machine is multiplied by this to tell that it is silent.
+const SILENT_GAP_MULTIPLE: f64 = 1.25;
 /// The longest partition that allocations outlast where health checks may not be sent. The
 /// platform's protocol leaves 8 s from an allocation's end to its release, of which
-/// [`CONNECTION_CHECK_AFTER`] and the time for the last connections remain.
+/// [`MIN_CONNECTION_CHECK_AFTER`] and the time for the last connections remain.
 const MAX_PARTITION: Ticks = 6 * SECOND;
 /// Minimum number of failed connections before the allocations on a machine count as lost. A few
 /// connections fail or are late although the machine is alive.
@@ -63,15 +67,15 @@
             return;
         }
         let health_checks = self.cluster.health_checks;
-        let check_after = match health_checks {
-            true => CAPACITY_TURNOVER,
-            false => CONNECTION_CHECK_AFTER,
-        };
         for (&id, machine) in &mut self.machines {
             let placed = machine.allocations.iter();
             let placed = placed.filter(|(_, placed)| placed.placed);
             let placed: Vec<AllocationId> = placed.map(|(&id, _)| id).collect();
             let silence = now.saturating_sub(machine.last_heard_at);
+            let check_after = match health_checks {
+                true => CAPACITY_TURNOVER,
+                false => connection_check_after(machine),
+            };
             if placed.is_empty() || silence < check_after {
                 continue;
             }
@@ -113,10 +117,10 @@
         match result {
             AttemptResult::Completed => {
                 target.consecutive_timeouts = 0;
-                target.record_heard(now);
+                target.record_message(now);
             }
             // The machine is alive, whatever the check has failed for.
-            AttemptResult::Error => target.record_heard(now),
+            AttemptResult::Error => target.record_message(now),
             AttemptResult::TimedOut | AttemptResult::ConnectFailed
                 if !self.cluster.caller_detects_losses =>
             {
@@ -162,6 +166,13 @@
     }
 }
 
+/// Returns the time of silence after which connections are opened to a machine.
+fn connection_check_after(machine: &Machine) -> Ticks {
+    let usual_gap = machine.message_gaps.usual().unwrap_or(0.0);
+    let unusual_gap = (usual_gap * SILENT_GAP_MULTIPLE) as Ticks;
+    unusual_gap.clamp(MIN_CONNECTION_CHECK_AFTER, MAX_CONNECTION_CHECK_AFTER)
+}
+
 /// Returns whether the allocations on a machine that has been silent for this time are lost.
 fn is_lost(machine: &Machine, silence: Ticks, health_checks: bool) -> bool {
     match health_checks {
--- a/crates/scheduler/src/state/machine.rs
+++ b/crates/scheduler/src/state/machine.rs
@@ -2,6 +2,7 @@
 
 use super::NEVER;
 use crate::interface::*;
+use crate::policy::MEAN_RETENTION;
 use std::collections::{BTreeMap, VecDeque};
 
 /// One of our allocations on a machine, from its dispatch until the machine has reported its end.
@@ -98,6 +99,36 @@
     pub allocation: AllocationId,
 }
 
+/// The times between a machine's messages, as decaying sums.
+#[derive(Clone, Copy, Default)]
+pub struct MessageGaps {
+    last_message_at: Option<Ticks>,
+    /// The sum of the gaps.
+    total: f64,
+    /// The sum of the gaps' squares.
+    squares: f64,
+}
+
+impl MessageGaps {
+    /// Records a message. A gap in which the machine was out of reach says nothing about the usual
+    /// ones.
+    fn record(&mut self, now: Ticks, was_unreachable: bool) {
+        let last = self.last_message_at.replace(now);
+        let Some(last) = last.filter(|_| !was_unreachable) else {
+            return;
+        };
+        let gap = now.saturating_sub(last) as f64;
+        self.total = self.total * MEAN_RETENTION + gap;
+        self.squares = self.squares * MEAN_RETENTION + gap * gap;
+    }
+
+    /// Returns the mean length of the gap that is in progress at a given moment; `None` if no gap
+    /// is known.
+    pub fn usual(&self) -> Option<f64> {
+        (self.total > 0.0).then(|| self.squares / self.total)
+    }
+}
+
 /// Connections to a machine that were opened one after the other and not established.
 #[derive(Clone, Copy)]
 pub struct ConnectionFailures {
@@ -163,11 +194,20 @@
     /// The time from which its silence counts: that of its last answer or metric, of a later
     /// dispatch while it held none of our allocations, or of the loss of its allocations.
     pub last_heard_at: Ticks,
+    /// The times between its answers and metrics.
+    pub message_gaps: MessageGaps,
     /// The connections that were opened after `last_heard_at` and not established.
     pub connection_failures: Option<ConnectionFailures>,
 }
 
 impl Machine {
+    /// Records an answer or a metric.
+    pub fn record_message(&mut self, now: Ticks) {
+        self.message_gaps
+            .record(now, self.connection_failures.is_some());
+        self.record_heard(now);
+    }
+
     /// Records a sign of life.
     pub fn record_heard(&mut self, now: Ticks) {
         self.last_heard_at = now;
--- a/crates/scheduler/src/updates.rs
+++ b/crates/scheduler/src/updates.rs
@@ -68,7 +68,7 @@
         let Some(machine) = machine.and_then(|machine_id| self.machines.get_mut(machine_id)) else {
             return;
         };
-        machine.record_heard(now);
+        machine.record_message(now);
         let Some(placed) = machine.allocations.get_mut(&id) else {
             return;
         };
