Send the end of a task to every connection that may be its client's next

Cause, from a trace of one task by its id: send_to_any_client took the connection that was active last, whoever's it was, and counted the end as delivered.

Change: the protocol has no field that tells whose a connection is. An end whose connection is gone is now kept for the longest deadline and 8 s, and sent once on each connection that may belong to its client, open or new. Kept ends are bounded by the number of tasks; beyond, the oldest goes (before, the newest beyond 1,024). Queued ends are typed (TaskEnd) in place of bytes. A task that ended meanwhile and is handed over again is told as ended and not taken over as running.

Tests: two of core/clients fail on the former code (0 copies on the next connection; 1 task placed where none may be); the third holds the bounds.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -8,6 +8,7 @@
 use crate::node_connections::{Eviction, NodeConnections, NodeSide};
 use crate::nodes::Nodes;
 use crate::reader::{ConnectionInput, ReadOutcome, ReadProgress};
+use crate::task_end::{TaskEnd, TaskEndKind};
 use crate::writer::{MessageQueue, message_queue};
 use client_connections::ClientConnection;
 use corkspan_engine::{Engine, RetryBatch, ReturnedAttempt};
@@ -23,12 +24,16 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use undelivered_ends::{EndNumber, UndeliveredEnds};
 
 mod attempts;
 #[cfg(test)]
 #[path = "../tests/core/bounds.rs"]
 mod bounds;
 mod client_connections;
+#[cfg(test)]
+#[path = "../tests/core/clients.rs"]
+mod clients;
 mod endpoint_list;
 mod engine_effects;
 mod inputs;
@@ -45,6 +50,7 @@
 #[cfg(test)]
 #[path = "../tests/core/transcript.rs"]
 mod transcript;
+mod undelivered_ends;
 
 /// The way in which a connection to a node ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,7 +135,7 @@
     clients: BTreeMap<ClientId, ClientConnection>,
     max_clients: usize,
     clients_accepted: u64,
-    undelivered: VecDeque<Vec<u8>>,
+    undelivered_ends: UndeliveredEnds,
     /// Ordered from the oldest to the newest.
     early_ends: VecDeque<EarlyEnd>,
     nodes: Nodes,
@@ -193,7 +199,7 @@
                 clients: BTreeMap::new(),
                 max_clients: options.max_clients,
                 clients_accepted: 0,
-                undelivered: VecDeque::new(),
+                undelivered_ends: UndeliveredEnds::default(),
                 early_ends: VecDeque::new(),
                 nodes: Nodes::default(),
                 connections,
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -24,6 +24,8 @@
     pub(super) valid: bool,
     /// The time since when the input has ended with part of a message.
     pub(super) partial_since: Option<Ticks>,
+    /// The last of the undelivered ends that was copied to the connection.
+    pub(super) copied_ends: EndNumber,
 }
 
 /// Whether a message of a client could be used.
@@ -165,13 +167,7 @@
         let valid = validity == MessageValidity::Valid;
         if let Some(client) = self.clients.get_mut(&id).filter(|_| valid) {
             (client.valid, client.last_active_at) = (true, now);
-            while self
-                .undelivered
-                .front()
-                .is_some_and(|message| client.sender.send_task_end(message.clone()))
-            {
-                self.undelivered.pop_front();
-            }
+            client.copy_undelivered_ends(&self.undelivered_ends);
         }
         self.clients.contains_key(&id)
     }
@@ -197,6 +193,7 @@
         closed
             .into_iter()
             .for_each(|id| self.close_client(now, engine, id));
+        self.sweep_undelivered_ends(now);
         self.sweep_node_connections(now);
     }
 
@@ -235,6 +232,17 @@
 }
 
 impl ClientConnection {
+    /// Sends the undelivered ends that the connection has not been sent yet, as far as its queue has
+    /// room.
+    pub(super) fn copy_undelivered_ends(&mut self, ends: &UndeliveredEnds) {
+        while let Some((number, end)) = ends.next_after(self.copied_ends) {
+            if !self.sender.send_task_end_copy(end) {
+                return;
+            }
+            self.copied_ends = number;
+        }
+    }
+
     /// Reads the input that has arrived, up to [`READ_AHEAD_BYTES`].
     fn read_ahead(&mut self, now: Ticks) -> ReadOutcome {
         let Some(input) = &self.input else {
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -3,7 +3,7 @@
 use super::pending_task::{ActiveAttempt, PendingTask, TaskStage, task_key};
 use super::*;
 use corkspan_engine::Effects;
-use corkspan_platform_wire::client::{self, MessageType};
+use corkspan_platform_wire::client;
 use corkspan_platform_wire::node::AttributeValue;
 use tracing::debug;
 
@@ -73,7 +73,11 @@
     fn migrate(&mut self, pending: &mut PendingTask, allocation: &Allocation) {
         debug!(task = task_key(pending.task), "migration requested");
         if self.record_task_end(pending) {
-            self.send_task_end(pending.client, MessageType::Migrate, pending.task, &[]);
+            let end = TaskEnd {
+                task: pending.task,
+                kind: TaskEndKind::Migrated,
+            };
+            self.send_task_end(pending.client, end);
             self.timers
                 .insert((self.now + STOP_TIMEOUT, Timer::Stop(allocation.id)));
         }
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -99,6 +99,7 @@
                 last_active_at: now,
                 valid: false,
                 partial_since: None,
+                copied_ends: EndNumber::default(),
             };
             state.clients.insert(id, client);
             Some((id, queue))
@@ -140,11 +141,10 @@
     }
 
     /// Sends ends of running tasks that could not be delivered on their client's connection.
-    pub fn redeliver(&mut self, now: Ticks, messages: Vec<Vec<u8>>) {
+    pub fn redeliver(&mut self, now: Ticks, ends: Vec<TaskEnd>) {
         self.process_event(now, |_, state| {
-            messages
-                .into_iter()
-                .for_each(|message| state.send_to_any_client(message))
+            ends.into_iter()
+                .for_each(|end| state.send_to_possible_clients(end))
         });
     }
 
@@ -242,7 +242,7 @@
     /// Returns the number of retained items, for tests of bounds and for the log.
     pub fn retained_items(&self) -> usize {
         let PlatformCore { engine, state } = self;
-        let entries = state.undelivered.len()
+        let entries = state.undelivered_ends.len()
             + state.deferred.len()
             + state.health_checks.len()
             + state.timers.len()
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -2,7 +2,8 @@
 
 use corkspan_scheduler::interface::Ticks;
 
-pub(super) const SECOND: Ticks = 10_000;
+pub(super) const TICKS_PER_MS: Ticks = 10;
+pub(super) const SECOND: Ticks = 1_000 * TICKS_PER_MS;
 /// Maximum age of the last read of a client's connection when an attempt starts. No attempt may
 /// start more than 0.1 s after its client is gone, and this is a tenth of that.
 pub(super) const MAX_INPUT_AGE: Ticks = 100;
@@ -41,5 +42,8 @@
 pub(super) const MAX_EARLY_ENDS: usize = 1_024;
 /// Time for which the end of an unknown task is remembered.
 pub(super) const EARLY_END_LIFETIME: Ticks = SECOND * 10;
-/// The maximum number of undelivered messages for clients that are kept for the next connection.
-pub(super) const MAX_UNDELIVERED: usize = 1_024;
+/// The maximum number of ends of tasks whose client's connection is gone: all tasks may end while
+/// their clients are away.
+pub(super) const MAX_UNDELIVERED_ENDS: usize = MAX_TASKS;
+/// Time within which the protocol requires that the end of a task be reported to its client.
+pub(super) const END_REPORT_LIMIT: Ticks = SECOND * 8;
--- a/crates/platform/src/core/replies.rs
+++ b/crates/platform/src/core/replies.rs
@@ -1,9 +1,9 @@
 //! Sends messages to clients and records their final answers.
 
-use super::client_connections::ClientConnection;
-use super::pending_task::{PendingTask, TaskStage};
+use super::pending_task::{PendingTask, TaskStage, task_key};
 use super::*;
 use corkspan_platform_wire::client::{self, MessageType};
+use tracing::debug;
 
 impl PlatformState {
     /// Queues a message for a client. Returns false if its connection can't take it.
@@ -33,38 +33,42 @@
         self.send_to_client(to, MessageType::Release, task, &[(client::CAUSE, &[cause])]);
     }
 
-    /// Sends the end of a running task, or the request to migrate it, on the connection of the
-    /// task's set-up, else on any other, else on the next one on which a valid message arrives.
-    pub(super) fn send_task_end(
-        &mut self,
-        to: ClientId,
-        message_type: MessageType,
-        task: u64,
-        parameters: &[(u8, &[u8])],
-    ) {
-        let Some(bytes) = client::encode(message_type, task, parameters) else {
-            return;
-        };
-        if !self
+    /// Sends the end of a running task on the connection of the task's set-up, or on all that may
+    /// belong to its client if that one is gone.
+    pub(super) fn send_task_end(&mut self, to: ClientId, end: TaskEnd) {
+        let sent = self
             .clients
             .get(&to)
-            .is_some_and(|client| client.sender.send_task_end(bytes.clone()))
-        {
-            self.send_to_any_client(bytes);
+            .is_some_and(|client| client.sender.send_task_end(end));
+        if !sent {
+            self.send_to_possible_clients(end);
         }
     }
 
-    /// Sends a message on the most recently active connection that takes it, or keeps it for the
-    /// next one.
-    pub(super) fn send_to_any_client(&mut self, bytes: Vec<u8>) {
-        let valid = self.clients.values().filter(|client| client.valid);
-        let mut candidates: Vec<&ClientConnection> = valid.collect();
-        candidates.sort_by_key(|client| std::cmp::Reverse(client.last_active_at));
-        let delivered = candidates
-            .into_iter()
-            .any(|client| client.sender.send_task_end(bytes.clone()));
-        if !delivered && self.undelivered.len() < MAX_UNDELIVERED {
-            self.undelivered.push_back(bytes);
+    /// Sends the end of a task whose client's connection is gone on every connection that has sent a
+    /// valid message, and keeps it for those that do so later.
+    pub(super) fn send_to_possible_clients(&mut self, end: TaskEnd) {
+        debug!(task = task_key(end.task), kind = ?end.kind, "the connection of an ended task's client is gone");
+        self.undelivered_ends
+            .record(self.now, end, MAX_UNDELIVERED_ENDS);
+        self.copy_undelivered_ends();
+    }
+
+    /// Drops the undelivered ends whose clients had enough time to come back, and copies the others
+    /// to connections whose queues had no room for them.
+    pub(super) fn sweep_undelivered_ends(&mut self, now: Ticks) {
+        // A client that has lost its connection may be shut out until other clients' set-ups have
+        // their answers. From then on an end must be reported within the protocol's limit.
+        let longest_deadline = self.settings.longest_deadline();
+        let lifetime =
+            longest_deadline.unwrap_or(MAX_DEADLINE_MS * TICKS_PER_MS) + END_REPORT_LIMIT;
+        self.undelivered_ends.expire(now, lifetime);
+        self.copy_undelivered_ends();
+    }
+
+    fn copy_undelivered_ends(&mut self) {
+        for client in self.clients.values_mut().filter(|client| client.valid) {
+            client.copy_undelivered_ends(&self.undelivered_ends);
         }
     }
 
--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -3,7 +3,6 @@
 use super::pending_task::{ActiveAttempt, PendingTask, task_key};
 use super::*;
 use corkspan_engine::ReturnedAttempt;
-use corkspan_platform_wire::client::{self, MessageType};
 use tracing::debug;
 
 impl PlatformState {
@@ -63,12 +62,12 @@
         self.timers.retain(|(_, timer)| *timer != Timer::Stop(id));
         debug!(task = task_key(task), machine = ?active.machine, ending = ?result, ?reason, "task ended");
         if self.record_task_end(pending) && result != AttemptResult::Cancelled {
-            let cause = if result == AttemptResult::Completed {
-                client::CAUSE_NORMAL
+            let kind = if result == AttemptResult::Completed {
+                TaskEndKind::Completed
             } else {
-                client::CAUSE_INTERRUPTED
+                TaskEndKind::Interrupted
             };
-            self.send_task_end(to, MessageType::Release, task, &[(client::CAUSE, &[cause])]);
+            self.send_task_end(to, TaskEnd { task, kind });
         }
         self.nodes.remove_task(active.machine, id);
         engine.attempt_returned(
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -90,6 +90,10 @@
         node_name: &str,
     ) -> MessageValidity {
         let task = set_up.task;
+        if self.undelivered_ends.contains(task) {
+            // The task has ended while its client had no connection. Its end is copied to this one.
+            return MessageValidity::Valid;
+        }
         let has_ended = |machine| {
             self.early_ends
                 .iter()
@@ -198,7 +202,7 @@
                 memory: requested.memory,
             });
         }
-        let remaining = remaining_ms * 10;
+        let remaining = remaining_ms * TICKS_PER_MS;
         Ok(AllocationRequest {
             service: service_id(&set_up.service),
             service_class: ServiceClassId(class),
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -4,6 +4,7 @@
 use crate::errors::ReconfigureError;
 use crate::ids::{AttemptId, ClientId, ConnectionId};
 use crate::reader::{ConnectionInput, ReadProgress};
+use crate::task_end::TaskEnd;
 use crate::writer::MessageQueue;
 #[cfg(test)]
 use corkspan_platform_wire::client::Message;
@@ -127,8 +128,8 @@
     }
 
     /// Sends ends of running tasks that could not be delivered on their client's connection.
-    pub fn redeliver(&self, messages: Vec<Vec<u8>>) {
-        self.with_core(|core, now| core.redeliver(now, messages))
+    pub fn redeliver(&self, ends: Vec<TaskEnd>) {
+        self.with_core(|core, now| core.redeliver(now, ends))
     }
 
     /// Records that a connection to a node is established.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,6 +17,7 @@
 mod nodes;
 mod reader;
 mod shutdown;
+mod task_end;
 mod writer;
 
 use crate::core::CoreOptions;
--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -1,6 +1,7 @@
 //! Queues the outgoing messages of a connection and writes them.
 
 use crate::ids::AttemptId;
+use crate::task_end::TaskEnd;
 use async_net::TcpStream;
 use corkspan_runtime::within;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -51,7 +52,7 @@
     /// A set-up. Whether it may still be written is checked right before its first byte.
     SetUp(AttemptId),
     /// The end of a running task. If this connection can't deliver it, another one must.
-    TaskEnd,
+    TaskEnd(TaskEnd),
     Other,
 }
 
@@ -92,8 +93,16 @@
     }
 
     /// Queues the end of a running task. Returns false if the connection can no longer be used.
-    pub fn send_task_end(&self, bytes: Vec<u8>) -> bool {
-        self.enqueue(Purpose::TaskEnd, bytes)
+    pub fn send_task_end(&self, end: TaskEnd) -> bool {
+        end.encode()
+            .is_some_and(|bytes| self.enqueue(Purpose::TaskEnd(end), bytes))
+    }
+
+    /// Queues a copy of the end of a running task, unless much is queued already. Returns false if
+    /// it was not queued. A copy that can't be written is dropped.
+    pub fn send_task_end_copy(&self, end: TaskEnd) -> bool {
+        let queued = self.shared.queued_bytes.load(Ordering::Relaxed);
+        queued < MAX_QUEUED_BYTES / 2 && end.encode().is_some_and(|bytes| self.send(bytes))
     }
 
     fn enqueue(&self, purpose: Purpose, bytes: Vec<u8>) -> bool {
@@ -139,10 +148,22 @@
         let QueuedMessage { purpose, bytes } = self.receiver.try_recv().ok()?;
         match purpose {
             Purpose::SetUp(attempt) => Some((Some(attempt), bytes)),
-            Purpose::TaskEnd | Purpose::Other => Some((None, bytes)),
+            Purpose::TaskEnd(_) | Purpose::Other => Some((None, bytes)),
         }
     }
 
+    /// Removes the next message as if it were written. Returns false if there is none.
+    #[cfg(test)]
+    pub fn write_next_for_test(&self) -> bool {
+        let Ok(message) = self.receiver.try_recv() else {
+            return false;
+        };
+        self.shared
+            .queued_bytes
+            .fetch_sub(message.bytes.len(), Ordering::Relaxed);
+        true
+    }
+
     /// Returns none until the sending end is gone and the queue is empty; then, whether the
     /// connection is half-closed.
     #[cfg(test)]
@@ -194,7 +215,7 @@
     queue: MessageQueue,
     may_write_set_up: impl Fn(AttemptId) -> bool,
     read: impl Future<Output = ()>,
-) -> Vec<Vec<u8>> {
+) -> Vec<TaskEnd> {
     let mut read = pin!(read);
     // Messages may still be queued when the reader ends; they are written before the connection is
     // closed.
@@ -213,7 +234,7 @@
         while let Ok(QueuedMessage { purpose, bytes }) = queue.receiver.try_recv() {
             match purpose {
                 Purpose::SetUp(_) => {}
-                Purpose::TaskEnd if fully_read => undelivered.push(bytes),
+                Purpose::TaskEnd(end) if fully_read => undelivered.push(end),
                 _ if queue.is_discarded() => {}
                 _ if stream.write_all(&bytes).await.is_err() => break,
                 _ => {}
@@ -221,8 +242,10 @@
         }
     };
     within(FLUSH_TIMEOUT, flush).await;
-    while let Ok(QueuedMessage { purpose, bytes }) = queue.receiver.try_recv() {
-        undelivered.extend((purpose == Purpose::TaskEnd).then_some(bytes));
+    while let Ok(QueuedMessage { purpose, .. }) = queue.receiver.try_recv() {
+        if let Purpose::TaskEnd(end) = purpose {
+            undelivered.push(end);
+        }
     }
     if !fully_read && queue.shared.half_close_requested.load(Ordering::Relaxed) {
         let _ = stream.shutdown(Shutdown::Write);
--- /dev/null
+++ b/crates/platform/tests/core/clients.rs
@@ -0,0 +1,164 @@
+//! Tests of clients that affect each other: what one connection sends, holds or loses must not cost
+//! another client its answers or the ends of its tasks.
+
+use super::bounds::{CONFIG, handle_with_config, node_json, set_up, set_up_with_requirements};
+use super::pending_task::task_key;
+use super::*;
+use crate::handle::PlatformHandle;
+use corkspan_platform_wire::client::{self, Message, MessageType, Reader};
+
+const OWNERS_TASK: u64 = 7;
+
+/// Creates a core with one node.
+fn handle() -> Arc<PlatformHandle> {
+    let handle = handle_with_config(CONFIG);
+    let event = format!(
+        r#"{{"n":1,"members":{{"members":[{}]}}}}"#,
+        node_json(1, "active")
+    );
+    handle.apply_event(serde_json::from_str(&event).expect("an event"));
+    handle
+}
+
+fn encoded(message_type: MessageType, task: u64, cause: u8) -> Vec<u8> {
+    client::encode(message_type, task, &[(client::CAUSE, &[cause])]).expect("a short message")
+}
+
+fn message(message_type: MessageType, task: u64, cause: u8) -> Message {
+    let mut reader = Reader::default();
+    reader.push(&encoded(message_type, task, cause));
+    reader.next_message().expect("valid").expect("complete")
+}
+
+fn health_check() -> Message {
+    message(MessageType::HealthCheck, 1, 0)
+}
+
+/// Connects a client that the dispatcher keeps, since it has sent a health check.
+fn connect(handle: &PlatformHandle) -> (ClientId, MessageQueue) {
+    let (id, queue) = handle.client_connected().expect("there is room");
+    assert!(handle.handle_client_message(id, &health_check()));
+    queue.take_all();
+    (id, queue)
+}
+
+/// Returns the connection of a task's active attempt.
+fn connection_of(handle: &PlatformHandle, task: u64) -> ConnectionId {
+    let engine = &mut handle.lock().engine;
+    let id = engine.find(&task_key(task)).expect("admitted");
+    let active = engine.data_mut(id).and_then(|(pending, _)| pending.active);
+    active
+        .and_then(|active| active.connection)
+        .expect("an active attempt")
+}
+
+/// Sends a set-up to the node and writes it.
+fn start_attempt(handle: &PlatformHandle, client: ClientId, task: u64) -> ConnectionId {
+    assert!(handle.handle_client_message(client, &set_up(task)));
+    while handle.run_turn() {}
+    let connection = connection_of(handle, task);
+    handle.connection_established(connection);
+    let allocation = handle.lock().engine.find(&task_key(task));
+    let attempt = AttemptId {
+        allocation: allocation.expect("admitted"),
+        number: 0,
+    };
+    assert!(handle.may_write_set_up(connection, attempt));
+    connection
+}
+
+/// Runs a task of a client.
+fn start_task(handle: &PlatformHandle, client: ClientId, task: u64) -> ConnectionId {
+    let connection = start_attempt(handle, client, task);
+    let answer = node::Message {
+        text: Some("made".into()),
+        ..node::Message::new(node::MessageType::Ready, task)
+    };
+    assert!(handle.handle_node_message(connection, answer));
+    connection
+}
+
+fn node_releases(handle: &PlatformHandle, connection: ConnectionId, task: u64, cause: u32) {
+    let release = node::Message::new(node::MessageType::Close, task).with_cause(cause);
+    assert!(handle.handle_node_message(connection, release));
+}
+
+/// Guards against an end that only another client learns: the connection of a task's client was
+/// closed to make room, and the task ends before that client is let in again.
+#[test]
+fn the_end_of_a_task_reaches_its_client_on_the_next_connection() {
+    let handle = handle();
+    let (owner, owners_queue) = connect(&handle);
+    let connection = start_task(&handle, owner, OWNERS_TASK);
+    let mut others = Vec::new();
+    while owners_queue.ended().is_none() {
+        let (other, queue) = handle.client_connected().expect("an idle one is evicted");
+        let task = 1_000 + others.len() as u64;
+        assert!(handle.handle_client_message(other, &set_up(task)));
+        others.push((other, task, queue));
+        owners_queue.take_all();
+    }
+    node_releases(&handle, connection, OWNERS_TASK, 16);
+    let (last_client, last_task, _) = others.last().expect("others hold all connections");
+    assert!(
+        handle.handle_client_message(*last_client, &message(MessageType::Release, *last_task, 16)),
+        "another client gives up, which makes room"
+    );
+    let (next, queue) = handle.client_connected().expect("there is room");
+    assert!(handle.handle_client_message(next, &health_check()));
+    let released = encoded(MessageType::Release, OWNERS_TASK, client::CAUSE_NORMAL);
+    let copies = queue.take_all();
+    let copies = copies.iter().filter(|bytes| **bytes == released);
+    assert_eq!(copies.count(), 1);
+    assert!(handle.handle_client_message(next, &health_check()));
+    assert!(
+        !queue.take_all().contains(&released),
+        "it is sent once on each connection"
+    );
+}
+
+/// Guards against a task that ends twice for its client, or never: its client hands it over again on
+/// the next connection, after it has ended here.
+#[test]
+fn a_task_that_ended_while_its_client_was_away_is_not_taken_over_again() {
+    let handle = handle();
+    let (owner, _owners_queue) = connect(&handle);
+    let connection = start_task(&handle, owner, OWNERS_TASK);
+    handle.client_disconnected(owner);
+    node_releases(&handle, connection, OWNERS_TASK, 16);
+    let (next, queue) = handle.client_connected().expect("there is room");
+    let handed_over = set_up_with_requirements(OWNERS_TASK, "cores:1;memory:1;service:a;at:s-1");
+    assert!(handle.handle_client_message(next, &handed_over));
+    let released = encoded(MessageType::Release, OWNERS_TASK, client::CAUSE_NORMAL);
+    assert_eq!(queue.take_all(), [released]);
+    assert_eq!(handle.lock().engine.counts().placed, 0);
+}
+
+/// Guards against ends that accumulate, and against a connection that is closed because too many
+/// are queued on it at once.
+#[test]
+fn undelivered_ends_are_bounded_and_expire() {
+    let handle = handle();
+    let mut core = handle.lock();
+    for task in 1..=2 * MAX_UNDELIVERED_ENDS as u64 {
+        let kind = TaskEndKind::Completed;
+        core.state.send_to_possible_clients(TaskEnd { task, kind });
+    }
+    assert_eq!(core.state.undelivered_ends.len(), MAX_UNDELIVERED_ENDS);
+    drop(core);
+    let (client, queue) = handle.client_connected().expect("there is room");
+    let mut copies = 0;
+    for _ in 0..8 {
+        assert!(handle.handle_client_message(client, &health_check()));
+        assert!(queue.ended().is_none(), "the connection is kept");
+        let mut written = 0;
+        while queue.write_next_for_test() {
+            written += 1;
+        }
+        copies += written - 1;
+    }
+    assert_eq!(copies, MAX_UNDELIVERED_ENDS, "all are sent in the end");
+    let PlatformCore { engine, state } = &mut *handle.lock();
+    state.sweep(state.now + SECOND * 1_000, engine);
+    assert_eq!(state.undelivered_ends.len(), 0);
+}
--- a/crates/platform/tests/writer/fairness.rs
+++ b/crates/platform/tests/writer/fairness.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::ids::AttemptId;
 use crate::reader::{ConnectionInput, ReadOutcome, ReadProgress};
+use crate::task_end::TaskEndKind;
 use corkspan_scheduler::interface::AllocationId;
 use futures_lite::future;
 use std::io::Write;
@@ -120,7 +121,7 @@
         tasks.spawn(async move { run_connection(stream, queue, |_| true, read).await });
     assert_eq!(
         future::block_on(tasks.run(undelivered)),
-        Vec::<Vec<u8>>::new()
+        Vec::<TaskEnd>::new()
     );
     let mut written = String::new();
     std::io::Read::read_to_string(&mut peer, &mut written).expect("valid text");
@@ -134,8 +135,12 @@
     drop(peer);
     let input = ConnectionInput::new(stream.clone());
     while input.read(|_| ()) != ReadOutcome::Closed {}
-    assert!(sender.send_task_end(b"over".to_vec()) && sender.send(b"other".to_vec()));
+    let end = TaskEnd {
+        task: 7,
+        kind: TaskEndKind::Completed,
+    };
+    assert!(sender.send_task_end(end) && sender.send(b"other".to_vec()));
     let undelivered =
         tasks.spawn(async move { run_connection(stream, queue, |_| true, async {}).await });
-    assert_eq!(future::block_on(tasks.run(undelivered)), [b"over".to_vec()]);
+    assert_eq!(future::block_on(tasks.run(undelivered)), [end]);
 }
