Ignore a client's release of another connection's open set-up

Cause, from a trace of one request by its id: handle_release found the task by its id alone and cancelled an open set-up without asking on which connection it was set up.

Change: an open set-up is given up on its own connection only. Before, the same two messages also ended the other's running task. Running tasks are still released on any connection, as the protocol allows.

Tests: three of core/clients fail on the former code (no answer; 0 running; no bound), a fourth holds what stays allowed.

--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -16,6 +16,9 @@
     pub(super) input_read_at: Ticks,
     /// The set-ups without a final answer.
     pub(super) open_set_ups: BTreeSet<u64>,
+    /// The ids of set-ups that were rejected because another connection has a task with that id. A
+    /// release of such an id gives up the rejected set-up, and not that task.
+    pub(super) rejected_duplicates: BTreeSet<u64>,
     /// The number of running tasks that were set up on the connection.
     pub(super) running: usize,
     pub(super) connected_at: Ticks,
@@ -116,15 +119,17 @@
     /// Handles a peer that has closed its side: cancels its open set-ups, and still handles the
     /// releases that it has sent.
     fn client_closed(&mut self, now: Ticks, engine: &mut Engine<PendingTask>, id: ClientId) {
-        let reader = self
-            .clients
-            .get_mut(&id)
-            .map(|client| std::mem::take(&mut client.reader));
+        let Some(client) = self.clients.get_mut(&id) else {
+            return;
+        };
+        let mut reader = std::mem::take(&mut client.reader);
+        let rejected_duplicates = std::mem::take(&mut client.rejected_duplicates);
         self.close_client(now, engine, id);
-        let mut reader = reader.unwrap_or_default();
         while let Ok(Some(message)) = reader.next_message() {
-            if message.message_type == MessageType::Release {
-                self.handle_release(now, engine, &message);
+            if message.message_type == MessageType::Release
+                && !rejected_duplicates.contains(&message.task)
+            {
+                self.handle_release(now, engine, id, &message);
             }
         }
     }
@@ -143,8 +148,11 @@
         client.partial_since = None;
         let validity = match message.message_type {
             MessageType::SetUp => self.handle_set_up(now, engine, id, message),
+            MessageType::Release if client.rejected_duplicates.remove(&message.task) => {
+                MessageValidity::Unusable
+            }
             MessageType::Release => {
-                if self.handle_release(now, engine, message) {
+                if self.handle_release(now, engine, id, message) {
                     MessageValidity::Valid
                 } else {
                     MessageValidity::Unusable
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -94,6 +94,7 @@
                 reader: Reader::default(),
                 input_read_at: now,
                 open_set_ups: BTreeSet::new(),
+                rejected_duplicates: BTreeSet::new(),
                 running: 0,
                 connected_at: now,
                 last_active_at: now,
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -55,8 +55,7 @@
             Err(_) if is_open_here => return MessageValidity::Violation,
             Err(error) => {
                 debug!(%error, "rejecting an invalid set-up");
-                self.send_release(from, task, client::CAUSE_FAILED);
-                return MessageValidity::Unusable;
+                return self.reject_set_up(from, task, client::CAUSE_FAILED, exists);
             }
         };
         if exists && set_up.running_on.is_some() {
@@ -66,8 +65,7 @@
             return MessageValidity::Violation;
         }
         if exists {
-            self.send_release(from, task, client::CAUSE_FAILED);
-            return MessageValidity::Unusable;
+            return self.reject_set_up(from, task, client::CAUSE_FAILED, exists);
         }
         if open >= MAX_SET_UPS_PER_CONNECTION || self.stopping && set_up.running_on.is_none() {
             self.send_release(from, task, client::CAUSE_REJECTED);
@@ -79,6 +77,25 @@
         }
     }
 
+    /// Rejects a set-up. `exists` is true if another connection has a task with its id.
+    fn reject_set_up(
+        &mut self,
+        from: ClientId,
+        task: u64,
+        cause: u8,
+        exists: bool,
+    ) -> MessageValidity {
+        self.send_release(from, task, cause);
+        let Some(client) = self.clients.get_mut(&from).filter(|_| exists) else {
+            return MessageValidity::Unusable;
+        };
+        if client.rejected_duplicates.len() >= MAX_SET_UPS_PER_CONNECTION {
+            return MessageValidity::Violation;
+        }
+        client.rejected_duplicates.insert(task);
+        MessageValidity::Unusable
+    }
+
     /// Takes over a running task that another process has set up.
     fn take_over_running_task(
         &mut self,
@@ -212,12 +229,14 @@
         })
     }
 
-    /// Handles a client's release, which cancels a set-up or ends its task. Returns false if the
-    /// task is unknown.
+    /// Handles a client's release, which cancels a set-up or ends its task. A running task may be
+    /// released on any connection, an open set-up only on its own. Returns false if there is nothing
+    /// that the client may release.
     pub(super) fn handle_release(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
+        from: ClientId,
         message: &Message,
     ) -> bool {
         let Some(id) = engine.find(&task_key(message.task)) else {
@@ -227,6 +246,14 @@
             return false;
         };
         match pending.stage {
+            TaskStage::Pending if pending.client != from => {
+                debug!(
+                    task = task_key(message.task),
+                    ?from,
+                    "ignoring a release of another connection's open set-up"
+                );
+                return false;
+            }
             TaskStage::Pending => self.cancel(now, engine, id),
             TaskStage::Running => {
                 let cause = u32::from(message.cause().unwrap_or(client::CAUSE_NORMAL));
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -162,3 +162,81 @@
     state.sweep(state.now + SECOND * 1_000, engine);
     assert_eq!(state.undelivered_ends.len(), 0);
 }
+
+/// Guards against a request without an answer: another client sends a set-up under its id, which is
+/// rejected, and a release.
+#[test]
+fn a_client_cannot_give_up_the_open_set_up_of_another() {
+    let handle = handle();
+    let (owner, owners_queue) = connect(&handle);
+    let (other, _others_queue) = connect(&handle);
+    let connection = start_attempt(&handle, owner, OWNERS_TASK);
+    let give_up = message(MessageType::Release, OWNERS_TASK, client::CAUSE_NORMAL);
+    assert!(handle.handle_client_message(other, &give_up));
+    assert!(handle.handle_client_message(other, &set_up(OWNERS_TASK)));
+    assert!(handle.handle_client_message(other, &give_up));
+    let answer = node::Message {
+        text: Some("made".into()),
+        ..node::Message::new(node::MessageType::Ready, OWNERS_TASK)
+    };
+    assert!(handle.handle_node_message(connection, answer));
+    let answered = client::encode(
+        MessageType::Answer,
+        OWNERS_TASK,
+        &[(client::DESCRIPTION, b"made")],
+    );
+    assert_eq!(
+        owners_queue.take_all(),
+        [answered.expect("a short message")]
+    );
+}
+
+/// Guards against a running task that is ended by another client's rejected set-up under its id.
+#[test]
+fn giving_up_a_rejected_set_up_does_not_end_the_running_task_with_its_id() {
+    let handle = handle();
+    let (owner, _owners_queue) = connect(&handle);
+    let (other, others_queue) = connect(&handle);
+    start_task(&handle, owner, OWNERS_TASK);
+    assert!(handle.handle_client_message(other, &set_up(OWNERS_TASK)));
+    let rejected = encoded(MessageType::Release, OWNERS_TASK, client::CAUSE_FAILED);
+    assert_eq!(others_queue.take_all(), [rejected]);
+    let release = message(MessageType::Release, OWNERS_TASK, client::CAUSE_NORMAL);
+    assert!(handle.handle_client_message(other, &release));
+    assert_eq!(handle.lock().engine.counts().placed, 1, "it still runs");
+}
+
+/// The protocol lets clients end a running task on any connection, and give up their own set-ups.
+#[test]
+fn a_client_ends_its_task_on_any_connection_and_gives_up_its_own_set_ups() {
+    let handle = handle();
+    let (owner, _owners_queue) = connect(&handle);
+    let (other, _others_queue) = connect(&handle);
+    start_task(&handle, owner, OWNERS_TASK);
+    let release = message(MessageType::Release, OWNERS_TASK, client::CAUSE_NORMAL);
+    assert!(handle.handle_client_message(other, &release));
+    assert_eq!(handle.lock().engine.counts().placed, 0);
+    start_attempt(&handle, owner, OWNERS_TASK + 1);
+    let give_up = message(MessageType::Release, OWNERS_TASK + 1, client::CAUSE_NORMAL);
+    assert!(handle.handle_client_message(owner, &give_up));
+    assert_eq!(handle.unanswered(), 0);
+}
+
+/// Guards against ids that accumulate: a client that goes on sending set-ups under the ids of others
+/// is disconnected.
+#[test]
+fn rejected_duplicates_are_bounded() {
+    let handle = handle();
+    let (owner, _owners_queue) = connect(&handle);
+    let (other, _others_queue) = connect(&handle);
+    let (further, _further_queue) = connect(&handle);
+    let tasks = 1..=MAX_SET_UPS_PER_CONNECTION as u64;
+    for task in tasks.clone() {
+        assert!(handle.handle_client_message(owner, &set_up(task)));
+        assert!(handle.handle_client_message(further, &set_up(1_000 + task)));
+    }
+    for task in tasks {
+        assert!(handle.handle_client_message(other, &set_up(task)));
+    }
+    assert!(!handle.handle_client_message(other, &set_up(1_001)));
+}
