Bound the bytes that clients make the dispatcher hold by its limit on memory

Cause: clients were bounded by numbers alone, and memory_mb was not read. A set-up was held twice (the second time in the queue to its node), running tasks kept their keys, read buffers their size, and the overhead of queued messages counted as nothing.

Change: half of memory_mb is for clients: input, open set-ups with their records, messages not yet written. Each connection is guaranteed one message and one largest set-up, the rest is a pool, so a flood is rejected (34) and others are served. Set-ups for nodes are encoded when they are written. The maximum of connections follows from memory too.

In the test of undelivered ends the number of rounds grew from 8 to 20, since a queue now takes fewer of them at once. Failed try: stopping to read from a client that holds too much; its releases and its end would not be seen.

--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -1,98 +1,21 @@
 //! Runs the program as a process: under a real limit on file descriptors, and from its start until
 //! a signal stops it.
 
+mod program;
+
 use corkspan_platform_wire::client::{self, MessageType};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use program::{Limits, Program, TIMEOUT};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
-const TIMEOUT: Duration = Duration::from_secs(20);
-const SETTINGS: &str = r#"{"classes":[{"effect":"pure","name":"batch","on-time-us":600000,"deadline-us":6000000}],
-"discovery":"on_request","family-info":{"accepts-memory":1.5,"ack":"accepted","admit-cores":2.0,"class-calm":[1.0],
-"class-most":[2],"kind-cores":[32],"kind-memory":[64.0],"needs-kind":[-1],"priority-by-class":[0],
-"spread-by":["silent"],"view":false,"young-limit":29.0},"fleet-size":1,"limits":{"max-attempts":3,"probes":false},
-"locality":0,"me":0,"penalties":{},"rules":{"ask-every-us":10000000,"cold-us":14000000,"fall-us":1000000},
-"skus":["std"],"zones":["east"]}"#;
+const MEMORY_MB: usize = 64;
 
-struct Program {
-    child: Child,
-    address: SocketAddr,
-    _dir: tempfile::TempDir,
-}
-
-impl Program {
-    /// Starts the program with a limit on descriptors, both in its configuration and as the limit
-    /// of the process.
-    fn start(limit: usize, feed: SocketAddr, nodes: usize, node: SocketAddr) -> Program {
-        let dir = tempfile::tempdir().expect("a folder");
-        let path = dir.path().join("node.json");
-        let members: Vec<String> = (1..=nodes)
-            .map(|number| {
-                format!(
-                    r#"{{"id":"s-{number}","host_port":"{node}","locality":"east","flavor":"std","phase":"active"}}"#
-                )
-            })
-            .collect();
-        let members = members.join(",");
-        let known = format!(
-            r#"{{"n":1,"events":[{{"n":1,"members":{{"complete":true,"members":[{members}]}}}}]}}"#
-        );
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":{limit}}},"feed":"{feed}",
-            "known":{known},"settings":{SETTINGS}}}"#
-        );
-        std::fs::write(&path, config).expect("written");
-        let mut child = Command::new("sh")
-            .arg("-c")
-            .arg(format!(
-                "ulimit -n {limit}; exec {} platform",
-                env!("CARGO_BIN_EXE_corkspan")
-            ))
-            .env("NODE_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("started");
-        let mut log = BufReader::new(child.stderr.take().expect("piped"));
-        let mut line = String::new();
-        while !line.contains("listening") {
-            line.clear();
-            assert!(log.read_line(&mut line).expect("text") > 0, "it listens");
-        }
-        let address = line.split("address=").nth(1).expect("an address");
-        let address = address
-            .trim()
-            .trim_end_matches("\u{1b}[0m")
-            .parse()
-            .expect("an address");
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Program {
-            child,
-            address,
-            _dir: dir,
-        }
-    }
-
-    fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
-            .expect("the program runs")
-            .count()
-    }
-
-    fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).expect("connected");
-        stream
-            .set_read_timeout(Some(TIMEOUT))
-            .expect("a socket option");
-        stream
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+fn descriptors(program: &Program) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", program.child.id()))
+        .expect("the program runs")
+        .count()
 }
 
 fn accept(listener: &TcpListener) -> TcpStream {
@@ -119,7 +42,15 @@
     let (node, discovery) = (listener(), listener());
     let feed = discovery.local_addr().expect("bound");
     drop(discovery);
-    let program = Program::start(48, feed, 1, node.local_addr().expect("bound"));
+    let program = Program::start(
+        Limits {
+            sockets: 48,
+            memory_mb: MEMORY_MB,
+        },
+        feed,
+        1,
+        node.local_addr().expect("bound"),
+    );
     let health_check =
         client::encode(MessageType::HealthCheck, 1, &[(client::CAUSE, &[0])]).expect("short");
     let mut idle_clients = Vec::new();
@@ -127,7 +58,7 @@
         let mut idle = program.connect();
         idle.write_all(&health_check).expect("written");
         assert!(idle.read(&mut [0; 64]).expect("an answer") > 0);
-        assert!(program.descriptors() <= 48);
+        assert!(descriptors(&program) <= 48);
         idle_clients.push(idle);
     }
     let mut client = program.connect();
@@ -148,7 +79,7 @@
     let mut request = [0; 1_024];
     let count = discovery_connection.read(&mut request).expect("a request");
     assert!(String::from_utf8_lossy(&request[..count]).starts_with("GET /v1/events"));
-    assert!(program.descriptors() <= 48);
+    assert!(descriptors(&program) <= 48);
 }
 
 /// The load balancer adds a dispatcher once it has passed a health check. Discovery is down, and
@@ -160,7 +91,15 @@
     let feed = discovery.local_addr().expect("bound");
     drop(discovery);
     let start = Instant::now();
-    let mut program = Program::start(256, feed, 400, node.local_addr().expect("bound"));
+    let mut program = Program::start(
+        Limits {
+            sockets: 256,
+            memory_mb: MEMORY_MB,
+        },
+        feed,
+        400,
+        node.local_addr().expect("bound"),
+    );
     let health_check =
         client::encode(MessageType::HealthCheck, 1, &[(client::CAUSE, &[0])]).expect("short");
     let mut load_balancer = program.connect();
--- /dev/null
+++ b/crates/cli/tests/program/mod.rs
@@ -0,0 +1,96 @@
+//! Starts the program as a process, under real limits.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// Time within which a test expects everything that it waits for.
+pub const TIMEOUT: Duration = Duration::from_secs(20);
+const SETTINGS: &str = r#"{"classes":[{"effect":"pure","name":"batch","on-time-us":600000,"deadline-us":6000000}],
+"discovery":"on_request","family-info":{"accepts-memory":1.5,"ack":"accepted","admit-cores":2.0,"class-calm":[1.0],
+"class-most":[2],"kind-cores":[32],"kind-memory":[64.0],"needs-kind":[-1],"priority-by-class":[0],
+"spread-by":["silent"],"view":false,"young-limit":29.0},"fleet-size":1,"limits":{"max-attempts":3,"probes":false},
+"locality":0,"me":0,"penalties":{},"rules":{"ask-every-us":10000000,"cold-us":14000000,"fall-us":1000000},
+"skus":["std"],"zones":["east"]}"#;
+
+/// The limits in the configuration of the program.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub sockets: usize,
+    pub memory_mb: usize,
+}
+
+pub struct Program {
+    pub child: Child,
+    address: SocketAddr,
+    _dir: tempfile::TempDir,
+}
+
+impl Program {
+    /// Starts the program. The limit on descriptors is also that of the process.
+    pub fn start(limits: Limits, feed: SocketAddr, nodes: usize, node: SocketAddr) -> Program {
+        let Limits { sockets, memory_mb } = limits;
+        let dir = tempfile::tempdir().expect("a folder");
+        let path = dir.path().join("node.json");
+        let members: Vec<String> = (1..=nodes)
+            .map(|number| {
+                format!(
+                    r#"{{"id":"s-{number}","host_port":"{node}","locality":"east","flavor":"std","phase":"active"}}"#
+                )
+            })
+            .collect();
+        let members = members.join(",");
+        let known = format!(
+            r#"{{"n":1,"events":[{{"n":1,"members":{{"complete":true,"members":[{members}]}}}}]}}"#
+        );
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},
+            "feed":"{feed}","known":{known},"settings":{SETTINGS}}}"#
+        );
+        std::fs::write(&path, config).expect("written");
+        let mut child = Command::new("sh")
+            .arg("-c")
+            .arg(format!(
+                "ulimit -n {sockets}; exec {} platform",
+                env!("CARGO_BIN_EXE_corkspan")
+            ))
+            .env("NODE_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("started");
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        while !line.contains("listening") {
+            line.clear();
+            assert!(log.read_line(&mut line).expect("text") > 0, "it listens");
+        }
+        let address = line.split("address=").nth(1).expect("an address");
+        let address = address
+            .trim()
+            .trim_end_matches("\u{1b}[0m")
+            .parse()
+            .expect("an address");
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Program {
+            child,
+            address,
+            _dir: dir,
+        }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("connected");
+        stream
+            .set_read_timeout(Some(TIMEOUT))
+            .expect("a socket option");
+        stream
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/platform-wire/src/client.rs
+++ b/crates/platform-wire/src/client.rs
@@ -98,6 +98,8 @@
 
 /// Size of the length field in front of a frame, in bytes.
 const LENGTH_BYTES: usize = 2;
+/// Maximum size of a frame with its length field, in bytes.
+pub const MAX_FRAME_BYTES: usize = LENGTH_BYTES + MAX_MESSAGE_BYTES;
 /// Size of the type and the task's id, in bytes.
 const HEADER_BYTES: usize = 9;
 /// Size of a parameter's code and length, in bytes.
@@ -214,6 +216,11 @@
         self.bytes.unread().len()
     }
 
+    /// Returns the number of bytes of memory that the reader holds.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.held_bytes()
+    }
+
     /// Returns whether a message has arrived only in part.
     pub fn has_partial_message(&self) -> bool {
         !self.bytes.unread().is_empty()
--- a/crates/platform-wire/src/lib.rs
+++ b/crates/platform-wire/src/lib.rs
@@ -84,7 +84,11 @@
         .collect()
 }
 
-/// Bytes that were read from a connection and not yet decoded.
+/// The smallest number of bytes by which a receive buffer grows.
+const RECEIVE_BUFFER_STEP_BYTES: usize = 1024;
+
+/// Bytes that were read from a connection and not yet decoded. Holds no memory while it is empty,
+/// and little more than its content otherwise.
 #[derive(Default)]
 struct ReceiveBuffer {
     bytes: Vec<u8>,
@@ -95,6 +99,10 @@
     fn append(&mut self, bytes: &[u8]) {
         self.bytes.drain(..self.consumed);
         self.consumed = 0;
+        if self.bytes.capacity() - self.bytes.len() < bytes.len() {
+            self.bytes
+                .reserve_exact(bytes.len().max(RECEIVE_BUFFER_STEP_BYTES));
+        }
         self.bytes.extend_from_slice(bytes);
     }
 
@@ -105,5 +113,13 @@
     /// Marks the first `length` unread bytes as decoded.
     fn consume(&mut self, length: usize) {
         self.consumed += length;
+        if self.consumed == self.bytes.len() {
+            *self = ReceiveBuffer::default();
+        }
+    }
+
+    /// Returns the number of bytes of memory that the buffer holds.
+    fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
     }
 }
--- a/crates/platform-wire/src/node_config.rs
+++ b/crates/platform-wire/src/node_config.rs
@@ -33,6 +33,9 @@
 pub struct Limits {
     /// Maximum number of file descriptors.
     pub sockets: usize,
+    /// Maximum memory of the process, in megabytes; `None` if there is no limit.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
 }
 
 /// The state of discovery, as the control feed has sent it so far.
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -5,15 +5,18 @@
 use crate::descriptor_budget::DescriptorBudget;
 use crate::errors::ConfigError;
 use crate::ids::{AttemptId, ClientId, ConnectionId};
+use crate::memory_budget::MemoryBudget;
 use crate::node_connections::{Eviction, NodeConnections, NodeSide};
 use crate::nodes::Nodes;
 use crate::reader::{ConnectionInput, ReadOutcome, ReadProgress};
 use crate::task_end::{TaskEnd, TaskEndKind};
 use crate::writer::{MessageQueue, message_queue};
 use client_connections::ClientConnection;
+use client_memory::ClientMemory;
 use corkspan_engine::{Engine, RetryBatch, ReturnedAttempt};
 #[cfg(test)]
 use corkspan_platform_wire::client::Message;
+use corkspan_platform_wire::client::SetUp;
 use corkspan_platform_wire::discovery::Event;
 use corkspan_platform_wire::node;
 use corkspan_platform_wire::node_config::{DiscoveryState, NodeConfig};
@@ -31,6 +34,7 @@
 #[path = "../tests/core/bounds.rs"]
 mod bounds;
 mod client_connections;
+mod client_memory;
 #[cfg(test)]
 #[path = "../tests/core/clients.rs"]
 mod clients;
@@ -110,18 +114,21 @@
     settings: Settings,
     pub initial_state: DiscoveryState,
     max_clients: usize,
+    memory: MemoryBudget,
     max_node_connections: usize,
 }
 
 impl CoreOptions {
     /// Validates the options of a configuration file, with the limits of the descriptor budget.
     pub fn new(config: NodeConfig, budget: &DescriptorBudget) -> Result<CoreOptions, ConfigError> {
+        let memory = MemoryBudget::new(config.limits.memory_mb)?;
         Ok(CoreOptions {
+            memory,
             seed: config.seed_number()?,
             cluster: platform_cluster(&config.settings)?,
             settings: config.settings,
             initial_state: config.discovery_state,
-            max_clients: budget.max_clients,
+            max_clients: budget.max_clients.min(memory.max_clients()),
             max_node_connections: budget.max_node_connections,
         })
     }
@@ -133,6 +140,7 @@
     effects: Box<dyn Effects>,
     now: Ticks,
     clients: BTreeMap<ClientId, ClientConnection>,
+    client_memory: ClientMemory,
     max_clients: usize,
     clients_accepted: u64,
     undelivered_ends: UndeliveredEnds,
@@ -197,6 +205,7 @@
                 effects,
                 now,
                 clients: BTreeMap::new(),
+                client_memory: ClientMemory::new(options.memory.client_bytes, options.max_clients),
                 max_clients: options.max_clients,
                 clients_accepted: 0,
                 undelivered_ends: UndeliveredEnds::default(),
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -41,6 +41,17 @@
         true
     }
 
+    /// Returns the line of a set-up that may be written.
+    pub(super) fn set_up_line(
+        &self,
+        engine: &mut Engine<PendingTask>,
+        attempt: AttemptId,
+    ) -> Option<Vec<u8>> {
+        let (pending, _) = engine.data_mut(attempt.allocation)?;
+        let active = pending.active?;
+        pending.open_message(active.timeout).to_line()
+    }
+
     /// Withdraws an attempt. Requests its node to end the task if the set-up was written.
     pub(super) fn withdraw(&mut self, id: AllocationId, active: ActiveAttempt, task: u64) {
         self.timers
@@ -142,7 +153,6 @@
             return engine.finish(id);
         }
         self.record_final_answer(pending, id, TaskStage::Running);
-        pending.description = String::new();
         let (to, task) = (pending.client, pending.task);
         self.nodes.add_task(active.machine, id);
         debug!(task = task_key(task), machine = ?active.machine, connection = active.connection.map(|id| id.0), after = now - active.sent_at, "placed");
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -2,8 +2,9 @@
 
 use super::pending_task::task_key;
 use super::*;
+use crate::memory_budget::MESSAGE_BYTES;
 use crate::writer::MessageSender;
-use corkspan_platform_wire::client::{self, Message, MessageType};
+use corkspan_platform_wire::client::{self, MAX_FRAME_BYTES, Message, MessageType};
 use tracing::debug;
 
 /// A client's connection.
@@ -29,6 +30,10 @@
     pub(super) partial_since: Option<Ticks>,
     /// The last of the undelivered ends that was copied to the connection.
     pub(super) copied_ends: EndNumber,
+    /// The bytes that the open set-ups count for.
+    pub(super) open_bytes: usize,
+    /// The bytes that the connection uses of the pool of all clients.
+    pub(super) from_pool: usize,
 }
 
 /// Whether a message of a client could be used.
@@ -57,8 +62,11 @@
             };
             let mut outcome = ReadOutcome::Data;
             if client.input_read_at + MAX_INPUT_AGE <= now {
-                outcome = client.read_ahead(now);
+                outcome = self.read_ahead(now, id);
             }
+            let Some(client) = self.clients.get_mut(&id) else {
+                return ReadProgress::Done;
+            };
             if outcome == ReadOutcome::Closed {
                 self.client_closed(now, engine, id);
                 return ReadProgress::Done;
@@ -88,6 +96,31 @@
         }
     }
 
+    /// Reads the input that has arrived, up to the end of one message, and further up to
+    /// [`READ_AHEAD_BYTES`] as far as the client may hold that much.
+    fn read_ahead(&mut self, now: Ticks, id: ClientId) -> ReadOutcome {
+        let room = self.room_of(id);
+        let Some(client) = self.clients.get_mut(&id) else {
+            return ReadOutcome::Closed;
+        };
+        let Some(input) = &client.input else {
+            return ReadOutcome::Empty;
+        };
+        let max_buffered = (MAX_FRAME_BYTES + room).min(READ_AHEAD_BYTES);
+        while client.reader.buffered_bytes() < max_buffered {
+            let max_bytes = max_buffered - client.reader.buffered_bytes();
+            match input.read_at_most(max_bytes, |bytes| client.reader.push(bytes)) {
+                ReadOutcome::Data => {}
+                ReadOutcome::Empty => {
+                    client.input_read_at = now;
+                    return ReadOutcome::Empty;
+                }
+                ReadOutcome::Closed => return ReadOutcome::Closed,
+            }
+        }
+        ReadOutcome::Data
+    }
+
     /// Handles the input that has arrived on a client's connection, before an attempt for that
     /// client.
     pub(super) fn read_pending_input(
@@ -175,7 +208,7 @@
         let valid = validity == MessageValidity::Valid;
         if let Some(client) = self.clients.get_mut(&id).filter(|_| valid) {
             (client.valid, client.last_active_at) = (true, now);
-            client.copy_undelivered_ends(&self.undelivered_ends);
+            self.copy_undelivered_ends_to(id);
         }
         self.clients.contains_key(&id)
     }
@@ -231,6 +264,7 @@
         let Some(client) = self.clients.remove(&id) else {
             return;
         };
+        self.client_memory.release(client.from_pool);
         for task in client.open_set_ups {
             if let Some(id) = engine.find(&task_key(task)) {
                 self.cancel(now, engine, id);
@@ -240,32 +274,9 @@
 }
 
 impl ClientConnection {
-    /// Sends the undelivered ends that the connection has not been sent yet, as far as its queue has
-    /// room.
-    pub(super) fn copy_undelivered_ends(&mut self, ends: &UndeliveredEnds) {
-        while let Some((number, end)) = ends.next_after(self.copied_ends) {
-            if !self.sender.send_task_end_copy(end) {
-                return;
-            }
-            self.copied_ends = number;
-        }
-    }
-
-    /// Reads the input that has arrived, up to [`READ_AHEAD_BYTES`].
-    fn read_ahead(&mut self, now: Ticks) -> ReadOutcome {
-        let Some(input) = &self.input else {
-            return ReadOutcome::Empty;
-        };
-        while self.reader.buffered_bytes() < READ_AHEAD_BYTES {
-            match input.read(|bytes| self.reader.push(bytes)) {
-                ReadOutcome::Data => {}
-                ReadOutcome::Empty => {
-                    self.input_read_at = now;
-                    return ReadOutcome::Empty;
-                }
-                ReadOutcome::Closed => return ReadOutcome::Closed,
-            }
-        }
-        ReadOutcome::Data
+    /// Returns the bytes that the connection holds besides the input of one message.
+    pub(super) fn held_bytes(&self) -> usize {
+        let input = self.reader.held_bytes();
+        input.saturating_sub(MESSAGE_BYTES) + self.open_bytes + self.sender.queued_bytes()
     }
 }
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -4,7 +4,6 @@
 use super::*;
 use corkspan_engine::Effects;
 use corkspan_platform_wire::client;
-use corkspan_platform_wire::node::AttributeValue;
 use tracing::debug;
 
 impl Effects<PendingTask> for PlatformState {
@@ -16,14 +15,15 @@
         timeout: Ticks,
     ) {
         let (id, number) = (allocation.id, allocation.attempts.len());
-        let message = open_message(pending, timeout);
         let attempt = AttemptId {
             allocation: id,
             number,
         };
+        // A set-up whose message is too long must not take a connection.
+        let is_short = pending.open_message(timeout).to_line().is_some();
         let connection = self.connection_for(machine, &pending.used_connections);
         let Some(connection) = connection
-            .filter(|&connection| self.connections.send_set_up(connection, attempt, &message))
+            .filter(|&connection| is_short && self.connections.send_set_up(connection, attempt))
         else {
             return self.deferred.push_back(DeferredEvent::Returned(
                 id,
@@ -39,6 +39,7 @@
             connection: Some(connection),
             sent_at: self.now,
             deadline,
+            timeout,
             started: false,
         });
         pending.used_connections.push(connection);
@@ -144,21 +145,3 @@
         connection.or_else(|| self.connections.least_loaded(machine, except))
     }
 }
-
-/// Returns the message that sends a set-up to a node.
-fn open_message(pending: &PendingTask, timeout: Ticks) -> node::Message {
-    let mut message = node::Message::new(node::MessageType::Open, pending.task);
-    let text = |text: &str| AttributeValue::Text(text.into());
-    message
-        .attributes
-        .insert("class".into(), text(&pending.class));
-    message.attributes.insert("key".into(), text(&pending.name));
-    message
-        .attributes
-        .insert("left".into(), text(&(timeout / 10).to_string()));
-    if let Some(key) = &pending.idempotency_key {
-        message.attributes.insert("idem".into(), text(key));
-    }
-    message.text = Some(pending.description.clone());
-    message
-}
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -101,6 +101,8 @@
                 valid: false,
                 partial_since: None,
                 copied_ends: EndNumber::default(),
+                open_bytes: 0,
+                from_pool: 0,
             };
             state.clients.insert(id, client);
             Some((id, queue))
@@ -169,6 +171,11 @@
         })
     }
 
+    /// Returns the line of a set-up that may be written.
+    pub fn set_up_line(&mut self, attempt: AttemptId) -> Option<Vec<u8>> {
+        self.state.set_up_line(&mut self.engine, attempt)
+    }
+
     /// Handles the end of a connection to a node.
     pub fn connection_ended(&mut self, now: Ticks, id: ConnectionId, end: ConnectionEnd) {
         self.process_event(now, |engine, state| {
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -1,7 +1,10 @@
 //! The records of a task and its attempts, and the timers.
 
+use super::client_memory::set_up_bytes;
+use super::limits::TICKS_PER_MS;
 use crate::ids::{ClientId, ConnectionId};
 use corkspan_platform_wire::client::SetUp;
+use corkspan_platform_wire::node::{self, AttributeValue};
 use corkspan_scheduler::interface::*;
 
 /// The stage of a task's life.
@@ -23,6 +26,8 @@
     pub(super) connection: Option<ConnectionId>,
     pub(super) sent_at: Ticks,
     pub(super) deadline: Ticks,
+    /// The time for which the node's answer is waited for.
+    pub(super) timeout: Ticks,
     /// Whether the first byte of the set-up has been written, so that the task may have run.
     pub(super) started: bool,
 }
@@ -58,6 +63,8 @@
     pub(super) name: String,
     pub(super) idempotency_key: Option<String>,
     pub(super) description: String,
+    /// The bytes that the set-up counts for while it is open.
+    pub(super) counted_bytes: usize,
     pub(super) deadline: Ticks,
     pub(super) stage: TaskStage,
     pub(super) active: Option<ActiveAttempt>,
@@ -71,7 +78,9 @@
 impl PendingTask {
     /// Creates a task that waits for an answer and has no active attempt.
     pub(super) fn new(client: ClientId, set_up: SetUp, deadline: Ticks) -> PendingTask {
+        let counted_bytes = set_up_bytes(&set_up);
         PendingTask {
+            counted_bytes,
             task: set_up.task,
             client,
             class: set_up.class,
@@ -86,6 +95,31 @@
         }
     }
 
+    /// Drops what only further attempts need, and returns the bytes that it counted for.
+    pub(super) fn release_content(&mut self) -> usize {
+        self.class = String::new();
+        self.name = String::new();
+        self.idempotency_key = None;
+        self.description = String::new();
+        std::mem::take(&mut self.counted_bytes)
+    }
+
+    /// Returns the message that sends the set-up to a node, which is told how long its answer is
+    /// waited for.
+    pub(super) fn open_message(&self, timeout: Ticks) -> node::Message {
+        let text = |text: &str| AttributeValue::Text(text.into());
+        let mut message = node::Message::new(node::MessageType::Open, self.task);
+        let attributes = &mut message.attributes;
+        attributes.insert("class".into(), text(&self.class));
+        attributes.insert("key".into(), text(&self.name));
+        attributes.insert("left".into(), text(&(timeout / TICKS_PER_MS).to_string()));
+        if let Some(key) = &self.idempotency_key {
+            attributes.insert("idem".into(), text(key));
+        }
+        message.text = Some(self.description.clone());
+        message
+    }
+
     /// Records that the node itself has ended the active attempt.
     pub(super) fn end_attempt(&mut self, connection: ConnectionId, cause: u32) {
         self.active = None;
--- a/crates/platform/src/core/replies.rs
+++ b/crates/platform/src/core/replies.rs
@@ -2,6 +2,7 @@
 
 use super::pending_task::{PendingTask, TaskStage, task_key};
 use super::*;
+use crate::writer::queued_bytes;
 use corkspan_platform_wire::client::{self, MessageType};
 use tracing::debug;
 
@@ -17,9 +18,18 @@
         let Some(bytes) = client::encode(message_type, task, parameters) else {
             return false;
         };
-        self.clients
-            .get(&to)
-            .is_some_and(|client| client.sender.send(bytes))
+        let has_room = self.has_room(to, queued_bytes(bytes.len()));
+        let Some(client) = self.clients.get(&to) else {
+            return false;
+        };
+        if !has_room {
+            debug!(
+                ?to,
+                "closing the connection of a client that reads too little"
+            );
+            client.sender.close();
+        }
+        client.sender.send(bytes)
     }
 
     /// Replies to a client's health check that the dispatcher is healthy.
@@ -67,8 +77,27 @@
     }
 
     fn copy_undelivered_ends(&mut self) {
-        for client in self.clients.values_mut().filter(|client| client.valid) {
-            client.copy_undelivered_ends(&self.undelivered_ends);
+        let valid = self.clients.iter().filter(|(_, client)| client.valid);
+        let valid: Vec<ClientId> = valid.map(|(&id, _)| id).collect();
+        for id in valid {
+            self.copy_undelivered_ends_to(id);
+        }
+    }
+
+    /// Sends the undelivered ends that a connection has not been sent yet, as far as there is room.
+    pub(super) fn copy_undelivered_ends_to(&mut self, id: ClientId) {
+        let mut room = self.room_of(id);
+        let Some(client) = self.clients.get_mut(&id) else {
+            return;
+        };
+        while let Some((number, end)) = self.undelivered_ends.next_after(client.copied_ends) {
+            let Some(bytes) = end.encode() else { return };
+            let needed = queued_bytes(bytes.len());
+            if needed > room || !client.sender.send_if_short(bytes) {
+                return;
+            }
+            room -= needed;
+            client.copied_ends = number;
         }
     }
 
@@ -79,8 +108,10 @@
         id: AllocationId,
         stage: TaskStage,
     ) -> bool {
+        let counted_bytes = pending.release_content();
         if let Some(client) = self.clients.get_mut(&pending.client) {
             client.open_set_ups.remove(&pending.task);
+            client.open_bytes = client.open_bytes.saturating_sub(counted_bytes);
             client.last_active_at = self.now;
             client.running += usize::from(stage == TaskStage::Running);
         }
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -128,13 +128,14 @@
         };
         let mut pending = PendingTask::new(from, set_up, request.deadline + TRANSIT_ALLOWANCE);
         pending.stage = TaskStage::Running;
-        pending.description = String::new();
+        pending.release_content();
         pending.active = Some(ActiveAttempt {
             number: 0,
             machine,
             connection: None,
             sent_at: now,
             deadline: Ticks::MAX,
+            timeout: Ticks::MAX,
             started: true,
         });
         if let Ok(id) = engine.admit_running(now, &task_key(task), request, machine, pending) {
@@ -161,6 +162,16 @@
     ) -> MessageValidity {
         let task = set_up.task;
         let pending = PendingTask::new(from, set_up, request.deadline + TRANSIT_ALLOWANCE);
+        let counted_bytes = pending.counted_bytes;
+        if !self.has_room(from, counted_bytes) {
+            debug!(
+                task = task_key(task),
+                ?from,
+                "rejecting a set-up: its client holds too much"
+            );
+            self.send_release(from, task, client::CAUSE_REJECTED);
+            return MessageValidity::Unusable;
+        }
         let Ok(id) = engine.admit(now, &task_key(task), request, pending) else {
             self.send_release(from, task, client::CAUSE_REJECTED);
             return MessageValidity::Unusable;
@@ -168,6 +179,7 @@
         self.unanswered.insert(id);
         self.clients.get_mut(&from).into_iter().for_each(|client| {
             client.open_set_ups.insert(task);
+            client.open_bytes += counted_bytes;
         });
         engine.place(now, id, self);
         MessageValidity::Valid
--- a/crates/platform/src/errors.rs
+++ b/crates/platform/src/errors.rs
@@ -1,6 +1,7 @@
 //! Errors of starting a dispatcher and of applying a new configuration.
 
 use crate::descriptor_budget::TooFewDescriptors;
+use crate::memory_budget::TooLittleMemory;
 use corkspan_platform_wire::node_config::NodeConfigError;
 use corkspan_settings::SettingsError;
 use std::net::SocketAddr;
@@ -52,6 +53,9 @@
     /// The limit on file descriptors is lower than a dispatcher needs.
     #[error(transparent)]
     Descriptors(#[from] TooFewDescriptors),
+    /// The limit on memory is lower than a dispatcher needs.
+    #[error(transparent)]
+    Memory(#[from] TooLittleMemory),
     /// The seed is not a number.
     #[error("settings: {0}")]
     Seed(#[from] NodeConfigError),
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -143,6 +143,11 @@
         self.with_core(|core, now| core.may_write_set_up(now, connection, attempt))
     }
 
+    /// Returns the line of a set-up that may be written.
+    pub fn set_up_line(&self, attempt: AttemptId) -> Option<Vec<u8>> {
+        self.lock().set_up_line(attempt)
+    }
+
     /// Handles the end of a connection to a node.
     pub fn connection_ended(&self, id: ConnectionId, end: ConnectionEnd) {
         self.with_core(|core, now| core.connection_ended(now, id, end))
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod handle;
 mod ids;
 mod listener;
+mod memory_budget;
 mod node_connection_task;
 mod node_connections;
 mod nodes;
@@ -29,6 +30,7 @@
 use descriptor_budget::DescriptorBudget;
 pub use descriptor_budget::TooFewDescriptors;
 pub use errors::{ConfigError, ServeError};
+pub use memory_budget::TooLittleMemory;
 
 use effects::{TaskEffects, WakeSenders};
 use futures_lite::{FutureExt, Stream, StreamExt, future};
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -65,7 +65,7 @@
     let _ = stream.set_nodelay(true);
     let input = ConnectionInput::new(stream.clone());
     handle.attach_client_input(id, input.clone());
-    let undelivered = run_connection(stream, queue, |_| true, async {
+    let undelivered = run_connection(stream, queue, |_| None, async {
         input.read_messages(|| handle.read_client_message(id)).await;
         handle.client_disconnected(id);
     })
--- a/crates/platform/src/node_connection_task.rs
+++ b/crates/platform/src/node_connection_task.rs
@@ -50,8 +50,11 @@
             .await;
         handle.connection_ended(id, end);
     };
-    let may_write_set_up = |attempt| handle.may_write_set_up(id, attempt);
-    run_connection(stream, queue, may_write_set_up, reading).await;
+    let set_up_line = |attempt| {
+        let may_write = handle.may_write_set_up(id, attempt);
+        may_write.then(|| handle.set_up_line(attempt)).flatten()
+    };
+    run_connection(stream, queue, set_up_line, reading).await;
     handle.connection_ended(id, ConnectionEnd::Closed);
 }
 
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -294,18 +294,10 @@
     }
 
     /// Queues a set-up. Returns false if the connection can't take it.
-    pub fn send_set_up(
-        &mut self,
-        id: ConnectionId,
-        attempt: AttemptId,
-        message: &node::Message,
-    ) -> bool {
-        let line = message.to_line();
-        line.is_some_and(|line| {
-            self.connections
-                .get(&id)
-                .is_some_and(|connection| connection.sender.send_set_up(attempt, line))
-        })
+    pub fn send_set_up(&mut self, id: ConnectionId, attempt: AttemptId) -> bool {
+        self.connections
+            .get(&id)
+            .is_some_and(|connection| connection.sender.send_set_up(attempt))
     }
 
     /// Removes an open connection.
--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -16,9 +16,11 @@
 #[path = "../tests/writer/fairness.rs"]
 mod fairness;
 
-/// Maximum bytes queued for a peer. A peer that reads so slowly that more are queued is
-/// disconnected.
+/// Maximum bytes queued for a peer, with [`MESSAGE_OVERHEAD_BYTES`] for each message. A peer that
+/// reads so slowly that more are queued is disconnected.
 const MAX_QUEUED_BYTES: usize = 128 * 1024;
+/// The bytes of a queued message besides its content: the entry in the queue and the allocation.
+const MESSAGE_OVERHEAD_BYTES: usize = 96;
 /// Time within which one write must complete.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time within which the last messages must be written on a connection that is being closed.
@@ -42,18 +44,30 @@
 
 /// A message waiting to be written.
 #[derive(Debug)]
-struct QueuedMessage {
-    purpose: Purpose,
-    bytes: Vec<u8>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Purpose {
-    /// A set-up. Whether it may still be written is checked right before its first byte.
+enum QueuedMessage {
+    /// A set-up. Whether it may still be written is checked right before its first byte, and only
+    /// then it is encoded.
     SetUp(AttemptId),
     /// The end of a running task. If this connection can't deliver it, another one must.
-    TaskEnd(TaskEnd),
-    Other,
+    TaskEnd(TaskEnd, Vec<u8>),
+    Other(Vec<u8>),
+}
+
+impl QueuedMessage {
+    /// Returns the bytes that the message holds while it is queued.
+    fn queued_bytes(&self) -> usize {
+        match self {
+            QueuedMessage::SetUp(_) => queued_bytes(0),
+            QueuedMessage::TaskEnd(_, bytes) | QueuedMessage::Other(bytes) => {
+                queued_bytes(bytes.len())
+            }
+        }
+    }
+}
+
+/// Returns the bytes that a queued message of the given length holds.
+pub fn queued_bytes(length: usize) -> usize {
+    MESSAGE_OVERHEAD_BYTES + length
 }
 
 /// The state shared by both ends of a queue.
@@ -84,41 +98,46 @@
 impl MessageSender {
     /// Queues a message. Returns false if the connection can no longer be used.
     pub fn send(&self, bytes: Vec<u8>) -> bool {
-        self.enqueue(Purpose::Other, bytes)
+        self.enqueue(QueuedMessage::Other(bytes))
     }
 
     /// Queues a set-up. Returns false if the connection can no longer be used.
-    pub fn send_set_up(&self, attempt: AttemptId, bytes: Vec<u8>) -> bool {
-        self.enqueue(Purpose::SetUp(attempt), bytes)
+    pub fn send_set_up(&self, attempt: AttemptId) -> bool {
+        self.enqueue(QueuedMessage::SetUp(attempt))
     }
 
     /// Queues the end of a running task. Returns false if the connection can no longer be used.
     pub fn send_task_end(&self, end: TaskEnd) -> bool {
         end.encode()
-            .is_some_and(|bytes| self.enqueue(Purpose::TaskEnd(end), bytes))
+            .is_some_and(|bytes| self.enqueue(QueuedMessage::TaskEnd(end, bytes)))
+    }
+
+    /// Queues a message unless much is queued already. Returns false if it was not queued.
+    pub fn send_if_short(&self, bytes: Vec<u8>) -> bool {
+        self.queued_bytes() < MAX_QUEUED_BYTES / 2 && self.send(bytes)
     }
 
-    /// Queues a copy of the end of a running task, unless much is queued already. Returns false if
-    /// it was not queued. A copy that can't be written is dropped.
-    pub fn send_task_end_copy(&self, end: TaskEnd) -> bool {
-        let queued = self.shared.queued_bytes.load(Ordering::Relaxed);
-        queued < MAX_QUEUED_BYTES / 2 && end.encode().is_some_and(|bytes| self.send(bytes))
+    /// Returns the bytes that the queued messages hold.
+    pub fn queued_bytes(&self) -> usize {
+        self.shared.queued_bytes.load(Ordering::Relaxed)
     }
 
-    fn enqueue(&self, purpose: Purpose, bytes: Vec<u8>) -> bool {
-        let length = bytes.len();
-        if self
-            .shared
-            .queued_bytes
-            .fetch_add(length, Ordering::Relaxed)
-            + length
-            > MAX_QUEUED_BYTES
-        {
+    /// Lets the connection end as if the peer did not read.
+    pub fn close(&self) {
+        self.sender.close();
+    }
+
+    fn enqueue(&self, message: QueuedMessage) -> bool {
+        let added = message.queued_bytes();
+        let before = self.shared.queued_bytes.fetch_add(added, Ordering::Relaxed);
+        if before + added > MAX_QUEUED_BYTES {
             self.sender.close();
         }
-        self.sender
-            .try_send(QueuedMessage { purpose, bytes })
-            .is_ok()
+        let queued = self.sender.try_send(message).is_ok();
+        if !queued {
+            self.shared.queued_bytes.fetch_sub(added, Ordering::Relaxed);
+        }
+        queued
     }
 
     /// Closes this side once all messages are written, and continues to read until the peer has
@@ -139,31 +158,23 @@
     /// Removes and returns all queued messages.
     #[cfg(test)]
     pub fn take_all(&self) -> Vec<Vec<u8>> {
-        std::iter::from_fn(|| self.receiver.try_recv().ok().map(|message| message.bytes)).collect()
+        std::iter::from_fn(|| self.next())
+            .map(|(_, bytes)| bytes)
+            .collect()
     }
 
-    /// Removes and returns the next message, with the attempt if it is a set-up.
+    /// Removes and returns the next message as if it were written, with the attempt in place of the
+    /// bytes if it is a set-up.
     #[cfg(test)]
     pub fn next(&self) -> Option<(Option<AttemptId>, Vec<u8>)> {
-        let QueuedMessage { purpose, bytes } = self.receiver.try_recv().ok()?;
-        match purpose {
-            Purpose::SetUp(attempt) => Some((Some(attempt), bytes)),
-            Purpose::TaskEnd(_) | Purpose::Other => Some((None, bytes)),
+        let message = self.receiver.try_recv().ok()?;
+        self.dequeued(message.queued_bytes());
+        match message {
+            QueuedMessage::SetUp(attempt) => Some((Some(attempt), Vec::new())),
+            QueuedMessage::TaskEnd(_, bytes) | QueuedMessage::Other(bytes) => Some((None, bytes)),
         }
     }
 
-    /// Removes the next message as if it were written. Returns false if there is none.
-    #[cfg(test)]
-    pub fn write_next_for_test(&self) -> bool {
-        let Ok(message) = self.receiver.try_recv() else {
-            return false;
-        };
-        self.shared
-            .queued_bytes
-            .fetch_sub(message.bytes.len(), Ordering::Relaxed);
-        true
-    }
-
     /// Returns none until the sending end is gone and the queue is empty; then, whether the
     /// connection is half-closed.
     #[cfg(test)]
@@ -186,19 +197,29 @@
         self.shared.discarded.load(Ordering::Relaxed)
     }
 
+    /// Records that a message is no longer queued.
+    fn dequeued(&self, bytes: usize) {
+        self.shared.queued_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     /// Writes messages until the sending end is gone or the peer no longer reads.
-    async fn write(&self, mut stream: TcpStream, may_write_set_up: impl Fn(AttemptId) -> bool) {
-        while let Ok(QueuedMessage { purpose, bytes }) = self.receiver.recv().await {
-            let should_write = !self.is_discarded()
-                && !matches!(purpose, Purpose::SetUp(attempt) if !may_write_set_up(attempt));
-            let written = if should_write {
-                within(WRITE_TIMEOUT, stream.write_all(&bytes)).await
-            } else {
-                Some(Ok(()))
+    async fn write(
+        &self,
+        mut stream: TcpStream,
+        set_up_line: impl Fn(AttemptId) -> Option<Vec<u8>>,
+    ) {
+        while let Ok(message) = self.receiver.recv().await {
+            let held = message.queued_bytes();
+            let bytes = match message {
+                _ if self.is_discarded() => None,
+                QueuedMessage::SetUp(attempt) => set_up_line(attempt),
+                QueuedMessage::TaskEnd(_, bytes) | QueuedMessage::Other(bytes) => Some(bytes),
+            };
+            let written = match bytes {
+                Some(bytes) => within(WRITE_TIMEOUT, stream.write_all(&bytes)).await,
+                None => Some(Ok(())),
             };
-            self.shared
-                .queued_bytes
-                .fetch_sub(bytes.len(), Ordering::Relaxed);
+            self.dequeued(held);
             if !matches!(written, Some(Ok(()))) {
                 return;
             }
@@ -208,12 +229,13 @@
 
 /// Reads and writes a connection until either side ends it. `read` reads it and completes when
 /// there is nothing more to read; it also handles the end of the connection, without waiting for
-/// the last messages to be written. `may_write_set_up` is called before each set-up is written.
+/// the last messages to be written. `set_up_line` is called before each set-up is written, and returns
+/// its line unless it may not be written any more.
 /// Returns the ends of running tasks that were not delivered.
 pub async fn run_connection(
     stream: TcpStream,
     queue: MessageQueue,
-    may_write_set_up: impl Fn(AttemptId) -> bool,
+    set_up_line: impl Fn(AttemptId) -> Option<Vec<u8>>,
     read: impl Future<Output = ()>,
 ) -> Vec<TaskEnd> {
     let mut read = pin!(read);
@@ -224,26 +246,29 @@
         true
     };
     let fully_written = async {
-        queue.write(stream.clone(), &may_write_set_up).await;
+        queue.write(stream.clone(), &set_up_line).await;
         false
     };
     let fully_read = fully_read.or(fully_written).await;
     let mut undelivered = Vec::new();
     let flush = async {
         let mut stream = stream.clone();
-        while let Ok(QueuedMessage { purpose, bytes }) = queue.receiver.try_recv() {
-            match purpose {
-                Purpose::SetUp(_) => {}
-                Purpose::TaskEnd(end) if fully_read => undelivered.push(end),
+        while let Ok(message) = queue.receiver.try_recv() {
+            match message {
+                QueuedMessage::SetUp(_) => {}
+                QueuedMessage::TaskEnd(end, _) if fully_read => undelivered.push(end),
                 _ if queue.is_discarded() => {}
-                _ if stream.write_all(&bytes).await.is_err() => break,
-                _ => {}
+                QueuedMessage::TaskEnd(_, bytes) | QueuedMessage::Other(bytes) => {
+                    if stream.write_all(&bytes).await.is_err() {
+                        break;
+                    }
+                }
             }
         }
     };
     within(FLUSH_TIMEOUT, flush).await;
-    while let Ok(QueuedMessage { purpose, .. }) = queue.receiver.try_recv() {
-        if let Purpose::TaskEnd(end) = purpose {
+    while let Ok(message) = queue.receiver.try_recv() {
+        if let QueuedMessage::TaskEnd(end, _) = message {
             undelivered.push(end);
         }
     }
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::handle::PlatformHandle;
 use corkspan_platform_wire::client::{self, Message, MessageType, Reader};
+use test_case::test_case;
 
 const OWNERS_TASK: u64 = 7;
 
@@ -148,14 +149,10 @@
     drop(core);
     let (client, queue) = handle.client_connected().expect("there is room");
     let mut copies = 0;
-    for _ in 0..8 {
+    for _ in 0..20 {
         assert!(handle.handle_client_message(client, &health_check()));
         assert!(queue.ended().is_none(), "the connection is kept");
-        let mut written = 0;
-        while queue.write_next_for_test() {
-            written += 1;
-        }
-        copies += written - 1;
+        copies += queue.take_all().len() - 1;
     }
     assert_eq!(copies, MAX_UNDELIVERED_ENDS, "all are sent in the end");
     let PlatformCore { engine, state } = &mut *handle.lock();
@@ -240,3 +237,68 @@
     }
     assert!(!handle.handle_client_message(other, &set_up(1_001)));
 }
+
+/// Sends a set-up with a description of this length.
+fn send_large_set_up(handle: &PlatformHandle, client: ClientId, task: u64, length: usize) -> bool {
+    let description = vec![b'x'; length];
+    let parameters: [(u8, &[u8]); 5] = [
+        (client::CLASS, b"batch"),
+        (client::TIME_LEFT, b"6000"),
+        (client::TASK_NAME, b"a"),
+        (client::REQUIREMENTS, b"cores:1;memory:1;service:a"),
+        (client::DESCRIPTION, &description),
+    ];
+    let mut reader = Reader::default();
+    let bytes = client::encode(MessageType::SetUp, task, &parameters);
+    reader.push(&bytes.expect("a short message"));
+    let message = reader.next_message().expect("valid").expect("complete");
+    handle.handle_client_message(client, &message)
+}
+
+/// Returns the bytes of the descriptions of all set-ups.
+fn held_descriptions(handle: &PlatformHandle) -> usize {
+    let engine = &mut handle.lock().engine;
+    let all = engine.iter_mut();
+    all.map(|(_, pending, _)| pending.description.len()).sum()
+}
+
+/// Guards against a dispatcher that needs more memory than it has: clients send hundreds of large
+/// set-ups at once. Another client's largest set-up is still admitted.
+#[test]
+fn large_set_ups_are_bounded_by_their_bytes_and_leave_room_for_other_clients() {
+    const LENGTH: usize = 16_000;
+    const MEMORY_BYTES: usize = 64_000_000;
+    let limits = ("\"sockets\":256", "\"sockets\":256,\"memory_mb\":64");
+    let handle = handle_with_config(&CONFIG.replace(limits.0, limits.1));
+    let floods: Vec<(ClientId, MessageQueue)> = (0..20).map(|_| connect(&handle)).collect();
+    for (number, (client, queue)) in floods.iter().enumerate() {
+        for request in 0..250 {
+            let task = 1_000 * (number as u64 + 1) + request;
+            assert!(send_large_set_up(&handle, *client, task, LENGTH));
+            queue.take_all();
+        }
+    }
+    let held = held_descriptions(&handle);
+    assert!(held <= MEMORY_BYTES / 2, "{held} bytes are held");
+    let (good, queue) = connect(&handle);
+    assert!(send_large_set_up(&handle, good, OWNERS_TASK, LENGTH));
+    assert_eq!(queue.take_all(), Vec::<Vec<u8>>::new(), "it is admitted");
+    for (client, _) in &floods {
+        handle.client_disconnected(*client);
+    }
+    assert_eq!(held_descriptions(&handle), LENGTH);
+    assert_eq!(handle.lock().state.client_memory.pool_used(), 0);
+}
+
+/// A limit on memory that can't be used is refused at the start, with its value.
+#[test_case("8"; "less than an idle dispatcher needs")]
+#[test_case("-64"; "negative")]
+fn a_dispatcher_does_not_start_with_too_little_memory(memory_mb: &str) {
+    let limits = format!("\"sockets\":256,\"memory_mb\":{memory_mb}");
+    let config = CONFIG.replace("\"sockets\":256", &limits);
+    let config = NodeConfig::from_json(config.as_bytes()).expect("a valid format");
+    let budget = DescriptorBudget::new(256).expect("enough descriptors");
+    let error = CoreOptions::new(config, &budget).err().expect("refused");
+    let expected = format!("limits: memory_mb of {memory_mb} is less than the minimum of 16");
+    assert_eq!(error.to_string(), expected);
+}
--- a/crates/platform/tests/core/transcript.rs
+++ b/crates/platform/tests/core/transcript.rs
@@ -496,17 +496,21 @@
         }
         let queue = connection.queue.second_receiver();
         while let Some((attempt, bytes)) = queue.next() {
-            if queue.is_discarded()
-                || attempt.is_some_and(|attempt| !self.handle.may_write_set_up(id, attempt))
-            {
-                self.record(format_args!(
-                    "> link {} leaves out {} bytes",
-                    id.0,
-                    bytes.len()
-                ));
+            let may_write = !queue.is_discarded()
+                && attempt.is_none_or(|attempt| self.handle.may_write_set_up(id, attempt));
+            if !may_write {
+                match attempt {
+                    Some(_) => self.record(format_args!("> link {} leaves out a set-up", id.0)),
+                    None => self.record(format_args!(
+                        "> link {} leaves out {} bytes",
+                        id.0,
+                        bytes.len()
+                    )),
+                }
                 continue;
             }
-            let line = String::from_utf8(bytes).expect("valid text");
+            let set_up = attempt.map(|attempt| self.handle.set_up_line(attempt).expect("short"));
+            let line = String::from_utf8(set_up.unwrap_or(bytes)).expect("valid text");
             self.record(format_args!("> link {} {}", id.0, line.trim_end()));
             let message: node::Message = serde_json::from_str(&line).expect("a message");
             let connection = self.connections.get_mut(&id).expect("a known connection");
--- a/crates/platform/tests/writer/fairness.rs
+++ b/crates/platform/tests/writer/fairness.rs
@@ -35,7 +35,7 @@
             ReadOutcome::Closed => return ReadProgress::Done,
         }
     };
-    run_connection(stream, queue, |_| true, input.read_messages(handle_next)).await;
+    run_connection(stream, queue, |_| None, input.read_messages(handle_next)).await;
 }
 
 fn attempt(number: usize) -> AttemptId {
@@ -81,23 +81,20 @@
 fn a_set_up_cancelled_before_it_is_written_is_never_written() {
     let tasks = corkspan_runtime::SharedExecutor::default();
     let ((stream, mut peer), (sender, queue)) = (connection_with_input(b""), message_queue());
-    assert!(
-        sender.send_set_up(attempt(1), b"one".to_vec())
-            && sender.send_set_up(attempt(2), b"two".to_vec())
-    );
+    assert!(sender.send_set_up(attempt(1)) && sender.send_set_up(attempt(2)));
     assert!(sender.send(b"end".to_vec()));
     let checked = Arc::new(Mutex::new(Vec::new()));
-    let may_write_set_up = {
+    let set_up_line = {
         let checked = Arc::clone(&checked);
         move |attempt: AttemptId| {
             checked.lock().expect("not poisoned").push(attempt);
-            attempt.number != 1
+            (attempt.number != 1).then(|| b"two".to_vec())
         }
     };
     let input = ConnectionInput::new(stream.clone());
     let read = async move { input.read_messages(|| ReadProgress::NoMessage).await };
     let carried =
-        tasks.spawn(async move { run_connection(stream, queue, may_write_set_up, read).await });
+        tasks.spawn(async move { run_connection(stream, queue, set_up_line, read).await });
     drop(sender);
     future::block_on(tasks.run(carried));
     assert_eq!(
@@ -114,11 +111,11 @@
 fn nothing_is_written_once_the_connection_is_discarded() {
     let tasks = corkspan_runtime::SharedExecutor::default();
     let ((stream, mut peer), (sender, queue)) = (connection_with_input(b""), message_queue());
-    assert!(sender.send_set_up(attempt(1), b"one".to_vec()) && sender.send(b"cut".to_vec()));
+    assert!(sender.send_set_up(attempt(1)) && sender.send(b"cut".to_vec()));
     sender.discard();
     let read = future::pending();
-    let undelivered =
-        tasks.spawn(async move { run_connection(stream, queue, |_| true, read).await });
+    let undelivered = tasks
+        .spawn(async move { run_connection(stream, queue, |_| Some(b"one".to_vec()), read).await });
     assert_eq!(
         future::block_on(tasks.run(undelivered)),
         Vec::<TaskEnd>::new()
@@ -141,6 +138,6 @@
     };
     assert!(sender.send_task_end(end) && sender.send(b"other".to_vec()));
     let undelivered =
-        tasks.spawn(async move { run_connection(stream, queue, |_| true, async {}).await });
+        tasks.spawn(async move { run_connection(stream, queue, |_| None, async {}).await });
     assert_eq!(future::block_on(tasks.run(undelivered)), [end]);
 }
