Tell the owner of a task that ends during its hand-over the cause of its node

Cause, from a trace of one task by its id: an end that is read before the hand-over was remembered without its cause, and the hand-over always answered with 41.

Change: the remembered end has its kind. It is sent like every end of a running task, so that it does not go with the connection.

Tests: core/clients forces the order (release first, then hand-over); the case with 16 fails on the former code (41), those with 41 and 31 held there.

--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -262,13 +262,14 @@
             ?load,
             "closed by its node"
         );
+        let (release_cause, reason) = (ReleaseCause::from(cause), parse_reason(message));
         let Some(MatchedAttempt {
             id, active, stage, ..
         }) = matched
         else {
-            return self.remember_early_end(now, task, machine);
+            let end = TaskEnd::new(task, release_cause.task_result());
+            return self.remember_early_end(now, machine, end);
         };
-        let (release_cause, reason) = (ReleaseCause::from(cause), parse_reason(message));
         if stage != TaskStage::Pending {
             let result = release_cause.task_result();
             self.task_ended(now, engine, id, result, reason, load);
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -3,6 +3,7 @@
 use super::client_memory::set_up_bytes;
 use super::limits::TICKS_PER_MS;
 use crate::ids::{ClientId, ConnectionId};
+use crate::task_end::TaskEnd;
 use corkspan_platform_wire::client::SetUp;
 use corkspan_platform_wire::node::{self, AttributeValue};
 use corkspan_scheduler::interface::*;
@@ -51,8 +52,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EarlyEnd {
     pub(super) reported_at: Ticks,
-    pub(super) task: u64,
     pub(super) machine: MachineId,
+    pub(super) end: TaskEnd,
 }
 
 /// A task, kept from its set-up to its end.
--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -62,12 +62,7 @@
         self.timers.retain(|(_, timer)| *timer != Timer::Stop(id));
         debug!(task = task_key(task), machine = ?active.machine, ending = ?result, ?reason, "task ended");
         if self.record_task_end(pending) && result != AttemptResult::Cancelled {
-            let kind = if result == AttemptResult::Completed {
-                TaskEndKind::Completed
-            } else {
-                TaskEndKind::Interrupted
-            };
-            self.send_task_end(to, TaskEnd { task, kind });
+            self.send_task_end(to, TaskEnd::new(task, result));
         }
         self.nodes.remove_task(active.machine, id);
         engine.attempt_returned(
@@ -84,8 +79,15 @@
         );
     }
 
+    /// Returns the end of a task that its node has reported before the task was handed over.
+    pub(super) fn early_end(&self, task: u64, machine: MachineId) -> Option<TaskEnd> {
+        let mut ends = self.early_ends.iter();
+        let reported = ends.find(|early| (early.end.task, early.machine) == (task, machine));
+        reported.map(|early| early.end)
+    }
+
     /// Records that a node has reported the end of an unknown task.
-    pub(super) fn remember_early_end(&mut self, now: Ticks, task: u64, machine: MachineId) {
+    pub(super) fn remember_early_end(&mut self, now: Ticks, machine: MachineId, end: TaskEnd) {
         while self.early_ends.front().is_some_and(|end| {
             self.early_ends.len() >= MAX_EARLY_ENDS || end.reported_at + EARLY_END_LIFETIME <= now
         }) {
@@ -93,8 +95,8 @@
         }
         self.early_ends.push_back(EarlyEnd {
             reported_at: now,
-            task,
             machine,
+            end,
         });
     }
 }
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -111,21 +111,17 @@
             // The task has ended while its client had no connection. Its end is copied to this one.
             return MessageValidity::Valid;
         }
-        let has_ended = |machine| {
-            self.early_ends
-                .iter()
-                .any(|end| (end.task, end.machine) == (task, machine))
-        };
-        let Some(machine) = self
-            .nodes
-            .find(node_name)
-            .filter(|&machine| !has_ended(machine))
-        else {
-            // Either the node is gone and the task with it, or the node has already reported the
-            // end on a connection that was opened for another task, and does not report it again.
-            self.send_release(from, task, client::CAUSE_INTERRUPTED);
+        let Some(machine) = self.nodes.find(node_name) else {
+            // The node is gone, and the task with it.
+            self.send_task_end(from, TaskEnd::new(task, AttemptResult::Reset));
             return MessageValidity::Valid;
         };
+        if let Some(end) = self.early_end(task, machine) {
+            // The node has reported the end on a connection that was opened for another task, and
+            // does not report it again.
+            self.send_task_end(from, end);
+            return MessageValidity::Valid;
+        }
         let mut pending = PendingTask::new(from, set_up, request.deadline + TRANSIT_ALLOWANCE);
         pending.stage = TaskStage::Running;
         pending.release_content();
--- a/crates/platform/src/task_end.rs
+++ b/crates/platform/src/task_end.rs
@@ -1,6 +1,7 @@
 //! The end of a running task, as its client is notified of it.
 
 use corkspan_platform_wire::client::{self, MessageType};
+use corkspan_scheduler::interface::AttemptResult;
 
 /// The way in which a running task ends for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +23,15 @@
 }
 
 impl TaskEnd {
+    /// Creates the end of a task whose last attempt has this result.
+    pub fn new(task: u64, result: AttemptResult) -> TaskEnd {
+        let kind = match result {
+            AttemptResult::Completed => TaskEndKind::Completed,
+            _ => TaskEndKind::Interrupted,
+        };
+        TaskEnd { task, kind }
+    }
+
     /// Encodes the message that notifies the client.
     pub fn encode(self) -> Option<Vec<u8>> {
         let release = |cause| {
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -302,3 +302,21 @@
     let expected = format!("limits: memory_mb of {memory_mb} is less than the minimum of 16");
     assert_eq!(error.to_string(), expected);
 }
+
+/// Guards against an unrepeatable task that runs twice: it has come to its end, and its client is
+/// told that it was interrupted, because its node reports the end before the task is handed over.
+#[test_case(16, client::CAUSE_NORMAL; "it came to its end")]
+#[test_case(41, client::CAUSE_INTERRUPTED; "it was interrupted")]
+#[test_case(31, client::CAUSE_INTERRUPTED; "the former process had it stopped")]
+fn the_cause_of_an_end_before_the_hand_over_is_forwarded(cause: u32, told: u8) {
+    let handle = handle();
+    let (owner, queue) = connect(&handle);
+    let hand_over = |task| set_up_with_requirements(task, "cores:1;memory:1;service:a;at:s-1");
+    assert!(handle.handle_client_message(owner, &hand_over(OWNERS_TASK + 1)));
+    let connection = handle.lock().state.connections.newest();
+    handle.connection_established(connection);
+    node_releases(&handle, connection, OWNERS_TASK, cause);
+    assert!(handle.handle_client_message(owner, &hand_over(OWNERS_TASK)));
+    let released = encoded(MessageType::Release, OWNERS_TASK, told);
+    assert_eq!(queue.take_all(), [released]);
+}
