Let no client's flood delay others, or start attempts past its unread end

What callers saw: while one client sent small set-ups at full speed, another's answers came after 6 s or never; and the set-ups of a client that had closed with much unread were sent on.

Cause, from a trace of the good client's request: before each attempt up to 512 messages of its client were read, for each of its 256 open set-ups anew, and the attempts of all clients waited in one queue. Beyond 512 messages the attempt started although the client's end might be unread.

Change: 64 messages of a client are read in a turn; if more is unread, its set-ups are queued again and none of its attempts is decided or written. The engine evaluates sources in turn (fair_queue).

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -1,11 +1,13 @@
 //! Runs the program as a process, and lets clients make it hold as much as they can. The platform
 //! ends a dispatcher that needs more memory than its configuration allows.
 
+mod memory_use;
 mod program;
 
 use corkspan_platform_wire::MAX_MESSAGE_BYTES;
 use corkspan_platform_wire::client::{self, MessageType};
 use corkspan_platform_wire::node;
+use memory_use::{BYTES_PER_MB, allocated_bytes};
 use program::{Limits, Program};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -18,7 +20,6 @@
     sockets: 1_024,
     memory_mb: 32,
 };
-const BYTES_PER_MB: usize = 1_000_000;
 /// Time for which memory is watched once the clients have sent everything that is taken.
 const WATCH_TIME: Duration = Duration::from_millis(1_500);
 const DESCRIPTION_BYTES: usize = 16_000;
@@ -92,16 +93,6 @@
     client::encode(MessageType::SetUp, task, &parameters).expect("a short message")
 }
 
-/// Returns the memory that a process has allocated, without the program's own pages.
-fn allocated_bytes(process: u32) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("it runs");
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("RssAnon:"));
-    let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<usize>().ok());
-    kibibytes.expect("a number") * 1_024
-}
-
 /// Answers each set-up whose description is `good` on every connection, and no other.
 fn serve_good_set_ups(node: TcpListener) {
     for mut stream in node.incoming().map_while(Result::ok) {
@@ -175,7 +166,7 @@
             .collect();
         let mut sent_at = None;
         while sent_at.is_none_or(|at: Instant| at.elapsed() < WATCH_TIME) {
-            max_allocated = max_allocated.max(allocated_bytes(program.child.id()));
+            max_allocated = max_allocated.max(allocated_bytes(&program.child));
             if sent_at.is_none() && senders.iter().all(|sender| sender.is_finished()) {
                 sent_at = Some(Instant::now());
             }
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -17,7 +17,8 @@
         let Some(tracked) = self.tracked.get(&id) else {
             return;
         };
-        self.run_queue.push_fresh(tracked.allocation.deadline, id);
+        let deadline = tracked.allocation.deadline;
+        self.run_queue.push_fresh(tracked.source, deadline, id);
         // Entries of allocations that clients have cancelled must not accumulate.
         if self.run_queue.fresh_len() > 2 * self.tracked.len() + RUN_QUEUE_SLACK {
             let tracked = &self.tracked;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -95,6 +95,7 @@
         let tracked = Tracked {
             name: name.into(),
             data,
+            source: 0,
             allocation,
             pending_attempts: 0,
             placed: false,
@@ -133,6 +134,13 @@
         Ok(id)
     }
 
+    /// Sets the source of an allocation. Allocations of different sources are evaluated in turn.
+    pub fn set_source(&mut self, id: AllocationId, source: u64) {
+        if let Some(tracked) = self.tracked.get_mut(&id) {
+            tracked.source = source;
+        }
+    }
+
     /// Records a reported metric of a placed allocation.
     pub fn record_metric(&mut self, now: Ticks, id: AllocationId, metric: Metric) {
         self.scheduler.record_metric(now, id, metric);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod effects;
 mod engine;
+mod fair_queue;
 mod poll;
 mod queues;
 mod requests;
--- a/crates/engine/src/poll.rs
+++ b/crates/engine/src/poll.rs
@@ -78,8 +78,10 @@
         }
         for id in self.deferred.drain(..) {
             let tracked = self.tracked.get(&id);
-            let deadline = tracked.map_or(now, |tracked| tracked.allocation.deadline);
-            self.run_queue.push_deferred(deadline, id);
+            let (source, deadline) = tracked.map_or((0, now), |tracked| {
+                (tracked.source, tracked.allocation.deadline)
+            });
+            self.run_queue.push_deferred(source, deadline, id);
         }
     }
 
--- a/crates/engine/src/queues.rs
+++ b/crates/engine/src/queues.rs
@@ -1,7 +1,8 @@
 //! Allocations that wait for an evaluation, in batches or on demand.
 
+use crate::fair_queue::FairQueue;
 use corkspan_scheduler::interface::{AllocationId, Ticks};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 /// The size of the batches in which deferred allocations are evaluated again, and the time between
 /// them. A caller that evaluates thousands at once does not read its sockets meanwhile: it misses
@@ -31,14 +32,15 @@
 /// An allocation with its deadline.
 type Deadline = (Ticks, AllocationId);
 
-/// Allocations that wait for an evaluation on demand, see [`RetryBatch::ON_DEMAND`]. An evaluation
+/// Allocations that wait for an evaluation on demand, see [`RetryBatch::ON_DEMAND`]. Those of different
+/// sources take turns, so that a source with many does not delay the others. An evaluation
 /// costs about a hundred times as much as reading a message. If messages waited behind evaluations,
 /// an overloaded caller would learn too late that attempts have ended to pass that on in time.
 #[derive(Default)]
 pub(crate) struct RunQueue {
     /// New allocations, and those whose attempt has returned.
-    fresh: VecDeque<Deadline>,
-    deferred: VecDeque<Deadline>,
+    fresh: FairQueue<Deadline>,
+    deferred: FairQueue<Deadline>,
     /// Whether the deferred queue was tried first last time. The two take turns, so that neither
     /// starves the other.
     deferred_first: bool,
@@ -48,14 +50,14 @@
 
 impl RunQueue {
     /// Queues a new allocation, or one whose attempt has returned.
-    pub fn push_fresh(&mut self, deadline: Ticks, id: AllocationId) {
-        self.fresh.push_back((deadline, id));
+    pub fn push_fresh(&mut self, source: u64, deadline: Ticks, id: AllocationId) {
+        self.fresh.push(source, (deadline, id));
         self.by_deadline.insert((deadline, id));
     }
 
     /// Queues an allocation that was deferred.
-    pub fn push_deferred(&mut self, deadline: Ticks, id: AllocationId) {
-        self.deferred.push_back((deadline, id));
+    pub fn push_deferred(&mut self, source: u64, deadline: Ticks, id: AllocationId) {
+        self.deferred.push(source, (deadline, id));
         self.by_deadline.insert((deadline, id));
     }
 
@@ -72,7 +74,7 @@
             true => (&mut self.deferred, &mut self.fresh),
             false => (&mut self.fresh, &mut self.deferred),
         };
-        let next = first.pop_front().or_else(|| second.pop_front())?;
+        let next = first.pop().or_else(|| second.pop())?;
         self.by_deadline.remove(&next);
         Some(next.1)
     }
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -7,6 +7,8 @@
     pub name: String,
     /// The caller's data.
     pub data: T,
+    /// The source with which it takes turns in the run queue.
+    pub source: u64,
     pub allocation: Allocation,
     /// Number of attempts without an outcome.
     pub pending_attempts: usize,
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -559,3 +559,29 @@
         (1_000, 1_000)
     );
 }
+
+/// Guards against a source with many allocations that delays the first of another.
+#[test]
+fn sources_are_evaluated_in_turn() {
+    let mut engine = engine_with_batch(RetrySafety::Idempotent, 100, 10_000, RetryBatch::ON_DEMAND);
+    let mut effects = RecordedEffects::default();
+    let mut admit = |engine: &mut Engine<&'static str>, name: &str, source| {
+        let id = engine
+            .admit(0, name, request(SECOND * 60), "a")
+            .expect("room");
+        engine.set_source(id, source);
+        engine.place(0, id, &mut effects);
+        id
+    };
+    let of_flood: Vec<AllocationId> = (0..5_000)
+        .map(|number| admit(&mut engine, &number.to_string(), 1))
+        .collect();
+    let other = admit(&mut engine, "other", 2);
+    let order: Vec<AllocationId> = std::iter::from_fn(|| engine.next_queued()).collect();
+    assert_eq!(order[..3], [of_flood[0], other, of_flood[1]]);
+    assert_eq!(
+        order[2..],
+        of_flood[1..],
+        "those of one source keep their order"
+    );
+}
--- a/crates/platform-wire/src/client.rs
+++ b/crates/platform-wire/src/client.rs
@@ -221,6 +221,14 @@
         self.bytes.held_bytes()
     }
 
+    /// Returns whether a message has arrived as a whole.
+    pub fn has_complete_message(&self) -> bool {
+        match self.bytes.unread() {
+            [high, low, rest @ ..] => rest.len() >= usize::from(u16::from_be_bytes([*high, *low])),
+            _ => false,
+        }
+    }
+
     /// Returns whether a message has arrived only in part.
     pub fn has_partial_message(&self) -> bool {
         !self.bytes.unread().is_empty()
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -152,6 +152,8 @@
     last_health_check_id: u64,
     timers: BTreeSet<(Ticks, Timer)>,
     deferred: VecDeque<DeferredEvent>,
+    /// The number of turns so far.
+    turns: u64,
     /// Tasks whose clients have not received a final answer.
     unanswered: BTreeSet<AllocationId>,
     engine_timer: Option<Ticks>,
@@ -216,6 +218,7 @@
                 last_health_check_id: options.seed,
                 timers: BTreeSet::new(),
                 deferred: VecDeque::new(),
+                turns: 0,
                 unanswered: BTreeSet::new(),
                 engine_timer: None,
                 armed_timer: None,
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -9,7 +9,7 @@
 impl PlatformState {
     /// Returns whether a set-up may still be written; called right before its first byte. Returns
     /// false if its client is gone, even if only unread input shows that, or if its deadline has
-    /// passed.
+    /// passed. If its client has sent too much to tell, the attempt returns unsent.
     pub(super) fn may_write_set_up(
         &mut self,
         now: Ticks,
@@ -17,7 +17,7 @@
         connection: ConnectionId,
         attempt: AttemptId,
     ) -> bool {
-        self.read_pending_input(now, engine, attempt.allocation);
+        let is_read = self.read_pending_input(now, engine, attempt.allocation);
         let Some((pending, _)) = engine.data_mut(attempt.allocation) else {
             return false;
         };
@@ -34,6 +34,17 @@
         else {
             return false;
         };
+        if !is_read {
+            let (active, task) = (*active, pending.task);
+            pending.active = None;
+            self.withdraw(attempt.allocation, active, task);
+            self.deferred.push_back(DeferredEvent::Returned(
+                attempt.allocation,
+                attempt.number,
+                AttemptResult::NotSent,
+            ));
+            return false;
+        }
         active.started = true;
         if now > active.sent_at {
             engine.attempt_sent(now, attempt.allocation);
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -30,6 +30,8 @@
     pub(super) partial_since: Option<Ticks>,
     /// The last of the undelivered ends that was copied to the connection.
     pub(super) copied_ends: EndNumber,
+    /// The turn in which more input had arrived than could be handled at once.
+    pub(super) flooded_in_turn: Option<u64>,
     /// The bytes that the open set-ups count for.
     pub(super) open_bytes: usize,
     /// The bytes that the connection uses of the pool of all clients.
@@ -121,32 +123,39 @@
         ReadOutcome::Data
     }
 
-    /// Handles the input that has arrived on a client's connection, before an attempt for that
-    /// client.
+    /// Handles the input that has arrived on the connection of a set-up's client, before an attempt.
+    /// Returns false if more has arrived than may be handled at once. It may hold the end of the
+    /// set-up or of the connection, so the attempt must wait.
     pub(super) fn read_pending_input(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
         id: AllocationId,
-    ) {
+    ) -> bool {
         let Some(from) = engine.data_mut(id).map(|(pending, _)| pending.client) else {
-            return;
-        };
-        let has_unread_input = |client: &ClientConnection| {
-            client.input.is_some()
-                && (client.input_read_at + MAX_INPUT_AGE <= now
-                    || client.reader.buffered_bytes() > 0)
+            return true;
         };
         for _ in 0..MAX_MESSAGES_BEFORE_ATTEMPT {
-            if !self.clients.get(&from).is_some_and(has_unread_input) {
-                return;
+            let client = self.clients.get(&from);
+            if !client.is_some_and(|client| client.has_unread_input(now)) {
+                return true;
+            }
+            if client.is_some_and(|client| client.flooded_in_turn == Some(self.turns)) {
+                return false;
             }
             match self.read_next_message(now, engine, from) {
                 ReadProgress::Handled => {}
-                ReadProgress::NoMessage => return,
-                ReadProgress::Done => return self.close_client(now, engine, from),
+                ReadProgress::NoMessage => return true,
+                ReadProgress::Done => {
+                    self.close_client(now, engine, from);
+                    return true;
+                }
             }
         }
+        if let Some(client) = self.clients.get_mut(&from) {
+            client.flooded_in_turn = Some(self.turns);
+        }
+        false
     }
 
     /// Handles a peer that has closed its side: cancels its open set-ups, and still handles the
@@ -274,6 +283,12 @@
 }
 
 impl ClientConnection {
+    /// Returns whether input may have arrived that is not handled yet.
+    fn has_unread_input(&self, now: Ticks) -> bool {
+        self.input.is_some()
+            && (self.input_read_at + MAX_INPUT_AGE <= now || self.reader.has_complete_message())
+    }
+
     /// Returns the bytes that the connection holds besides the input of one message.
     pub(super) fn held_bytes(&self) -> usize {
         let input = self.reader.held_bytes();
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -27,12 +27,21 @@
     /// and not for all set-ups.
     pub fn run_turn(&mut self, now: Ticks, has_time: impl Fn() -> bool) -> bool {
         self.process_event(now, |engine, state| {
-            // The time is checked first: a set-up that was taken from the queue must be evaluated.
+            state.turns += 1;
+            let mut unread = Vec::new();
+            // The time is checked first: a set-up that was taken from the queue must be evaluated,
+            // or queued again.
             while has_time()
                 && let Some(id) = engine.next_queued()
             {
-                state.read_pending_input(now, engine, id);
-                engine.evaluate(now, id, state);
+                if state.read_pending_input(now, engine, id) {
+                    engine.evaluate(now, id, state);
+                } else {
+                    unread.push(id);
+                }
+            }
+            for id in unread {
+                engine.place(now, id, state);
             }
             engine.has_queued()
         })
@@ -101,6 +110,7 @@
                 valid: false,
                 partial_since: None,
                 copied_ends: EndNumber::default(),
+                flooded_in_turn: None,
                 open_bytes: 0,
                 from_pool: 0,
             };
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -10,9 +10,9 @@
 /// Number of bytes that are read ahead on a client's connection. A client that sends more is
 /// flooding the dispatcher.
 pub(super) const READ_AHEAD_BYTES: usize = 2 * corkspan_platform_wire::MAX_MESSAGE_BYTES;
-/// Maximum number of messages of a client that are handled at once before an attempt. A client that
-/// sends more is flooding the dispatcher.
-pub(super) const MAX_MESSAGES_BEFORE_ATTEMPT: usize = 2 * MAX_SET_UPS_PER_CONNECTION;
+/// Maximum number of messages of a client that are handled at once before an attempt, once in each
+/// turn. If more have arrived, the client's attempts wait, and other clients' do not.
+pub(super) const MAX_MESSAGES_BEFORE_ATTEMPT: usize = 64;
 /// The maximum number of tasks, including running ones.
 pub(super) const MAX_TASKS: usize = 8_192;
 /// The maximum number of open set-ups on one client's connection.
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -172,6 +172,7 @@
             self.send_release(from, task, client::CAUSE_REJECTED);
             return MessageValidity::Unusable;
         };
+        engine.set_source(id, from.0);
         self.unanswered.insert(id);
         self.clients.get_mut(&from).into_iter().for_each(|client| {
             client.open_set_ups.insert(task);
--- a/crates/platform/tests/core/races.rs
+++ b/crates/platform/tests/core/races.rs
@@ -123,6 +123,30 @@
     );
 }
 
+/// Guards against sending on the set-ups of a client that is gone: it has left so much unread that
+/// its end is not seen when an attempt is decided.
+#[test_case(Departure::Closes)]
+#[test_case(Departure::HalfCloses)]
+#[test_case(Departure::Cancels)]
+fn no_attempt_starts_while_much_of_its_clients_input_is_unread(how: Departure) {
+    const UNREAD_SET_UPS: u64 = 2_000;
+    let handle = handle(&[]);
+    let (id, _queue, mut peer) = connect_client(&handle, 7);
+    for task in 2_000..2_000 + UNREAD_SET_UPS {
+        peer.write_all(&set_up_bytes(task)).expect("written");
+    }
+    let _kept = depart(how, 7, peer);
+    while active_attempt(&handle, 7).is_none() && handle.lock().engine.find(&task_key(7)).is_some()
+    {
+        handle.run_turn();
+    }
+    assert_eq!(active_attempt(&handle, 7), None);
+    if !matches!(how, Departure::Cancels) {
+        assert_eq!(handle.lock().engine.counts().total, 0);
+        assert!(!handle.lock().state.clients.contains_key(&id));
+    }
+}
+
 #[test_case(Departure::Closes)]
 #[test_case(Departure::HalfCloses)]
 #[test_case(Departure::Resets)]
