Keep hand-overs that no node confirms from shutting other clients out

What callers saw: after one client had handed over thousands of tasks that no node has, other clients' set-ups were rejected, and their hand-overs were dropped without a word.

Cause: a hand-over is taken without proof, and running tasks and open set-ups shared one limit of 8,192.

Change: the two are limited apart. When 8,192 tasks run, the connection with the most unconfirmed hand-overs gives up its oldest, which is told to it. An open set-up counts for its part of their number in the memory of clients.

--- a/crates/cli/tests/flood.rs
+++ b/crates/cli/tests/flood.rs
@@ -41,6 +41,8 @@
     UnknownClasses,
     /// Set-ups that no machine can hold.
     TooLarge,
+    /// Tasks that are said to run already, on a node that runs no such task.
+    HandedOver,
     /// Releases of tasks that do not exist.
     Releases,
     HealthChecks,
@@ -62,6 +64,7 @@
             }
             Flood::UnknownClasses => set_up(task, &format!("class-{number}"), "1", "bad", ""),
             Flood::TooLarge => set_up(task, "batch", "1000000", "bad", ""),
+            Flood::HandedOver => set_up(task, "batch", "0.001", "bad", ";at:s-1"),
             Flood::Releases => message(MessageType::Release, task, &[(client::CAUSE, &[16])]),
             Flood::HealthChecks => {
                 message(MessageType::HealthCheck, task, &[(client::CAUSE, &[0])])
@@ -171,6 +174,7 @@
 #[test_case(Flood::GivenUp)]
 #[test_case(Flood::UnknownClasses)]
 #[test_case(Flood::TooLarge)]
+#[test_case(Flood::HandedOver)]
 #[test_case(Flood::Releases)]
 #[test_case(Flood::HealthChecks)]
 fn a_flood_on_one_connection_delays_no_other_client(kind: Flood) {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -249,6 +249,11 @@
         counts
     }
 
+    /// Returns the number of allocations.
+    pub fn tracked(&self) -> usize {
+        self.tracked.len()
+    }
+
     /// Counts the allocations by what they wait for.
     pub fn counts(&self) -> AllocationCounts {
         let mut counts = AllocationCounts {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -16,7 +16,6 @@
 use corkspan_engine::{Engine, RetryBatch, ReturnedAttempt};
 #[cfg(test)]
 use corkspan_platform_wire::client::Message;
-use corkspan_platform_wire::client::SetUp;
 use corkspan_platform_wire::discovery::Event;
 use corkspan_platform_wire::node;
 use corkspan_platform_wire::node_config::{DiscoveryState, NodeConfig};
@@ -27,6 +26,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use unconfirmed_tasks::UnconfirmedTasks;
 use undelivered_ends::{EndNumber, UndeliveredEnds};
 
 mod attempts;
@@ -54,6 +54,7 @@
 #[cfg(test)]
 #[path = "../tests/core/transcript.rs"]
 mod transcript;
+mod unconfirmed_tasks;
 mod undelivered_ends;
 
 /// The way in which a connection to a node ended.
@@ -144,6 +145,7 @@
     max_clients: usize,
     clients_accepted: u64,
     undelivered_ends: UndeliveredEnds,
+    unconfirmed_tasks: UnconfirmedTasks,
     /// Ordered from the oldest to the newest.
     early_ends: VecDeque<EarlyEnd>,
     nodes: Nodes,
@@ -200,7 +202,7 @@
                 options.cluster,
                 options.seed,
                 now,
-                MAX_TASKS,
+                MAX_RUNNING_TASKS + MAX_OPEN_SET_UPS,
                 RetryBatch::ON_DEMAND,
             ),
             state: PlatformState {
@@ -211,6 +213,7 @@
                 max_clients: options.max_clients,
                 clients_accepted: 0,
                 undelivered_ends: UndeliveredEnds::default(),
+                unconfirmed_tasks: UnconfirmedTasks::default(),
                 early_ends: VecDeque::new(),
                 nodes: Nodes::default(),
                 connections,
--- a/crates/platform/src/core/client_memory.rs
+++ b/crates/platform/src/core/client_memory.rs
@@ -7,14 +7,19 @@
 
 use super::*;
 use crate::memory_budget::MESSAGE_BYTES;
+use corkspan_platform_wire::MAX_MESSAGE_BYTES;
+use corkspan_platform_wire::client::SetUp;
 
-/// The bytes of an open set-up besides its content: its records in the engine and in the core.
-const SET_UP_OVERHEAD_BYTES: usize = 1024;
+/// Minimum bytes of an open set-up besides its content: its records in the engine and in the core.
+const MIN_SET_UP_OVERHEAD_BYTES: usize = 1024;
 
 /// The bytes that clients may hold besides the input of one message each, and the use of the pool.
 pub(super) struct ClientMemory {
     /// The number of bytes that each connection may hold in any case.
     guaranteed: usize,
+    /// The bytes that an open set-up counts for besides its content. It counts for at least its part
+    /// of the maximum number, so that no client can use up the others' set-ups.
+    set_up_overhead: usize,
     pool: usize,
     pool_used: usize,
 }
@@ -24,9 +29,12 @@
     /// of one message on each leaves is guaranteed, or more if the largest set-up needs it.
     pub(super) fn new(bytes: usize, max_clients: usize) -> ClientMemory {
         let besides_input = bytes.saturating_sub(max_clients * MESSAGE_BYTES);
-        let guaranteed = (besides_input / 2 / max_clients.max(1)).max(MESSAGE_BYTES);
+        let set_up_overhead = (bytes / MAX_OPEN_SET_UPS).max(MIN_SET_UP_OVERHEAD_BYTES);
+        let largest_set_up = MAX_MESSAGE_BYTES + set_up_overhead;
+        let guaranteed = (besides_input / 2 / max_clients.max(1)).max(largest_set_up);
         ClientMemory {
             guaranteed,
+            set_up_overhead,
             pool: besides_input.saturating_sub(guaranteed * max_clients),
             pool_used: 0,
         }
@@ -38,6 +46,13 @@
         self.pool_used
     }
 
+    /// Returns the number of bytes that an open set-up counts for.
+    pub(super) fn set_up_bytes(&self, set_up: &SetUp) -> usize {
+        let texts = [&set_up.class, &set_up.name, &set_up.description];
+        let key = set_up.idempotency_key.as_ref().map_or(0, String::len);
+        self.set_up_overhead + key + texts.iter().map(|text| text.len()).sum::<usize>()
+    }
+
     /// Records what a connection holds. `from_pool` is its use of the pool.
     fn record(&mut self, from_pool: &mut usize, held: usize) {
         let needed = held.saturating_sub(self.guaranteed);
@@ -57,13 +72,6 @@
     }
 }
 
-/// Returns the number of bytes that an open set-up holds.
-pub(super) fn set_up_bytes(set_up: &SetUp) -> usize {
-    let texts = [&set_up.class, &set_up.name, &set_up.description];
-    let key = set_up.idempotency_key.as_ref().map_or(0, String::len);
-    SET_UP_OVERHEAD_BYTES + key + texts.iter().map(|text| text.len()).sum::<usize>()
-}
-
 impl PlatformState {
     /// Returns whether a connection may hold this many bytes more.
     pub(super) fn has_room(&mut self, id: ClientId, bytes: usize) -> bool {
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -247,7 +247,7 @@
                 return Err(ReconfigureError::NamesChanged);
             }
             state.settings = Arc::new(config.settings);
-            engine.reconfigure(now, cluster, MAX_TASKS);
+            engine.reconfigure(now, cluster, MAX_RUNNING_TASKS + MAX_OPEN_SET_UPS);
             Ok(())
         })
     }
@@ -265,7 +265,7 @@
             + state.health_checks.len()
             + state.timers.len()
             + state.unanswered.len();
-        let entries = entries + state.early_ends.len();
+        let entries = entries + state.early_ends.len() + state.unconfirmed_tasks.len();
         engine.state_size()
             + state.clients.len()
             + state.nodes.retained_items()
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -13,8 +13,11 @@
 /// Maximum number of messages of a client that are handled at once before an attempt, once in each
 /// turn. If more have arrived, the client's attempts wait, and other clients' do not.
 pub(super) const MAX_MESSAGES_BEFORE_ATTEMPT: usize = 64;
-/// The maximum number of tasks, including running ones.
-pub(super) const MAX_TASKS: usize = 8_192;
+/// The maximum number of running tasks that are taken over.
+pub(super) const MAX_RUNNING_TASKS: usize = 8_192;
+/// The maximum number of open set-ups. They are counted apart from running tasks, so that neither
+/// can keep the other out.
+pub(super) const MAX_OPEN_SET_UPS: usize = 8_192;
 /// The maximum number of open set-ups on one client's connection.
 pub(super) const MAX_SET_UPS_PER_CONNECTION: usize = 256;
 /// Time after which a client's connection is closed if it has sent no valid message or only part of
@@ -44,6 +47,6 @@
 pub(super) const EARLY_END_LIFETIME: Ticks = SECOND * 10;
 /// The maximum number of ends of tasks whose client's connection is gone: all tasks may end while
 /// their clients are away.
-pub(super) const MAX_UNDELIVERED_ENDS: usize = MAX_TASKS;
+pub(super) const MAX_UNDELIVERED_ENDS: usize = MAX_RUNNING_TASKS;
 /// Time within which the protocol requires that the end of a task be reported to its client.
 pub(super) const END_REPORT_LIMIT: Ticks = SECOND * 8;
--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -116,9 +116,21 @@
             debug!(task = task_key(task), ?machine, ?message.message_type, "ignoring a message about an earlier attempt");
             return true;
         }
+        if let Some(matched) = &matched {
+            self.confirm_task(engine, matched.id);
+        }
         self.handle_task_message(now, engine, origin, matched, message)
     }
 
+    /// Records that a node has reported something of a task.
+    fn confirm_task(&mut self, engine: &mut Engine<PendingTask>, id: AllocationId) {
+        if let Some((pending, _)) = engine.data_mut(id)
+            && std::mem::take(&mut pending.unconfirmed)
+        {
+            self.unconfirmed_tasks.remove(pending.client, id);
+        }
+    }
+
     /// Handles a message about a known or unknown task. Returns false if its connection must be
     /// closed.
     fn handle_task_message(
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -1,6 +1,5 @@
 //! The records of a task and its attempts, and the timers.
 
-use super::client_memory::set_up_bytes;
 use super::limits::TICKS_PER_MS;
 use crate::ids::{ClientId, ConnectionId};
 use crate::task_end::TaskEnd;
@@ -67,6 +66,8 @@
     /// The bytes that the set-up counts for while it is open.
     pub(super) counted_bytes: usize,
     pub(super) deadline: Ticks,
+    /// Whether the task was handed over, and its node has reported nothing of it yet.
+    pub(super) unconfirmed: bool,
     pub(super) stage: TaskStage,
     pub(super) active: Option<ActiveAttempt>,
     /// The connections on which attempts were sent. A node's messages name the task and not the
@@ -79,9 +80,8 @@
 impl PendingTask {
     /// Creates a task that waits for an answer and has no active attempt.
     pub(super) fn new(client: ClientId, set_up: SetUp, deadline: Ticks) -> PendingTask {
-        let counted_bytes = set_up_bytes(&set_up);
         PendingTask {
-            counted_bytes,
+            counted_bytes: 0,
             task: set_up.task,
             client,
             class: set_up.class,
@@ -89,6 +89,7 @@
             idempotency_key: set_up.idempotency_key,
             description: set_up.description,
             deadline,
+            unconfirmed: false,
             stage: TaskStage::Pending,
             active: None,
             used_connections: Vec::new(),
--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -59,6 +59,7 @@
             return;
         };
         let (task, to) = (pending.task, pending.client);
+        self.unconfirmed_tasks.remove(to, id);
         self.timers.retain(|(_, timer)| *timer != Timer::Stop(id));
         debug!(task = task_key(task), machine = ?active.machine, ending = ?result, ?reason, "task ended");
         if self.record_task_end(pending) && result != AttemptResult::Cancelled {
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -124,6 +124,7 @@
         }
         let mut pending = PendingTask::new(from, set_up, request.deadline + TRANSIT_ALLOWANCE);
         pending.stage = TaskStage::Running;
+        pending.unconfirmed = true;
         pending.release_content();
         pending.active = Some(ActiveAttempt {
             number: 0,
@@ -134,8 +135,10 @@
             timeout: Ticks::MAX,
             started: true,
         });
+        self.make_room_for_running_task(now, engine);
         if let Ok(id) = engine.admit_running(now, &task_key(task), request, machine, pending) {
             self.nodes.add_task(machine, id);
+            self.unconfirmed_tasks.add(from, id);
             self.clients
                 .get_mut(&from)
                 .into_iter()
@@ -147,6 +150,19 @@
         MessageValidity::Valid
     }
 
+    /// Gives up the oldest unconfirmed task of the connection that has handed over the most, if there
+    /// are as many tasks as may be taken over.
+    fn make_room_for_running_task(&mut self, now: Ticks, engine: &mut Engine<PendingTask>) {
+        let running = engine.tracked().saturating_sub(self.unanswered.len());
+        if running < MAX_RUNNING_TASKS {
+            return;
+        }
+        if let Some(id) = self.unconfirmed_tasks.oldest_of_largest() {
+            debug!(?id, "giving up a task that its node has not confirmed");
+            self.task_ended(now, engine, id, AttemptResult::Reset, None, None);
+        }
+    }
+
     /// Admits a new task and requests its placement.
     fn admit_new_task(
         &mut self,
@@ -157,8 +173,9 @@
         request: AllocationRequest,
     ) -> MessageValidity {
         let task = set_up.task;
-        let pending = PendingTask::new(from, set_up, request.deadline + TRANSIT_ALLOWANCE);
-        let counted_bytes = pending.counted_bytes;
+        let counted_bytes = self.client_memory.set_up_bytes(&set_up);
+        let mut pending = PendingTask::new(from, set_up, request.deadline + TRANSIT_ALLOWANCE);
+        pending.counted_bytes = counted_bytes;
         if !self.has_room(from, counted_bytes) {
             debug!(
                 task = task_key(task),
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -320,3 +320,30 @@
     let released = encoded(MessageType::Release, OWNERS_TASK, told);
     assert_eq!(queue.take_all(), [released]);
 }
+
+/// Guards against a client that hands over so many tasks which no node has that no other client's
+/// tasks are taken over or admitted any more.
+#[test]
+fn handed_over_tasks_that_no_node_has_leave_room_for_other_clients() {
+    let handle = handle();
+    let hand_over = |client, task| {
+        let requirements = "cores:0.001;memory:0.001;service:a;at:s-1";
+        let message = set_up_with_requirements(task, requirements);
+        assert!(handle.handle_client_message(client, &message));
+    };
+    let (owner, owners_queue) = connect(&handle);
+    hand_over(owner, OWNERS_TASK);
+    let (flooding, queue) = connect(&handle);
+    for task in 1_000..1_000 + 2 * MAX_RUNNING_TASKS as u64 {
+        hand_over(flooding, task);
+        queue.take_all();
+    }
+    hand_over(owner, OWNERS_TASK + 1);
+    assert!(handle.handle_client_message(owner, &set_up(OWNERS_TASK + 2)));
+    assert_eq!(owners_queue.take_all(), Vec::<Vec<u8>>::new());
+    let engine = &handle.lock().engine;
+    for task in OWNERS_TASK..=OWNERS_TASK + 2 {
+        assert!(engine.find(&task_key(task)).is_some(), "{task} is known");
+    }
+    assert_eq!(engine.counts().placed, MAX_RUNNING_TASKS);
+}
--- a/crates/platform/tests/core/transcript.rs
+++ b/crates/platform/tests/core/transcript.rs
@@ -99,7 +99,7 @@
                 cluster_settings,
                 seed,
                 START_TIME,
-                MAX_TASKS,
+                MAX_RUNNING_TASKS + MAX_OPEN_SET_UPS,
                 RetryBatch::ON_DEMAND,
             );
             (state.now, state.last_health_check_id) = (START_TIME, seed);
