Reject the id of a request that may have run when it comes again

What callers saw: a request was at its node when its client left; the same id came on another connection and was sent to a node again.

Cause: an id was forgotten as soon as its request was withdrawn or its task had ended.

What was never written, and hand-overs, are admitted as before.

The test that tables do not grow lets its clock run with its tasks, since ids are kept for some seconds: the same bound, a clock that no longer stands still.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -23,6 +23,7 @@
 use corkspan_settings::{Settings, SettingsError};
 use limits::*;
 use pending_task::{DeferredEvent, EarlyEnd, HealthCheck, PendingTask, Timer};
+use spent_ids::SpentIds;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,6 +52,7 @@
 mod replies;
 mod running_tasks;
 mod set_ups;
+mod spent_ids;
 #[cfg(test)]
 #[path = "../tests/core/transcript.rs"]
 mod transcript;
@@ -145,6 +147,7 @@
     max_clients: usize,
     clients_accepted: u64,
     undelivered_ends: UndeliveredEnds,
+    spent_ids: SpentIds,
     unconfirmed_tasks: UnconfirmedTasks,
     /// Ordered from the oldest to the newest.
     early_ends: VecDeque<EarlyEnd>,
@@ -213,6 +216,7 @@
                 max_clients: options.max_clients,
                 clients_accepted: 0,
                 undelivered_ends: UndeliveredEnds::default(),
+                spent_ids: SpentIds::default(),
                 unconfirmed_tasks: UnconfirmedTasks::default(),
                 early_ends: VecDeque::new(),
                 nodes: Nodes::default(),
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -244,6 +244,7 @@
             .into_iter()
             .for_each(|id| self.close_client(now, engine, id));
         self.sweep_undelivered_ends(now);
+        self.spent_ids.expire(now);
         self.sweep_node_connections(now);
     }
 
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -67,6 +67,7 @@
     fn indeterminate(&mut self, pending: &mut PendingTask, allocation: &Allocation) {
         if self.record_final_answer(pending, allocation.id, TaskStage::Ended) {
             debug!(task = task_key(pending.task), attempts = ?allocation.attempts, "indeterminate");
+            self.remember_spent_id(pending);
             self.send_release(pending.client, pending.task, client::CAUSE_FAILED);
         }
     }
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -266,6 +266,7 @@
             + state.timers.len()
             + state.unanswered.len();
         let entries = entries + state.early_ends.len() + state.unconfirmed_tasks.len();
+        let entries = entries + state.spent_ids.len();
         engine.state_size()
             + state.clients.len()
             + state.nodes.retained_items()
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -45,6 +45,8 @@
 pub(super) const MAX_EARLY_ENDS: usize = 1_024;
 /// Time for which the end of an unknown task is remembered.
 pub(super) const EARLY_END_LIFETIME: Ticks = SECOND * 10;
+/// The maximum number of remembered ids of requests that may have run.
+pub(super) const MAX_SPENT_IDS: usize = MAX_OPEN_SET_UPS;
 /// The maximum number of ends of tasks whose client's connection is gone: all tasks may end while
 /// their clients are away.
 pub(super) const MAX_UNDELIVERED_ENDS: usize = MAX_RUNNING_TASKS;
--- a/crates/platform/src/core/replies.rs
+++ b/crates/platform/src/core/replies.rs
@@ -76,6 +76,15 @@
         self.copy_undelivered_ends();
     }
 
+    /// Remembers the id of a request that may have run and is over: as long as its client waits for
+    /// the answer, and any client from now on.
+    pub(super) fn remember_spent_id(&mut self, pending: &PendingTask) {
+        let longest_deadline = self.settings.longest_deadline().unwrap_or(0);
+        let expires_at = pending.deadline.max(self.now + longest_deadline);
+        self.spent_ids
+            .record(pending.task, expires_at, MAX_SPENT_IDS);
+    }
+
     fn copy_undelivered_ends(&mut self) {
         let valid = self.clients.iter().filter(|(_, client)| client.valid);
         let valid: Vec<ClientId> = valid.map(|(&id, _)| id).collect();
@@ -124,6 +133,7 @@
     pub(super) fn record_task_end(&mut self, pending: &mut PendingTask) -> bool {
         let was_running = pending.stage == TaskStage::Running;
         if was_running {
+            self.remember_spent_id(pending);
             pending.stage = TaskStage::Ended;
             if let Some(client) = self.clients.get_mut(&pending.client) {
                 client.running = client.running.saturating_sub(1);
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -67,6 +67,14 @@
         if exists {
             return self.reject_set_up(from, task, client::CAUSE_FAILED, exists);
         }
+        if set_up.running_on.is_none() && self.spent_ids.contains(task) {
+            debug!(
+                task = task_key(task),
+                "rejecting a set-up whose id may have run"
+            );
+            self.send_release(from, task, client::CAUSE_FAILED);
+            return MessageValidity::Unusable;
+        }
         if open >= MAX_SET_UPS_PER_CONNECTION || self.stopping && set_up.running_on.is_none() {
             self.send_release(from, task, client::CAUSE_REJECTED);
             return MessageValidity::Unusable;
@@ -122,7 +130,7 @@
             self.send_task_end(from, end);
             return MessageValidity::Valid;
         }
-        let mut pending = PendingTask::new(from, set_up, request.deadline + TRANSIT_ALLOWANCE);
+        let mut pending = PendingTask::new(from, set_up, now);
         pending.stage = TaskStage::Running;
         pending.unconfirmed = true;
         pending.release_content();
@@ -301,9 +309,12 @@
         engine: &mut Engine<PendingTask>,
         id: AllocationId,
     ) {
-        let Some((pending, _)) = engine.data_mut(id) else {
+        let Some((pending, allocation)) = engine.data_mut(id) else {
             return;
         };
+        if may_have_run(pending, allocation) {
+            self.remember_spent_id(pending);
+        }
         self.record_final_answer(pending, id, TaskStage::Ended);
         let Some(active) = pending.active.take() else {
             return engine.finish(id);
@@ -325,6 +336,13 @@
     }
 }
 
+/// Returns whether a node may have run the task of an open set-up.
+fn may_have_run(pending: &PendingTask, allocation: &Allocation) -> bool {
+    let mut attempts = allocation.attempts.iter();
+    pending.active.is_some_and(|active| active.started)
+        || attempts.any(|attempt| attempt.state == AttemptState::PossiblyExecuted)
+}
+
 /// Returns the time for which the client waits, in milliseconds. A task that is already running has
 /// no deadline, so its time left is ignored.
 fn time_left_ms(set_up: &SetUp) -> Result<u64, RequestError> {
--- a/crates/platform/tests/core/bounds.rs
+++ b/crates/platform/tests/core/bounds.rs
@@ -111,12 +111,18 @@
 }
 
 /// Guards against tables that grow with every client, service, task or node ever seen. Each one is
-/// new and never returns; the connections' tasks are not run.
+/// new and never returns; the connections' tasks are not run. Ten rounds take a second of the test's
+/// clock, so that what is kept for some seconds can't add up.
 #[test]
 fn tables_do_not_grow_with_past_clients_nodes_and_tasks() {
     let handle = handle();
+    let started_at = handle.lock().state.now;
     let mut max_retained = 0;
     for round in 1..=6_000u64 {
+        let now = started_at + round * SECOND / 10;
+        handle
+            .time_override
+            .store(now, std::sync::atomic::Ordering::Relaxed);
         if round % 3 == 1 {
             let (new, old) = (
                 node_json(round, "active"),
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -347,3 +347,60 @@
     }
     assert_eq!(engine.counts().placed, MAX_RUNNING_TASKS);
 }
+
+/// What has become of a request when its client leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Waiting,
+    Unwritten,
+    Written,
+    Ended,
+}
+
+/// Guards against an id that runs twice: its client leaves, and it comes again on another connection.
+/// What was never written is admitted again.
+#[test_case(Progress::Waiting, true)]
+#[test_case(Progress::Unwritten, true)]
+#[test_case(Progress::Written, false)]
+#[test_case(Progress::Ended, false)]
+fn an_id_that_may_have_run_is_not_admitted_again(progress: Progress, admitted: bool) {
+    let handle = handle();
+    let (owner, _owners_queue) = connect(&handle);
+    match progress {
+        Progress::Waiting | Progress::Unwritten => {
+            assert!(handle.handle_client_message(owner, &set_up(OWNERS_TASK)));
+        }
+        Progress::Written => {
+            start_attempt(&handle, owner, OWNERS_TASK);
+        }
+        Progress::Ended => {
+            let connection = start_task(&handle, owner, OWNERS_TASK);
+            node_releases(&handle, connection, OWNERS_TASK, 16);
+        }
+    }
+    if progress == Progress::Unwritten {
+        while handle.run_turn() {}
+    }
+    handle.client_disconnected(owner);
+    let (next, queue) = connect(&handle);
+    assert!(handle.handle_client_message(next, &set_up(OWNERS_TASK)));
+    let failed = encoded(MessageType::Release, OWNERS_TASK, client::CAUSE_FAILED);
+    let expected = if admitted { vec![] } else { vec![failed] };
+    assert_eq!(queue.take_all(), expected);
+    assert_eq!(handle.unanswered(), usize::from(admitted));
+}
+
+/// Guards against ids that accumulate, and against a repeat that is refused forever.
+#[test]
+fn ids_that_may_have_run_are_bounded_and_expire() {
+    let handle = handle();
+    let PlatformCore { engine, state } = &mut *handle.lock();
+    for task in 0..2 * MAX_SPENT_IDS as u64 {
+        state
+            .spent_ids
+            .record(task, state.now + SECOND, MAX_SPENT_IDS);
+    }
+    assert_eq!(state.spent_ids.len(), MAX_SPENT_IDS);
+    state.sweep(state.now + SECOND, engine);
+    assert_eq!(state.spent_ids.len(), 0);
+}
