Count a set-up as sent when it is written, not when it is dispatched

What callers saw: a task was told as interrupted (41) while it ran on the next process of its node.

Cause: at news of a start, tasks sent before it are ended, and a set-up that had waited for its connection counted as sent when it was dispatched, before the start, although it was written after it.

Change: the time of sending is that of the first byte.

Test: core/addresses forces the order (dispatch, start, write, answer, news of the start); it failed before (41 where nothing is due).

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -30,6 +30,9 @@
 use unconfirmed_tasks::UnconfirmedTasks;
 use undelivered_ends::{EndNumber, UndeliveredEnds};
 
+#[cfg(test)]
+#[path = "../tests/core/addresses.rs"]
+mod addresses;
 mod attempts;
 #[cfg(test)]
 #[path = "../tests/core/bounds.rs"]
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -47,6 +47,8 @@
         }
         active.started = true;
         if now > active.sent_at {
+            // It goes to the process that is there now, which may have started since.
+            active.sent_at = now;
             engine.attempt_sent(now, attempt.allocation);
         }
         true
--- /dev/null
+++ b/crates/platform/tests/core/addresses.rs
@@ -0,0 +1,88 @@
+//! Tests of processes that come up at the address of another one. What the list tells of them may
+//! come late.
+
+use super::bounds::{CONFIG, handle_with_config, set_up};
+use super::pending_task::task_key;
+use super::*;
+use crate::handle::PlatformHandle;
+use std::sync::atomic::Ordering;
+
+const TASK: u64 = 7;
+/// The time at which each test starts, in milliseconds.
+const START_MS: u64 = 1_000_000;
+const ADDRESS: &str = "127.0.0.1:9";
+
+fn set_time(handle: &PlatformHandle, after_ms: u64) {
+    let now = (START_MS + after_ms) * TICKS_PER_MS;
+    handle.time_override.store(now, Ordering::Relaxed);
+}
+
+/// Sends an event that lists a node. `started_after_ms` is none for a node of the start.
+fn list_node(
+    handle: &PlatformHandle,
+    event: u64,
+    name: &str,
+    address: &str,
+    started_after_ms: Option<u64>,
+) {
+    let up_since = started_after_ms.map_or(0, |after| START_MS + after);
+    let json = format!(
+        r#"{{"n":{event},"members":{{"members":[{{"id":"{name}","host_port":"{address}","locality":"east",
+        "flavor":"std","phase":"active","up_since_ms":{up_since}}}]}}}}"#
+    );
+    handle.apply_event(serde_json::from_str(&json).expect("an event"));
+}
+
+/// Creates a core that knows one node, and a client.
+fn core_and_client() -> (Arc<PlatformHandle>, ClientId, MessageQueue) {
+    let handle = handle_with_config(CONFIG);
+    set_time(&handle, 0);
+    list_node(&handle, 1, "s-1", ADDRESS, None);
+    let (client, queue) = handle.client_connected().expect("there is room");
+    (handle, client, queue)
+}
+
+/// Sends a set-up, which opens a connection to the node.
+fn dispatch(handle: &PlatformHandle, client: ClientId) -> (ConnectionId, AttemptId) {
+    assert!(handle.handle_client_message(client, &set_up(TASK)));
+    while handle.run_turn() {}
+    active_attempt(handle).expect("an active attempt")
+}
+
+fn active_attempt(handle: &PlatformHandle) -> Option<(ConnectionId, AttemptId)> {
+    let engine = &mut handle.lock().engine;
+    let allocation = engine.find(&task_key(TASK))?;
+    let active = engine.data_mut(allocation)?.0.active?;
+    let number = active.number;
+    Some((active.connection?, AttemptId { allocation, number }))
+}
+
+/// Establishes the connection, on which the set-up is then written.
+fn write(handle: &PlatformHandle, connection: ConnectionId, attempt: AttemptId) {
+    handle.connection_established(connection);
+    assert!(handle.may_write_set_up(connection, attempt));
+}
+
+fn answer(handle: &PlatformHandle, connection: ConnectionId) {
+    let ready = node::Message {
+        text: Some("made".into()),
+        ..node::Message::new(node::MessageType::Ready, TASK)
+    };
+    assert!(handle.handle_node_message(connection, ready));
+}
+
+/// Guards against a task that is released while it runs: its set-up waits for a connection while its
+/// node is started again, and is written to the new process. The list tells the start later.
+#[test]
+fn a_set_up_that_is_written_to_the_new_process_of_a_node_outlives_the_news_of_its_start() {
+    let (handle, client, queue) = core_and_client();
+    let (connection, attempt) = dispatch(&handle, client);
+    set_time(&handle, 200);
+    write(&handle, connection, attempt);
+    answer(&handle, connection);
+    queue.take_all();
+    set_time(&handle, 400);
+    list_node(&handle, 2, "s-1", ADDRESS, Some(100));
+    assert_eq!(queue.take_all(), Vec::<Vec<u8>>::new(), "it still runs");
+    assert_eq!(handle.lock().engine.counts().placed, 1);
+}
