Write nothing more to the former address of a node

What callers saw: a node was started again at another address, and a set-up whose connection to the former one was still being opened was written to whatever listened there.

Cause: a new address in the list changed the record of the node, and none of its connections.

Change: they are closed without writing what is queued; unwritten set-ups go to the new address.

--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -5,6 +5,20 @@
 use tracing::info;
 
 impl PlatformState {
+    /// Closes the connections to a node that has another address now. What is established at the
+    /// former one may be another node, so nothing more is written there.
+    fn close_connections_to_former_address(
+        &mut self,
+        now: Ticks,
+        engine: &mut Engine<PendingTask>,
+        machine: MachineId,
+    ) {
+        info!(?machine, "a node has another address");
+        for connection in self.connections.all_to(machine) {
+            self.remove_connection(now, engine, connection, ConnectionEnd::NotAttempted);
+        }
+    }
+
     /// Applies a change to the list of nodes, unless it was applied before.
     pub(super) fn apply_event(
         &mut self,
@@ -35,6 +49,9 @@
             self.connections.forget_machine(machine);
             self.nodes.remove_node(machine);
         }
+        for machine in change.moved {
+            self.close_connections_to_former_address(now, engine, machine);
+        }
         for (machine, started) in change.restarted {
             self.machine_lost(now, engine, machine, started);
         }
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -41,6 +41,8 @@
     pub gone: Vec<MachineId>,
     /// The restarted nodes, with the time of the new start.
     pub restarted: Vec<(MachineId, Ticks)>,
+    /// The nodes whose address has changed.
+    pub moved: Vec<MachineId>,
 }
 
 /// Returns the id of a node: a hash of its name alone, so that all dispatchers use the same id.
@@ -185,7 +187,9 @@
                 unreached_since: None,
                 tasks: BTreeSet::new(),
             });
-            node.address = member.address;
+            if std::mem::replace(&mut node.address, member.address) != member.address {
+                change.moved.push(id);
+            }
             node.draining = endpoint.state == MachineState::Draining;
             node.closed_to_connections &= node.draining;
             if std::mem::replace(&mut node.started, member.up_since_ms) != member.up_since_ms {
