Take a node as gone when another one has started at its address

What callers saw: a machine vanished and a new node took its address; until the list told that the former had left, its tasks were kept, and work for it went to the new one, which was then told as interrupted while it ran.

Cause: nodes are known by name, and that two have one address was not noticed.

Change: a node with a later start at the address of another replaces it. Tasks from before that start are ended; what was written since is recorded at the new node, and its end is forwarded.

--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -1,10 +1,68 @@
 //! Applies changes to the list of nodes.
 
-use super::pending_task::PendingTask;
+use super::pending_task::{PendingTask, TaskStage, task_key};
 use super::*;
-use tracing::info;
+use crate::nodes::{ListChange, Replacement};
+use corkspan_engine::{AllocationRequest, ReturnedAttempt};
+use tracing::{debug, info};
 
 impl PlatformState {
+    /// Handles a node that is gone: its tasks are lost, and nothing more is written to it.
+    fn remove_node(&mut self, now: Ticks, engine: &mut Engine<PendingTask>, machine: MachineId) {
+        info!(?machine, "a node is gone");
+        self.machine_lost(now, engine, machine, Ticks::MAX);
+        for connection in self.connections.all_to(machine) {
+            self.remove_connection(now, engine, connection, ConnectionEnd::ConnectTimeout);
+        }
+        self.timers
+            .retain(|(_, timer)| *timer != Timer::Unreachable(machine));
+        self.connections.forget_machine(machine);
+        self.nodes.remove_node(machine);
+    }
+
+    /// Moves the tasks that were written to a node's address after the next node had started there:
+    /// they run on that one.
+    fn move_tasks(
+        &mut self,
+        now: Ticks,
+        engine: &mut Engine<PendingTask>,
+        replacement: Replacement,
+    ) {
+        for id in self.nodes.tasks_on(replacement.former) {
+            let Some((pending, allocation)) = engine.data_mut(id) else {
+                continue;
+            };
+            let sent_at = pending.active.map_or(0, |active| active.sent_at);
+            if sent_at < replacement.started_at || pending.stage != TaskStage::Running {
+                continue;
+            }
+            let request = AllocationRequest {
+                service: allocation.service,
+                service_class: allocation.service_class,
+                tenant: allocation.tenant,
+                requested: allocation.requested,
+                deadline: allocation.deadline,
+            };
+            let Some(moved) = pending.take_running_task(replacement.next) else {
+                continue;
+            };
+            debug!(
+                task = task_key(moved.task),
+                ?replacement,
+                "moving a task to the next node at its address"
+            );
+            self.nodes.remove_task(replacement.former, id);
+            let attempt = allocation.attempts.len() - 1;
+            engine.attempt_returned(now, id, attempt, moved_away(), self);
+            let task = moved.task;
+            if let Ok(id) =
+                engine.admit_running(now, &task_key(task), request, replacement.next, moved)
+            {
+                self.nodes.add_task(replacement.next, id);
+            }
+        }
+    }
+
     /// Closes the connections to a node that has another address now. What is established at the
     /// former one may be another node, so nothing more is written there.
     fn close_connections_to_former_address(
@@ -37,17 +95,13 @@
         } else {
             ListUpdate::Incremental
         };
-        engine.apply_endpoint_list(scope, &change.endpoints);
+        engine.apply_endpoint_list(scope, &with_replaced(&change));
+        for replacement in change.replaced {
+            self.move_tasks(now, engine, replacement);
+            self.remove_node(now, engine, replacement.former);
+        }
         for machine in change.gone {
-            info!(?machine, "a node is gone");
-            self.machine_lost(now, engine, machine, Ticks::MAX);
-            for connection in self.connections.all_to(machine) {
-                self.remove_connection(now, engine, connection, ConnectionEnd::ConnectTimeout);
-            }
-            self.timers
-                .retain(|(_, timer)| *timer != Timer::Unreachable(machine));
-            self.connections.forget_machine(machine);
-            self.nodes.remove_node(machine);
+            self.remove_node(now, engine, machine);
         }
         for machine in change.moved {
             self.close_connections_to_former_address(now, engine, machine);
@@ -57,3 +111,27 @@
         }
     }
 }
+
+/// Returns the endpoints of a change, and those that were replaced as removed.
+fn with_replaced(change: &ListChange) -> Vec<Endpoint> {
+    let mut endpoints = change.endpoints.clone();
+    for replacement in &change.replaced {
+        let removed = change.endpoints.first().map(|endpoint| Endpoint {
+            machine: replacement.former,
+            state: MachineState::Removed,
+            ..*endpoint
+        });
+        endpoints.extend(removed);
+    }
+    endpoints
+}
+
+/// Returns the end of an attempt whose task is recorded on another machine from now on.
+fn moved_away() -> ReturnedAttempt {
+    ReturnedAttempt {
+        result: AttemptResult::Cancelled,
+        reason: None,
+        finished: true,
+        report: None,
+    }
+}
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -97,6 +97,32 @@
         }
     }
 
+    /// Ends the record of a running task, and returns one of the same task on another machine.
+    pub(super) fn take_running_task(&mut self, machine: MachineId) -> Option<PendingTask> {
+        let active = self.active.take()?;
+        self.stage = TaskStage::Ended;
+        Some(PendingTask {
+            task: self.task,
+            client: self.client,
+            class: String::new(),
+            name: String::new(),
+            idempotency_key: None,
+            description: String::new(),
+            counted_bytes: 0,
+            deadline: self.deadline,
+            unconfirmed: false,
+            stage: TaskStage::Running,
+            active: Some(ActiveAttempt {
+                number: 0,
+                machine,
+                connection: None,
+                ..active
+            }),
+            used_connections: Vec::new(),
+            ended_attempts: Vec::new(),
+        })
+    }
+
     /// Drops what only further attempts need, and returns the bytes that it counted for.
     pub(super) fn release_content(&mut self) -> usize {
         self.class = String::new();
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -43,6 +43,17 @@
     pub restarted: Vec<(MachineId, Ticks)>,
     /// The nodes whose address has changed.
     pub moved: Vec<MachineId>,
+    /// The nodes whose address another one has taken.
+    pub replaced: Vec<Replacement>,
+}
+
+/// A node whose address another one has taken, so that it is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Replacement {
+    pub former: MachineId,
+    pub next: MachineId,
+    /// The time at which the next node started.
+    pub started_at: Ticks,
 }
 
 /// Returns the id of a node: a hash of its name alone, so that all dispatchers use the same id.
@@ -198,7 +209,34 @@
                     .push((id, member.up_since_ms.saturating_mul(10)));
             }
         }
+        change.replaced = self.replacements();
         change
+            .replaced
+            .retain(|replacement| !change.gone.contains(&replacement.former));
+        change
+    }
+
+    /// Returns the nodes at whose address another one has started since. Two nodes that were there
+    /// from the start, or whose times are unknown, do not replace each other.
+    fn replacements(&self) -> Vec<Replacement> {
+        let mut latest: BTreeMap<SocketAddr, (u64, MachineId)> = BTreeMap::new();
+        for (&id, node) in &self.nodes {
+            let at_address = latest.entry(node.address).or_insert((node.started, id));
+            if node.started > at_address.0 {
+                *at_address = (node.started, id);
+            }
+        }
+        let nodes = self.nodes.iter();
+        nodes
+            .filter_map(|(&former, node)| {
+                let &(started, next) = latest.get(&node.address)?;
+                (started > node.started).then(|| Replacement {
+                    former,
+                    next,
+                    started_at: started.saturating_mul(10).min(MAX_START_TIME),
+                })
+            })
+            .collect()
     }
 
     /// Returns the number of nodes and tasks, for tests of retained state.
--- a/crates/platform/tests/core/addresses.rs
+++ b/crates/platform/tests/core/addresses.rs
@@ -5,6 +5,7 @@
 use super::pending_task::task_key;
 use super::*;
 use crate::handle::PlatformHandle;
+use corkspan_platform_wire::client::{self, MessageType};
 use std::sync::atomic::Ordering;
 
 const TASK: u64 = 7;
@@ -71,6 +72,11 @@
     assert!(handle.handle_node_message(connection, ready));
 }
 
+fn released(cause: u8) -> Vec<u8> {
+    client::encode(MessageType::Release, TASK, &[(client::CAUSE, &[cause])])
+        .expect("a short message")
+}
+
 /// Guards against a task that is released while it runs: its set-up waits for a connection while its
 /// node is started again, and is written to the new process. The list tells the start later.
 #[test]
@@ -105,3 +111,53 @@
     let (next, _) = active_attempt(&handle).expect("it is sent again");
     assert_ne!(next, connection);
 }
+
+/// Guards against tasks that are kept for a machine that is gone: another node has its address, and
+/// the list does not tell yet that the former one has left.
+#[test]
+fn the_tasks_of_a_node_end_when_another_is_listed_at_its_address() {
+    let (handle, client, queue) = core_and_client();
+    let (connection, attempt) = dispatch(&handle, client);
+    write(&handle, connection, attempt);
+    answer(&handle, connection);
+    queue.take_all();
+    set_time(&handle, 400);
+    list_node(&handle, 2, "s-2", ADDRESS, Some(100));
+    assert_eq!(queue.take_all(), [released(client::CAUSE_INTERRUPTED)]);
+    let core = handle.lock();
+    assert_eq!(core.state.nodes.find("s-1"), None);
+    assert!(core.state.nodes.find("s-2").is_some());
+}
+
+/// Nodes of the start may share an address in tests and behind a proxy, since none has replaced
+/// another.
+#[test]
+fn nodes_of_the_start_at_one_address_do_not_replace_each_other() {
+    let (handle, _client, _queue) = core_and_client();
+    list_node(&handle, 2, "s-2", ADDRESS, None);
+    let core = handle.lock();
+    assert!(core.state.nodes.find("s-1").is_some() && core.state.nodes.find("s-2").is_some());
+}
+
+/// Guards against a task that runs twice: it was sent to a node that had gone, and reached the next
+/// one at its address. It is not reported as interrupted when the list tells that, and its end there
+/// is forwarded.
+#[test]
+fn a_task_that_reached_the_next_node_at_the_address_continues_there() {
+    let (handle, client, queue) = core_and_client();
+    let (connection, attempt) = dispatch(&handle, client);
+    set_time(&handle, 200);
+    write(&handle, connection, attempt);
+    answer(&handle, connection);
+    queue.take_all();
+    set_time(&handle, 400);
+    list_node(&handle, 2, "s-2", ADDRESS, Some(100));
+    assert_eq!(queue.take_all(), Vec::<Vec<u8>>::new(), "it still runs");
+    handle.sweep();
+    let next = handle.lock().state.connections.newest();
+    assert_ne!(next, connection, "a connection is opened to the next node");
+    handle.connection_established(next);
+    let release = node::Message::new(node::MessageType::Close, TASK).with_cause(16);
+    assert!(handle.handle_node_message(next, release));
+    assert_eq!(queue.take_all(), [released(client::CAUSE_NORMAL)]);
+}
