--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -166,14 +166,7 @@
         let readable: Vec<&NodeEntry> = list.entries.iter().filter_map(readable_entry).collect();
         change.complete = list.complete && readable.len() == list.entries.len();
         if change.complete {
-            let is_listed =
-                |id: &MachineId| readable.iter().any(|member| machine_id(&member.id) == *id);
-            change.gone = self
-                .nodes
-                .keys()
-                .copied()
-                .filter(|id| !is_listed(id))
-                .collect();
+            change.gone = self.unlisted(&readable);
         }
         for member in readable {
             let Some(endpoint) = self.to_endpoint(member, settings) else {
@@ -216,6 +209,13 @@
         change
     }
 
+    /// Returns the nodes that a complete list does not name.
+    fn unlisted(&self, listed: &[&NodeEntry]) -> Vec<MachineId> {
+        let is_listed = |id: &MachineId| listed.iter().any(|member| machine_id(&member.id) == *id);
+        let all = self.nodes.keys().copied();
+        all.filter(|id| !is_listed(id)).collect()
+    }
+
     /// Returns the nodes at whose address another one has started since. Two nodes that were there
     /// from the start, or whose times are unknown, do not replace each other.
     fn replacements(&self) -> Vec<Replacement> {
