Keep a connection on which a set-up has arrived unread

What callers saw: an idle client's connection was closed to make room although it had sent a set-up that was not read yet, which is then lost.

Cause: a connection counted as without a set-up if none was admitted.

Change: what has arrived is read before a connection is chosen, and one with a whole set-up is kept.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -23,6 +23,9 @@
 /// Time for which memory is watched once the clients have sent everything that is taken.
 const WATCH_TIME: Duration = Duration::from_millis(1_500);
 const DESCRIPTION_BYTES: usize = 16_000;
+/// What slow writers send a byte at a time, and the time between two bytes.
+const SLOW_BYTES: usize = 100;
+const SLOW_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for which a client goes on sending to a dispatcher that reads nothing more.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -36,6 +39,8 @@
     LargeSetUps,
     /// Hundreds of clients send a burst and stop half way through a large message.
     HalfMessages,
+    /// Hundreds of clients send a large message, and its last part a byte at a time.
+    SlowWriters,
     /// Hundreds of clients send health checks and read no reply.
     UnreadReplies,
     /// Hundreds of clients send messages with as many parameters as fit.
@@ -52,6 +57,21 @@
         }
     }
 
+    /// Sends what a client sends.
+    fn send(self, client: usize, stream: &mut impl Write) -> std::io::Result<()> {
+        let bytes = self.bytes_of_client(client);
+        if !matches!(self, Flood::SlowWriters) {
+            return stream.write_all(&bytes);
+        }
+        let (at_once, slowly) = bytes.split_at(bytes.len() - SLOW_BYTES);
+        stream.write_all(at_once)?;
+        for byte in slowly {
+            stream.write_all(std::slice::from_ref(byte))?;
+            std::thread::sleep(SLOW_INTERVAL);
+        }
+        Ok(())
+    }
+
     fn bytes_of_client(self, client: usize) -> Vec<u8> {
         let check = client::encode(MessageType::HealthCheck, 1, &[(client::CAUSE, &[0])]);
         let check = check.expect("a short message");
@@ -67,6 +87,7 @@
                 );
                 bytes
             }
+            Flood::SlowWriters => set_up(task(0), &[b'x'; DESCRIPTION_BYTES], b"k"),
             Flood::UnreadReplies => check.repeat(20_000),
             Flood::ManyParameters => {
                 let count = (MAX_MESSAGE_BYTES - 9) / 3;
@@ -139,6 +160,7 @@
 /// memory, and against a good client that is turned away meanwhile.
 #[test_case(Flood::LargeSetUps)]
 #[test_case(Flood::HalfMessages)]
+#[test_case(Flood::SlowWriters)]
 #[test_case(Flood::UnreadReplies)]
 #[test_case(Flood::ManyParameters)]
 #[test_case(Flood::LargeKeys)]
@@ -161,7 +183,7 @@
                 stream
                     .set_write_timeout(Some(WRITE_TIMEOUT))
                     .expect("a socket option");
-                scope.spawn(move || stream.write_all(&flood.bytes_of_client(number)))
+                scope.spawn(move || flood.send(number, &mut stream))
             })
             .collect();
         let mut sent_at = None;
--- a/crates/platform-wire/src/client.rs
+++ b/crates/platform-wire/src/client.rs
@@ -221,6 +221,22 @@
         self.bytes.held_bytes()
     }
 
+    /// Returns whether a message of this type has arrived as a whole.
+    pub fn has_message(&self, message_type: MessageType) -> bool {
+        let mut rest = self.bytes.unread();
+        while let [high, low, after @ ..] = rest {
+            let length = usize::from(u16::from_be_bytes([*high, *low]));
+            let Some((frame, next)) = after.split_at_checked(length) else {
+                return false;
+            };
+            if frame.first().copied() == message_type.code() {
+                return true;
+            }
+            rest = next;
+        }
+        false
+    }
+
     /// Returns whether a message has arrived as a whole.
     pub fn has_complete_message(&self) -> bool {
         match self.bytes.unread() {
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -249,21 +249,35 @@
     }
 
     /// Closes the least useful client's connection without open set-ups: silent ones first, then
-    /// idle ones. Returns false if there is none.
+    /// idle ones. One on which a set-up has arrived that is not handled yet is kept. Returns false if
+    /// there is none.
     pub(super) fn evict_client(&mut self, now: Ticks, engine: &mut Engine<PendingTask>) -> bool {
         let without_set_ups = self
             .clients
             .iter()
             .filter(|(_, client)| client.open_set_ups.is_empty());
-        let least_useful = without_set_ups
-            .min_by_key(|(_, client)| (client.valid, client.running > 0, client.last_active_at));
-        let Some(id) = least_useful.map(|(&id, _)| id) else {
+        let mut candidates: Vec<(bool, bool, Ticks, ClientId)> = without_set_ups
+            .map(|(&id, client)| (client.valid, client.running > 0, client.last_active_at, id))
+            .collect();
+        candidates.sort();
+        let least_useful = candidates
+            .into_iter()
+            .map(|(.., id)| id)
+            .find(|&id| !self.has_unread_set_up(now, id));
+        let Some(id) = least_useful else {
             return false;
         };
         self.close_client(now, engine, id);
         true
     }
 
+    /// Returns whether a set-up has arrived on a connection and is not handled yet.
+    fn has_unread_set_up(&mut self, now: Ticks, id: ClientId) -> bool {
+        let is_open = self.read_ahead(now, id) != ReadOutcome::Closed;
+        let client = self.clients.get(&id);
+        is_open && client.is_some_and(|client| client.reader.has_message(MessageType::SetUp))
+    }
+
     /// Closes a client's connection and cancels its open set-ups.
     pub(super) fn close_client(
         &mut self,
--- a/crates/platform/tests/core/races.rs
+++ b/crates/platform/tests/core/races.rs
@@ -211,6 +211,53 @@
     );
 }
 
+/// Guards against clients that are kept because they go on sending: other messages than set-ups may
+/// be lost with a connection, so it makes room all the same.
+#[test]
+fn a_connection_with_other_unread_messages_makes_room() {
+    let handle = handle(&[]);
+    let (idle, _queue, mut peer) = connect_client(&handle, 7);
+    let release = |task| client::encode(MessageType::Release, task, &[(client::CAUSE, &[16])]);
+    peer.write_all(&release(7).expect("a short message"))
+        .expect("written");
+    while handle.read_client_message(idle) != ReadProgress::Handled {
+        std::thread::sleep(duration(MAX_INPUT_AGE));
+    }
+    peer.write_all(&release(8).expect("a short message").repeat(100))
+        .expect("written");
+    let mut others = Vec::new();
+    while let Some((other, queue)) = handle.client_connected() {
+        let task = 1_000 + others.len() as u64;
+        assert!(handle.handle_client_message(other, &set_up(task)));
+        others.push(queue);
+    }
+    assert!(!handle.lock().state.clients.contains_key(&idle));
+}
+
+/// Guards against a set-up that is lost with its connection: an idle client has sent it, and before it
+/// is read the connection is closed to make room for another.
+#[test]
+fn a_connection_with_an_unread_set_up_is_not_closed_to_make_room() {
+    let handle = handle(&[]);
+    let (idle, _queue, mut peer) = connect_client(&handle, 7);
+    let give_up = client::encode(MessageType::Release, 7, &[(client::CAUSE, &[16])]);
+    peer.write_all(&give_up.expect("a short message"))
+        .expect("written");
+    while handle.read_client_message(idle) != ReadProgress::Handled {
+        std::thread::sleep(duration(MAX_INPUT_AGE));
+    }
+    peer.write_all(&set_up_bytes(8)).expect("written");
+    let mut others = Vec::new();
+    while let Some((other, queue)) = handle.client_connected() {
+        let task = 1_000 + others.len() as u64;
+        assert!(handle.handle_client_message(other, &set_up(task)));
+        others.push(queue);
+    }
+    assert!(handle.lock().state.clients.contains_key(&idle));
+    while handle.read_client_message(idle) != ReadProgress::Handled {}
+    assert!(handle.lock().engine.find(&task_key(8)).is_some());
+}
+
 #[test]
 fn a_set_up_whose_deadline_passes_before_its_connection_is_established_is_not_written() {
     let handle = handle(&[]);
