--- a/crates/cli/tests/flood.rs
+++ b/crates/cli/tests/flood.rs
@@ -2,11 +2,13 @@
 //! Another client must get its answers on time meanwhile.
 
 mod memory_use;
+mod node;
 mod program;
 
+use corkspan_platform_wire::MAX_MESSAGE_BYTES;
 use corkspan_platform_wire::client::{self, MessageType};
-use corkspan_platform_wire::{MAX_MESSAGE_BYTES, node};
 use memory_use::{BYTES_PER_MB, allocated_bytes};
+use node::OtherSetUps;
 use program::{Limits, Program, TIMEOUT};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -91,37 +93,6 @@
     message(MessageType::SetUp, task, &parameters)
 }
 
-/// Answers each set-up whose description is `good`, and fails every other.
-fn serve_set_ups(node: TcpListener) {
-    for mut stream in node.incoming().map_while(Result::ok) {
-        std::thread::spawn(move || {
-            let (mut reader, mut bytes) = (node::Reader::default(), vec![0; MAX_MESSAGE_BYTES]);
-            while let Ok(count @ 1..) = stream.read(&mut bytes) {
-                reader.push(&bytes[..count]);
-                while let Ok(Some(message)) = reader.next_message() {
-                    let reply = message.task_id.and_then(|task| reply(&message, task));
-                    if let Some(line) = reply.and_then(|reply| reply.to_line()) {
-                        let _ = stream.write_all(&line);
-                    }
-                }
-            }
-        });
-    }
-}
-
-fn reply(message: &node::Message, task: u64) -> Option<node::Message> {
-    match (message.message_type, message.text.as_deref()) {
-        (node::MessageType::Open, Some("good")) => Some(node::Message {
-            text: Some("made".into()),
-            ..node::Message::new(node::MessageType::Ready, task)
-        }),
-        (node::MessageType::Open, _) => {
-            Some(node::Message::new(node::MessageType::Close, task).with_cause(47))
-        }
-        _ => None,
-    }
-}
-
 /// Sends requests at full speed and reads what is sent back, until `stop` is set. Connects again if
 /// the dispatcher closes the connection. Returns the number of requests.
 fn flood(program: &Program, kind: Flood, client: u64, stop: &AtomicBool) -> u64 {
@@ -193,10 +164,10 @@
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
     let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
-    let (node, discovery) = (listener(), listener());
+    let (node_listener, discovery) = (listener(), listener());
     let feed = discovery.local_addr().expect("bound");
-    let program = Program::start(LIMITS, feed, 4, node.local_addr().expect("bound"));
-    std::thread::spawn(move || serve_set_ups(node));
+    let program = Program::start(LIMITS, feed, 4, node_listener.local_addr().expect("bound"));
+    std::thread::spawn(move || node::serve_set_ups(node_listener, OtherSetUps::Failed));
     let stop = AtomicBool::new(false);
     let (mut latest, mut max_allocated) = (Duration::ZERO, 0);
     let sent = std::thread::scope(|scope| {
--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -2,12 +2,13 @@
 //! ends a dispatcher that needs more memory than its configuration allows.
 
 mod memory_use;
+mod node;
 mod program;
 
 use corkspan_platform_wire::MAX_MESSAGE_BYTES;
 use corkspan_platform_wire::client::{self, MessageType};
-use corkspan_platform_wire::node;
 use memory_use::{BYTES_PER_MB, allocated_bytes};
+use node::OtherSetUps;
 use program::{Limits, Program};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -114,30 +115,6 @@
     client::encode(MessageType::SetUp, task, &parameters).expect("a short message")
 }
 
-/// Answers each set-up whose description is `good` on every connection, and no other.
-fn serve_good_set_ups(node: TcpListener) {
-    for mut stream in node.incoming().map_while(Result::ok) {
-        std::thread::spawn(move || {
-            let (mut reader, mut bytes) = (node::Reader::default(), vec![0; MAX_MESSAGE_BYTES]);
-            while let Ok(count @ 1..) = stream.read(&mut bytes) {
-                reader.push(&bytes[..count]);
-                while let Ok(Some(message)) = reader.next_message() {
-                    if message.text.as_deref() != Some("good") {
-                        continue;
-                    }
-                    let task = message.task_id.expect("an id");
-                    let answer = node::Message {
-                        text: Some("made".into()),
-                        ..node::Message::new(node::MessageType::Ready, task)
-                    };
-                    let line = answer.to_line().expect("a short message");
-                    let _ = stream.write_all(&line);
-                }
-            }
-        });
-    }
-}
-
 /// Connects another client, and returns whether its set-up is answered.
 fn is_served(program: &Program) -> bool {
     let mut stream = program.connect();
@@ -169,10 +146,10 @@
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
     let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
-    let (node, discovery) = (listener(), listener());
+    let (node_listener, discovery) = (listener(), listener());
     let feed = discovery.local_addr().expect("bound");
-    let program = Program::start(LIMITS, feed, 4, node.local_addr().expect("bound"));
-    std::thread::spawn(move || serve_good_set_ups(node));
+    let program = Program::start(LIMITS, feed, 4, node_listener.local_addr().expect("bound"));
+    std::thread::spawn(move || node::serve_set_ups(node_listener, OtherSetUps::Ignored));
     let clients: Vec<TcpStream> = (0..flood.clients()).map(|_| program.connect()).collect();
     let mut max_allocated = 0;
     std::thread::scope(|scope| {
