Replace a node at its address also where the list tells no start time

Change: a node that the list names only now at the address of a known one replaces it, too. So that a list that goes on naming the former does not take the address back, a replaced node stays gone with the entry it had (4,096 remembered at most).

--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -89,7 +89,7 @@
         }
         self.last_event = event.number;
         let Some(list) = event.list else { return };
-        let change = self.nodes.apply_list(&list, &self.settings);
+        let change = self.nodes.apply_list(&list, &self.settings, now);
         let scope = if change.complete {
             ListUpdate::Complete
         } else {
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -13,6 +13,9 @@
 /// sum with it overflows.
 const MAX_START_TIME: Ticks = 1 << 50;
 
+/// The maximum number of replaced nodes that are remembered until the list tells that they are gone.
+const MAX_REPLACED: usize = 4_096;
+
 struct Node {
     name: String,
     address: SocketAddr,
@@ -29,6 +32,9 @@
 #[derive(Default)]
 pub struct Nodes {
     nodes: BTreeMap<MachineId, Node>,
+    /// The nodes whose address another one has taken, and that the list has not told as gone yet,
+    /// each with the entry that it must not come back with.
+    replaced: BTreeMap<MachineId, ReplacedEntry>,
 }
 
 /// The effects of a change to the list.
@@ -52,10 +58,17 @@
 pub struct Replacement {
     pub former: MachineId,
     pub next: MachineId,
-    /// The time at which the next node started.
+    /// The time at which the next node started, or at which the list named it if that is unknown.
     pub started_at: Ticks,
 }
 
+/// What the list told of a node before another one took its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReplacedEntry {
+    address: SocketAddr,
+    started: u64,
+}
+
 /// Returns the id of a node: a hash of its name alone, so that all dispatchers use the same id.
 fn machine_id(name: &str) -> MachineId {
     let mut hasher = FnvHasher::default();
@@ -161,7 +174,8 @@
     }
 
     /// Applies a list and returns the changes.
-    pub fn apply_list(&mut self, list: &NodeList, settings: &Settings) -> ListChange {
+    pub fn apply_list(&mut self, list: &NodeList, settings: &Settings, now: Ticks) -> ListChange {
+        let known_before: BTreeSet<MachineId> = self.nodes.keys().copied().collect();
         let mut change = ListChange::default();
         let readable: Vec<&NodeEntry> = list.entries.iter().filter_map(readable_entry).collect();
         change.complete = list.complete && readable.len() == list.entries.len();
@@ -169,6 +183,9 @@
             change.gone = self.unlisted(&readable);
         }
         for member in readable {
+            if self.is_replaced(member) {
+                continue;
+            }
             let Some(endpoint) = self.to_endpoint(member, settings) else {
                 warn!(
                     member.id,
@@ -202,10 +219,11 @@
                     .push((id, member.up_since_ms.saturating_mul(10)));
             }
         }
-        change.replaced = self.replacements();
+        change.replaced = self.replacements(&known_before, now);
         change
             .replaced
             .retain(|replacement| !change.gone.contains(&replacement.former));
+        self.remember_replaced(&change.replaced);
         change
     }
 
@@ -216,32 +234,70 @@
         all.filter(|id| !is_listed(id)).collect()
     }
 
-    /// Returns the nodes at whose address another one has started since. Two nodes that were there
-    /// from the start, or whose times are unknown, do not replace each other.
-    fn replacements(&self) -> Vec<Replacement> {
-        let mut latest: BTreeMap<SocketAddr, (u64, MachineId)> = BTreeMap::new();
+    /// Returns whether an entry is about a node whose address another one has taken. The list may go
+    /// on naming it until it tells that the node is gone.
+    fn is_replaced(&mut self, member: &NodeEntry) -> bool {
+        let id = machine_id(&member.id);
+        let entry = ReplacedEntry {
+            address: member.address,
+            started: member.up_since_ms,
+        };
+        let is_replaced = self.replaced.get(&id) == Some(&entry);
+        if member.phase == Phase::Gone || !is_replaced {
+            self.replaced.remove(&id);
+        }
+        is_replaced && member.phase != Phase::Gone
+    }
+
+    fn remember_replaced(&mut self, replacements: &[Replacement]) {
+        for replacement in replacements {
+            let Some(node) = self.nodes.get(&replacement.former) else {
+                continue;
+            };
+            let entry = ReplacedEntry {
+                address: node.address,
+                started: node.started,
+            };
+            if self.replaced.len() >= MAX_REPLACED {
+                self.replaced.pop_first();
+            }
+            self.replaced.insert(replacement.former, entry);
+        }
+    }
+
+    /// Returns the nodes whose address another one has taken: one that has started later, or one that
+    /// the list names only now. Nodes that it has named together, without a time of their start, do
+    /// not replace each other.
+    fn replacements(&self, known_before: &BTreeSet<MachineId>, now: Ticks) -> Vec<Replacement> {
+        let rank = |id: MachineId, node: &Node| (node.started, !known_before.contains(&id));
+        let mut latest: BTreeMap<SocketAddr, (MachineId, &Node)> = BTreeMap::new();
         for (&id, node) in &self.nodes {
-            let at_address = latest.entry(node.address).or_insert((node.started, id));
-            if node.started > at_address.0 {
-                *at_address = (node.started, id);
+            let at_address = latest.entry(node.address).or_insert((id, node));
+            if rank(id, node) > rank(at_address.0, at_address.1) {
+                *at_address = (id, node);
             }
         }
-        let nodes = self.nodes.iter();
-        nodes
-            .filter_map(|(&former, node)| {
-                let &(started, next) = latest.get(&node.address)?;
-                (started > node.started).then(|| Replacement {
+        let mut replacements = Vec::new();
+        for (&former, node) in &self.nodes {
+            let Some(&(next, next_node)) = latest.get(&node.address) else {
+                continue;
+            };
+            if rank(next, next_node) > rank(former, node) {
+                let started_at = next_node.started.saturating_mul(10).min(MAX_START_TIME);
+                replacements.push(Replacement {
                     former,
                     next,
-                    started_at: started.saturating_mul(10).min(MAX_START_TIME),
-                })
-            })
-            .collect()
+                    started_at: if started_at > 0 { started_at } else { now },
+                });
+            }
+        }
+        replacements
     }
 
     /// Returns the number of nodes and tasks, for tests of retained state.
     pub fn retained_items(&self) -> usize {
-        self.nodes.values().map(|node| 1 + node.tasks.len()).sum()
+        let nodes = self.nodes.values().map(|node| 1 + node.tasks.len());
+        nodes.sum::<usize>() + self.replaced.len()
     }
 
     /// Removes a node that is gone.
