Answer a client that has no room left, and keep its connection

A fault of the bound on memory, found when the change was read again: a reply needed room, so that a client that held more than is guaranteed to it was disconnected by the rejection of its next set-up once others had used up the pool; its open set-ups were lost.

Change: replies may take as much as is guaranteed, whatever else the client holds.

Test: core/clients, failed with the former condition (nothing received).

--- a/crates/platform/src/core/client_memory.rs
+++ b/crates/platform/src/core/client_memory.rs
@@ -40,6 +40,17 @@
         }
     }
 
+    /// Returns the number of bytes that each connection may hold in any case.
+    pub(super) fn guaranteed(&self) -> usize {
+        self.guaranteed
+    }
+
+    /// Uses up the pool.
+    #[cfg(test)]
+    pub(super) fn use_up_pool(&mut self) {
+        self.pool_used = self.pool;
+    }
+
     /// Returns the number of bytes of the pool that are used.
     #[cfg(test)]
     pub(super) fn pool_used(&self) -> usize {
@@ -73,6 +84,17 @@
 }
 
 impl PlatformState {
+    /// Returns whether a reply may be queued for a client. Replies may take as much as is guaranteed,
+    /// whatever else the client holds: one that reads them must not lose its connection because its
+    /// set-ups have used up its room.
+    pub(super) fn may_queue_reply(&mut self, to: ClientId, bytes: usize) -> bool {
+        let queued = self
+            .clients
+            .get(&to)
+            .map_or(0, |client| client.sender.queued_bytes());
+        queued + bytes <= self.client_memory.guaranteed() || self.has_room(to, bytes)
+    }
+
     /// Returns whether a connection may hold this many bytes more.
     pub(super) fn has_room(&mut self, id: ClientId, bytes: usize) -> bool {
         if self.room_of(id) >= bytes {
--- a/crates/platform/src/core/replies.rs
+++ b/crates/platform/src/core/replies.rs
@@ -18,11 +18,11 @@
         let Some(bytes) = client::encode(message_type, task, parameters) else {
             return false;
         };
-        let has_room = self.has_room(to, queued_bytes(bytes.len()));
+        let may_queue = self.may_queue_reply(to, queued_bytes(bytes.len()));
         let Some(client) = self.clients.get(&to) else {
             return false;
         };
-        if !has_room {
+        if !may_queue {
             debug!(
                 ?to,
                 "closing the connection of a client that reads too little"
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -290,6 +290,38 @@
     assert_eq!(handle.lock().state.client_memory.pool_used(), 0);
 }
 
+/// Guards against a client that is disconnected, and loses its open set-ups, because others have used
+/// up the memory that all share: it holds more than is guaranteed to it, and its next set-up is
+/// rejected.
+#[test]
+fn a_client_without_room_is_answered_and_stays_connected() {
+    const LENGTH: usize = 16_000;
+    let limits = ("\"sockets\":256", "\"sockets\":256,\"memory_mb\":64");
+    let handle = handle_with_config(&CONFIG.replace(limits.0, limits.1));
+    let (client, queue) = connect(&handle);
+    let held = handle.lock().state.client_memory.guaranteed() / LENGTH + 1;
+    for task in 0..held as u64 {
+        assert!(send_large_set_up(&handle, client, task, LENGTH));
+    }
+    handle.lock().state.client_memory.use_up_pool();
+    assert!(send_large_set_up(
+        &handle,
+        client,
+        OWNERS_TASK + 1_000,
+        LENGTH
+    ));
+    assert!(handle.handle_client_message(client, &health_check()));
+    let rejected = encoded(
+        MessageType::Release,
+        OWNERS_TASK + 1_000,
+        client::CAUSE_REJECTED,
+    );
+    let healthy = encoded(MessageType::HealthCheckReply, 1, 1);
+    assert_eq!(queue.take_all(), [rejected, healthy]);
+    assert_eq!(queue.ended(), None);
+    assert_eq!(handle.unanswered(), held);
+}
+
 /// A limit on memory that can't be used is refused at the start, with its value.
 #[test_case("8"; "less than an idle dispatcher needs")]
 #[test_case("-64"; "negative")]
