--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -32,7 +32,9 @@
             let Some((pending, allocation)) = engine.data_mut(id) else {
                 continue;
             };
-            let sent_at = pending.active.map_or(0, |active| active.sent_at);
+            // A task that was handed over names its node, and was not written to the address here.
+            let written = pending.active.filter(|active| active.connection.is_some());
+            let sent_at = written.map_or(0, |active| active.sent_at);
             if sent_at < replacement.started_at || pending.stage != TaskStage::Running {
                 continue;
             }
--- a/crates/platform/tests/core/addresses.rs
+++ b/crates/platform/tests/core/addresses.rs
@@ -1,7 +1,7 @@
 //! Tests of processes that come up at the address of another one. What the list tells of them may
 //! come late.
 
-use super::bounds::{CONFIG, handle_with_config, set_up};
+use super::bounds::{CONFIG, handle_with_config, set_up, set_up_with_requirements};
 use super::pending_task::task_key;
 use super::*;
 use crate::handle::PlatformHandle;
@@ -192,3 +192,17 @@
     assert!(handle.lock().state.nodes.find("s-1").is_some());
     assert_eq!(handle.lock().engine.counts().placed, 1);
 }
+
+/// Guards against a task that never ends: it was handed over under the name of the former node, which
+/// is gone, and does not run at the next one.
+#[test]
+fn a_task_handed_over_under_the_former_node_ends_when_another_has_its_address() {
+    let (handle, client, queue) = core_and_client();
+    set_time(&handle, 200);
+    let handed_over = set_up_with_requirements(TASK, "cores:1;memory:1;service:a;at:s-1");
+    assert!(handle.handle_client_message(client, &handed_over));
+    set_time(&handle, 400);
+    list_node(&handle, 2, "s-2", ADDRESS, Some(100));
+    assert_eq!(queue.take_all(), [released(client::CAUSE_INTERRUPTED)]);
+    assert_eq!(handle.lock().state.unconfirmed_tasks.len(), 0);
+}
