Handle the releases that have arrived when a connection makes room

Found when the change was read again: input is read before a connection is closed to make room, and a release in it was dropped with the connection, so that the task ran on.

Change: the connection is closed as if its peer had closed it, which handles such releases.

Test: core/races, failed before (1 task placed, 0 due).

--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -158,8 +158,8 @@
         false
     }
 
-    /// Handles a peer that has closed its side: cancels its open set-ups, and still handles the
-    /// releases that it has sent.
+    /// Closes a connection whose peer has closed its side, or that makes room: cancels its open
+    /// set-ups, and still handles the releases that have arrived.
     fn client_closed(&mut self, now: Ticks, engine: &mut Engine<PendingTask>, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else {
             return;
@@ -267,7 +267,8 @@
         let Some(id) = least_useful else {
             return false;
         };
-        self.close_client(now, engine, id);
+        // Releases that have arrived end tasks, on whatever connection they come.
+        self.client_closed(now, engine, id);
         true
     }
 
--- a/crates/platform/tests/core/races.rs
+++ b/crates/platform/tests/core/races.rs
@@ -234,6 +234,29 @@
     assert!(!handle.lock().state.clients.contains_key(&idle));
 }
 
+/// Guards against a task that runs on although its client has ended it: the release is unread when
+/// its connection is closed to make room.
+#[test]
+fn an_unread_release_on_a_connection_that_makes_room_is_handled() {
+    let handle = handle(&[]);
+    let (idle, _queue, mut peer) = connect_client(&handle, 7);
+    while handle.run_turn() {}
+    let (connection, attempt) = active_attempt(&handle, 7).expect("an active attempt");
+    handle.connection_established(connection);
+    assert!(handle.may_write_set_up(connection, attempt));
+    let answer = node::Message {
+        text: Some("made".into()),
+        ..node::Message::new(node::MessageType::Ready, 7)
+    };
+    assert!(handle.handle_node_message(connection, answer));
+    let release = client::encode(MessageType::Release, 7, &[(client::CAUSE, &[16])]);
+    peer.write_all(&release.expect("a short message"))
+        .expect("written");
+    handle.evict_client();
+    assert!(!handle.lock().state.clients.contains_key(&idle));
+    assert_eq!(handle.lock().engine.counts().placed, 0, "it is ended");
+}
+
 /// Guards against a set-up that is lost with its connection: an idle client has sent it, and before it
 /// is read the connection is closed to make room for another.
 #[test]
