Share what the tests of floods and addresses repeat, and rename three names

The start of the program with its stand-in node stood in two tests, and the run of a task in four. The feed's address now refuses connections there instead of accepting them silently: down either way. heard_at, moved_away and read_at_most are last_message_at, cancelled_attempt and read_up_to.

--- a/crates/cli/tests/flood.rs
+++ b/crates/cli/tests/flood.rs
@@ -11,7 +11,7 @@
 use node::OtherSetUps;
 use program::{Limits, Program, TIMEOUT};
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -163,11 +163,7 @@
     let _guard = ONE_AT_A_TIME
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
-    let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
-    let (node_listener, discovery) = (listener(), listener());
-    let feed = discovery.local_addr().expect("bound");
-    let program = Program::start(LIMITS, feed, 4, node_listener.local_addr().expect("bound"));
-    std::thread::spawn(move || node::serve_set_ups(node_listener, OtherSetUps::Failed));
+    let program = node::start_program(LIMITS, OtherSetUps::Failed);
     let stop = AtomicBool::new(false);
     let (mut latest, mut max_allocated) = (Duration::ZERO, 0);
     let sent = std::thread::scope(|scope| {
--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -11,7 +11,7 @@
 use node::OtherSetUps;
 use program::{Limits, Program};
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -145,11 +145,7 @@
     let _guard = ONE_AT_A_TIME
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
-    let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
-    let (node_listener, discovery) = (listener(), listener());
-    let feed = discovery.local_addr().expect("bound");
-    let program = Program::start(LIMITS, feed, 4, node_listener.local_addr().expect("bound"));
-    std::thread::spawn(move || node::serve_set_ups(node_listener, OtherSetUps::Ignored));
+    let program = node::start_program(LIMITS, OtherSetUps::Ignored);
     let clients: Vec<TcpStream> = (0..flood.clients()).map(|_| program.connect()).collect();
     let mut max_allocated = 0;
     std::thread::scope(|scope| {
--- a/crates/cli/tests/node/mod.rs
+++ b/crates/cli/tests/node/mod.rs
@@ -1,5 +1,6 @@
 //! A stand-in for nodes, on the platform's published protocol.
 
+use crate::program::{Limits, Program};
 use corkspan_platform_wire::MAX_MESSAGE_BYTES;
 use corkspan_platform_wire::node::{Message, MessageType, Reader};
 use std::io::{Read, Write};
@@ -17,8 +18,21 @@
     Failed,
 }
 
+/// The number of nodes in the list, all at the address of the stand-in.
+const LISTED_NODES: usize = 4;
+
+/// Starts the program and a stand-in for its nodes. The control feed is down.
+pub fn start_program(limits: Limits, others: OtherSetUps) -> Program {
+    let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
+    let (nodes, discovery) = (listener(), listener());
+    let feed = discovery.local_addr().expect("bound");
+    let address = nodes.local_addr().expect("bound");
+    std::thread::spawn(move || serve_set_ups(nodes, others));
+    Program::start(limits, feed, LISTED_NODES, address)
+}
+
 /// Answers each set-up whose description is `good`, on every connection.
-pub fn serve_set_ups(listener: TcpListener, others: OtherSetUps) {
+fn serve_set_ups(listener: TcpListener, others: OtherSetUps) {
     for stream in listener.incoming().map_while(Result::ok) {
         std::thread::spawn(move || serve_connection(stream, others));
     }
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -111,7 +111,7 @@
         let max_buffered = (MAX_FRAME_BYTES + room).min(READ_AHEAD_BYTES);
         while client.reader.buffered_bytes() < max_buffered {
             let max_bytes = max_buffered - client.reader.buffered_bytes();
-            match input.read_at_most(max_bytes, |bytes| client.reader.push(bytes)) {
+            match input.read_up_to(max_bytes, |bytes| client.reader.push(bytes)) {
                 ReadOutcome::Data => {}
                 ReadOutcome::Empty => {
                     client.input_read_at = now;
--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -55,7 +55,7 @@
             );
             self.nodes.remove_task(replacement.former, id);
             let attempt = allocation.attempts.len() - 1;
-            engine.attempt_returned(now, id, attempt, moved_away(), self);
+            engine.attempt_returned(now, id, attempt, cancelled_attempt(), self);
             let task = moved.task;
             if let Ok(id) =
                 engine.admit_running(now, &task_key(task), request, replacement.next, moved)
@@ -128,8 +128,8 @@
     endpoints
 }
 
-/// Returns the end of an attempt whose task is recorded on another machine from now on.
-fn moved_away() -> ReturnedAttempt {
+/// Returns the end of an attempt whose task continues under another record.
+fn cancelled_attempt() -> ReturnedAttempt {
     ReturnedAttempt {
         result: AttemptResult::Cancelled,
         reason: None,
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -28,7 +28,7 @@
     by_machine: BTreeMap<MachineId, BTreeSet<ConnectionId>>,
     half_closed: BTreeMap<ConnectionId, HalfClosedConnection>,
     /// The time of the last message of each machine with an open connection.
-    heard_at: BTreeMap<MachineId, Ticks>,
+    last_message_at: BTreeMap<MachineId, Ticks>,
     reconnects: Reconnects,
     opened: u64,
     max_connections: usize,
@@ -48,7 +48,7 @@
             connections,
             by_machine,
             half_closed,
-            heard_at: BTreeMap::new(),
+            last_message_at: BTreeMap::new(),
             reconnects: Reconnects::default(),
             opened: 0,
             max_connections,
@@ -149,7 +149,7 @@
         connections.sum::<usize>()
             + self.by_machine.len()
             + self.half_closed.len()
-            + self.heard_at.len()
+            + self.last_message_at.len()
             + self.reconnects.len()
     }
 
@@ -279,7 +279,7 @@
         };
         connection.last_used_at = now;
         connection.silent_since = connection.silent_since.map(|_| now);
-        self.heard_at.insert(connection.machine, now);
+        self.last_message_at.insert(connection.machine, now);
         Some(connection.machine)
     }
 
--- a/crates/platform/src/node_connections/closing.rs
+++ b/crates/platform/src/node_connections/closing.rs
@@ -80,14 +80,14 @@
         except: &BTreeSet<ConnectionId>,
         now: Ticks,
     ) {
-        let heard_at = self.heard_at.get(&machine).copied().unwrap_or(0);
+        let last_message_at = self.last_message_at.get(&machine).copied().unwrap_or(0);
         let available = self.available_to(machine).into_iter();
         let checks: Vec<ConnectionId> = available
             .filter(|id| self.connections[id].is_check && self.connections[id].established)
             .collect();
         let surplus = checks.len().saturating_sub(MAX_CHECKS_PER_NODE);
         for (index, &id) in checks.iter().enumerate().rev().skip(1) {
-            let was_accepted = self.connections[&id].last_used_at < heard_at;
+            let was_accepted = self.connections[&id].last_used_at < last_message_at;
             if (was_accepted || index < surplus) && !except.contains(&id) {
                 self.close(id, CloseReason::Unused, now);
             }
@@ -192,7 +192,7 @@
 
     /// Forgets a machine that is gone and has no connection.
     pub fn forget_machine(&mut self, machine: MachineId) {
-        self.heard_at.remove(&machine);
+        self.last_message_at.remove(&machine);
         self.reconnects.cancel(machine);
     }
 
@@ -230,8 +230,8 @@
         let connection = &self.connections[&id];
         let since = connection.draining_since.unwrap_or(now);
         let machine = connection.machine;
-        let heard_at = self.heard_at.get(&machine);
-        let is_responsive = heard_at.is_some_and(|at| *at > since);
+        let last_message_at = self.last_message_at.get(&machine);
+        let is_responsive = last_message_at.is_some_and(|at| *at > since);
         if nodes.is_draining(machine) && nodes.has_tasks(machine) && self.all_to(machine).len() == 1
         {
             return;
--- a/crates/platform/src/reader.rs
+++ b/crates/platform/src/reader.rs
@@ -42,12 +42,12 @@
 
     /// Passes input that has arrived to `push`, with a single read.
     pub fn read(&self, push: impl FnOnce(&[u8])) -> ReadOutcome {
-        self.read_at_most(READ_BYTES, push)
+        self.read_up_to(READ_BYTES, push)
     }
 
     /// Passes input that has arrived to `push`, with a single read of at most `max_bytes`, which is
     /// more than 0.
-    pub fn read_at_most(&self, max_bytes: usize, push: impl FnOnce(&[u8])) -> ReadOutcome {
+    pub fn read_up_to(&self, max_bytes: usize, push: impl FnOnce(&[u8])) -> ReadOutcome {
         let mut buffer = [0; READ_BYTES];
         let bytes = &mut buffer[..max_bytes.min(READ_BYTES)];
         loop {
--- a/crates/platform/tests/core/addresses.rs
+++ b/crates/platform/tests/core/addresses.rs
@@ -73,6 +73,21 @@
     assert!(handle.handle_node_message(connection, ready));
 }
 
+/// Runs a task whose set-up is written the given time after the start. Returns its connection.
+fn run_task(
+    handle: &PlatformHandle,
+    client: ClientId,
+    queue: &MessageQueue,
+    written_after_ms: u64,
+) -> ConnectionId {
+    let (connection, attempt) = dispatch(handle, client);
+    set_time(handle, written_after_ms);
+    write(handle, connection, attempt);
+    answer(handle, connection);
+    queue.take_all();
+    connection
+}
+
 fn released(cause: u8) -> Vec<u8> {
     client::encode(MessageType::Release, TASK, &[(client::CAUSE, &[cause])])
         .expect("a short message")
@@ -83,11 +98,7 @@
 #[test]
 fn a_set_up_that_is_written_to_the_new_process_of_a_node_outlives_the_news_of_its_start() {
     let (handle, client, queue) = core_and_client();
-    let (connection, attempt) = dispatch(&handle, client);
-    set_time(&handle, 200);
-    write(&handle, connection, attempt);
-    answer(&handle, connection);
-    queue.take_all();
+    run_task(&handle, client, &queue, 200);
     set_time(&handle, 400);
     list_node(&handle, 2, "s-1", ADDRESS, Some(100));
     assert_eq!(queue.take_all(), Vec::<Vec<u8>>::new(), "it still runs");
@@ -119,10 +130,7 @@
 #[test_case(None; "without")]
 fn the_tasks_of_a_node_end_when_another_is_listed_at_its_address(started_after_ms: Option<u64>) {
     let (handle, client, queue) = core_and_client();
-    let (connection, attempt) = dispatch(&handle, client);
-    write(&handle, connection, attempt);
-    answer(&handle, connection);
-    queue.take_all();
+    run_task(&handle, client, &queue, 0);
     set_time(&handle, 400);
     list_node(&handle, 2, "s-2", ADDRESS, started_after_ms);
     assert_eq!(queue.take_all(), [released(client::CAUSE_INTERRUPTED)]);
@@ -158,11 +166,7 @@
 #[test]
 fn a_task_that_reached_the_next_node_at_the_address_continues_there() {
     let (handle, client, queue) = core_and_client();
-    let (connection, attempt) = dispatch(&handle, client);
-    set_time(&handle, 200);
-    write(&handle, connection, attempt);
-    answer(&handle, connection);
-    queue.take_all();
+    let connection = run_task(&handle, client, &queue, 200);
     set_time(&handle, 400);
     list_node(&handle, 2, "s-2", ADDRESS, Some(100));
     assert_eq!(queue.take_all(), Vec::<Vec<u8>>::new(), "it still runs");
@@ -181,10 +185,7 @@
 fn a_replaced_node_does_not_come_back_until_it_starts_again() {
     let (handle, client, queue) = core_and_client();
     list_node(&handle, 2, "s-2", ADDRESS, None);
-    let (connection, attempt) = dispatch(&handle, client);
-    write(&handle, connection, attempt);
-    answer(&handle, connection);
-    queue.take_all();
+    run_task(&handle, client, &queue, 0);
     list_node(&handle, 3, "s-1", ADDRESS, None);
     assert_eq!(queue.take_all(), Vec::<Vec<u8>>::new(), "it still runs");
     assert_eq!(handle.lock().state.nodes.find("s-1"), None);
