Keep the time from which a machine's silence counts when its process restarts

Callers: a task that runs on a node's next process is released with cause 41 when the list tells of the start, where health checks are allowed. Change: the time is kept. Evidence: allocations_on_a_restarted_machine_are_not_lost_at_once fails without the change (the allocation is lost at the next poll, 0.25 s later) and passes with it.

--- a/crates/scheduler/src/state/machine.rs
+++ b/crates/scheduler/src/state/machine.rs
@@ -234,12 +234,13 @@
     }
 
     /// Resets the state when another process runs under the same id. Only our allocations and
-    /// dispatches are kept.
+    /// dispatches are kept, and the time from which its silence counts.
     pub fn reset_after_restart(&mut self) {
         let former = std::mem::take(self);
         *self = Machine {
             allocations: former.allocations,
             recent_dispatches: former.recent_dispatches,
+            last_heard_at: former.last_heard_at,
             ..Machine::default()
         };
     }
--- a/crates/scheduler/tests/silent_machines.rs
+++ b/crates/scheduler/tests/silent_machines.rs
@@ -145,3 +145,23 @@
     }
     assert_eq!(!lost.is_empty(), is_lost);
 }
+
+/// Guards against releasing allocations of a machine's next process: they were placed before the
+/// list told of its start, and the machine counted as silent since the beginning of time.
+#[test]
+fn allocations_on_a_restarted_machine_are_not_lost_at_once() {
+    let cluster = Cluster {
+        health_checks: true,
+        ..without_health_checks()
+    };
+    let mut host = Host::new(cluster, 1, 2);
+    host.add_running(1, SMALL, SMALL, 0, 0);
+    let restarted = Endpoint {
+        started_at: Some(host.now),
+        ..endpoint(0)
+    };
+    let scheduler = &mut host.scheduler;
+    scheduler.apply_endpoint_list(ListUpdate::Incremental, &[restarted]);
+    host.now += POLL_INTERVAL;
+    assert_eq!(host.scheduler.poll(host.now).lost, []);
+}
