Take every message of a node as a sign of life of its machine

Callers: a machine is cut off for 6 s, reached for a moment, and cut off again: its tasks are released with cause 41 although they run and no outage lasted for more than 6 s. Cause: only answers to set-ups, notes on known tasks and health checks that were answered in time counted. The answer to a check that was sent into a partition arrives after its timeout, when the check is no longer recorded, and was dropped; so were progress, confirmations, releases and notes on unknown tasks. Change: Engine::record_heard, called for each message of a node. Evidence: any_message_of_a_node_ends_an_outage, three cases; all failed before (released within 6 s of the message) and pass now. The tests of addresses start later than the clock of the core, which they share with the new ones.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -158,6 +158,11 @@
             .record_health_check(now, machine, result, report);
     }
 
+    /// Records that something has arrived from a machine, whatever it is about.
+    pub fn record_heard(&mut self, now: Ticks, machine: MachineId) {
+        self.scheduler.record_heard(now, machine);
+    }
+
     /// Records whether a connection to a machine could be established.
     pub fn record_connection(&mut self, now: Ticks, machine: MachineId, result: ConnectionResult) {
         self.scheduler.record_connection(now, machine, result);
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -52,6 +52,9 @@
 #[cfg(test)]
 #[path = "../tests/core/races.rs"]
 mod races;
+#[cfg(test)]
+#[path = "../tests/core/reachability.rs"]
+mod reachability;
 mod replies;
 mod running_tasks;
 mod set_ups;
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -204,6 +204,7 @@
             let Some(machine) = state.connections.touch(connection, now) else {
                 return false;
             };
+            engine.record_heard(now, machine);
             state.handle_node_message(now, engine, connection, machine, message)
         })
     }
--- a/crates/platform/tests/core/addresses.rs
+++ b/crates/platform/tests/core/addresses.rs
@@ -9,18 +9,19 @@
 use std::sync::atomic::Ordering;
 use test_case::test_case;
 
-const TASK: u64 = 7;
-/// The time at which each test starts, in milliseconds.
-const START_MS: u64 = 1_000_000;
-const ADDRESS: &str = "127.0.0.1:9";
+pub(super) const TASK: u64 = 7;
+/// The time at which each test starts, in milliseconds: later than that of the clock with which the
+/// core is created, so that what is due then is done.
+const START_MS: u64 = 4_000_000_000_000;
+pub(super) const ADDRESS: &str = "127.0.0.1:9";
 
-fn set_time(handle: &PlatformHandle, after_ms: u64) {
+pub(super) fn set_time(handle: &PlatformHandle, after_ms: u64) {
     let now = (START_MS + after_ms) * TICKS_PER_MS;
     handle.time_override.store(now, Ordering::Relaxed);
 }
 
 /// Sends an event that lists a node. `started_after_ms` is none for a node of the start.
-fn list_node(
+pub(super) fn list_node(
     handle: &PlatformHandle,
     event: u64,
     name: &str,
@@ -37,7 +38,15 @@
 
 /// Creates a core that knows one node, and a client.
 fn core_and_client() -> (Arc<PlatformHandle>, ClientId, MessageQueue) {
-    let handle = handle_with_config(&CONFIG.replace("\"probes\":true", "\"probes\":false"));
+    core_and_client_with(false)
+}
+
+/// Creates a core that knows one node and may or may not send health checks, and a client.
+pub(super) fn core_and_client_with(
+    health_checks: bool,
+) -> (Arc<PlatformHandle>, ClientId, MessageQueue) {
+    let health_checks = format!("\"probes\":{health_checks}");
+    let handle = handle_with_config(&CONFIG.replace("\"probes\":true", &health_checks));
     set_time(&handle, 0);
     list_node(&handle, 1, "s-1", ADDRESS, None);
     let (client, queue) = handle.client_connected().expect("there is room");
@@ -74,7 +83,7 @@
 }
 
 /// Runs a task whose set-up is written the given time after the start. Returns its connection.
-fn run_task(
+pub(super) fn run_task(
     handle: &PlatformHandle,
     client: ClientId,
     queue: &MessageQueue,
@@ -88,7 +97,7 @@
     connection
 }
 
-fn released(cause: u8) -> Vec<u8> {
+pub(super) fn released(cause: u8) -> Vec<u8> {
     client::encode(MessageType::Release, TASK, &[(client::CAUSE, &[cause])])
         .expect("a short message")
 }
--- /dev/null
+++ b/crates/platform/tests/core/reachability.rs
@@ -0,0 +1,127 @@
+//! Tests what counts as a sign of life of a machine that is cut off. The tasks that read and write
+//! are not run, and the test sets the time.
+
+use super::addresses::{TASK, core_and_client_with, released, run_task, set_time};
+use super::*;
+use crate::handle::PlatformHandle;
+use corkspan_platform_wire::client;
+use test_case::test_case;
+
+const STEP_MS: u64 = 50;
+const CONNECT_TIMEOUT_MS: u64 = 250;
+
+/// A core with a task on a node whose machine is cut off, so that no connection is established.
+struct CutOff {
+    handle: Arc<PlatformHandle>,
+    queue: MessageQueue,
+    /// The connection of the task's set-up.
+    connection: ConnectionId,
+    /// The connections that are being established, each with the time of its attempt.
+    connecting: VecDeque<(ConnectionId, u64)>,
+    /// The health checks that were sent.
+    health_checks: BTreeSet<u64>,
+    now_ms: u64,
+}
+
+impl CutOff {
+    fn new(health_checks: bool) -> CutOff {
+        let (handle, client, queue) = core_and_client_with(health_checks);
+        let connection = run_task(&handle, client, &queue, 0);
+        CutOff {
+            handle,
+            queue,
+            connection,
+            connecting: VecDeque::new(),
+            health_checks: BTreeSet::new(),
+            now_ms: 0,
+        }
+    }
+
+    fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            set_time(&self.handle, self.now_ms);
+            self.handle.timer_fired();
+            self.handle.sweep();
+            let pending = self
+                .handle
+                .lock()
+                .state
+                .health_checks
+                .keys()
+                .copied()
+                .collect();
+            self.health_checks = self.health_checks.union(&pending).copied().collect();
+            self.find_new_connections();
+            while let Some(&(id, attempted_ms)) = self.connecting.front()
+                && attempted_ms + CONNECT_TIMEOUT_MS <= self.now_ms
+            {
+                self.connecting.pop_front();
+                let elapsed = (self.now_ms - attempted_ms) * TICKS_PER_MS;
+                let attempted_at = self.handle.now() - elapsed;
+                self.end_connection(id, ConnectionEnd::ConnectTimeout { attempted_at });
+            }
+        }
+    }
+
+    fn find_new_connections(&mut self) {
+        let opened = std::mem::take(&mut self.handle.lock().state.connections.opened_queues);
+        let new = opened.iter().filter(|(id, _)| *id != self.connection);
+        self.connecting
+            .extend(new.map(|(id, _)| (*id, self.now_ms)));
+    }
+
+    fn end_connection(&self, id: ConnectionId, end: ConnectionEnd) {
+        self.handle.connection_ended(id, end);
+    }
+
+    fn node_sends(&self, message: node::Message) {
+        assert!(self.handle.handle_node_message(self.connection, message));
+    }
+
+    fn is_released(&self) -> bool {
+        let sent = self.queue.take_all();
+        sent.contains(&released(client::CAUSE_INTERRUPTED))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SignOfLife {
+    /// The answer to the first health check, which has timed out long ago.
+    LateHealthCheckReply,
+    /// A notification about a task of which this dispatcher does not know.
+    UnknownTask,
+    /// A message that needs no handling.
+    Progress,
+}
+
+/// Guards against releasing a task that still runs: between two partitions the machine was reached,
+/// but what it wrote was not taken as a sign of life.
+#[test_case(SignOfLife::LateHealthCheckReply)]
+#[test_case(SignOfLife::UnknownTask)]
+#[test_case(SignOfLife::Progress)]
+fn any_message_of_a_node_ends_an_outage(sign: SignOfLife) {
+    let mut cut_off = CutOff::new(sign == SignOfLife::LateHealthCheckReply);
+    cut_off.run_until(6_000);
+    let message = match sign {
+        SignOfLife::LateHealthCheckReply => {
+            let check = *cut_off.health_checks.first().expect("a health check");
+            assert!(
+                !cut_off
+                    .handle
+                    .lock()
+                    .state
+                    .health_checks
+                    .contains_key(&check)
+            );
+            node::Message::new(node::MessageType::Probed, check).with_cause(1)
+        }
+        SignOfLife::UnknownTask => node::Message::new(node::MessageType::Event, TASK + 1),
+        SignOfLife::Progress => node::Message::new(node::MessageType::Trying, TASK),
+    };
+    cut_off.node_sends(message);
+    cut_off.run_until(12_000);
+    assert!(!cut_off.is_released(), "6 s after it was heard");
+    cut_off.run_until(14_000);
+    assert!(cut_off.is_released(), "8 s after it was heard");
+}
--- a/crates/scheduler/src/policy/liveness.rs
+++ b/crates/scheduler/src/policy/liveness.rs
@@ -132,6 +132,13 @@
         self.record_report(now, machine, report);
     }
 
+    /// Records that something has arrived from a machine, whatever it is about.
+    pub fn record_heard(&mut self, now: Ticks, machine: MachineId) {
+        if let Some(machine) = self.machines.get_mut(&machine) {
+            machine.reachability = Reachability::heard_at(now);
+        }
+    }
+
     /// Records whether a connection to a machine could be established.
     pub fn record_connection(&mut self, now: Ticks, machine: MachineId, result: ConnectionResult) {
         let Some(target) = self.machines.get_mut(&machine) else {
