Take a refused connection as a sign of life of its machine

Callers: a node that refuses new connections and keeps one open is cut off for 6 s, refuses one, and is cut off again: its tasks are released with cause 41 although they run. Cause: connection_refused concludes nothing while another connection is open, so the outage went on. Change: a refusal counts like an established connection (ConnectionResult::Answered). Evidence: a_refused_connection_ends_an_outage failed before and passes now.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -163,7 +163,7 @@
         self.scheduler.record_heard(now, machine);
     }
 
-    /// Records whether a connection to a machine could be established.
+    /// Records whether a machine has answered a request for a connection.
     pub fn record_connection(&mut self, now: Ticks, machine: MachineId, result: ConnectionResult) {
         self.scheduler.record_connection(now, machine, result);
     }
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -100,7 +100,7 @@
         let Some(established) = self.connections.mark_established(id, now) else {
             return;
         };
-        engine.record_connection(now, established.machine, ConnectionResult::Established);
+        engine.record_connection(now, established.machine, ConnectionResult::Answered);
         if established.is_check {
             let kept = self.connections_with_health_check();
             self.connections
@@ -158,6 +158,7 @@
         engine: &mut Engine<PendingTask>,
         machine: MachineId,
     ) {
+        engine.record_connection(now, machine, ConnectionResult::Answered);
         let is_draining = self.nodes.connection_refused(machine);
         if self.connections.has_established(machine) {
             return;
--- a/crates/platform/tests/core/reachability.rs
+++ b/crates/platform/tests/core/reachability.rs
@@ -125,3 +125,17 @@
     cut_off.run_until(14_000);
     assert!(cut_off.is_released(), "8 s after it was heard");
 }
+
+/// Guards against releasing a task that still runs: between two partitions the node refused a new
+/// connection, as one does that drains before the list says so, while another one is open.
+#[test]
+fn a_refused_connection_ends_an_outage() {
+    let mut cut_off = CutOff::new(false);
+    cut_off.run_until(6_000);
+    let (connecting, _) = cut_off.connecting.pop_back().expect("a check is due");
+    cut_off.end_connection(connecting, ConnectionEnd::Refused);
+    cut_off.run_until(12_000);
+    assert!(!cut_off.is_released(), "6 s after it was heard");
+    cut_off.run_until(14_000);
+    assert!(cut_off.is_released(), "8 s after it was heard");
+}
--- a/crates/scheduler/src/interface/outcomes.rs
+++ b/crates/scheduler/src/interface/outcomes.rs
@@ -50,11 +50,11 @@
     NotSent,
 }
 
-/// Whether a connection to a machine could be established.
+/// Whether a machine has answered a request for a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionResult {
-    /// The connection was established.
-    Established,
+    /// The machine established or refused the connection.
+    Answered,
     /// The machine neither accepted nor refused the connection in time.
     Failed {
         /// The time at which the connection was attempted.
--- a/crates/scheduler/src/policy/liveness.rs
+++ b/crates/scheduler/src/policy/liveness.rs
@@ -139,13 +139,13 @@
         }
     }
 
-    /// Records whether a connection to a machine could be established.
+    /// Records whether a machine has answered a request for a connection.
     pub fn record_connection(&mut self, now: Ticks, machine: MachineId, result: ConnectionResult) {
         let Some(target) = self.machines.get_mut(&machine) else {
             return;
         };
         match result {
-            ConnectionResult::Established => target.reachability = Reachability::heard_at(now),
+            ConnectionResult::Answered => target.reachability = Reachability::heard_at(now),
             ConnectionResult::Failed { attempted_at } => {
                 target.reachability.record_failure(attempted_at);
                 if is_lost(&target.reachability) {
--- a/crates/scheduler/tests/silent_machines.rs
+++ b/crates/scheduler/tests/silent_machines.rs
@@ -113,7 +113,7 @@
             let failed = ConnectionResult::Failed { attempted_at };
             self.add_event(at + CONNECT_TIMEOUT, Event::Connection(failed));
         } else {
-            let established = Event::Connection(ConnectionResult::Established);
+            let established = Event::Connection(ConnectionResult::Answered);
             self.add_event(at + NETWORK_DELAY, established);
         }
     }
