Let a check of a silent machine take the place of its connection in a full pool

Callers: with fewer connections than nodes with tasks, the tasks on a vanished machine are not released within 8 s. Cause: a connection that is opened to see whether a machine is alive could only take the place of one that no node needs; a full pool has none, so check_connection opened nothing. Change: it takes the place of the machine's own established connection, or, if there is none, of the one unused the longest. The last connection to a draining node is kept as before. Now one and 25 machines are released within 8 s, and kept behind partitions of 6 s.

--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -117,7 +117,12 @@
     }
 
     fn check_connection(&mut self, machine: MachineId) {
-        self.open_check_connection(machine, Eviction::SpareOnly);
+        // If the pool is full, the new connection takes the place of the silent one.
+        let eviction = match self.connections.has_established(machine) {
+            true => Eviction::SpareOrTo(machine),
+            false => Eviction::Any,
+        };
+        self.open_check_connection(machine, eviction);
     }
 
     fn watch_endpoints(&mut self) {
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -162,6 +162,12 @@
         (self.connections.len(), self.half_closed.len())
     }
 
+    /// Returns the machine of an open connection.
+    #[cfg(test)]
+    pub fn machine(&self, id: ConnectionId) -> Option<MachineId> {
+        Some(self.connections.get(&id)?.machine)
+    }
+
     /// Returns the connection that was opened last.
     #[cfg(test)]
     pub fn newest(&self) -> ConnectionId {
--- a/crates/platform/src/node_connections/closing.rs
+++ b/crates/platform/src/node_connections/closing.rs
@@ -26,6 +26,8 @@
 pub enum Eviction {
     /// Connections without which every node with tasks still has one.
     SpareOnly,
+    /// Also the only connection to this machine, unless it is draining.
+    SpareOrTo(MachineId),
     /// Also the only connection to a node with tasks, which a later sweep connects again.
     Any,
 }
@@ -60,8 +62,13 @@
                 connection.machine,
             )
         });
+        let may_evict_only_connection = |machine| match eviction {
+            Eviction::SpareOnly => false,
+            Eviction::SpareOrTo(replaced) => machine == replaced && !nodes.is_draining(machine),
+            Eviction::Any => !nodes.is_draining(machine),
+        };
         let may_evict = |is_only_connection: bool, machine| {
-            !is_only_connection || eviction == Eviction::Any && !nodes.is_draining(machine)
+            !is_only_connection || may_evict_only_connection(machine)
         };
         let least_useful = ranked
             .filter(|&(is_only_connection, .., machine)| may_evict(is_only_connection, machine))
--- a/crates/platform/tests/core/reachability.rs
+++ b/crates/platform/tests/core/reachability.rs
@@ -1,10 +1,11 @@
 //! Tests what counts as a sign of life of a machine that is cut off. The tasks that read and write
 //! are not run, and the test sets the time.
 
-use super::addresses::{TASK, core_and_client_with, released, run_task, set_time};
+use super::addresses::{TASK, core_and_client_with, list_node, released, run_task, set_time};
+use super::bounds::set_up_with_requirements;
 use super::*;
 use crate::handle::PlatformHandle;
-use corkspan_platform_wire::client;
+use corkspan_platform_wire::client::{self, MessageType};
 use test_case::test_case;
 
 const STEP_MS: u64 = 50;
@@ -139,3 +140,127 @@
     cut_off.run_until(14_000);
     assert!(cut_off.is_released(), "8 s after it was heard");
 }
+
+/// A core with one task on each of more nodes than the pool has connections. Nothing but connections
+/// and health checks is heard of them.
+struct FullPool {
+    handle: Arc<PlatformHandle>,
+    queue: MessageQueue,
+    connecting: VecDeque<(ConnectionId, u64)>,
+    /// The machines that are cut off at times.
+    unreliable: BTreeSet<MachineId>,
+    now_ms: u64,
+}
+
+impl FullPool {
+    fn new(health_checks: bool, nodes: u64, unreliable_nodes: u64) -> FullPool {
+        let (handle, client, queue) = core_and_client_with(health_checks);
+        for node in 2..=nodes {
+            let address = format!("127.0.0.1:{}", 1_000 + node);
+            list_node(&handle, node, &format!("s-{node}"), &address, None);
+        }
+        for node in 1..=nodes {
+            let requirements = format!("cores:20;memory:1;service:a;at:s-{node}");
+            let message = set_up_with_requirements(node, &requirements);
+            assert!(handle.handle_client_message(client, &message));
+        }
+        let find = |node| handle.lock().state.nodes.find(&format!("s-{node}"));
+        let unreliable = (1..=unreliable_nodes).map(|node| find(node).expect("listed"));
+        FullPool {
+            unreliable: unreliable.collect(),
+            handle,
+            queue,
+            connecting: VecDeque::new(),
+            now_ms: 0,
+        }
+    }
+
+    /// Runs with the unreliable machines cut off, or not.
+    fn run_until(&mut self, until_ms: u64, is_cut_off: bool) {
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            set_time(&self.handle, self.now_ms);
+            self.end_connecting(is_cut_off);
+            self.answer_health_checks(is_cut_off);
+            self.handle.timer_fired();
+            self.handle.sweep();
+            let opened = std::mem::take(&mut self.handle.lock().state.connections.opened_queues);
+            let opened = opened.iter().map(|(id, _)| (*id, self.now_ms));
+            self.connecting.extend(opened);
+        }
+    }
+
+    fn is_to_unreliable_node(&self, id: ConnectionId) -> Option<bool> {
+        let machine = self.handle.lock().state.connections.machine(id)?;
+        Some(self.unreliable.contains(&machine))
+    }
+
+    fn end_connecting(&mut self, is_cut_off: bool) {
+        for (id, attempted_ms) in std::mem::take(&mut self.connecting) {
+            match self.is_to_unreliable_node(id) {
+                None => {}
+                Some(true) if is_cut_off => {
+                    if attempted_ms + CONNECT_TIMEOUT_MS > self.now_ms {
+                        self.connecting.push_back((id, attempted_ms));
+                        continue;
+                    }
+                    let elapsed = (self.now_ms - attempted_ms) * TICKS_PER_MS;
+                    let attempted_at = self.handle.now() - elapsed;
+                    let end = ConnectionEnd::ConnectTimeout { attempted_at };
+                    self.handle.connection_ended(id, end);
+                }
+                Some(_) => self.handle.connection_established(id),
+            }
+        }
+    }
+
+    fn answer_health_checks(&self, is_cut_off: bool) {
+        let checks = self.handle.lock().state.health_checks.clone();
+        for (check, HealthCheck { connection, .. }) in checks {
+            let is_established = self
+                .handle
+                .lock()
+                .state
+                .connections
+                .is_established(connection);
+            let is_lost = is_cut_off && self.is_to_unreliable_node(connection) == Some(true);
+            if is_established && !is_lost {
+                let reply = node::Message::new(node::MessageType::Probed, check).with_cause(1);
+                self.handle.handle_node_message(connection, reply);
+            }
+        }
+    }
+
+    /// Returns the tasks that were released as interrupted.
+    fn released(&self) -> Vec<u64> {
+        let mut reader = client::Reader::default();
+        reader.push(&self.queue.take_all().concat());
+        let sent = std::iter::from_fn(|| reader.next_message().expect("valid"));
+        let releases = sent.filter(|message| message.message_type == MessageType::Release);
+        releases.map(|release| release.task).collect()
+    }
+}
+
+/// Guards against ends that are told late because the pool has no connection left to see whether a
+/// silent machine is alive, and against releasing a task behind a partition of 6 s or on any other
+/// machine.
+#[test_case(false, 1; "one machine, without health checks")]
+#[test_case(true, 1; "one machine, with health checks")]
+#[test_case(false, 25; "many machines, without health checks")]
+#[test_case(true, 25; "many machines, with health checks")]
+fn vanished_machines_are_found_in_time_with_a_full_pool(health_checks: bool, unreliable: u64) {
+    let mut pool = FullPool::new(health_checks, 110, unreliable);
+    pool.run_until(20_000, false);
+    assert_eq!(pool.released(), [0; 0]);
+    pool.run_until(26_000, true);
+    assert_eq!(pool.released(), [0; 0], "cut off for 6 s");
+    pool.run_until(36_700, false);
+    assert_eq!(pool.released(), [0; 0]);
+    pool.run_until(42_700, true);
+    assert_eq!(pool.released(), [0; 0], "cut off for 6 s");
+    pool.run_until(44_700, true);
+    let mut released = pool.released();
+    released.sort();
+    let lost: Vec<u64> = (1..=unreliable).collect();
+    assert_eq!(released, lost, "gone for 8 s");
+}
