Wait for the slots that are held once the disk is full in the test of a full disk

Cause: the test's own timing. It waits until twelve replicas are ready and no slot is held, but the status tells the slots of the last poll of the quorum. Two slots are claimed one after the other; the first replacement is ready some 20 ms after its claim is stored, when the second claim is still being stored. The disk is set to full then, the last poll is older than both claims, so "no slot is held", and the second replacement, whose claim was written before, is taken for a step on a full disk. Two replicas may be replaced here (max_unavailable 2), so no rule of a rollout is broken. Change: the test first waits until a slot is told as held, which only a poll after the claims does; the first slot is held for at least min_ready (1 s). What it asserts is as before.

--- a/crates/testbed/tests/full_path/rollouts.rs
+++ b/crates/testbed/tests/full_path/rollouts.rs
@@ -916,6 +916,9 @@
         if surge {
             async_io::Timer::after(Duration::from_millis(2_000)).await;
         } else {
+            // The status tells the slots of the last poll. The one before the disk was full does not
+            // name the slot of a replacement that has begun since, and would look like none is held.
+            wait_until(async || !claims().await.is_empty()).await;
             wait_until(async || {
                 fixture.ready_counts().0.values().sum::<usize>() == 12 && claims().await.is_empty()
             })
