Send the request to stop a task again until its node confirms it

Cause: the request was queued on a connection that was being opened and dropped when that failed; after 1 s the task counted as stopped, and nothing remembered the request. Change: UnconfirmedStops remembers a request until the node releases or confirms the task, and sends it again on the newest connection after 1, 3, 7, 15 and 31 s; bounded, and ended with the machine. Evidence: a_task_that_its_owner_ends_during_an_outage_is_stopped_after_it fails without the retries (nothing is sent after the outage) and passes with them.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -27,6 +27,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use unconfirmed_stops::UnconfirmedStops;
 use unconfirmed_tasks::UnconfirmedTasks;
 use undelivered_ends::{EndNumber, UndeliveredEnds};
 
@@ -62,6 +63,7 @@
 #[cfg(test)]
 #[path = "../tests/core/transcript.rs"]
 mod transcript;
+mod unconfirmed_stops;
 mod unconfirmed_tasks;
 mod undelivered_ends;
 
@@ -158,6 +160,7 @@
     undelivered_ends: UndeliveredEnds,
     spent_ids: SpentIds,
     unconfirmed_tasks: UnconfirmedTasks,
+    unconfirmed_stops: UnconfirmedStops,
     /// Ordered from the oldest to the newest.
     early_ends: VecDeque<EarlyEnd>,
     nodes: Nodes,
@@ -227,6 +230,7 @@
                 undelivered_ends: UndeliveredEnds::default(),
                 spent_ids: SpentIds::default(),
                 unconfirmed_tasks: UnconfirmedTasks::default(),
+                unconfirmed_stops: UnconfirmedStops::default(),
                 early_ends: VecDeque::new(),
                 nodes: Nodes::default(),
                 connections,
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -246,6 +246,7 @@
         self.sweep_undelivered_ends(now);
         self.spent_ids.expire(now);
         self.sweep_node_connections(now);
+        self.retry_stops(now);
     }
 
     /// Closes the least useful client's connection without open set-ups: silent ones first, then
--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -17,6 +17,7 @@
         self.timers
             .retain(|(_, timer)| *timer != Timer::Unreachable(machine));
         self.connections.forget_machine(machine);
+        self.unconfirmed_stops.forget_machine(machine);
         self.nodes.remove_node(machine);
     }
 
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -267,7 +267,7 @@
             + state.timers.len()
             + state.unanswered.len();
         let entries = entries + state.early_ends.len() + state.unconfirmed_tasks.len();
-        let entries = entries + state.spent_ids.len();
+        let entries = entries + state.spent_ids.len() + state.unconfirmed_stops.len();
         engine.state_size()
             + state.clients.len()
             + state.nodes.retained_items()
--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -106,6 +106,12 @@
             self.handle_health_check_reply(now, engine, task, &message);
             return true;
         }
+        if matches!(
+            message.message_type,
+            node::MessageType::Close | node::MessageType::Closed
+        ) {
+            self.unconfirmed_stops.confirm(machine, task);
+        }
         let origin = MessageOrigin {
             connection,
             machine,
--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -1,6 +1,7 @@
 //! Stops running tasks and handles their ends.
 
 use super::pending_task::{ActiveAttempt, PendingTask, task_key};
+use super::unconfirmed_stops::StopRetry;
 use super::*;
 use corkspan_engine::ReturnedAttempt;
 use tracing::debug;
@@ -18,10 +19,33 @@
         if let Some(active) = active {
             let message = node::Message::new(node::MessageType::Close, task).with_cause(cause);
             self.send_to_node(active.machine, active.connection, &message, Eviction::Any);
+            self.unconfirmed_stops.add(now, active.machine, task, cause);
         }
         self.timers.insert((now + STOP_TIMEOUT, Timer::Stop(id)));
     }
 
+    /// Sends the requests to stop a task again that their nodes have not confirmed.
+    pub(super) fn retry_stops(&mut self, now: Ticks) {
+        for StopRetry {
+            machine,
+            task,
+            cause,
+        } in self.unconfirmed_stops.due(now)
+        {
+            debug!(
+                task = task_key(task),
+                ?machine,
+                "requesting again to stop a task"
+            );
+            let newest = self.connections.available_to(machine).pop();
+            if newest.is_none() && self.nodes.is_closed_to_connections(machine) {
+                continue;
+            }
+            let message = node::Message::new(node::MessageType::Close, task).with_cause(cause);
+            self.send_to_node(machine, newest, &message, Eviction::Any);
+        }
+    }
+
     /// Handles the loss of the tasks that were sent to a machine before the given time.
     pub(super) fn machine_lost(
         &mut self,
--- a/crates/platform/tests/core/reachability.rs
+++ b/crates/platform/tests/core/reachability.rs
@@ -21,6 +21,10 @@
     connecting: VecDeque<(ConnectionId, u64)>,
     /// The health checks that were sent.
     health_checks: BTreeSet<u64>,
+    client: ClientId,
+    /// The queues of the connections that were established since the machine was reached again.
+    established: Vec<MessageQueue>,
+    is_reached: bool,
     now_ms: u64,
 }
 
@@ -34,6 +38,9 @@
             connection,
             connecting: VecDeque::new(),
             health_checks: BTreeSet::new(),
+            client,
+            established: Vec::new(),
+            is_reached: false,
             now_ms: 0,
         }
     }
@@ -67,9 +74,15 @@
 
     fn find_new_connections(&mut self) {
         let opened = std::mem::take(&mut self.handle.lock().state.connections.opened_queues);
-        let new = opened.iter().filter(|(id, _)| *id != self.connection);
-        self.connecting
-            .extend(new.map(|(id, _)| (*id, self.now_ms)));
+        let new = opened.into_iter().filter(|(id, _)| *id != self.connection);
+        for (id, queue) in new {
+            if self.is_reached {
+                self.handle.connection_established(id);
+                self.established.push(queue);
+            } else {
+                self.connecting.push_back((id, self.now_ms));
+            }
+        }
     }
 
     fn end_connection(&self, id: ConnectionId, end: ConnectionEnd) {
@@ -141,6 +154,38 @@
     assert!(cut_off.is_released(), "8 s after it was heard");
 }
 
+/// Guards against a task that stands for good after its owner has ended it: the request to stop it
+/// was queued on a connection that never came up, and was dropped with it.
+#[test]
+fn a_task_that_its_owner_ends_during_an_outage_is_stopped_after_it() {
+    let mut cut_off = CutOff::new(true);
+    cut_off.run_until(3_000);
+    let cause = [client::CAUSE_NORMAL];
+    let release = client::encode(MessageType::Release, TASK, &[(client::CAUSE, &cause)]);
+    let mut reader = client::Reader::default();
+    reader.push(&release.expect("a short message"));
+    let release = reader.next_message().expect("valid").expect("complete");
+    assert!(
+        cut_off
+            .handle
+            .handle_client_message(cut_off.client, &release)
+    );
+    cut_off.run_until(6_000);
+    cut_off.is_reached = true;
+    cut_off.run_until(12_000);
+    let stops = |cut_off: &CutOff| {
+        let lines = cut_off.established.iter().flat_map(MessageQueue::take_all);
+        let close = node::Message::new(node::MessageType::Close, TASK).with_cause(16);
+        lines
+            .filter(|line| Some(line) == close.to_line().as_ref())
+            .count()
+    };
+    assert!(stops(&cut_off) >= 1, "it is stopped within 6 s");
+    cut_off.node_sends(node::Message::new(node::MessageType::Close, TASK).with_cause(31));
+    cut_off.run_until(60_000);
+    assert_eq!(stops(&cut_off), 0, "the node has confirmed it");
+}
+
 /// A core with one task on each of more nodes than the pool has connections. Nothing but connections
 /// and health checks is heard of them.
 struct FullPool {
