Count the first window of a process from when it holds its address

Callers: a process that starts while the former one of its number still stops sends set-ups to a node that is warming up beside it, each within the quota of one (rule on cold nodes). Cause: Scheduler::started_at was set before the process waited for its address, which may take as long as a shutdown; the window in which the former process may have used the quota was over by then. Change: PlatformCore::start sets it, once the address is held. Evidence: a_new_process_counts_its_first_window_from_when_it_holds_the_address failed before (sent at once, 0.1 s after the start) and passes now.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Records that the process sends attempts from now on, and no former process does any more.
+    pub fn record_start(&mut self, now: Ticks) {
+        self.scheduler.record_start(now);
+    }
+
     /// Applies new settings. Ids of service classes and tenants must keep their meaning.
     pub fn reconfigure(&mut self, now: Ticks, cluster: Cluster, max_tracked: usize) {
         self.scheduler.reconfigure(now, cluster);
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -17,9 +17,10 @@
         });
     }
 
-    /// Processes the engine's first work and sets the timer.
+    /// Processes the engine's first work and sets the timer. Called once the process holds its
+    /// address, so that the former one has stopped.
     pub fn start(&mut self, now: Ticks) {
-        self.process_event(now, |_, _| ());
+        self.process_event(now, |engine, _| engine.record_start(now));
     }
 
     /// Places waiting set-ups while there is time. Returns true if some still wait. All connections
--- a/crates/platform/tests/core/addresses.rs
+++ b/crates/platform/tests/core/addresses.rs
@@ -216,3 +216,30 @@
     assert_eq!(queue.take_all(), [released(client::CAUSE_INTERRUPTED)]);
     assert_eq!(handle.lock().state.unconfirmed_tasks.len(), 0);
 }
+
+/// Guards against two processes that both use the quota of a node that is warming up: a new process
+/// waits for its address while the former one stops, and counted its first window from before that.
+#[test]
+fn a_new_process_counts_its_first_window_from_when_it_holds_the_address() {
+    let rules = "\"rules\":{\"cold-us\":14000000,\"fall-us\":1000000}";
+    let config = CONFIG.replace("\"rules\":{\"cold-us\":0,\"fall-us\":0}", rules);
+    let handle = handle_with_config(&config);
+    set_time(&handle, 0);
+    list_node(&handle, 1, "s-1", ADDRESS, Some(0));
+    set_time(&handle, 500);
+    handle.start();
+    let (client, _queue) = handle.client_connected().expect("there is room");
+    set_time(&handle, 600);
+    assert!(handle.handle_client_message(client, &set_up(TASK)));
+    let mut sent_at = None;
+    for after_ms in (600..3_000).step_by(20) {
+        set_time(&handle, after_ms);
+        handle.timer_fired();
+        while handle.run_turn() {}
+        if active_attempt(&handle).is_some() {
+            sent_at.get_or_insert(after_ms);
+        }
+    }
+    let sent_at = sent_at.expect("it is sent");
+    assert!((1_500..2_000).contains(&sent_at), "sent after {sent_at} ms");
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -30,6 +30,7 @@
     replicas_by_domain: Vec<ReplicaCount>,
     usage_history: UsageHistory,
     learned: LearnedStatistics,
+    /// The time from which no other process has sent attempts in the place of this one.
     started_at: Ticks,
     watch_retry_at: Option<Ticks>,
     watch_failures: u32,
--- a/crates/scheduler/src/updates.rs
+++ b/crates/scheduler/src/updates.rs
@@ -10,6 +10,12 @@
 use crate::state::*;
 
 impl Scheduler {
+    /// Records that the process sends attempts from now on. Until now a former process may have sent
+    /// some, which count toward the slow start of machines that were starting.
+    pub fn record_start(&mut self, now: Ticks) {
+        self.started_at = now;
+    }
+
     /// Applies an update of the endpoint list.
     pub fn apply_endpoint_list(&mut self, update: ListUpdate, endpoints: &[Endpoint]) {
         if update == ListUpdate::Complete {
