Take the refusal of a health check as its answer

Callers: a node that answers health checks with a release loses its connection after 1 s and gets no set-ups for 1 to 16 s. Cause: only `probed` ended a check; the release was taken for the end of an unknown task. Change: a release of a pending check's id ends it as failed.

--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -102,7 +102,9 @@
         let Some(task) = message.task_id else {
             return true;
         };
-        if message.message_type == node::MessageType::Probed {
+        let is_refused_check = message.message_type == node::MessageType::Close
+            && self.health_checks.contains_key(&task);
+        if message.message_type == node::MessageType::Probed || is_refused_check {
             self.handle_health_check_reply(now, engine, task, &message);
             return true;
         }
@@ -203,7 +205,8 @@
         };
         self.timers
             .retain(|(_, timer)| *timer != Timer::HealthCheck(check));
-        let result = if message.cause == Some(1) {
+        let has_passed = message.message_type == node::MessageType::Probed;
+        let result = if has_passed && message.cause == Some(1) {
             AttemptResult::Completed
         } else {
             AttemptResult::Error
--- a/crates/platform/tests/core/reachability.rs
+++ b/crates/platform/tests/core/reachability.rs
@@ -154,6 +154,28 @@
     assert!(cut_off.is_released(), "8 s after it was heard");
 }
 
+/// Guards against taking a node that refuses a health check for one that does not answer it: its
+/// connection was given up, and it got no set-ups for a time.
+#[test]
+fn a_health_check_that_is_refused_is_answered() {
+    let mut cut_off = CutOff::new(true);
+    cut_off.run_until(100);
+    let pending = cut_off.handle.lock().state.health_checks.clone();
+    let (&check, _) = pending.first_key_value().expect("a health check");
+    cut_off.node_sends(node::Message::new(node::MessageType::Close, check).with_cause(34));
+    let core = |cut_off: &CutOff| {
+        let state = &cut_off.handle.lock().state;
+        let is_pending = state.health_checks.contains_key(&check);
+        (
+            is_pending,
+            state.connections.is_established(cut_off.connection),
+        )
+    };
+    assert_eq!(core(&cut_off), (false, true));
+    cut_off.run_until(1_500);
+    assert_eq!(core(&cut_off), (false, true), "after its timeout");
+}
+
 /// Guards against a task that stands for good after its owner has ended it: the request to stop it
 /// was queued on a connection that never came up, and was dropped with it.
 #[test]
