Replace what was being placed when a rollout began

Callers: a rollout never finishes; a replica stays at the version from before, and the status does not count it. Cause: DispatcherCore::adopt handed only placed replicas over to the rollout's controller. Replicas that are offered later are handed over with their offer. One whose offer was under way, with the old version, was in neither group. Change: adoption also takes what has been sent to a machine (Engine::dispatched). Rollout tests that wait in vain save their capture and name its file; what they assert is as before.

--- a/crates/dispatcher/src/core/replicas.rs
+++ b/crates/dispatcher/src/core/replicas.rs
@@ -96,7 +96,8 @@
     }
 
     /// Adopts a later rollout that is committed. If the service had none here, its replicas at this
-    /// dispatcher belong to the rollout from now on.
+    /// dispatcher belong to the rollout from now on, also those that are being placed: they were
+    /// sent with the version from before.
     pub fn adopt(&self, rollout: Rollout) {
         self.with(|now, engine, effects| {
             let known = effects.rollouts.controller(&rollout.service).is_some();
@@ -105,10 +106,10 @@
             let Some(controller) = effects.rollouts.controller(&service).filter(|_| !known) else {
                 return;
             };
-            let replicas = engine.iter_mut().filter(|(_, client, placed)| {
-                *placed && client.request.service == service && client.predecessor.is_none()
+            let replicas = engine.dispatched().filter(|(_, client)| {
+                client.request.service == service && client.predecessor.is_none()
             });
-            let replicas: Vec<AllocationId> = replicas.map(|(id, _, _)| id).collect();
+            let replicas: Vec<AllocationId> = replicas.map(|(id, _)| id).collect();
             for id in replicas {
                 let Some((client, allocation)) = engine.data_mut(id) else {
                     continue;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -250,6 +250,15 @@
         tracked.map(|(&id, tracked)| (id, &mut tracked.data, tracked.placed && !tracked.finished))
     }
 
+    /// Iterates over the allocations that clients want and that are placed or have been sent to a
+    /// machine, with the caller's data.
+    pub fn dispatched(&self) -> impl Iterator<Item = (AllocationId, &T)> {
+        let wanted = self.tracked.iter().filter(|(_, tracked)| !tracked.finished);
+        let dispatched =
+            wanted.filter(|(_, tracked)| tracked.placed || tracked.pending_attempts > 0);
+        dispatched.map(|(&id, tracked)| (id, &tracked.data))
+    }
+
     /// Counts the allocations of each service class that has any.
     pub fn count_by_class(&self) -> BTreeMap<ServiceClassId, usize> {
         let mut counts = BTreeMap::new();
--- a/crates/testbed/tests/full_path/rollouts.rs
+++ b/crates/testbed/tests/full_path/rollouts.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -56,36 +56,39 @@
             frontend.set_address(number, Some(harness.address));
             harnesses.push(harness);
         }
-        let deadline = Instant::now() + Duration::from_secs(3600);
-        for number in 0..replicas {
-            let task = Task {
-                name: format!("c{number}"),
-                service: "s".into(),
-                service_class: 0,
-                service_class_name: service_class.into(),
-                retry_safety: RetrySafety::Idempotent,
-                cores: 1.0,
-                memory: 1.0,
-                lifetime: Duration::from_secs(3600),
-                deadline: Duration::from_secs(4),
-                max_requests: u32::MAX,
-                cancel_after: None,
-            };
-            let rng = Pcg64Mcg::seed_from_u64(number as u64);
-            harnesses[0]
-                .tasks
-                .spawn(run_task(Arc::clone(&frontend), task, rng, deadline))
-                .detach();
-        }
         let fixture = Fixture {
             harnesses,
             frontend,
             directory,
         };
+        for number in 0..replicas {
+            fixture.spawn_client(number, service_class);
+        }
         wait_until_ready(&fixture, "", replicas).await;
         fixture
     }
 
+    /// Starts a client that runs one replica for as long as the test.
+    fn spawn_client(&self, number: usize, service_class: &str) {
+        let task = Task {
+            name: format!("c{number}"),
+            service: "s".into(),
+            service_class: 0,
+            service_class_name: service_class.into(),
+            retry_safety: RetrySafety::Idempotent,
+            cores: 1.0,
+            memory: 1.0,
+            lifetime: Duration::from_secs(3600),
+            deadline: Duration::from_secs(4),
+            max_requests: u32::MAX,
+            cancel_after: None,
+        };
+        let rng = Pcg64Mcg::seed_from_u64(number as u64);
+        let deadline = Instant::now() + Duration::from_secs(3600);
+        let running = run_task(Arc::clone(&self.frontend), task, rng, deadline);
+        self.harnesses[0].tasks.spawn(running).detach();
+    }
+
     fn lines(&self) -> Vec<Line> {
         self.harnesses[0].context.capture.lines()
     }
@@ -266,6 +269,18 @@
         (0..replicas).all(|number| allocation_count(format!("c{number}")) == 1)
     }
 
+    /// Writes the capture to a file and returns its path, to be named by an assertion that fails.
+    fn save_capture(&self) -> PathBuf {
+        let name = format!("rollout-{}.jsonl", self.harnesses[0].address.port());
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let lines = self.lines();
+        let lines = lines
+            .iter()
+            .map(|line| serde_json::to_string(line).expect("a line") + "\n");
+        std::fs::write(&path, lines.collect::<String>()).expect("written");
+        path
+    }
+
     fn breaches(&self) -> Vec<String> {
         // The test runs no scenario, and the rollout limit depends on no parameter of one.
         let mut lines = vec![Line {
@@ -316,6 +331,19 @@
     wait.await.is_some()
 }
 
+async fn wait_until_one_allocation_each(fixture: &Fixture, replicas: usize) {
+    let reached = corkspan_rpc::within(WAIT_TIMEOUT, async {
+        while !fixture.one_allocation_each(replicas) {
+            async_io::Timer::after(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(
+        reached.await.is_some(),
+        "one allocation of each task is expected; see {}",
+        fixture.save_capture().display()
+    );
+}
+
 async fn wait_until_ready(fixture: &Fixture, version: &str, replicas: usize) {
     let reached = within_rollout_time(async || {
         fixture
@@ -328,7 +356,8 @@
     let (ready, max_unready) = fixture.ready();
     assert!(
         reached,
-        "{replicas} ready replicas of `{version}` are expected; {ready:?} are ready, at most {max_unready} were not"
+        "{replicas} ready replicas of `{version}` are expected; {ready:?} are ready, at most {max_unready} were not; see {}",
+        fixture.save_capture().display()
     );
 }
 
@@ -539,6 +568,33 @@
     });
 }
 
+/// Guards against a replica that is never replaced: its offer was under way, with the version from
+/// before, when the dispatcher began to follow the rollout, and the rollout did not know of it.
+#[test]
+fn a_rollout_replaces_what_was_being_placed_when_it_began() {
+    const REPLICAS: usize = 8;
+    const REPLICAS_WITH_LATER_ONES: usize = 20;
+    let directory = tempfile::tempdir().expect("a folder");
+    let layout = Layout {
+        nodes: 10,
+        review_time: Duration::from_millis(500),
+        extra_forms: extra_forms(directory.path(), 0),
+        ..Layout::default()
+    };
+    Harness::run(layout, async |harness| {
+        let fixture = Fixture::new(harness, directory, 1, REPLICAS, "web").await;
+        assert!(fixture.start(0, "v2", 8).await.accepted);
+        // The dispatcher follows the rollout at its next poll, within two seconds. An offer is under
+        // way at each moment until then.
+        for number in REPLICAS..REPLICAS_WITH_LATER_ONES {
+            fixture.spawn_client(number, "web");
+            async_io::Timer::after(Duration::from_millis(200)).await;
+        }
+        wait_until_ready(&fixture, "v2", REPLICAS_WITH_LATER_ONES).await;
+        assert_eq!(fixture.breaches(), [""; 0]);
+    });
+}
+
 #[test]
 fn a_rollout_finishes_without_discovery() {
     run_with_replicas(2, 12, "web", async |fixture| {
@@ -691,7 +747,7 @@
             within_rollout_time(async || fixture.ready_counts().0.get("v2") == Some(&replicas))
                 .await
         );
-        wait_until(async || fixture.one_allocation_each(replicas)).await;
+        wait_until_one_allocation_each(&fixture, replicas).await;
         let (_, unready, surged) = fixture.ready_counts();
         assert_eq!(unready, 0, "no task was without a ready replica");
         assert!(
@@ -734,7 +790,7 @@
                 .is_some_and(|rollout| rollout.phase() == Phase::Halted)
         })
         .await;
-        wait_until(async || fixture.one_allocation_each(20)).await;
+        wait_until_one_allocation_each(&fixture, 20).await;
         let (ready, unready, _) = fixture.ready_counts();
         assert_eq!(
             (ready, unready),
