Save the capture where tests of rollouts and of the minimum version wait in vain

Harness::save_capture writes the capture to the target folder, and the assertions name its file; they assert what they did.

--- a/crates/testbed/tests/full_path/fleet.rs
+++ b/crates/testbed/tests/full_path/fleet.rs
@@ -238,7 +238,11 @@
         let mut calls = Vec::new();
         wait_until(async || {
             let (event, call) = self.first_event(0, &format!("spreads-{}", calls.len())).await;
-            assert!(matches!(event, Some(Event::Placed(_))), "{event:?}");
+            assert!(
+                matches!(event, Some(Event::Placed(_))),
+                "{event:?}; see {}",
+                self.harness.save_capture().display()
+            );
             calls.push(call);
             let lines = self.harness.context.capture.lines();
             let has = |id: u32| {
--- a/crates/testbed/tests/full_path/harness.rs
+++ b/crates/testbed/tests/full_path/harness.rs
@@ -14,6 +14,7 @@
 use futures_lite::future;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 use tonic::Streaming;
@@ -70,6 +71,18 @@
 }
 
 impl Harness {
+    /// Writes the capture to a file and returns its path, to be named by an assertion that fails.
+    pub fn save_capture(&self) -> PathBuf {
+        let name = format!("capture-{}.jsonl", self.address.port());
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let lines = self.context.capture.lines();
+        let lines = lines
+            .iter()
+            .map(|line| serde_json::to_string(line).expect("a line") + "\n");
+        std::fs::write(&path, lines.collect::<String>()).expect("written");
+        path
+    }
+
     /// Sets up the stand-ins and a dispatcher, and runs a test against them on this thread.
     pub fn run<F: Future<Output = ()>>(layout: Layout, test: impl FnOnce(Harness) -> F) {
         let tasks = SharedExecutor::default();
--- a/crates/testbed/tests/full_path/rollouts.rs
+++ b/crates/testbed/tests/full_path/rollouts.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -269,18 +269,6 @@
         (0..replicas).all(|number| allocation_count(format!("c{number}")) == 1)
     }
 
-    /// Writes the capture to a file and returns its path, to be named by an assertion that fails.
-    fn save_capture(&self) -> PathBuf {
-        let name = format!("rollout-{}.jsonl", self.harnesses[0].address.port());
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-        let lines = self.lines();
-        let lines = lines
-            .iter()
-            .map(|line| serde_json::to_string(line).expect("a line") + "\n");
-        std::fs::write(&path, lines.collect::<String>()).expect("written");
-        path
-    }
-
     fn breaches(&self) -> Vec<String> {
         // The test runs no scenario, and the rollout limit depends on no parameter of one.
         let mut lines = vec![Line {
@@ -340,7 +328,7 @@
     assert!(
         reached.await.is_some(),
         "one allocation of each task is expected; see {}",
-        fixture.save_capture().display()
+        fixture.harnesses[0].save_capture().display()
     );
 }
 
@@ -357,7 +345,7 @@
     assert!(
         reached,
         "{replicas} ready replicas of `{version}` are expected; {ready:?} are ready, at most {max_unready} were not; see {}",
-        fixture.save_capture().display()
+        fixture.harnesses[0].save_capture().display()
     );
 }
 
