Put the health checks and the timers of the platform's core into modules of their own

Need: sending a health check, its answer, its timeout and the end of its connection stood in four files, and the handling of timers in one long function of the inputs. Nothing that the program does changes: the transcripts are as they were.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -21,8 +21,9 @@
 use corkspan_platform_wire::node_config::{DiscoveryState, NodeConfig};
 use corkspan_scheduler::interface::*;
 use corkspan_settings::{Settings, SettingsError};
+use health_checks::HealthCheck;
 use limits::*;
-use pending_task::{DeferredEvent, EarlyEnd, HealthCheck, PendingTask, Timer};
+use pending_task::{DeferredEvent, EarlyEnd, PendingTask, Timer};
 use spent_ids::SpentIds;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -45,6 +46,7 @@
 mod clients;
 mod endpoint_list;
 mod engine_effects;
+mod health_checks;
 mod inputs;
 mod limits;
 mod node_connections;
@@ -60,6 +62,7 @@
 mod running_tasks;
 mod set_ups;
 mod spent_ids;
+mod timers;
 #[cfg(test)]
 #[path = "../tests/core/transcript.rs"]
 mod transcript;
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -96,24 +96,7 @@
     }
 
     fn check_health(&mut self, machine: MachineId) {
-        self.last_health_check_id = self
-            .last_health_check_id
-            .wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let message =
-            node::Message::new(node::MessageType::Probe, self.last_health_check_id).with_cause(0);
-        if let Some(connection) = self.send_to_node(machine, None, &message, Eviction::SpareOnly) {
-            self.health_checks.insert(
-                self.last_health_check_id,
-                HealthCheck {
-                    machine,
-                    connection,
-                },
-            );
-            self.timers.insert((
-                self.now + HEALTH_CHECK_TIMEOUT,
-                Timer::HealthCheck(self.last_health_check_id),
-            ));
-        }
+        self.send_health_check(machine);
     }
 
     fn check_connection(&mut self, machine: MachineId) {
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -3,7 +3,6 @@
 use super::*;
 use crate::errors::ReconfigureError;
 use corkspan_platform_wire::client::Reader;
-use tracing::debug;
 
 impl PlatformCore {
     /// Applies the events that the configuration file contains at startup.
@@ -58,32 +57,7 @@
             }
             while let Some(&(at, timer)) = state.timers.first().filter(|(at, _)| *at <= now) {
                 state.timers.remove(&(at, timer));
-                match timer {
-                    Timer::Attempt(id, number) => state.attempt_timed_out(now, engine, id, number),
-                    Timer::Stop(id) => {
-                        state.task_ended(now, engine, id, AttemptResult::Cancelled, None, None)
-                    }
-                    Timer::Unreachable(machine) => {
-                        // What was sent later went to another process of the node.
-                        let refused_at = at - UNREACHABLE_TIMEOUT;
-                        state.machine_lost(now, engine, machine, refused_at);
-                    }
-                    Timer::HealthCheck(check) => {
-                        if let Some(HealthCheck {
-                            machine,
-                            connection,
-                        }) = state.health_checks.remove(&check)
-                        {
-                            debug!(
-                                ?machine,
-                                connection = connection.0,
-                                "a health check has timed out"
-                            );
-                            state.connections.drain(connection, now);
-                            engine.record_health_check(now, machine, AttemptResult::TimedOut, None);
-                        }
-                    }
-                }
+                state.handle_timer(now, engine, at, timer);
             }
         });
     }
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -82,13 +82,6 @@
         Some(id)
     }
 
-    /// Returns the connections on which a health check is pending. Closing one would count as a
-    /// failure of its node.
-    fn connections_with_health_check(&self) -> BTreeSet<ConnectionId> {
-        let checks = self.health_checks.values();
-        checks.map(|check| check.connection).collect()
-    }
-
     /// Handles a connection that is established, which shows that its machine is alive.
     pub(super) fn connection_established(
         &mut self,
@@ -212,28 +205,6 @@
         }
     }
 
-    /// Fails the health checks on a connection that has ended.
-    fn fail_health_checks(
-        &mut self,
-        now: Ticks,
-        engine: &mut Engine<PendingTask>,
-        connection: ConnectionId,
-        machine: MachineId,
-    ) {
-        let checks: Vec<u64> = self
-            .health_checks
-            .iter()
-            .filter(|(_, check)| check.connection == connection)
-            .map(|(&id, _)| id)
-            .collect();
-        for id in checks {
-            self.health_checks.remove(&id);
-            self.timers
-                .retain(|(_, timer)| *timer != Timer::HealthCheck(id));
-            engine.record_health_check(now, machine, AttemptResult::ConnectFailed, None);
-        }
-    }
-
     /// Closes idle connections to nodes, and opens missing ones.
     pub(super) fn sweep_node_connections(&mut self, now: Ticks) {
         self.connections.close_idle(now, &self.nodes);
--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -192,28 +192,6 @@
         true
     }
 
-    /// Handles a node's reply to a health check.
-    fn handle_health_check_reply(
-        &mut self,
-        now: Ticks,
-        engine: &mut Engine<PendingTask>,
-        check: u64,
-        message: &node::Message,
-    ) {
-        let Some(HealthCheck { machine, .. }) = self.health_checks.remove(&check) else {
-            return;
-        };
-        self.timers
-            .retain(|(_, timer)| *timer != Timer::HealthCheck(check));
-        let has_passed = message.message_type == node::MessageType::Probed;
-        let result = if has_passed && message.cause == Some(1) {
-            AttemptResult::Completed
-        } else {
-            AttemptResult::Error
-        };
-        engine.record_health_check(now, machine, result, parse_load(message));
-    }
-
     /// Returns the attempt that a message is about, or `None` if the task is unknown or assigned to
     /// another node.
     fn match_attempt(
@@ -338,7 +316,7 @@
     )
 }
 
-fn parse_load(message: &node::Message) -> Option<LoadReport> {
+pub(super) fn parse_load(message: &node::Message) -> Option<LoadReport> {
     let pairs = parse_load_report(message.attribute("load")?.text()?).ok()?;
     let value = |name| {
         pairs
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -40,13 +40,6 @@
     pub(super) cause: u32,
 }
 
-/// A health check in progress.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct HealthCheck {
-    pub(super) machine: MachineId,
-    pub(super) connection: ConnectionId,
-}
-
 /// The reported end of a task that is unknown here.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EarlyEnd {
