Leave a busy process more time to release the tasks of a vanished machine

Need: the longest way from the end to the release was 1.2 + 0.1 + 6.05 + 0.1 + 0.25 = 7.7 s, and the whole test over sockets took 7.9 s beside a load of 25 on 8 cores, with 8.05 s allowed. Change: first connections after 1.15 s of silence and 0.05 s between paired ones, 7.55 s in all. The health check moves to 1.05 s, so that notes that come each second are not met by one. The test of a connection that fails by chance beside a partition named a window of 0.1 s, in which there is more than one now; it names the first connection at or after a time instead. The test of a refused connection waits for the next one that is being established. Evidence: all tests of scheduler and platform pass.

--- a/crates/platform/tests/core/reachability.rs
+++ b/crates/platform/tests/core/reachability.rs
@@ -146,6 +146,9 @@
 fn a_refused_connection_ends_an_outage() {
     let mut cut_off = CutOff::new(false);
     cut_off.run_until(6_000);
+    while cut_off.connecting.is_empty() {
+        cut_off.run_until(cut_off.now_ms + STEP_MS);
+    }
     let (connecting, _) = cut_off.connecting.pop_back().expect("a check is due");
     cut_off.end_connection(connecting, ConnectionEnd::Refused);
     cut_off.run_until(12_000);
--- a/crates/scheduler/src/policy/liveness.rs
+++ b/crates/scheduler/src/policy/liveness.rs
@@ -12,11 +12,11 @@
 
 /// Time of silence after which a health check is sent to a machine with our allocations. Its answer
 /// spares the machine a connection.
-const HEALTH_CHECK_AFTER: Ticks = SECOND;
+const HEALTH_CHECK_AFTER: Ticks = SECOND * 21 / 20;
 /// Time of silence after which connections are opened to a machine with our allocations. With
 /// [`MAX_PARTITION`], two [`PAIRED_CHECK_DELAY`]s and the time in which a connection must be
-/// established, it must stay below the 8 s of the protocol.
-const CONNECTION_CHECK_AFTER: Ticks = SECOND * 6 / 5;
+/// established, it must stay below the 8 s of the protocol, with time left for a busy process.
+const CONNECTION_CHECK_AFTER: Ticks = SECOND * 23 / 20;
 /// The longest partition that allocations outlast: 6 s, and the 50 ms by which the platform's
 /// protocol extends its time limits.
 const MAX_PARTITION: Ticks = 6 * SECOND + SECOND / 20;
@@ -27,7 +27,7 @@
 const CONNECTION_CHECK_INTERVAL: Ticks = SECOND / 2;
 /// Time between the two connections that each begin and end the evidence of a loss: a single one
 /// may fail although its machine is alive.
-const PAIRED_CHECK_DELAY: Ticks = SECOND / 10;
+const PAIRED_CHECK_DELAY: Ticks = SECOND / 20;
 /// Minimum time between two searches for silent machines.
 const MIN_SILENCE_CHECK_INTERVAL: Ticks = SECOND / 50;
 /// Maximum number of times that the delay before a failed watch is retried is doubled.
--- a/crates/scheduler/tests/silent_machines.rs
+++ b/crates/scheduler/tests/silent_machines.rs
@@ -8,7 +8,6 @@
 use corkspan_scheduler::interface::*;
 use host::*;
 use std::collections::BTreeMap;
-use std::ops::Range;
 use test_case::test_matrix;
 
 const SMALL: Resources = Resources {
@@ -57,8 +56,9 @@
     unreachable_until: Box<dyn Fn(Ticks) -> Option<Ticks>>,
     /// Whether its process answers health checks.
     answers: bool,
-    /// Times from the start at which connections fail although the network would allow them.
-    failing: Vec<Range<Ticks>>,
+    /// Times from the start. The first connection at or after each fails, whatever the network
+    /// allows.
+    failing_once_from: Vec<Ticks>,
     health_checks: bool,
     /// The times of the connections, from the start.
     connected_at: Vec<Ticks>,
@@ -80,7 +80,7 @@
             event_count: 0,
             unreachable_until: Box::new(unreachable_until),
             answers: true,
-            failing: Vec::new(),
+            failing_once_from: Vec::new(),
             health_checks,
             connected_at: Vec::new(),
             lost_at: None,
@@ -107,7 +107,9 @@
 
     fn connect(&mut self, at: Ticks) {
         self.connected_at.push(at);
-        let fails = self.failing.iter().any(|range| range.contains(&at));
+        let before = self.failing_once_from.len();
+        self.failing_once_from.retain(|&from| at < from);
+        let fails = self.failing_once_from.len() < before;
         if fails || (self.unreachable_until)(at).is_some() {
             let attempted_at = self.started_at + at;
             let failed = ConnectionResult::Failed { attempted_at };
@@ -240,7 +242,7 @@
     for begin in (first + 1..=second).step_by(50) {
         let mut machine = silent(Box::new(cut_off_repeatedly(begin, 60 * SECOND)));
         let end = begin + PARTITION;
-        machine.failing = vec![first..first + 1, end..end + SECOND / 10];
+        machine.failing_once_from = vec![first, end];
         let machine = machine.run_until(30 * SECOND);
         assert_eq!(machine.lost_at, None, "cut off from {begin}");
     }
