Place fewer allocations in the fleet tests until all nodes store the minimum version

Seen: a_dispatcher_paused_while_the_minimum_version_is_raised_places_nothing_afterwards fails with NoRoom for `spreads-N` (1 of 3 whole runs; 9 of 24 runs beside seven copies of itself here). Cause: the test's own timing. It places an allocation every 18 ms and holds them all until each node has stored the minimum. The dispatcher hears of it at a poll, up to a second later, and 57 to 59 such allocations fit on the three nodes. Alone it needed 51 to 54 (3 runs). In the capture of a failed one the first is offered at 9,043 ms, the minimum is stored at nodes 1 and 2 at 10,053 and 10,123 ms, and after the 58th no machine takes another, one short of node 0. Change: one every 0.1 s. What is awaited and asserted is as before. A first form held only the last twelve; it failed in 15 of the 16 runs that ended (this test or others that wait so): not all nodes were reached. Evidence: 0 of 24 runs beside seven copies failed.

--- a/crates/testbed/tests/full_path/fleet.rs
+++ b/crates/testbed/tests/full_path/fleet.rs
@@ -235,8 +235,12 @@
     /// Places tasks through an up-to-date dispatcher until all nodes have stored the minimum
     /// version.
     async fn wait_until_nodes_store_minimum(&self) {
+        // The dispatcher may hear of the minimum version only at its next poll. Until then it must
+        // not place as many allocations as fit on all nodes together.
+        const INTERVAL: Duration = Duration::from_millis(100);
         let mut calls = Vec::new();
         wait_until(async || {
+            async_io::Timer::after(INTERVAL).await;
             let (event, call) = self.first_event(0, &format!("spreads-{}", calls.len())).await;
             assert!(
                 matches!(event, Some(Event::Placed(_))),
