Share what two tests of signs of life repeat

Need: both ended with the same checks, and two stand-ins computed the time of an attempt in the same way.

--- a/crates/platform/tests/core/reachability.rs
+++ b/crates/platform/tests/core/reachability.rs
@@ -11,6 +11,12 @@
 const STEP_MS: u64 = 50;
 const CONNECT_TIMEOUT_MS: u64 = 250;
 
+/// Returns the end of a connection that was attempted the given time ago and has timed out.
+fn timed_out(handle: &PlatformHandle, elapsed_ms: u64) -> ConnectionEnd {
+    let attempted_at = handle.now() - elapsed_ms * TICKS_PER_MS;
+    ConnectionEnd::ConnectTimeout { attempted_at }
+}
+
 /// A core with a task on a node whose machine is cut off, so that no connection is established.
 struct CutOff {
     handle: Arc<PlatformHandle>,
@@ -65,9 +71,7 @@
                 && attempted_ms + CONNECT_TIMEOUT_MS <= self.now_ms
             {
                 self.connecting.pop_front();
-                let elapsed = (self.now_ms - attempted_ms) * TICKS_PER_MS;
-                let attempted_at = self.handle.now() - elapsed;
-                self.end_connection(id, ConnectionEnd::ConnectTimeout { attempted_at });
+                self.end_connection(id, timed_out(&self.handle, self.now_ms - attempted_ms));
             }
         }
     }
@@ -93,6 +97,15 @@
         assert!(self.handle.handle_node_message(self.connection, message));
     }
 
+    /// Asserts that the task outlasts another partition from now on, and is then released in time.
+    fn assert_outage_begins_anew(&mut self) {
+        let heard_ms = self.now_ms;
+        self.run_until(heard_ms + 6_000);
+        assert!(!self.is_released(), "6 s after it was heard");
+        self.run_until(heard_ms + 8_000);
+        assert!(self.is_released(), "8 s after it was heard");
+    }
+
     fn is_released(&self) -> bool {
         let sent = self.queue.take_all();
         sent.contains(&released(client::CAUSE_INTERRUPTED))
@@ -134,10 +147,7 @@
         SignOfLife::Progress => node::Message::new(node::MessageType::Trying, TASK),
     };
     cut_off.node_sends(message);
-    cut_off.run_until(12_000);
-    assert!(!cut_off.is_released(), "6 s after it was heard");
-    cut_off.run_until(14_000);
-    assert!(cut_off.is_released(), "8 s after it was heard");
+    cut_off.assert_outage_begins_anew();
 }
 
 /// Guards against releasing a task that still runs: between two partitions the node refused a new
@@ -151,10 +161,7 @@
     }
     let (connecting, _) = cut_off.connecting.pop_back().expect("a check is due");
     cut_off.end_connection(connecting, ConnectionEnd::Refused);
-    cut_off.run_until(12_000);
-    assert!(!cut_off.is_released(), "6 s after it was heard");
-    cut_off.run_until(14_000);
-    assert!(cut_off.is_released(), "8 s after it was heard");
+    cut_off.assert_outage_begins_anew();
 }
 
 /// Guards against taking a node that refuses a health check for one that does not answer it: its
@@ -274,9 +281,7 @@
                         self.connecting.push_back((id, attempted_ms));
                         continue;
                     }
-                    let elapsed = (self.now_ms - attempted_ms) * TICKS_PER_MS;
-                    let attempted_at = self.handle.now() - elapsed;
-                    let end = ConnectionEnd::ConnectTimeout { attempted_at };
+                    let end = timed_out(&self.handle, self.now_ms - attempted_ms);
                     self.handle.connection_ended(id, end);
                 }
                 Some(_) => self.handle.connection_established(id),
