Let a check of a draining machine find a connection in a full pool

Callers: with a full pool, where health checks are not allowed, the tasks on a draining machine that vanishes are not released within 8 s. Cause: the check was to take the place of the machine's own connection; the last one to a draining node is kept, so nothing was opened. Change: for a draining machine it takes the place of the connection unused the longest.

--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -101,9 +101,11 @@
 
     fn check_connection(&mut self, machine: MachineId) {
         // If the pool is full, the new connection takes the place of the silent one, unless that one
-        // still waits for the answer to a health check.
+        // still waits for the answer to a health check, or its node may accept no other.
         let kept = self.connections_with_health_check();
-        let eviction = match self.connections.has_idle(machine, &kept) {
+        let may_replace =
+            !self.nodes.is_draining(machine) && self.connections.has_idle(machine, &kept);
+        let eviction = match may_replace {
             true => Eviction::SpareOrTo(machine),
             false => Eviction::Any,
         };
--- a/crates/platform/src/node_connections/closing.rs
+++ b/crates/platform/src/node_connections/closing.rs
@@ -26,7 +26,7 @@
 pub enum Eviction {
     /// Connections without which every node with tasks still has one.
     SpareOnly,
-    /// Also the only connection to this machine, unless it is draining.
+    /// Also the only connection to this machine.
     SpareOrTo(MachineId),
     /// Also the only connection to a node with tasks, which a later sweep connects again.
     Any,
@@ -64,7 +64,7 @@
         });
         let may_evict_only_connection = |machine| match eviction {
             Eviction::SpareOnly => false,
-            Eviction::SpareOrTo(replaced) => machine == replaced && !nodes.is_draining(machine),
+            Eviction::SpareOrTo(replaced) => machine == replaced,
             Eviction::Any => !nodes.is_draining(machine),
         };
         let may_evict = |is_only_connection: bool, machine| {
--- a/crates/platform/tests/core/reachability.rs
+++ b/crates/platform/tests/core/reachability.rs
@@ -252,6 +252,20 @@
         }
     }
 
+    fn connections_to_first_node(&self) -> usize {
+        let state = &self.handle.lock().state;
+        let machine = state.nodes.find("s-1").expect("listed");
+        state.connections.available_to(machine).len()
+    }
+
+    /// Lists the first node, at the address of the start, as draining.
+    fn drain_first_node(&self) {
+        let json = r#"{"n":1000,"members":{"members":[{"id":"s-1","host_port":"127.0.0.1:9",
+            "locality":"east","flavor":"std","phase":"leaving"}]}}"#;
+        let event = serde_json::from_str(json).expect("an event");
+        self.handle.apply_event(event);
+    }
+
     /// Runs with the unreliable machines cut off, or not.
     fn run_until(&mut self, until_ms: u64, is_cut_off: bool) {
         while self.now_ms < until_ms {
@@ -339,3 +353,21 @@
     let lost: Vec<u64> = (1..=unreliable).collect();
     assert_eq!(released, lost, "gone for 8 s");
 }
+
+/// Guards against ends that are told late because the connection to a draining node is never
+/// replaced, so that a full pool has none for a check.
+#[test_case(false; "without health checks")]
+#[test_case(true; "with health checks")]
+fn a_draining_machine_that_vanishes_is_found_in_time_with_a_full_pool(health_checks: bool) {
+    let mut pool = FullPool::new(health_checks, 110, 1);
+    // The node is connected when it begins to drain, and keeps that connection.
+    pool.run_until(20_000, false);
+    while pool.connections_to_first_node() == 0 {
+        pool.run_until(pool.now_ms + STEP_MS, false);
+    }
+    pool.drain_first_node();
+    pool.run_until(26_700, false);
+    assert_eq!(pool.released(), [0; 0]);
+    pool.run_until(34_700, true);
+    assert_eq!(pool.released(), [1], "gone for 8 s");
+}
