Log why clients' connections are closed, and where ends of tasks are sent

The log told none of three candidate causes apart: the end of a client's connection, a failed write and the copies of an end were not logged. Change: a close has a typed reason (closed by the client, read failed with its kind, idle, evicted and so on); connections, hand-overs, releases by clients, refusals, ends and their copies, failed writes and failed connections to nodes are logged at debug. A failed read is told from an orderly close. Nothing else changes. The number of lines a second was not counted.

--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -5,6 +5,7 @@
 use crate::memory_budget::MESSAGE_BYTES;
 use crate::writer::MessageSender;
 use corkspan_platform_wire::client::{self, MAX_FRAME_BYTES, Message, MessageType};
+use std::io::ErrorKind;
 use tracing::debug;
 
 /// A client's connection.
@@ -38,6 +39,26 @@
     pub(super) from_pool: usize,
 }
 
+/// Why a client's connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// The client has closed its side.
+    ClosedByClient,
+    /// Reading has failed.
+    ReadFailed(ErrorKind),
+    /// The task of the connection has ended: writing has failed, or what was read breaks the
+    /// protocol.
+    TaskEnded,
+    /// The client has sent nothing valid.
+    Silent,
+    /// The client has sent part of a message and not the rest.
+    PartialMessage,
+    /// The client has no task, and has sent nothing for long.
+    Idle,
+    /// The connection makes room for another.
+    Evicted,
+}
+
 /// Whether a message of a client could be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum MessageValidity {
@@ -69,8 +90,13 @@
             let Some(client) = self.clients.get_mut(&id) else {
                 return ReadProgress::Done;
             };
-            if outcome == ReadOutcome::Closed {
-                self.client_closed(now, engine, id);
+            let closed = match outcome {
+                ReadOutcome::Closed => Some(CloseReason::ClosedByClient),
+                ReadOutcome::Failed(kind) => Some(CloseReason::ReadFailed(kind)),
+                ReadOutcome::Data | ReadOutcome::Empty => None,
+            };
+            if let Some(reason) = closed {
+                self.client_closed(now, engine, id, reason);
                 return ReadProgress::Done;
             }
             match client.reader.next_message() {
@@ -117,7 +143,7 @@
                     client.input_read_at = now;
                     return ReadOutcome::Empty;
                 }
-                ReadOutcome::Closed => return ReadOutcome::Closed,
+                ended @ (ReadOutcome::Closed | ReadOutcome::Failed(_)) => return ended,
             }
         }
         ReadOutcome::Data
@@ -147,7 +173,7 @@
                 ReadProgress::Handled => {}
                 ReadProgress::NoMessage => return true,
                 ReadProgress::Done => {
-                    self.close_client(now, engine, from);
+                    self.close_client(now, engine, from, CloseReason::TaskEnded);
                     return true;
                 }
             }
@@ -160,13 +186,19 @@
 
     /// Closes a connection whose peer has closed its side, or that makes room: cancels its open
     /// set-ups, and still handles the releases that have arrived.
-    fn client_closed(&mut self, now: Ticks, engine: &mut Engine<PendingTask>, id: ClientId) {
+    fn client_closed(
+        &mut self,
+        now: Ticks,
+        engine: &mut Engine<PendingTask>,
+        id: ClientId,
+        reason: CloseReason,
+    ) {
         let Some(client) = self.clients.get_mut(&id) else {
             return;
         };
         let mut reader = std::mem::take(&mut client.reader);
         let rejected_duplicates = std::mem::take(&mut client.rejected_duplicates);
-        self.close_client(now, engine, id);
+        self.close_client(now, engine, id, reason);
         while let Ok(Some(message)) = reader.next_message() {
             if message.message_type == MessageType::Release
                 && !rejected_duplicates.contains(&message.task)
@@ -224,25 +256,14 @@
 
     /// Closes silent and idle connections, and opens missing connections to nodes with tasks.
     pub(super) fn sweep(&mut self, now: Ticks, engine: &mut Engine<PendingTask>) {
-        let should_close = |client: &ClientConnection| {
-            let is_silent = !client.valid && client.connected_at + SILENCE_TIMEOUT <= now;
-            let is_partial = client
-                .partial_since
-                .is_some_and(|since| since + SILENCE_TIMEOUT <= now);
-            let is_idle = client.open_set_ups.is_empty()
-                && client.running == 0
-                && client.last_active_at + IDLE_TIMEOUT <= now;
-            is_silent || is_partial || is_idle
-        };
-        let closed: Vec<ClientId> = self
+        let useless = self
             .clients
             .iter()
-            .filter(|(_, client)| should_close(client))
-            .map(|(&id, _)| id)
-            .collect();
-        closed
-            .into_iter()
-            .for_each(|id| self.close_client(now, engine, id));
+            .filter_map(|(&id, client)| Some((id, client.uselessness(now)?)));
+        let useless: Vec<(ClientId, CloseReason)> = useless.collect();
+        for (id, reason) in useless {
+            self.close_client(now, engine, id, reason);
+        }
         self.sweep_undelivered_ends(now);
         self.spent_ids.expire(now);
         self.sweep_node_connections(now);
@@ -269,13 +290,14 @@
             return false;
         };
         // Releases that have arrived end tasks, on whatever connection they come.
-        self.client_closed(now, engine, id);
+        self.client_closed(now, engine, id, CloseReason::Evicted);
         true
     }
 
     /// Returns whether a set-up has arrived on a connection and is not handled yet.
     fn has_unread_set_up(&mut self, now: Ticks, id: ClientId) -> bool {
-        let is_open = self.read_ahead(now, id) != ReadOutcome::Closed;
+        let outcome = self.read_ahead(now, id);
+        let is_open = matches!(outcome, ReadOutcome::Data | ReadOutcome::Empty);
         let client = self.clients.get(&id);
         is_open && client.is_some_and(|client| client.reader.has_message(MessageType::SetUp))
     }
@@ -286,10 +308,18 @@
         now: Ticks,
         engine: &mut Engine<PendingTask>,
         id: ClientId,
+        reason: CloseReason,
     ) {
         let Some(client) = self.clients.remove(&id) else {
             return;
         };
+        debug!(
+            ?id,
+            ?reason,
+            open = client.open_set_ups.len(),
+            running = client.running,
+            "a client's connection is closed"
+        );
         self.client_memory.release(client.from_pool);
         for task in client.open_set_ups {
             if let Some(id) = engine.find(&task_key(task)) {
@@ -300,6 +330,23 @@
 }
 
 impl ClientConnection {
+    /// Returns why the connection is of no use, if that is so.
+    fn uselessness(&self, now: Ticks) -> Option<CloseReason> {
+        let is_partial = self
+            .partial_since
+            .is_some_and(|since| since + SILENCE_TIMEOUT <= now);
+        let is_idle = self.open_set_ups.is_empty()
+            && self.running == 0
+            && self.last_active_at + IDLE_TIMEOUT <= now;
+        if !self.valid && self.connected_at + SILENCE_TIMEOUT <= now {
+            Some(CloseReason::Silent)
+        } else if is_partial {
+            Some(CloseReason::PartialMessage)
+        } else {
+            is_idle.then_some(CloseReason::Idle)
+        }
+    }
+
     /// Returns whether input may have arrived that is not handled yet.
     fn has_unread_input(&self, now: Ticks) -> bool {
         self.input.is_some()
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -2,7 +2,9 @@
 
 use super::*;
 use crate::errors::ReconfigureError;
+use client_connections::CloseReason;
 use corkspan_platform_wire::client::Reader;
+use tracing::debug;
 
 impl PlatformCore {
     /// Applies the events that the configuration file contains at startup.
@@ -90,6 +92,7 @@
                 from_pool: 0,
             };
             state.clients.insert(id, client);
+            debug!(?id, open = state.clients.len(), "a client has connected");
             Some((id, queue))
         })
     }
@@ -101,7 +104,9 @@
 
     /// Handles the end of a client's connection.
     pub fn client_disconnected(&mut self, now: Ticks, id: ClientId) {
-        self.process_event(now, |engine, state| state.close_client(now, engine, id));
+        self.process_event(now, |engine, state| {
+            state.close_client(now, engine, id, CloseReason::TaskEnded);
+        });
     }
 
     /// Sets the reading end of a client's connection.
--- a/crates/platform/src/core/replies.rs
+++ b/crates/platform/src/core/replies.rs
@@ -40,6 +40,7 @@
 
     /// Notifies a client that its set-up has failed or was rejected.
     pub(super) fn send_release(&mut self, to: ClientId, task: u64, cause: u8) {
+        debug!(task = task_key(task), ?to, cause, "refused or failed");
         self.send_to_client(to, MessageType::Release, task, &[(client::CAUSE, &[cause])]);
     }
 
@@ -50,6 +51,7 @@
             .clients
             .get(&to)
             .is_some_and(|client| client.sender.send_task_end(end));
+        debug!(task = task_key(end.task), kind = ?end.kind, ?to, sent, "end of a task for its client");
         if !sent {
             self.send_to_possible_clients(end);
         }
@@ -107,6 +109,7 @@
             }
             room -= needed;
             client.copied_ends = number;
+            debug!(task = task_key(end.task), to = ?id, "copied the end of a task");
         }
     }
 
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -115,6 +115,7 @@
         node_name: &str,
     ) -> MessageValidity {
         let task = set_up.task;
+        debug!(task = task_key(task), ?from, node_name, "handed over");
         if self.undelivered_ends.contains(task) {
             // The task has ended while its client had no connection. Its end is copied to this one.
             return MessageValidity::Valid;
@@ -290,6 +291,11 @@
             }
             TaskStage::Pending => self.cancel(now, engine, id),
             TaskStage::Running => {
+                debug!(
+                    task = task_key(message.task),
+                    ?from,
+                    "released by its client"
+                );
                 let cause = u32::from(message.cause().unwrap_or(client::CAUSE_NORMAL));
                 self.record_task_end(pending);
                 let active = pending.active;
@@ -312,6 +318,7 @@
         let Some((pending, allocation)) = engine.data_mut(id) else {
             return;
         };
+        debug!(task = task_key(pending.task), active = ?pending.active, "given up");
         if may_have_run(pending, allocation) {
             self.remember_spent_id(pending);
         }
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -11,7 +11,7 @@
 use futures_lite::future;
 use std::sync::Arc;
 use std::time::Duration;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// Time for which a new connection waits for the descriptor of an evicted one, which may still have
 /// messages to write.
@@ -31,14 +31,21 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 // If there is no room, the stream is dropped, which closes it.
-                if let Some((id, queue)) = handle.client_connected() {
+                let connected = handle.client_connected();
+                if connected.is_none() {
+                    debug!("closing a new connection: all others have open set-ups");
+                }
+                if let Some((id, queue)) = connected {
                     match within(DESCRIPTOR_TIMEOUT, budget.acquire_arc()).await {
                         Some(permit) => {
                             tasks
                                 .spawn(serve_client(Arc::clone(&handle), stream, id, queue, permit))
                                 .detach();
                         }
-                        None => handle.client_disconnected(id),
+                        None => {
+                            debug!(?id, "closing a new connection: no descriptor is free");
+                            handle.client_disconnected(id);
+                        }
                     }
                 }
                 // A flood of connections must not delay reading the open ones.
--- a/crates/platform/src/node_connection_task.rs
+++ b/crates/platform/src/node_connection_task.rs
@@ -69,6 +69,7 @@
     let Some(Err(error)) = result else {
         return ConnectionEnd::ConnectTimeout { attempted_at };
     };
+    debug!(%error, "a connection to a node can't be opened");
     match error.kind() {
         ErrorKind::ConnectionRefused => ConnectionEnd::Refused,
         ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
@@ -100,6 +101,10 @@
                 ReadOutcome::Data => {}
                 ReadOutcome::Empty => return ReadProgress::NoMessage,
                 ReadOutcome::Closed => return ReadProgress::Done,
+                ReadOutcome::Failed(kind) => {
+                    debug!(?id, ?kind, "a connection to a node has failed");
+                    return ReadProgress::Done;
+                }
             },
             Err(error) => {
                 // After an invalid message the rest of the input can't be trusted.
--- a/crates/platform/src/reader.rs
+++ b/crates/platform/src/reader.rs
@@ -19,8 +19,10 @@
     Data,
     /// All input that had arrived has been read.
     Empty,
-    /// The peer has closed its side, or the connection has failed.
+    /// The peer has closed its side.
     Closed,
+    /// The connection has failed.
+    Failed(ErrorKind),
 }
 
 /// The outcome of handling the next message.
@@ -59,7 +61,7 @@
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return ReadOutcome::Empty,
-                Err(_) => return ReadOutcome::Closed,
+                Err(error) => return ReadOutcome::Failed(error.kind()),
             }
         }
     }
--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
+use tracing::debug;
 
 #[cfg(test)]
 #[path = "../tests/writer/fairness.rs"]
@@ -221,6 +222,7 @@
             };
             self.dequeued(held);
             if !matches!(written, Some(Ok(()))) {
+                debug!(?written, "a message can't be written");
                 return;
             }
         }
--- a/crates/platform/tests/writer/fairness.rs
+++ b/crates/platform/tests/writer/fairness.rs
@@ -32,7 +32,7 @@
         match input.read(|bytes| remaining = bytes.len()) {
             ReadOutcome::Data => {}
             ReadOutcome::Empty => return ReadProgress::NoMessage,
-            ReadOutcome::Closed => return ReadProgress::Done,
+            ReadOutcome::Closed | ReadOutcome::Failed(_) => return ReadProgress::Done,
         }
     };
     run_connection(stream, queue, |_| None, input.read_messages(handle_next)).await;
