Send the ends of tasks again that were lost with their client's connection

Cause: once the system had taken the bytes, an end counted as delivered and was forgotten. When the connection then broke, or a proxy on the way closed it, only ends still in our own queue were sent elsewhere. Change: each client connection remembers the ends sent on it until they are acknowledged, 8 s at the most and 1,024 at the most (core/sent_ends). When it breaks they are sent on every connection that may be their client's next, for 8 s. After an orderly close by the client only those of the last 3 s, since clients keep a connection for 4 s after its last task. An undelivered end now carries its own expiry. Failed try: with the lifetime of ends of evicted clients (longest deadline and 8 s) the table of undelivered ends grew beyond the bound of tables_do_not_grow_with_past_clients_nodes_and_tasks.

--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -29,6 +29,7 @@
     pub(super) valid: bool,
     /// The time since when the input has ended with part of a message.
     pub(super) partial_since: Option<Ticks>,
+    pub(super) sent_ends: SentEnds,
     /// The last of the undelivered ends that was copied to the connection.
     pub(super) copied_ends: EndNumber,
     /// The turn in which more input had arrived than could be handled at once.
@@ -236,6 +237,9 @@
                 self.reply_to_health_check(id, message.task);
                 MessageValidity::Valid
             }
+            MessageType::Acknowledge if client.sent_ends.acknowledge(message.task) => {
+                MessageValidity::Valid
+            }
             MessageType::Progress | MessageType::Acknowledge => MessageValidity::Unusable,
             MessageType::Answer
             | MessageType::Notification
@@ -264,6 +268,9 @@
         for (id, reason) in useless {
             self.close_client(now, engine, id, reason);
         }
+        for client in self.clients.values_mut() {
+            client.sent_ends.expire(now);
+        }
         self.sweep_undelivered_ends(now);
         self.spent_ids.expire(now);
         self.sweep_node_connections(now);
@@ -326,6 +333,9 @@
                 self.cancel(now, engine, id);
             }
         }
+        for end in client.sent_ends.in_doubt(now, reason) {
+            self.send_again(end);
+        }
     }
 }
 
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -86,6 +86,7 @@
                 last_active_at: now,
                 valid: false,
                 partial_since: None,
+                sent_ends: SentEnds::default(),
                 copied_ends: EndNumber::default(),
                 flooded_in_turn: None,
                 open_bytes: 0,
@@ -247,6 +248,8 @@
             + state.timers.len()
             + state.unanswered.len();
         let entries = entries + state.early_ends.len() + state.unconfirmed_tasks.len();
+        let sent_ends = state.clients.values().map(|client| client.sent_ends.len());
+        let entries = entries + sent_ends.sum::<usize>();
         let entries = entries + state.spent_ids.len() + state.unconfirmed_stops.len();
         engine.state_size()
             + state.clients.len()
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -50,5 +50,10 @@
 /// The maximum number of ends of tasks whose client's connection is gone: all tasks may end while
 /// their clients are away.
 pub(super) const MAX_UNDELIVERED_ENDS: usize = MAX_RUNNING_TASKS;
+/// The maximum number of ends that are remembered of one client's connection.
+pub(super) const MAX_SENT_ENDS: usize = 1_024;
+/// Time after which an end counts as read if its client then closes the connection in order. Clients
+/// keep a connection for 4 s after its last task.
+pub(super) const ORDERLY_CLOSE_DOUBT: Ticks = SECOND * 3;
 /// Time within which the protocol requires that the end of a task be reported to its client.
 pub(super) const END_REPORT_LIMIT: Ticks = SECOND * 8;
--- a/crates/platform/src/core/replies.rs
+++ b/crates/platform/src/core/replies.rs
@@ -47,10 +47,14 @@
     /// Sends the end of a running task on the connection of the task's set-up, or on all that may
     /// belong to its client if that one is gone.
     pub(super) fn send_task_end(&mut self, to: ClientId, end: TaskEnd) {
-        let sent = self
-            .clients
-            .get(&to)
-            .is_some_and(|client| client.sender.send_task_end(end));
+        let now = self.now;
+        let sent = self.clients.get_mut(&to).is_some_and(|client| {
+            let sent = client.sender.send_task_end(end);
+            if sent {
+                client.sent_ends.record(now, end);
+            }
+            sent
+        });
         debug!(task = task_key(end.task), kind = ?end.kind, ?to, sent, "end of a task for its client");
         if !sent {
             self.send_to_possible_clients(end);
@@ -60,21 +64,29 @@
     /// Sends the end of a task whose client's connection is gone on every connection that has sent a
     /// valid message, and keeps it for those that do so later.
     pub(super) fn send_to_possible_clients(&mut self, end: TaskEnd) {
-        debug!(task = task_key(end.task), kind = ?end.kind, "the connection of an ended task's client is gone");
+        // A client that has lost its connection may be shut out until other clients' set-ups have
+        // their answers. From then on an end must be reported within the protocol's limit.
+        let longest_deadline = self.settings.longest_deadline();
+        let shut_out = longest_deadline.unwrap_or(MAX_DEADLINE_MS * TICKS_PER_MS);
+        self.keep_for_possible_clients(end, shut_out + END_REPORT_LIMIT);
+    }
+
+    /// Sends the end of a task again that may have been lost with its client's connection.
+    pub(super) fn send_again(&mut self, end: TaskEnd) {
+        self.keep_for_possible_clients(end, END_REPORT_LIMIT);
+    }
+
+    fn keep_for_possible_clients(&mut self, end: TaskEnd, lifetime: Ticks) {
+        debug!(task = task_key(end.task), kind = ?end.kind, "the end of a task may not have reached its client");
         self.undelivered_ends
-            .record(self.now, end, MAX_UNDELIVERED_ENDS);
+            .record(self.now + lifetime, end, MAX_UNDELIVERED_ENDS);
         self.copy_undelivered_ends();
     }
 
     /// Drops the undelivered ends whose clients had enough time to come back, and copies the others
     /// to connections whose queues had no room for them.
     pub(super) fn sweep_undelivered_ends(&mut self, now: Ticks) {
-        // A client that has lost its connection may be shut out until other clients' set-ups have
-        // their answers. From then on an end must be reported within the protocol's limit.
-        let longest_deadline = self.settings.longest_deadline();
-        let lifetime =
-            longest_deadline.unwrap_or(MAX_DEADLINE_MS * TICKS_PER_MS) + END_REPORT_LIMIT;
-        self.undelivered_ends.expire(now, lifetime);
+        self.undelivered_ends.expire(now);
         self.copy_undelivered_ends();
     }
 
--- a/crates/platform/src/core/undelivered_ends.rs
+++ b/crates/platform/src/core/undelivered_ends.rs
@@ -15,7 +15,7 @@
 
 struct UndeliveredEnd {
     number: EndNumber,
-    recorded_at: Ticks,
+    expires_at: Ticks,
     end: TaskEnd,
 }
 
@@ -28,16 +28,16 @@
 }
 
 impl UndeliveredEnds {
-    /// Records an end, unless the end of its task is recorded already. Drops the oldest end if there
-    /// are `max_ends`.
-    pub(super) fn record(&mut self, now: Ticks, end: TaskEnd, max_ends: usize) {
+    /// Records an end until the given time, unless the end of its task is recorded already. Drops the
+    /// oldest end if there are `max_ends`.
+    pub(super) fn record(&mut self, expires_at: Ticks, end: TaskEnd, max_ends: usize) {
         if !self.tasks.insert(end.task) {
             return;
         }
         self.recorded += 1;
         self.ends.push_back(UndeliveredEnd {
             number: EndNumber(self.recorded),
-            recorded_at: now,
+            expires_at,
             end,
         });
         while self.ends.len() > max_ends {
@@ -45,15 +45,16 @@
         }
     }
 
-    /// Drops the ends that were recorded longer than `lifetime` ago.
-    pub(super) fn expire(&mut self, now: Ticks, lifetime: Ticks) {
-        while self
-            .ends
-            .front()
-            .is_some_and(|oldest| oldest.recorded_at + lifetime <= now)
-        {
-            self.drop_oldest();
-        }
+    /// Drops the ends that have expired.
+    pub(super) fn expire(&mut self, now: Ticks) {
+        let tasks = &mut self.tasks;
+        self.ends.retain(|recorded| {
+            let is_current = recorded.expires_at > now;
+            if !is_current {
+                tasks.remove(&recorded.end.task);
+            }
+            is_current
+        });
     }
 
     /// Returns the first end after the given position, and its own position.
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -436,3 +436,48 @@
     state.sweep(state.now + SECOND, engine);
     assert_eq!(state.spent_ids.len(), 0);
 }
+
+/// Sets up a task of a client, lets it end and returns the connection of another client.
+fn end_task_of(handle: &PlatformHandle, owner: ClientId) -> (ClientId, MessageQueue) {
+    let connection = start_task(handle, owner, OWNERS_TASK);
+    let other = connect(handle);
+    node_releases(handle, connection, OWNERS_TASK, 16);
+    other
+}
+
+fn released() -> Vec<u8> {
+    encoded(MessageType::Release, OWNERS_TASK, client::CAUSE_NORMAL)
+}
+
+/// Guards against copies of ends that have surely reached their client.
+#[test]
+fn an_acknowledged_end_is_not_sent_again_when_its_connection_breaks() {
+    let handle = handle();
+    let (owner, _owners_queue) = connect(&handle);
+    let (_, others_queue) = end_task_of(&handle, owner);
+    assert!(
+        handle.handle_client_message(owner, &message(MessageType::Acknowledge, OWNERS_TASK, 0))
+    );
+    handle.client_disconnected(owner);
+    assert!(!others_queue.take_all().contains(&released()));
+}
+
+/// Guards against an end that is lost with its connection, and against one that is sent again for
+/// good: it must be reported within 8 s.
+#[test_case(79, true)]
+#[test_case(80, false)]
+fn an_end_is_sent_again_if_its_connection_breaks_within_the_limit(tenths: u64, is_sent: bool) {
+    let handle = handle();
+    let (owner, _owners_queue) = connect(&handle);
+    let now = handle.now();
+    let at = |tenths: u64| {
+        let time = now + tenths * SECOND / 10;
+        let ordering = std::sync::atomic::Ordering::Relaxed;
+        handle.time_override.store(time, ordering);
+    };
+    at(0);
+    let (_, others_queue) = end_task_of(&handle, owner);
+    at(tenths);
+    handle.client_disconnected(owner);
+    assert_eq!(others_queue.take_all().contains(&released()), is_sent);
+}
