Return the end of a task whose write fails, and go on after an interrupted write

Cause: the writer took an end from its queue and dropped it when its write failed; the flush at the end of a connection did the same. An interrupted write (EINTR) counted as a failed one and closed the connection. Change: the end in hand is returned with the others; a write goes on after EINTR. The writer is divided: write, flush, take_ends. Evidence: a_task_end_whose_write_fails_is_returned failed before (neither end was returned); all 168 tests of the package pass. EINTR was read in the library's source (it is returned from poll_write), not provoked.

--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -6,6 +6,7 @@
 use corkspan_runtime::within;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::Shutdown;
 use std::pin::pin;
 use std::sync::Arc;
@@ -203,30 +204,83 @@
         self.shared.queued_bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
 
-    /// Writes messages until the sending end is gone or the peer no longer reads.
+    /// Writes messages until the sending end is gone or the peer no longer reads. Returns the end of
+    /// a task that could not be written.
     async fn write(
         &self,
-        mut stream: TcpStream,
+        stream: &mut TcpStream,
         set_up_line: impl Fn(AttemptId) -> Option<Vec<u8>>,
-    ) {
+    ) -> Option<TaskEnd> {
         while let Ok(message) = self.receiver.recv().await {
             let held = message.queued_bytes();
-            let bytes = match message {
-                _ if self.is_discarded() => None,
-                QueuedMessage::SetUp(attempt) => set_up_line(attempt),
-                QueuedMessage::TaskEnd(_, bytes) | QueuedMessage::Other(bytes) => Some(bytes),
+            let (end, bytes) = match message {
+                _ if self.is_discarded() => (None, None),
+                QueuedMessage::SetUp(attempt) => (None, set_up_line(attempt)),
+                QueuedMessage::TaskEnd(end, bytes) => (Some(end), Some(bytes)),
+                QueuedMessage::Other(bytes) => (None, Some(bytes)),
             };
             let written = match bytes {
-                Some(bytes) => within(WRITE_TIMEOUT, stream.write_all(&bytes)).await,
+                Some(bytes) => within(WRITE_TIMEOUT, write_all(stream, &bytes)).await,
                 None => Some(Ok(())),
             };
             self.dequeued(held);
             if !matches!(written, Some(Ok(()))) {
                 debug!(?written, "a message can't be written");
-                return;
+                return end;
+            }
+        }
+        None
+    }
+
+    /// Writes the messages that are left. If the peer has closed its side, it no longer reads, so the
+    /// ends of tasks are not written. Adds the ends that were not written to `undelivered`.
+    async fn flush(
+        &self,
+        stream: &mut TcpStream,
+        peer_closed: bool,
+        undelivered: &mut Vec<TaskEnd>,
+    ) {
+        while let Ok(message) = self.receiver.try_recv() {
+            let (end, bytes) = match message {
+                QueuedMessage::SetUp(_) => continue,
+                QueuedMessage::TaskEnd(end, bytes) => (Some(end), bytes),
+                QueuedMessage::Other(bytes) => (None, bytes),
+            };
+            // Until it is written, since the flush may be cut off by its timeout.
+            undelivered.extend(end);
+            if self.is_discarded() || peer_closed && end.is_some() {
+                continue;
+            }
+            if write_all(stream, &bytes).await.is_err() {
+                break;
+            }
+            if end.is_some() {
+                undelivered.pop();
             }
         }
     }
+
+    /// Removes the messages that are left, and adds the ends of tasks among them to `undelivered`.
+    fn take_ends(&self, undelivered: &mut Vec<TaskEnd>) {
+        while let Ok(message) = self.receiver.try_recv() {
+            if let QueuedMessage::TaskEnd(end, _) = message {
+                undelivered.push(end);
+            }
+        }
+    }
+}
+
+/// Writes all bytes. Unlike the library's function, it goes on after an interrupted write.
+async fn write_all(stream: &mut TcpStream, mut bytes: &[u8]) -> std::io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.write(bytes).await {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(count) => bytes = &bytes[count..],
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
 }
 
 /// Reads and writes a connection until either side ends it. `read` reads it and completes when
@@ -247,33 +301,16 @@
         read.as_mut().await;
         true
     };
+    let (mut stream, mut undelivered) = (stream, Vec::new());
+    let mut output = stream.clone();
     let fully_written = async {
-        queue.write(stream.clone(), &set_up_line).await;
+        undelivered.extend(queue.write(&mut output, &set_up_line).await);
         false
     };
     let fully_read = fully_read.or(fully_written).await;
-    let mut undelivered = Vec::new();
-    let flush = async {
-        let mut stream = stream.clone();
-        while let Ok(message) = queue.receiver.try_recv() {
-            match message {
-                QueuedMessage::SetUp(_) => {}
-                QueuedMessage::TaskEnd(end, _) if fully_read => undelivered.push(end),
-                _ if queue.is_discarded() => {}
-                QueuedMessage::TaskEnd(_, bytes) | QueuedMessage::Other(bytes) => {
-                    if stream.write_all(&bytes).await.is_err() {
-                        break;
-                    }
-                }
-            }
-        }
-    };
+    let flush = queue.flush(&mut stream, fully_read, &mut undelivered);
     within(FLUSH_TIMEOUT, flush).await;
-    while let Ok(message) = queue.receiver.try_recv() {
-        if let QueuedMessage::TaskEnd(end, _) = message {
-            undelivered.push(end);
-        }
-    }
+    queue.take_ends(&mut undelivered);
     if !fully_read && queue.shared.half_close_requested.load(Ordering::Relaxed) {
         let _ = stream.shutdown(Shutdown::Write);
         within(HALF_CLOSE_TIMEOUT, read).await;
--- a/crates/platform/tests/writer/fairness.rs
+++ b/crates/platform/tests/writer/fairness.rs
@@ -125,6 +125,24 @@
     assert_eq!(written, "");
 }
 
+/// Guards against an end that is taken from the queue, and whose write then fails.
+#[test]
+fn a_task_end_whose_write_fails_is_returned() {
+    let tasks = corkspan_runtime::SharedExecutor::default();
+    let ((stream, peer), (sender, queue)) = (connection_with_input(b""), message_queue());
+    stream.shutdown(std::net::Shutdown::Write).expect("closed");
+    let ends = [7, 8].map(|task| TaskEnd {
+        task,
+        kind: TaskEndKind::Completed,
+    });
+    assert!(ends.iter().all(|&end| sender.send_task_end(end)));
+    let read = future::pending();
+    let undelivered =
+        tasks.spawn(async move { run_connection(stream, queue, |_| None, read).await });
+    assert_eq!(future::block_on(tasks.run(undelivered)), ends);
+    drop(peer);
+}
+
 #[test]
 fn undelivered_task_ends_are_returned_when_the_peer_is_gone() {
     let tasks = corkspan_runtime::SharedExecutor::default();
