Tell a node the time that is left when its set-up is written

Cause: the deadline passed on was that of the moment when the machine was chosen. Change: the line is made with what is left of the attempt when its first byte is written.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -54,15 +54,17 @@
         true
     }
 
-    /// Returns the line of a set-up that may be written.
+    /// Returns the line of a set-up that is written now.
     pub(super) fn set_up_line(
         &self,
+        now: Ticks,
         engine: &mut Engine<PendingTask>,
         attempt: AttemptId,
     ) -> Option<Vec<u8>> {
         let (pending, _) = engine.data_mut(attempt.allocation)?;
         let active = pending.active?;
-        pending.open_message(active.timeout).to_line()
+        let left = active.deadline.saturating_sub(now);
+        pending.open_message(left).to_line()
     }
 
     /// Withdraws an attempt. Requests its node to end the task if the set-up was written.
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -39,7 +39,6 @@
             connection: Some(connection),
             sent_at: self.now,
             deadline,
-            timeout,
             started: false,
         });
         pending.used_connections.push(connection);
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -162,9 +162,9 @@
         })
     }
 
-    /// Returns the line of a set-up that may be written.
-    pub fn set_up_line(&mut self, attempt: AttemptId) -> Option<Vec<u8>> {
-        self.state.set_up_line(&mut self.engine, attempt)
+    /// Returns the line of a set-up that is written now.
+    pub fn set_up_line(&mut self, now: Ticks, attempt: AttemptId) -> Option<Vec<u8>> {
+        self.state.set_up_line(now, &mut self.engine, attempt)
     }
 
     /// Handles the end of a connection to a node.
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -26,8 +26,6 @@
     pub(super) connection: Option<ConnectionId>,
     pub(super) sent_at: Ticks,
     pub(super) deadline: Ticks,
-    /// The time for which the node's answer is waited for.
-    pub(super) timeout: Ticks,
     /// Whether the first byte of the set-up has been written, so that the task may have run.
     pub(super) started: bool,
 }
@@ -125,15 +123,15 @@
         std::mem::take(&mut self.counted_bytes)
     }
 
-    /// Returns the message that sends the set-up to a node, which is told how long its answer is
-    /// waited for.
-    pub(super) fn open_message(&self, timeout: Ticks) -> node::Message {
+    /// Returns the message that sends the set-up to a node, which is told how much longer its answer
+    /// is waited for.
+    pub(super) fn open_message(&self, left: Ticks) -> node::Message {
         let text = |text: &str| AttributeValue::Text(text.into());
         let mut message = node::Message::new(node::MessageType::Open, self.task);
         let attributes = &mut message.attributes;
         attributes.insert("class".into(), text(&self.class));
         attributes.insert("key".into(), text(&self.name));
-        attributes.insert("left".into(), text(&(timeout / TICKS_PER_MS).to_string()));
+        attributes.insert("left".into(), text(&(left / TICKS_PER_MS).to_string()));
         if let Some(key) = &self.idempotency_key {
             attributes.insert("idem".into(), text(key));
         }
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -141,7 +141,6 @@
             connection: None,
             sent_at: now,
             deadline: Ticks::MAX,
-            timeout: Ticks::MAX,
             started: true,
         });
         self.make_room_for_running_task(now, engine);
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -144,9 +144,9 @@
         self.with_core(|core, now| core.may_write_set_up(now, connection, attempt))
     }
 
-    /// Returns the line of a set-up that may be written.
+    /// Returns the line of a set-up that is written now.
     pub fn set_up_line(&self, attempt: AttemptId) -> Option<Vec<u8>> {
-        self.lock().set_up_line(attempt)
+        self.with_core(|core, now| core.set_up_line(now, attempt))
     }
 
     /// Handles the end of a connection to a node.
--- a/crates/platform/tests/core/races.rs
+++ b/crates/platform/tests/core/races.rs
@@ -412,3 +412,31 @@
     .expect("a short message");
     assert_eq!(queue.take_all(), [failed]);
 }
+
+/// Guards against a deadline that is passed on as it was when the machine was chosen: by the time the
+/// connection is established, the client waits for less.
+#[test]
+fn a_node_is_told_the_time_that_is_left_when_the_set_up_is_written() {
+    const CONNECTING_MS: u64 = 800;
+    let handle = handle(&[]);
+    let (client, _queue) = handle.client_connected().expect("there is room");
+    let set_at = handle.now();
+    let at = |time: Ticks| {
+        let ordering = std::sync::atomic::Ordering::Relaxed;
+        handle.time_override.store(time, ordering);
+    };
+    at(set_at);
+    assert!(handle.handle_client_message(client, &set_up(7)));
+    while handle.run_turn() {}
+    let (connection, attempt) = active_attempt(&handle, 7).expect("sent to the node");
+    at(set_at + CONNECTING_MS * TICKS_PER_MS);
+    handle.connection_established(connection);
+    assert!(handle.may_write_set_up(connection, attempt));
+    let line = handle.set_up_line(attempt).expect("a short line");
+    let mut reader = node::Reader::default();
+    reader.push(&line);
+    let message = reader.next_message().expect("valid").expect("complete");
+    let left = message.attribute("left").and_then(AttributeValue::text);
+    let left_ms: u64 = left.and_then(|left| left.parse().ok()).expect("a number");
+    assert!(left_ms <= 6_000 - CONNECTING_MS, "{left_ms} ms");
+}
