Read what has arrived before a connection is closed

Cause: two places closed connections by what had been read, and not by what had arrived. At its end the process handles up to 1,024 further messages of each connection, which rejects set-ups.

--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -258,6 +258,18 @@
         self.clients.contains_key(&id)
     }
 
+    /// Handles what has arrived on all connections, before they are closed for good.
+    pub(super) fn handle_last_input(&mut self, now: Ticks, engine: &mut Engine<PendingTask>) {
+        let all: Vec<ClientId> = self.clients.keys().copied().collect();
+        for id in all {
+            for _ in 0..MAX_LAST_MESSAGES {
+                if self.read_next_message(now, engine, id) != ReadProgress::Handled {
+                    break;
+                }
+            }
+        }
+    }
+
     /// Closes silent and idle connections, and opens missing connections to nodes with tasks.
     pub(super) fn sweep(&mut self, now: Ticks, engine: &mut Engine<PendingTask>) {
         let useless = self
@@ -266,7 +278,10 @@
             .filter_map(|(&id, client)| Some((id, client.uselessness(now)?)));
         let useless: Vec<(ClientId, CloseReason)> = useless.collect();
         for (id, reason) in useless {
-            self.close_client(now, engine, id, reason);
+            // After a pause of the process nothing that has arrived meanwhile is read yet.
+            if !self.has_unread_set_up(now, id) {
+                self.client_closed(now, engine, id, reason);
+            }
         }
         for client in self.clients.values_mut() {
             client.sent_ends.expire(now);
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -290,13 +290,14 @@
         });
     }
 
-    /// Answers the set-ups whose attempts have not returned. Each connection closes once its queued
+    /// Answers the set-ups whose attempts have not returned, and rejects unread ones. Each connection closes once its queued
     /// messages are written.
     pub fn abandon_all(&mut self, now: Ticks) {
         self.process_event(now, |engine, state| {
             for (id, attempt) in engine.unanswered() {
                 state.attempt_timed_out(now, engine, id, attempt);
             }
+            state.handle_last_input(now, engine);
         });
         self.state.clients.clear();
         self.state.connections = NodeConnections::new(0, 0, 0);
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -13,6 +13,8 @@
 /// Maximum number of messages of a client that are handled at once before an attempt, once in each
 /// turn. If more have arrived, the client's attempts wait, and other clients' do not.
 pub(super) const MAX_MESSAGES_BEFORE_ATTEMPT: usize = 64;
+/// Maximum number of messages of a client that are handled when the process ends.
+pub(super) const MAX_LAST_MESSAGES: usize = 1_024;
 /// The maximum number of running tasks that are taken over.
 pub(super) const MAX_RUNNING_TASKS: usize = 8_192;
 /// The maximum number of open set-ups. They are counted apart from running tasks, so that neither
--- a/crates/platform/tests/core/races.rs
+++ b/crates/platform/tests/core/races.rs
@@ -440,3 +440,46 @@
     let left_ms: u64 = left.and_then(|left| left.parse().ok()).expect("a number");
     assert!(left_ms <= 6_000 - CONNECTING_MS, "{left_ms} ms");
 }
+
+/// Connects a client whose first set-up has arrived and is not read.
+fn connect_with_unread_set_up(
+    handle: &PlatformHandle,
+    task: u64,
+) -> (ClientId, MessageQueue, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
+    let mut peer = TcpStream::connect(listener.local_addr().expect("bound")).expect("connected");
+    let (stream, _) = listener.accept().expect("accepted");
+    let (id, queue) = handle.client_connected().expect("there is room");
+    let stream = async_net::TcpStream::try_from(stream).expect("a stream");
+    handle.attach_client_input(id, ConnectionInput::new(stream));
+    peer.write_all(&set_up_bytes(task)).expect("written");
+    // Loopback delivers within the call.
+    std::thread::sleep(duration(MAX_INPUT_AGE));
+    (id, queue, peer)
+}
+
+/// Guards against a request that is closed unread: the process was paused, and finds its connections
+/// silent or idle for long before it reads them.
+#[test]
+fn a_connection_with_an_unread_set_up_is_not_closed_as_silent() {
+    let handle = handle(&[]);
+    let (client, queue, _peer) = connect_with_unread_set_up(&handle, 7);
+    let resumed_at = handle.now() + SILENCE_TIMEOUT + SECOND;
+    let ordering = std::sync::atomic::Ordering::Relaxed;
+    handle.time_override.store(resumed_at, ordering);
+    handle.sweep();
+    assert_eq!(queue.ended(), None, "it is open");
+    assert_eq!(handle.read_client_message(client), ReadProgress::Handled);
+}
+
+/// Guards against a request that is neither answered nor rejected because the process ends.
+#[test]
+fn a_set_up_that_is_unread_when_the_process_ends_is_rejected() {
+    let handle = handle(&[]);
+    let (_client, queue, _peer) = connect_with_unread_set_up(&handle, 7);
+    handle.stop();
+    handle.abandon_all();
+    let cause = [client::CAUSE_REJECTED];
+    let rejection = client::encode(MessageType::Release, 7, &[(client::CAUSE, &cause)]);
+    assert_eq!(queue.take_all(), [rejection.expect("short")]);
+}
