Try again after errors that pass by themselves, and close no connection for them

Callers: a dispatcher did not start when its socket could not be made for a moment (ENFILE, ENOBUFS), and connections of clients were closed, with what had been sent on them, each time accept failed for a moment. Cause: every failed accept counted as a lack of descriptors; binding was tried again only while the address was in use; connections to nodes and to the control feed were given up at the first error of our own side, which cost an attempt, or up to 3 s without the list. Change: passing_errors says which errors pass (EINTR, ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, ENETDOWN). Connecting and binding are tried again each 10 ms within the times that they had before; a client's connection makes room only when the process itself has no descriptor left (EMFILE). accept and its errors are functions of their own.

--- a/crates/cli/tests/program/mod.rs
+++ b/crates/cli/tests/program/mod.rs
@@ -22,6 +22,7 @@
 }
 
 pub struct Program {
+    #[allow(dead_code, reason = "used by the tests of limits only")]
     pub child: Child,
     address: SocketAddr,
     _dir: tempfile::TempDir,
@@ -30,6 +31,17 @@
 impl Program {
     /// Starts the program. The limit on descriptors is also that of the process.
     pub fn start(limits: Limits, feed: SocketAddr, nodes: usize, node: SocketAddr) -> Program {
+        Program::start_with(limits, feed, nodes, node, &[])
+    }
+
+    /// Starts the program with further variables in its environment.
+    pub fn start_with(
+        limits: Limits,
+        feed: SocketAddr,
+        nodes: usize,
+        node: SocketAddr,
+        environment: &[(&str, String)],
+    ) -> Program {
         let Limits { sockets, memory_mb } = limits;
         let dir = tempfile::tempdir().expect("a folder");
         let path = dir.path().join("node.json");
@@ -56,6 +68,7 @@
                 env!("CARGO_BIN_EXE_corkspan")
             ))
             .env("NODE_CONFIG", &path)
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
             .expect("started");
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -2,7 +2,7 @@
 //! to reconnect.
 
 use crate::handle::PlatformHandle;
-use async_net::TcpStream;
+use crate::passing_errors::connect;
 use bytes::Bytes;
 use corkspan_platform_wire::ProtocolError;
 use corkspan_platform_wire::discovery::{FeedItem, Reader};
@@ -91,7 +91,9 @@
     handle: &PlatformHandle,
     feed_address: SocketAddr,
 ) -> Result<Infallible, DiscoveryError> {
-    let stream = within(CONNECT_TIMEOUT, TcpStream::connect(feed_address)).await;
+    let mut passing_error = None;
+    let connecting = connect(feed_address, &mut passing_error);
+    let stream = within(CONNECT_TIMEOUT, connecting).await;
     let stream = stream
         .and_then(Result::ok)
         .ok_or(DiscoveryError::NoConnection(feed_address))?;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,6 +16,7 @@
 mod node_connection_task;
 mod node_connections;
 mod nodes;
+mod passing_errors;
 mod reader;
 mod shutdown;
 mod task_end;
@@ -35,6 +36,7 @@
 use effects::{TaskEffects, WakeSenders};
 use futures_lite::{FutureExt, Stream, StreamExt, future};
 use handle::PlatformHandle;
+use passing_errors::{RETRY_DELAY, is_passing};
 use shutdown::{SHUTDOWN_MARGIN, ShutdownSchedule};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -103,16 +105,11 @@
         feed_address,
         feed_address_receiver,
     );
-    let listener_task = tasks.spawn(listener::run(
-        Arc::clone(&handle),
-        Arc::clone(&tasks),
-        listener,
-        Arc::clone(&budget.client_permits),
-    ));
+    let close_listener = listener::start(&handle, &tasks, listener, &budget.client_permits);
     handle.start();
     let mut signals = signals;
     wait_for_stop(&mut signals, || reload(&handle, path, &feed_address_sender)).await;
-    let stop = shutdown::stop(&handle, &budget, Instant::now(), listener_task);
+    let stop = shutdown::stop(&handle, &budget, Instant::now(), close_listener);
     // The feed's address may still change during the shutdown. Further stop signals are ignored.
     let reload_on_hangup = async {
         while let Some(signal) = signals.next().await {
@@ -208,16 +205,17 @@
     Ok((listener, address))
 }
 
-/// Binds the address. Retries while a previous process that has not ended still uses it.
+/// Binds the address. Retries while a previous process that has not ended still uses it, and after
+/// errors that pass.
 async fn bind(address: SocketAddr, within: Duration) -> std::io::Result<TcpListener> {
     let started_at = Instant::now();
     loop {
         match TcpListener::bind(address).await {
             Err(error)
-                if error.kind() == std::io::ErrorKind::AddrInUse
+                if (error.kind() == std::io::ErrorKind::AddrInUse || is_passing(&error))
                     && started_at.elapsed() < within =>
             {
-                Timer::after(Duration::from_millis(10)).await;
+                Timer::after(RETRY_DELAY).await;
             }
             bound => return bound,
         }
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -2,13 +2,15 @@
 
 use crate::handle::PlatformHandle;
 use crate::ids::ClientId;
+use crate::passing_errors::{RETRY_DELAY, is_out_of_descriptors};
 use crate::reader::ConnectionInput;
 use crate::writer::{MessageQueue, run_connection};
 use async_io::Timer;
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use async_net::{TcpListener, TcpStream};
 use corkspan_runtime::{SharedExecutor, within};
-use futures_lite::future;
+use futures_lite::{FutureExt, future};
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{debug, warn};
@@ -17,50 +19,85 @@
 /// messages to write.
 const DESCRIPTOR_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Accepts connections until dropped. A connection beyond the maximum replaces the least useful
-/// one. `budget` holds the descriptor permits of clients' connections, including those that are
-/// being closed; the rest of the limit is for discovery, the nodes and the next accepted
-/// connection.
-pub async fn run(
+/// Starts to accept connections. The returned future stops accepting; dropping it does so at once.
+pub fn start(
+    handle: &Arc<PlatformHandle>,
+    tasks: &SharedExecutor,
+    listener: TcpListener,
+    budget: &Arc<Semaphore>,
+) -> impl Future<Output = ()> + use<> {
+    let (close, closed) = async_channel::bounded(1);
+    let task = tasks.spawn(run(
+        Arc::clone(handle),
+        Arc::clone(tasks),
+        listener,
+        Arc::clone(budget),
+        closed,
+    ));
+    async move {
+        drop(close);
+        task.await;
+    }
+}
+
+/// Accepts connections until `closed` has no sender any more. A connection beyond the maximum replaces the least useful one. `budget` holds the
+/// descriptor permits of clients' connections, including those that are being closed; the rest of the
+/// limit is for discovery, the nodes and the next accepted connection.
+async fn run(
     handle: Arc<PlatformHandle>,
     tasks: SharedExecutor,
     listener: TcpListener,
     budget: Arc<Semaphore>,
+    closed: async_channel::Receiver<()>,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                // If there is no room, the stream is dropped, which closes it.
-                let connected = handle.client_connected();
-                if connected.is_none() {
-                    debug!("closing a new connection: all others have open set-ups");
-                }
-                if let Some((id, queue)) = connected {
-                    match within(DESCRIPTOR_TIMEOUT, budget.acquire_arc()).await {
-                        Some(permit) => {
-                            tasks
-                                .spawn(serve_client(Arc::clone(&handle), stream, id, queue, permit))
-                                .detach();
-                        }
-                        None => {
-                            debug!(?id, "closing a new connection: no descriptor is free");
-                            handle.client_disconnected(id);
-                        }
-                    }
-                }
-                // A flood of connections must not delay reading the open ones.
-                future::yield_now().await;
-            }
-            Err(error) => {
-                // Descriptors have run out. Some are freed when silent connections are closed.
-                warn!(%error, "can't accept a connection");
-                handle.evict_client();
-                Timer::after(Duration::from_millis(20)).await;
-            }
+        let accepting = async { Some(listener.accept().await) };
+        let closing = async {
+            let _ = closed.recv().await;
+            None
+        };
+        match accepting.or(closing).await {
+            Some(Ok((stream, _))) => accepted(&handle, &tasks, stream, &budget).await,
+            Some(Err(error)) => accept_failed(&handle, &error).await,
+            None => break,
+        }
+        // A flood of connections must not delay reading the open ones.
+        future::yield_now().await;
+    }
+}
+
+/// Serves an accepted connection. If there is no room, it is dropped, which closes it.
+async fn accepted(
+    handle: &Arc<PlatformHandle>,
+    tasks: &SharedExecutor,
+    stream: TcpStream,
+    budget: &Arc<Semaphore>,
+) {
+    let Some((id, queue)) = handle.client_connected() else {
+        debug!("closing a new connection: all others have open set-ups");
+        return;
+    };
+    match within(DESCRIPTOR_TIMEOUT, budget.acquire_arc()).await {
+        Some(permit) => {
+            let serving = serve_client(Arc::clone(handle), stream, id, queue, permit);
+            tasks.spawn(serving).detach();
+        }
+        None => {
+            debug!(?id, "closing a new connection: no descriptor is free");
+            handle.client_disconnected(id);
         }
     }
 }
 
+/// Handles a failure to accept a connection. Other connections are closed only where that helps.
+async fn accept_failed(handle: &PlatformHandle, error: &std::io::Error) {
+    warn!(%error, "can't accept a connection");
+    if is_out_of_descriptors(error) {
+        handle.evict_client();
+    }
+    Timer::after(RETRY_DELAY).await;
+}
+
 /// Reads and writes a client's connection until it ends.
 pub async fn serve_client(
     handle: Arc<PlatformHandle>,
--- a/crates/platform/src/node_connection_task.rs
+++ b/crates/platform/src/node_connection_task.rs
@@ -3,10 +3,10 @@
 use crate::core::{ConnectionEnd, NewConnection};
 use crate::handle::PlatformHandle;
 use crate::ids::ConnectionId;
+use crate::passing_errors::connect;
 use crate::reader::{ConnectionInput, ReadOutcome, ReadProgress};
 use crate::writer::run_connection;
 use async_lock::Semaphore;
-use async_net::TcpStream;
 use corkspan_platform_wire::node::Reader;
 use corkspan_runtime::clock::duration;
 use corkspan_runtime::within;
@@ -26,18 +26,21 @@
     } = connection;
     // Connections that are being closed hold their descriptors until they end.
     let mut permit = None;
-    let mut attempted_at = None;
+    let (mut attempted_at, mut passing_error) = (None, None);
     let connecting = async {
         permit = Some(budget.acquire_arc().await);
         attempted_at = Some(handle.now());
-        TcpStream::connect(address).await
+        connect(address, &mut passing_error).await
     };
     let connected = within(duration(connect_timeout), connecting).await;
     let stream = match connected {
         // The node is gone in the meantime, and another one may have its address.
         _ if queue.is_discarded() => return,
         Some(Ok(stream)) => stream,
-        failed => return handle.connection_ended(id, failed_connection_end(failed, attempted_at)),
+        failed => {
+            let error = failed.and_then(Result::err).or(passing_error);
+            return handle.connection_ended(id, failed_connection_end(error, attempted_at));
+        }
     };
     let _ = stream.set_nodelay(true);
     handle.connection_established(id);
@@ -57,16 +60,16 @@
     handle.connection_ended(id, ConnectionEnd::Closed);
 }
 
-/// Returns how a connection ended that could not be opened: with an error, or, if there is no
-/// result, by the timeout. Only what the node or the network causes says something about the node.
+/// Returns how a connection ended that could not be opened: with an error, or, if there is none, by
+/// the timeout. Only what the node or the network causes says something about the node.
 fn failed_connection_end(
-    result: Option<std::io::Result<TcpStream>>,
+    error: Option<std::io::Error>,
     attempted_at: Option<Ticks>,
 ) -> ConnectionEnd {
     let Some(attempted_at) = attempted_at else {
         return ConnectionEnd::NotAttempted;
     };
-    let Some(Err(error)) = result else {
+    let Some(error) = error else {
         return ConnectionEnd::ConnectTimeout { attempted_at };
     };
     debug!(%error, "a connection to a node can't be opened");
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -6,6 +6,7 @@
 use async_lock::Semaphore;
 use corkspan_runtime::within;
 use futures_lite::future;
+use std::future::Future;
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
 
@@ -50,13 +51,12 @@
 }
 
 /// Continues to serve until every set-up is answered or its time is up, then closes all connections
-/// and waits until their last messages are written. Dropping `listener_task` stops accepting
-/// connections.
-pub async fn stop<T>(
+/// and waits until their last messages are written. `close_listener` stops accepting connections.
+pub async fn stop(
     handle: &PlatformHandle,
     budget: &DescriptorBudget,
     signalled_at: Instant,
-    listener_task: T,
+    close_listener: impl Future<Output = ()>,
 ) {
     let schedule = ShutdownSchedule::for_longest_deadline(handle.longest_deadline());
     info!(retained = handle.retained_items(), "stopping");
@@ -70,7 +70,7 @@
         handle.unanswered() == 0
     })
     .await;
-    drop(listener_task);
+    close_listener.await;
     handle.abandon_all();
     // When every connection has returned its descriptor permit, the last messages are written.
     let all_written = future::zip(
