Serve the connections that the system has accepted before the listener is closed

Callers: requests on connections that wait to be accepted are reset when the program stops. Cause: the listener was dropped with its backlog; in accepting came before closing, and a crowd always has another connection to accept. Change: closing comes first; then what the system has accepted is served, for 25 ms at the most, requests on it are waited for for 50 ms at the most, and all connections are closed. That connections in the backlog were reset before is read in the code, not shown by a run.

--- a/crates/cli/tests/broken_connections.rs
+++ b/crates/cli/tests/broken_connections.rs
@@ -164,7 +164,7 @@
     let listener = || TcpListener::bind("127.0.0.1:0").expect("a port of the system's choice");
     let (nodes, feed) = (listener(), listener());
     let (node, feed) = (nodes.local_addr(), feed.local_addr());
-    let program = Program::start(LIMITS, feed.expect("bound"), 1, node.expect("bound"));
+    let program = Program::start(LIMITS, feed.expect("bound"), 1, node.expect("bound"), &[]);
     (program, nodes)
 }
 
--- a/crates/cli/tests/node/mod.rs
+++ b/crates/cli/tests/node/mod.rs
@@ -28,7 +28,7 @@
     let feed = discovery.local_addr().expect("bound");
     let address = nodes.local_addr().expect("bound");
     std::thread::spawn(move || serve_set_ups(nodes, others));
-    Program::start(limits, feed, LISTED_NODES, address)
+    Program::start(limits, feed, LISTED_NODES, address, &[])
 }
 
 /// Answers each set-up whose description is `good`, on every connection.
--- a/crates/cli/tests/passing_errors.rs
+++ b/crates/cli/tests/passing_errors.rs
@@ -23,7 +23,7 @@
         ("LD_PRELOAD", shim::library().display().to_string()),
         (name, percent.to_string()),
     ];
-    Program::start_with(LIMITS, unused, 1, unused, &environment)
+    Program::start(LIMITS, unused, 1, unused, &environment)
 }
 
 fn pass_health_check(stream: &mut TcpStream) {
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -50,6 +50,7 @@
         feed,
         1,
         node.local_addr().expect("bound"),
+        &[],
     );
     let health_check =
         client::encode(MessageType::HealthCheck, 1, &[(client::CAUSE, &[0])]).expect("short");
@@ -99,6 +100,7 @@
         feed,
         400,
         node.local_addr().expect("bound"),
+        &[],
     );
     let health_check =
         client::encode(MessageType::HealthCheck, 1, &[(client::CAUSE, &[0])]).expect("short");
--- a/crates/cli/tests/program/mod.rs
+++ b/crates/cli/tests/program/mod.rs
@@ -29,13 +29,9 @@
 }
 
 impl Program {
-    /// Starts the program. The limit on descriptors is also that of the process.
-    pub fn start(limits: Limits, feed: SocketAddr, nodes: usize, node: SocketAddr) -> Program {
-        Program::start_with(limits, feed, nodes, node, &[])
-    }
-
-    /// Starts the program with further variables in its environment.
-    pub fn start_with(
+    /// Starts the program, with further variables in its environment. The limit on descriptors is also
+    /// that of the process.
+    pub fn start(
         limits: Limits,
         feed: SocketAddr,
         nodes: usize,
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -18,8 +18,12 @@
 /// Time for which a new connection waits for the descriptor of an evicted one, which may still have
 /// messages to write.
 const DESCRIPTOR_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time within which the connections that the system has accepted are served before the listener is
+/// closed.
+const LAST_ACCEPT_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// Starts to accept connections. The returned future stops accepting; dropping it does so at once.
+/// Starts to accept connections. The returned future serves the connections that the system has
+/// accepted until then, and stops accepting; dropping it stops at once.
 pub fn start(
     handle: &Arc<PlatformHandle>,
     tasks: &SharedExecutor,
@@ -40,7 +44,8 @@
     }
 }
 
-/// Accepts connections until `closed` has no sender any more. A connection beyond the maximum replaces the least useful one. `budget` holds the
+/// Accepts connections until `closed` has no sender any more, and then those that the system has
+/// accepted before. A connection beyond the maximum replaces the least useful one. `budget` holds the
 /// descriptor permits of clients' connections, including those that are being closed; the rest of the
 /// limit is for discovery, the nodes and the next accepted connection.
 async fn run(
@@ -50,13 +55,14 @@
     budget: Arc<Semaphore>,
     closed: async_channel::Receiver<()>,
 ) {
+    // Closing comes first: a crowd of clients always has another connection to accept.
     loop {
         let accepting = async { Some(listener.accept().await) };
         let closing = async {
             let _ = closed.recv().await;
             None
         };
-        match accepting.or(closing).await {
+        match closing.or(accepting).await {
             Some(Ok((stream, _))) => accepted(&handle, &tasks, stream, &budget).await,
             Some(Err(error)) => accept_failed(&handle, &error).await,
             None => break,
@@ -64,6 +70,15 @@
         // A flood of connections must not delay reading the open ones.
         future::yield_now().await;
     }
+    let last = async {
+        while let Some(result) = future::poll_once(listener.accept()).await {
+            if let Ok((stream, _)) = result {
+                accepted(&handle, &tasks, stream, &budget).await;
+            }
+            future::yield_now().await;
+        }
+    };
+    within(LAST_ACCEPT_TIMEOUT, last).await;
 }
 
 /// Serves an accepted connection. If there is no room, it is dropped, which closes it.
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -48,10 +48,17 @@
             killed_after: kill_time,
         }
     }
+
+    /// Returns the time for which requests on the last accepted connections are waited for.
+    fn last_requests_for(&self) -> Duration {
+        const CROSSING_TIME: Duration = Duration::from_millis(50);
+        CROSSING_TIME.min((self.killed_after - self.answer_all_within) / 4)
+    }
 }
 
 /// Continues to serve until every set-up is answered or its time is up, then closes all connections
-/// and waits until their last messages are written. `close_listener` stops accepting connections.
+/// and waits until their last messages are written. `close_listener` serves the connections that the
+/// system has accepted, and then stops accepting.
 pub async fn stop(
     handle: &PlatformHandle,
     budget: &DescriptorBudget,
@@ -71,6 +78,7 @@
     })
     .await;
     close_listener.await;
+    Timer::after(schedule.last_requests_for()).await;
     handle.abandon_all();
     // When every connection has returned its descriptor permit, the last messages are written.
     let all_written = future::zip(
