Read what a peer has sent before a write to it failed

Cause: when a write failed, the connection was closed at once, with what its peer had sent unread. A node that stops releases its tasks and closes: we read the first release and confirm it, the confirmation is answered by a reset, the next one fails, and the other releases are dropped. A node sends a release on one connection and on the next one opened; both were lost in the same way. Change: after a failed write nothing more is queued, and the connection is read to its end, for 1 s at the most. A failed accept that concerns one connection alone is tried again at once, others after 1 ms: with 10 ms a crowd waited. Evidence: what_has_arrived_is_read_after_a_write_has_failed failed before (1 of 50 messages read).

--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -2,7 +2,7 @@
 
 use crate::handle::PlatformHandle;
 use crate::ids::ClientId;
-use crate::passing_errors::{RETRY_DELAY, is_out_of_descriptors};
+use crate::passing_errors::is_out_of_descriptors;
 use crate::reader::ConnectionInput;
 use crate::writer::{MessageQueue, run_connection};
 use async_io::Timer;
@@ -11,6 +11,7 @@
 use corkspan_runtime::{SharedExecutor, within};
 use futures_lite::{FutureExt, future};
 use std::future::Future;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{debug, warn};
@@ -18,6 +19,8 @@
 /// Time for which a new connection waits for the descriptor of an evicted one, which may still have
 /// messages to write.
 const DESCRIPTOR_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which accepting is tried again that has failed for lack of resources.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// Time within which the connections that the system has accepted are served before the listener is
 /// closed.
 const LAST_ACCEPT_TIMEOUT: Duration = Duration::from_millis(25);
@@ -110,7 +113,13 @@
     if is_out_of_descriptors(error) {
         handle.evict_client();
     }
-    Timer::after(RETRY_DELAY).await;
+    let concerns_one_connection = matches!(
+        error.kind(),
+        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
+    );
+    if !concerns_one_connection {
+        Timer::after(ACCEPT_RETRY_DELAY).await;
+    }
 }
 
 /// Reads and writes a client's connection until it ends.
--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -204,13 +204,12 @@
         self.shared.queued_bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
 
-    /// Writes messages until the sending end is gone or the peer no longer reads. Returns the end of
-    /// a task that could not be written.
+    /// Writes messages until the sending end is gone or a write fails.
     async fn write(
         &self,
         stream: &mut TcpStream,
         set_up_line: impl Fn(AttemptId) -> Option<Vec<u8>>,
-    ) -> Option<TaskEnd> {
+    ) -> WriteOutcome {
         while let Ok(message) = self.receiver.recv().await {
             let held = message.queued_bytes();
             let (end, bytes) = match message {
@@ -226,10 +225,10 @@
             self.dequeued(held);
             if !matches!(written, Some(Ok(()))) {
                 debug!(?written, "a message can't be written");
-                return end;
+                return WriteOutcome::Failed(end);
             }
         }
-        None
+        WriteOutcome::SenderGone
     }
 
     /// Writes the messages that are left. If the peer has closed its side, it no longer reads, so the
@@ -270,6 +269,14 @@
     }
 }
 
+/// How the writing of a connection's messages has ended.
+enum WriteOutcome {
+    /// The sending end is gone, and all messages are written.
+    SenderGone,
+    /// A write has failed, perhaps that of the end of a task.
+    Failed(Option<TaskEnd>),
+}
+
 /// Writes all bytes. Unlike the library's function, it goes on after an interrupted write.
 async fn write_all(stream: &mut TcpStream, mut bytes: &[u8]) -> std::io::Result<()> {
     while !bytes.is_empty() {
@@ -297,21 +304,26 @@
     let mut read = pin!(read);
     // Messages may still be queued when the reader ends; they are written before the connection is
     // closed.
-    let fully_read = async {
-        read.as_mut().await;
-        true
-    };
     let (mut stream, mut undelivered) = (stream, Vec::new());
     let mut output = stream.clone();
-    let fully_written = async {
-        undelivered.extend(queue.write(&mut output, &set_up_line).await);
-        false
+    let reading = async {
+        read.as_mut().await;
+        None
     };
-    let fully_read = fully_read.or(fully_written).await;
+    let writing = async { Some(queue.write(&mut output, &set_up_line).await) };
+    let written = reading.or(writing).await;
+    let fully_read = written.is_none();
+    let sender_gone = matches!(written, Some(WriteOutcome::SenderGone));
+    if let Some(WriteOutcome::Failed(end)) = written {
+        undelivered.extend(end);
+        // The peer may have closed the connection after its last messages, which must be read.
+        queue.receiver.close();
+        within(HALF_CLOSE_TIMEOUT, read.as_mut()).await;
+    }
     let flush = queue.flush(&mut stream, fully_read, &mut undelivered);
     within(FLUSH_TIMEOUT, flush).await;
     queue.take_ends(&mut undelivered);
-    if !fully_read && queue.shared.half_close_requested.load(Ordering::Relaxed) {
+    if sender_gone && queue.shared.half_close_requested.load(Ordering::Relaxed) {
         let _ = stream.shutdown(Shutdown::Write);
         within(HALF_CLOSE_TIMEOUT, read).await;
     }
--- a/crates/platform/tests/writer/fairness.rs
+++ b/crates/platform/tests/writer/fairness.rs
@@ -125,6 +125,23 @@
     assert_eq!(written, "");
 }
 
+/// Guards against messages of a peer that are dropped unread because writing to it has failed: a node
+/// that stops releases all its tasks and closes its connections.
+#[test]
+fn what_has_arrived_is_read_after_a_write_has_failed() {
+    const MESSAGES: usize = 50;
+    let tasks = corkspan_runtime::SharedExecutor::default();
+    let counts = Arc::new(AtomicU32::new(0));
+    let ((stream, peer), (sender, queue)) =
+        (connection_with_input(&[0; MESSAGES]), message_queue());
+    stream.shutdown(Shutdown::Write).expect("closed");
+    drop(peer);
+    assert!(sender.send(b"closed".to_vec()));
+    let carried = tasks.spawn(run_and_count(stream, queue, Arc::clone(&counts)));
+    future::block_on(tasks.run(carried));
+    assert_eq!(counts.load(Ordering::Relaxed) as usize, MESSAGES);
+}
+
 /// Guards against an end that is taken from the queue, and whose write then fails.
 #[test]
 fn a_task_end_whose_write_fails_is_returned() {
