Copy all undelivered ends to a connection as one message

Cause: each end was queued, encoded and written by itself for each connection; since ends that may be lost are sent again, there are more of them (a trace showed 104,000 copies in 5 s). Change: up to 16 KiB of ends are one message.

--- a/crates/cli/tests/program/mod.rs
+++ b/crates/cli/tests/program/mod.rs
@@ -24,25 +24,37 @@
 pub struct Program {
     #[allow(dead_code, reason = "used by the tests of limits only")]
     pub child: Child,
-    address: SocketAddr,
+    #[allow(dead_code, reason = "used by the soak only")]
+    pub address: SocketAddr,
     _dir: tempfile::TempDir,
 }
 
 impl Program {
     /// Starts the program, with further variables in its environment. The limit on descriptors is also
     /// that of the process.
+    #[allow(dead_code, reason = "the soak starts it with several nodes")]
     pub fn start(
         limits: Limits,
         feed: SocketAddr,
         nodes: usize,
         node: SocketAddr,
         environment: &[(&str, String)],
+    ) -> Program {
+        Program::start_nodes(limits, feed, &vec![node; nodes], environment)
+    }
+
+    /// Starts the program with a list of nodes at these addresses.
+    pub fn start_nodes(
+        limits: Limits,
+        feed: SocketAddr,
+        nodes: &[SocketAddr],
+        environment: &[(&str, String)],
     ) -> Program {
         let Limits { sockets, memory_mb } = limits;
         let dir = tempfile::tempdir().expect("a folder");
         let path = dir.path().join("node.json");
-        let members: Vec<String> = (1..=nodes)
-            .map(|number| {
+        let members: Vec<String> = std::iter::zip(1.., nodes)
+            .map(|(number, node)| {
                 format!(
                     r#"{{"id":"s-{number}","host_port":"{node}","locality":"east","flavor":"std","phase":"active"}}"#
                 )
@@ -60,8 +72,9 @@
         let mut child = Command::new("sh")
             .arg("-c")
             .arg(format!(
-                "ulimit -n {sockets}; exec {} platform",
-                env!("CARGO_BIN_EXE_corkspan")
+                "ulimit -n {sockets}; exec {} platform ${{SOAK_LOG:+--level debug}}",
+                std::env::var("SOAK_PROGRAM")
+                    .unwrap_or_else(|_| env!("CARGO_BIN_EXE_corkspan").into())
             ))
             .env("NODE_CONFIG", &path)
             .envs(environment.iter().map(|(name, value)| (name, value)))
@@ -80,7 +93,10 @@
             .trim_end_matches("\u{1b}[0m")
             .parse()
             .expect("an address");
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        std::thread::spawn(move || match std::env::var("SOAK_LOG") {
+            Ok(path) => std::io::copy(&mut log, &mut std::fs::File::create(path)?),
+            Err(_) => std::io::copy(&mut log, &mut std::io::sink()),
+        });
         Program {
             child,
             address,
@@ -88,6 +104,7 @@
         }
     }
 
+    #[allow(dead_code, reason = "the soak's clients connect by themselves")]
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).expect("connected");
         stream
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -54,6 +54,8 @@
 pub(super) const MAX_UNDELIVERED_ENDS: usize = MAX_RUNNING_TASKS;
 /// The maximum number of ends that are remembered of one client's connection.
 pub(super) const MAX_SENT_ENDS: usize = 1_024;
+/// Maximum bytes of the ends that are copied to a connection at once.
+pub(super) const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Time after which an end counts as read if its client then closes the connection in order. Clients
 /// keep a connection for 4 s after its last task.
 pub(super) const ORDERLY_CLOSE_DOUBT: Ticks = SECOND * 3;
--- a/crates/platform/src/core/replies.rs
+++ b/crates/platform/src/core/replies.rs
@@ -108,20 +108,25 @@
     }
 
     /// Sends the undelivered ends that a connection has not been sent yet, as far as there is room.
+    /// They are queued as one message: a crowd of clients that come back would otherwise cost a write
+    /// for each end on each connection.
     pub(super) fn copy_undelivered_ends_to(&mut self, id: ClientId) {
-        let mut room = self.room_of(id);
+        let room = self.room_of(id);
         let Some(client) = self.clients.get_mut(&id) else {
             return;
         };
-        while let Some((number, end)) = self.undelivered_ends.next_after(client.copied_ends) {
+        let (mut copies, mut last) = (Vec::new(), client.copied_ends);
+        while let Some((number, end)) = self.undelivered_ends.next_after(last) {
             let Some(bytes) = end.encode() else { return };
-            let needed = queued_bytes(bytes.len());
-            if needed > room || !client.sender.send_if_short(bytes) {
-                return;
+            if queued_bytes(copies.len() + bytes.len()) > room.min(MAX_COPIED_BYTES) {
+                break;
             }
-            room -= needed;
-            client.copied_ends = number;
-            debug!(task = task_key(end.task), to = ?id, "copied the end of a task");
+            copies.extend(bytes);
+            last = number;
+        }
+        if !copies.is_empty() && client.sender.send_if_short(copies) {
+            debug!(to = ?id, ?last, "copied the ends of tasks");
+            client.copied_ends = last;
         }
     }
 
--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -27,6 +27,9 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time within which the last messages must be written on a connection that is being closed.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time within which everything is read that has arrived on a connection before a write failed: that
+/// within which the end of a task must be reported. A busy process reads one message in each pass.
+const READ_OUT_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time within which the peer of a half-closed connection must close its side. Later messages could
 /// not be forwarded in time anyway.
 const HALF_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -317,8 +320,10 @@
     if let Some(WriteOutcome::Failed(end)) = written {
         undelivered.extend(end);
         // The peer may have closed the connection after its last messages, which must be read.
+        // Closing both sides leaves what has arrived to be read, and ends the input behind it.
         queue.receiver.close();
-        within(HALF_CLOSE_TIMEOUT, read.as_mut()).await;
+        let _ = stream.shutdown(Shutdown::Both);
+        within(READ_OUT_TIMEOUT, read.as_mut()).await;
     }
     let flush = queue.flush(&mut stream, fully_read, &mut undelivered);
     within(FLUSH_TIMEOUT, flush).await;
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -152,7 +152,11 @@
     for _ in 0..20 {
         assert!(handle.handle_client_message(client, &health_check()));
         assert!(queue.ended().is_none(), "the connection is kept");
-        copies += queue.take_all().len() - 1;
+        let mut reader = Reader::default();
+        queue.take_all().iter().for_each(|bytes| reader.push(bytes));
+        while let Some(message) = reader.next_message().expect("a valid message") {
+            copies += usize::from(message.message_type == MessageType::Release);
+        }
     }
     assert_eq!(copies, MAX_UNDELIVERED_ENDS, "all are sent in the end");
     let PlatformCore { engine, state } = &mut *handle.lock();
