Take a connection that fails here as one on which its node may still write

Callers: after ETIMEDOUT or EHOSTUNREACH on a connection to a node, a release that the node writes on it afterwards is not asked for again. Cause: every failed read counted as a close by the node, after which nothing more is written. No test fails without this change: the soak does provoke the errors, but its nodes close their side too.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -87,7 +87,8 @@
     NotAttempted,
     /// The connection was established, and then broke or was closed by the node.
     Broken,
-    /// The connection was established, and the dispatcher closed it while the node's side was open.
+    /// The connection was established, and the dispatcher closed it, or it failed here, while the
+    /// node's side was open.
     Closed,
 }
 
--- a/crates/platform/src/node_connection_task.rs
+++ b/crates/platform/src/node_connection_task.rs
@@ -106,6 +106,10 @@
                 ReadOutcome::Closed => return ReadProgress::Done,
                 ReadOutcome::Failed(kind) => {
                     debug!(?id, ?kind, "a connection to a node has failed");
+                    if kind != ErrorKind::ConnectionReset {
+                        // The node does not know that, and may still write on it.
+                        *end = ConnectionEnd::Closed;
+                    }
                     return ReadProgress::Done;
                 }
             },
