Measure the pause of the process in the soak

Cause: the limits on answers and on the time told to nodes grow by the pause, which was counted as drawn. Change: the time from before SIGSTOP until after SIGCONT counts.

--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -96,11 +96,12 @@
             signal(program, "-HUP");
         }
         if draws.one_in(3) && paused.is_zero() {
-            let pause = draws.milliseconds(MAX_PAUSE_MS);
+            // Starting `kill` takes its time beside a crowd, so the pause is measured.
+            let paused_at = Instant::now();
             signal(program, "-STOP");
-            std::thread::sleep(pause);
+            std::thread::sleep(draws.milliseconds(MAX_PAUSE_MS));
             signal(program, "-CONT");
-            paused += pause;
+            paused += paused_at.elapsed();
         }
     }
     paused
