Give an evicted connection time to free its descriptor

Cause: c. 1 ms after a failed accept the next was tried, also where the process has no descriptor left: each try closes a client's connection, whose descriptor is free only once its task has run. Evidence: passing_errors and shutdown of the command line pass; no test provokes EMFILE here.

--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -19,8 +19,10 @@
 /// Time for which a new connection waits for the descriptor of an evicted one, which may still have
 /// messages to write.
 const DESCRIPTOR_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time after which accepting is tried again that has failed for lack of resources.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(1);
+/// Time in which an evicted connection frees its descriptor.
+const EVICTION_DELAY: Duration = Duration::from_millis(20);
+/// Time after which accepting is tried again that has failed for lack of the system's resources.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Time within which the connections that the system has accepted are served before the listener is
 /// closed.
 const LAST_ACCEPT_TIMEOUT: Duration = Duration::from_millis(25);
@@ -107,17 +109,20 @@
     }
 }
 
-/// Handles a failure to accept a connection. Other connections are closed only where that helps.
+/// Handles a failure to accept a connection. Another one is closed only where that helps.
 async fn accept_failed(handle: &PlatformHandle, error: &std::io::Error) {
+    if matches!(
+        error.kind(),
+        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
+    ) {
+        debug!(%error, "a connection has ended before it was accepted");
+        return;
+    }
     warn!(%error, "can't accept a connection");
     if is_out_of_descriptors(error) {
         handle.evict_client();
-    }
-    let concerns_one_connection = matches!(
-        error.kind(),
-        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
-    );
-    if !concerns_one_connection {
+        Timer::after(EVICTION_DELAY).await;
+    } else {
         Timer::after(ACCEPT_RETRY_DELAY).await;
     }
 }
