--- a/crates/platform/src/writer.rs
+++ b/crates/platform/src/writer.rs
@@ -320,7 +320,8 @@
     if let Some(WriteOutcome::Failed(end)) = written {
         undelivered.extend(end);
         // The peer may have closed the connection after its last messages, which must be read.
-        // Closing both sides leaves what has arrived to be read, and ends the input behind it.
+        // Closing both sides leaves what has arrived to be read. A peer that goes on sending may still
+        // be read, until the timeout.
         queue.receiver.close();
         let _ = stream.shutdown(Shutdown::Both);
         within(READ_OUT_TIMEOUT, read.as_mut()).await;
