--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -5,7 +5,7 @@
 use corkspan_engine::ReturnedAttempt;
 use corkspan_platform_wire::node::AttributeValue;
 use corkspan_platform_wire::{client, parse_load_report};
-use tracing::debug;
+use tracing::{debug, trace};
 
 /// The connection, machine and task of a node's message.
 #[derive(Clone, Copy)]
@@ -178,7 +178,7 @@
             }
             (node::MessageType::Event, Some(matched)) if matched.stage != TaskStage::Pending => {
                 if let Some(metric) = parse_metric(&message) {
-                    debug!(
+                    trace!(
                         task = task_key(task),
                         ?machine,
                         ?metric,
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -123,15 +123,29 @@
         let task = set_up.task;
         debug!(task = task_key(task), ?from, node_name, "handed over");
         if self.undelivered_ends.contains(task) {
+            debug!(
+                task = task_key(task),
+                "a task that was handed over has ended before"
+            );
             // The task has ended while its client had no connection. Its end is copied to this one.
             return MessageValidity::Valid;
         }
         let Some(machine) = self.nodes.find(node_name) else {
+            debug!(
+                task = task_key(task),
+                node_name, "a task was handed over on a node that is not listed"
+            );
             // The node is gone, and the task with it.
             self.send_task_end(from, TaskEnd::new(task, AttemptResult::Reset));
             return MessageValidity::Valid;
         };
         if let Some(end) = self.early_end(task, machine) {
+            debug!(
+                task = task_key(task),
+                ?machine,
+                ?end,
+                "a task was handed over after its node had reported its end"
+            );
             // The node has reported the end on a connection that was opened for another task, and
             // does not report it again.
             self.send_task_end(from, end);
