Do not forward a request again whose node reports its end without an answer

Clients saw an answer whose task never ended. The decision is in policy/outcomes.rs now: the request is over, its client is told that it has failed, and its id is spent.

--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -46,9 +46,10 @@
             ReleaseCause::Rejected => AttemptResult::Rejected,
             ReleaseCause::Failed => AttemptResult::Error,
             ReleaseCause::NotSent => AttemptResult::NotSent,
-            ReleaseCause::Normal | ReleaseCause::Cancelled | ReleaseCause::Other => {
-                AttemptResult::Reset
-            }
+            // These follow an answer, so it was lost.
+            ReleaseCause::Normal => AttemptResult::Completed,
+            ReleaseCause::Cancelled => AttemptResult::Cancelled,
+            ReleaseCause::Other => AttemptResult::Reset,
         }
     }
 
--- a/crates/scheduler/src/policy/outcomes.rs
+++ b/crates/scheduler/src/policy/outcomes.rs
@@ -51,6 +51,9 @@
                 }
                 if finished {
                     NextStep::Done
+                } else if shows_end_after_placement(result, reason) {
+                    // The allocation is over, and must not be sent again.
+                    NextStep::Indeterminate
                 } else {
                     NextStep::Retry
                 }
@@ -149,3 +152,20 @@
         }
     }
 }
+
+/// Returns whether a result can only follow a placement: the machine has placed the allocation and ended
+/// it, even if its answer was lost.
+fn shows_end_after_placement(result: AttemptResult, reason: Option<ReturnReason>) -> bool {
+    match result {
+        AttemptResult::Completed | AttemptResult::Cancelled => true,
+        AttemptResult::Reset => matches!(
+            reason,
+            Some(ReturnReason::Evicted | ReturnReason::Preempted | ReturnReason::Migrated)
+        ),
+        AttemptResult::Error
+        | AttemptResult::Rejected
+        | AttemptResult::TimedOut
+        | AttemptResult::ConnectFailed
+        | AttemptResult::NotSent => false,
+    }
+}
