Keep a task that is handed over before the list names its node

Clients saw a task released that runs, and its end reached nobody. Cause: a hand-over whose node is not in the list was taken for a task on a node that is gone; the list is told late, and discovery may be down when a dispatcher starts. It waits for the list now, 7 s at the most (an end that no node reports is due 8 s after the hand-over), 1,024 at a time; a node that the list has told as gone within 10 s still ends it at once. A client's release in the meantime is passed on when the node is named. Also: a hand-over is not refused any more beside 256 open set-ups, it is not dropped without a word where too many tasks run, and a request of ours to stop the task that its node has not confirmed is not repeated once it is handed over. Hand-overs have a module of their own, core/hand_overs; set_ups is shorter by it. Evidence: the test in hand_overs failed before (released 0 s after the hand-over), passes now; the transcripts were recorded again: one release is no longer sent at once, and one node more is retained.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -32,6 +32,7 @@
 use unconfirmed_stops::UnconfirmedStops;
 use unconfirmed_tasks::UnconfirmedTasks;
 use undelivered_ends::{EndNumber, UndeliveredEnds};
+use unlisted_tasks::UnlistedTasks;
 
 #[cfg(test)]
 #[path = "../tests/core/addresses.rs"]
@@ -47,6 +48,7 @@
 mod clients;
 mod endpoint_list;
 mod engine_effects;
+mod hand_overs;
 mod health_checks;
 mod inputs;
 mod limits;
@@ -71,6 +73,7 @@
 mod unconfirmed_stops;
 mod unconfirmed_tasks;
 mod undelivered_ends;
+mod unlisted_tasks;
 
 /// The way in which a connection to a node ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -166,6 +169,7 @@
     undelivered_ends: UndeliveredEnds,
     spent_ids: SpentIds,
     unconfirmed_tasks: UnconfirmedTasks,
+    unlisted_tasks: UnlistedTasks,
     unconfirmed_stops: UnconfirmedStops,
     /// Ordered from the oldest to the newest.
     early_ends: VecDeque<EarlyEnd>,
@@ -236,6 +240,7 @@
                 undelivered_ends: UndeliveredEnds::default(),
                 spent_ids: SpentIds::default(),
                 unconfirmed_tasks: UnconfirmedTasks::default(),
+                unlisted_tasks: UnlistedTasks::default(),
                 unconfirmed_stops: UnconfirmedStops::default(),
                 early_ends: VecDeque::new(),
                 nodes: Nodes::default(),
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -1,7 +1,7 @@
 //! Reads and closes the connections of clients.
 
+use super::hand_overs::is_hand_over;
 use super::pending_task::task_key;
-use super::set_ups::is_hand_over;
 use super::*;
 use crate::memory_budget::MESSAGE_BYTES;
 use crate::writer::MessageSender;
@@ -293,6 +293,7 @@
             client.sent_ends.expire(now);
         }
         self.sweep_undelivered_ends(now);
+        self.end_unlisted_tasks(now);
         self.spent_ids.expire(now);
         self.sweep_node_connections(now);
         self.retry_stops(now);
--- a/crates/platform/src/core/endpoint_list.rs
+++ b/crates/platform/src/core/endpoint_list.rs
@@ -19,7 +19,7 @@
             .retain(|(_, timer)| *timer != Timer::Unreachable(machine));
         self.connections.forget_machine(machine);
         self.unconfirmed_stops.forget_machine(machine);
-        self.nodes.remove_node(machine);
+        self.nodes.remove_node(now, machine);
     }
 
     /// Moves the tasks that were written to a node's address after the next node had started there:
@@ -136,6 +136,7 @@
             info!(?machine, ?started, now, "a node has restarted");
             self.machine_restarted(now, engine, machine, started);
         }
+        self.take_over_listed_tasks(now, engine);
     }
 }
 
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -248,6 +248,7 @@
             + state.timers.len()
             + state.unanswered.len();
         let entries = entries + state.early_ends.len() + state.unconfirmed_tasks.len();
+        let entries = entries + state.unlisted_tasks.len();
         let sent_ends = state.clients.values().map(|client| client.sent_ends.len());
         let entries = entries + sent_ends.sum::<usize>();
         let entries = entries + state.spent_ids.len() + state.unconfirmed_stops.len();
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -44,6 +44,11 @@
 pub(super) const UNREACHED_GRACE: Ticks = SECOND;
 /// Time by which the hand-over of a running task may be late: by the protocol it counts that much later.
 pub(super) const HAND_OVER_TRANSIT: Ticks = SECOND / 5;
+/// Time for which a task that was handed over waits for the list to name its node. Beyond it, the end of
+/// a task that is gone with its node could not be reported in time.
+pub(super) const UNLISTED_NODE_TIMEOUT: Ticks = END_REPORT_LIMIT - SECOND;
+/// The maximum number of tasks that wait for the list to name their node.
+pub(super) const MAX_UNLISTED_TASKS: usize = 1_024;
 /// Maximum number of remembered ends of unknown tasks. After a start, such a task may be handed
 /// over shortly after its node reports its end.
 pub(super) const MAX_EARLY_ENDS: usize = 1_024;
--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -36,7 +36,7 @@
     }
 
     /// Requests a node to end a task, and again until it confirms.
-    fn request_stop(
+    pub(super) fn request_stop(
         &mut self,
         now: Ticks,
         machine: MachineId,
@@ -158,7 +158,8 @@
     }
 
     /// Handles the end of a running task, and notifies its client unless the client ended the task
-    /// or was requested to migrate it.
+    /// or was requested to migrate it. A node may cancel a task that neither has ended here: it carries
+    /// out what was requested of it before the task was handed over.
     pub(super) fn task_ended(
         &mut self,
         now: Ticks,
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -1,7 +1,8 @@
 //! Handles the set-ups and releases of clients.
 
 use super::client_connections::MessageValidity;
-use super::pending_task::{ActiveAttempt, PendingTask, TaskStage, task_key};
+use super::hand_overs::HandOver;
+use super::pending_task::{PendingTask, TaskStage, task_key};
 use super::*;
 use corkspan_engine::{AllocationRequest, ReturnedAttempt, service_id};
 use corkspan_platform_wire::InvalidField;
@@ -42,10 +43,9 @@
         let task = message.task;
         let exists = engine.find(&task_key(task)).is_some();
         let client = self.clients.get(&from);
-        let open = client.map_or(0, |client| client.open_set_ups.len());
         let is_open_here = client.is_some_and(|client| client.open_set_ups.contains(&task));
         let parsed = SetUp::try_from(message).map_err(RequestError::from);
-        let (mut set_up, request) = match parsed.and_then(|set_up| {
+        let (set_up, request) = match parsed.and_then(|set_up| {
             let request = self.to_request(now, &set_up)?;
             Ok((set_up, request))
         }) {
@@ -73,22 +73,30 @@
         if exists {
             return self.reject_set_up(from, task, client::CAUSE_FAILED, exists);
         }
-        if set_up.running_on.is_none() && self.spent_ids.contains(task) {
-            debug!(
-                task = task_key(task),
-                "rejecting a set-up whose id may have run"
-            );
-            self.send_release(from, task, client::CAUSE_FAILED);
-            return MessageValidity::Unusable;
-        }
-        if open >= MAX_SET_UPS_PER_CONNECTION || self.stopping && set_up.running_on.is_none() {
-            self.send_release(from, task, client::CAUSE_REJECTED);
-            return MessageValidity::Unusable;
-        }
-        match set_up.running_on.take() {
-            Some(node) => self.take_over_running_task(now, engine, from, set_up, request, &node),
-            None => self.admit_new_task(now, engine, from, set_up, request),
+        if set_up.running_on.is_some() {
+            return self.accept_hand_over(now, engine, from, set_up, request);
         }
+        self.accept_new_task(now, engine, from, set_up, request)
+    }
+
+    /// Takes over the running task of a set-up that names its node.
+    fn accept_hand_over(
+        &mut self,
+        now: Ticks,
+        engine: &mut Engine<PendingTask>,
+        from: ClientId,
+        mut set_up: SetUp,
+        request: AllocationRequest,
+    ) -> MessageValidity {
+        let hand_over = HandOver {
+            from,
+            node_name: set_up.running_on.take().unwrap_or_default(),
+            set_up,
+            request,
+            received_at: now,
+        };
+        self.take_over_running_task(now, engine, hand_over);
+        MessageValidity::Valid
     }
 
     /// Rejects a set-up. `exists` is true if another connection has a task with its id.
@@ -110,85 +118,31 @@
         MessageValidity::Unusable
     }
 
-    /// Takes over a running task that another process has set up.
-    fn take_over_running_task(
+    /// Admits a new task, unless its id may have run or its connection has too many open set-ups.
+    fn accept_new_task(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
         from: ClientId,
         set_up: SetUp,
         request: AllocationRequest,
-        node_name: &str,
     ) -> MessageValidity {
         let task = set_up.task;
-        debug!(task = task_key(task), ?from, node_name, "handed over");
-        if self.undelivered_ends.contains(task) {
-            debug!(
-                task = task_key(task),
-                "a task that was handed over has ended before"
-            );
-            // The task has ended while its client had no connection. Its end is copied to this one.
-            return MessageValidity::Valid;
-        }
-        let Some(machine) = self.nodes.find(node_name) else {
+        if self.spent_ids.contains(task) {
             debug!(
                 task = task_key(task),
-                node_name, "a task was handed over on a node that is not listed"
-            );
-            // The node is gone, and the task with it.
-            self.send_task_end(from, TaskEnd::new(task, AttemptResult::Reset));
-            return MessageValidity::Valid;
-        };
-        if let Some(end) = self.early_end(task, machine) {
-            debug!(
-                task = task_key(task),
-                ?machine,
-                ?end,
-                "a task was handed over after its node had reported its end"
+                "rejecting a set-up whose id may have run"
             );
-            // The node has reported the end on a connection that was opened for another task, and
-            // does not report it again.
-            self.send_task_end(from, end);
-            return MessageValidity::Valid;
-        }
-        let mut pending = PendingTask::new(from, set_up, now);
-        pending.stage = TaskStage::Running;
-        pending.unconfirmed = true;
-        pending.release_content();
-        pending.active = Some(ActiveAttempt {
-            number: 0,
-            machine,
-            connection: None,
-            sent_at: now,
-            deadline: Ticks::MAX,
-            started: true,
-        });
-        self.make_room_for_running_task(now, engine);
-        if let Ok(id) = engine.admit_running(now, &task_key(task), request, machine, pending) {
-            self.nodes.add_task(machine, id);
-            self.unconfirmed_tasks.add(from, id);
-            self.clients
-                .get_mut(&from)
-                .into_iter()
-                .for_each(|client| client.running += 1);
-            if self.connections.available_to(machine).is_empty() {
-                self.open_connection(machine, Eviction::SpareOnly);
-            }
-        }
-        MessageValidity::Valid
-    }
-
-    /// Gives up the oldest unconfirmed task of the connection that has handed over the most, if there
-    /// are as many tasks as may be taken over.
-    fn make_room_for_running_task(&mut self, now: Ticks, engine: &mut Engine<PendingTask>) {
-        let running = engine.tracked().saturating_sub(self.unanswered.len());
-        if running < MAX_RUNNING_TASKS {
-            return;
+            self.send_release(from, task, client::CAUSE_FAILED);
+            return MessageValidity::Unusable;
         }
-        if let Some(id) = self.unconfirmed_tasks.oldest_of_largest() {
-            debug!(?id, "giving up a task that its node has not confirmed");
-            self.task_ended(now, engine, id, AttemptResult::Reset, None, None);
+        let client = self.clients.get(&from);
+        let open = client.map_or(0, |client| client.open_set_ups.len());
+        if open >= MAX_SET_UPS_PER_CONNECTION || self.stopping {
+            self.send_release(from, task, client::CAUSE_REJECTED);
+            return MessageValidity::Unusable;
         }
+        self.admit_new_task(now, engine, from, set_up, request)
     }
 
     /// Admits a new task and requests its placement.
@@ -293,8 +247,9 @@
         from: ClientId,
         message: &Message,
     ) -> bool {
+        let cause = message.cause().unwrap_or(client::CAUSE_NORMAL);
         let Some(id) = engine.find(&task_key(message.task)) else {
-            return false;
+            return self.unlisted_tasks.release(message.task, cause);
         };
         let Some((pending, _)) = engine.data_mut(id) else {
             return false;
@@ -315,7 +270,7 @@
                     ?from,
                     "released by its client"
                 );
-                let cause = u32::from(message.cause().unwrap_or(client::CAUSE_NORMAL));
+                let cause = u32::from(cause);
                 self.record_task_end(pending);
                 let active = pending.active;
                 self.stop_task(now, id, message.task, active, cause);
@@ -362,11 +317,6 @@
     }
 }
 
-/// Returns whether a set-up hands over a running task.
-pub(super) fn is_hand_over(message: &Message) -> bool {
-    SetUp::try_from(message).is_ok_and(|set_up| set_up.running_on.is_some())
-}
-
 /// Returns whether a node may have run the task of an open set-up.
 fn may_have_run(pending: &PendingTask, allocation: &Allocation) -> bool {
     let mut attempts = allocation.attempts.iter();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod effects;
 mod errors;
+mod gone_nodes;
 mod handle;
 mod ids;
 mod listener;
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -1,5 +1,6 @@
 //! Records the nodes by name and address, and the tasks that run on them.
 
+use crate::gone_nodes::GoneNodes;
 use crate::start_times::{StartTime, StartTimes};
 use corkspan_platform_wire::discovery::{self, NodeEntry, NodeList, Phase};
 use corkspan_scheduler::interface::*;
@@ -50,6 +51,7 @@
     /// The nodes whose address another one has taken, and that the list has not told as gone yet,
     /// each with the entry that it must not come back with.
     replaced: BTreeMap<MachineId, ReplacedEntry>,
+    gone: GoneNodes,
     start_times: StartTimes,
 }
 
@@ -113,6 +115,12 @@
             .map(|_| id)
     }
 
+    /// Returns whether the node with this name has been listed and is gone.
+    pub fn is_gone(&self, name: &str) -> bool {
+        let id = machine_id(name);
+        !self.nodes.contains_key(&id) && self.gone.contains(id)
+    }
+
     /// Returns the address on which a node listens.
     pub fn address(&self, machine: MachineId) -> Option<SocketAddr> {
         self.nodes.get(&machine).map(|node| node.address)
@@ -319,12 +327,13 @@
     /// Returns the number of nodes and tasks, for tests of retained state.
     pub fn retained_items(&self) -> usize {
         let nodes = self.nodes.values().map(|node| 1 + node.tasks.len());
-        nodes.sum::<usize>() + self.replaced.len()
+        nodes.sum::<usize>() + self.replaced.len() + self.gone.len()
     }
 
     /// Removes a node that is gone.
-    pub fn remove_node(&mut self, machine: MachineId) {
+    pub fn remove_node(&mut self, now: Ticks, machine: MachineId) {
         self.nodes.remove(&machine);
+        self.gone.add(now, machine);
     }
 
     fn to_endpoint(
