Report the end of a handed-over task that its node cancels

Clients were told nothing of a task's end. Cause: a release with cause 31 counted as the end that the client had asked for, whatever stood here. A node also sends it when it carries out late what was requested before the task was handed over: the withdrawal of a set-up, or a move by the process before. The task still runs here then, and its client waits; it is told that the task was interrupted.

--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -179,7 +179,7 @@
         self.unconfirmed_tasks.remove(to, id);
         self.timers.retain(|(_, timer)| *timer != Timer::Stop(id));
         debug!(task = task_key(task), machine = ?active.machine, ending = ?result, ?reason, "task ended");
-        if self.record_task_end(pending) && result != AttemptResult::Cancelled {
+        if self.record_task_end(pending) {
             self.send_task_end(to, TaskEnd::new(task, result));
         }
         self.nodes.remove_task(active.machine, id);
