Do not write a further attempt after an earlier one's node has reported the end

Related to the lost answers: an attempt breaks with its answer unread, the next one waits for its connection, and in between the first node reports on another connection that the task has come to its end, or was killed, displaced or dismissed. That was kept as the end of an unknown task, and the next attempt was written. Whether the request is over is decided beside the other outcomes (policy/outcomes.rs); its client is told that it has failed. A release with cause 31 does not count, since it also confirms a withdrawal of ours.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -137,6 +137,25 @@
         true
     }
 
+    /// Returns whether an allocation whose client waits for an answer is over, since a machine to which
+    /// an earlier attempt was sent reports its end only now.
+    pub fn is_over_after_late_end(
+        &self,
+        id: AllocationId,
+        machine: MachineId,
+        result: AttemptResult,
+        reason: Option<ReturnReason>,
+    ) -> bool {
+        let waiting = self
+            .tracked
+            .get(&id)
+            .filter(|tracked| tracked.awaits_answer());
+        waiting.is_some_and(|tracked| {
+            self.scheduler
+                .is_over_after_late_end(&tracked.allocation, machine, result, reason)
+        })
+    }
+
     /// Stops the engine. Each allocation whose client waits for an answer gets one now, or once its
     /// pending attempt has returned.
     pub fn stop(&mut self, now: Ticks, effects: &mut impl Effects<T>) {
--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -267,8 +267,13 @@
             id, active, stage, ..
         }) = matched
         else {
-            let end = TaskEnd::new(task, release_cause.task_result());
-            return self.remember_early_end(now, machine, end);
+            let result = release_cause.task_result();
+            if let Some(id) = engine.find(&task_key(task))
+                && engine.is_over_after_late_end(id, machine, result, reason)
+            {
+                return self.fail_over_request(now, engine, id);
+            }
+            return self.remember_early_end(now, machine, TaskEnd::new(task, result));
         };
         if stage != TaskStage::Pending {
             let result = release_cause.task_result();
@@ -300,6 +305,22 @@
     }
 }
 
+impl PlatformState {
+    /// Answers a request that is over although its client has no answer, and withdraws its attempt.
+    fn fail_over_request(
+        &mut self,
+        now: Ticks,
+        engine: &mut Engine<PendingTask>,
+        id: AllocationId,
+    ) {
+        let Some((pending, _)) = engine.data_mut(id) else {
+            return;
+        };
+        self.send_release(pending.client, pending.task, client::CAUSE_FAILED);
+        self.cancel(now, engine, id);
+    }
+}
+
 fn parse_metric(message: &node::Message) -> Option<Metric> {
     let value = message.attribute("value").and_then(AttributeValue::number);
     Some(
--- a/crates/platform/tests/core/races.rs
+++ b/crates/platform/tests/core/races.rs
@@ -2,7 +2,7 @@
 //! read and write are not run; each call represents the moment at which one of them runs.
 
 use super::bounds::{CONFIG, handle_with_config, node_json, set_up};
-use super::pending_task::task_key;
+use super::pending_task::{ActiveAttempt, task_key};
 use super::*;
 use crate::handle::PlatformHandle;
 use async_lock::Semaphore;
@@ -483,3 +483,63 @@
     let rejection = client::encode(MessageType::Release, 7, &[(client::CAUSE, &cause)]);
     assert_eq!(queue.take_all(), [rejection.expect("short")]);
 }
+
+/// Guards against a request that is forwarded after its end: its first attempt broke with the answer
+/// unread, and its node reports its end before the next attempt is written.
+#[test_case(16, None, false; "it has come to its end")]
+#[test_case(41, Some("displaced"), false; "it was displaced")]
+#[test_case(41, None, true; "its set up broke")]
+#[test_case(31, None, true; "it was withdrawn")]
+fn an_end_that_is_reported_after_the_attempt_broke_ends_the_request(
+    cause: u32,
+    note: Option<&str>,
+    is_forwarded: bool,
+) {
+    const TASK: u64 = 7;
+    let handle = handle_with_config(CONFIG);
+    let event = format!(
+        r#"{{"n":1,"members":{{"members":[{},{}]}}}}"#,
+        node_json(1, "active"),
+        node_json(2, "active")
+    );
+    handle.apply_event(serde_json::from_str(&event).expect("an event"));
+    let (_client, queue, _peer) = connect_client(&handle, TASK);
+    while handle.run_turn() {}
+    let allocation = handle.lock().engine.find(&task_key(TASK)).expect("known");
+    let active_attempt = || {
+        let engine = &mut handle.lock().engine;
+        let (pending, _) = engine.data_mut(allocation).expect("waits");
+        pending.active.expect("an attempt")
+    };
+    let ActiveAttempt {
+        machine,
+        connection,
+        ..
+    } = active_attempt();
+    let first = connection.expect("chosen");
+    handle.connection_established(first);
+    let attempt = |number| AttemptId { allocation, number };
+    assert!(handle.may_write_set_up(first, attempt(0)));
+    handle.connection_ended(first, ConnectionEnd::Broken);
+    while handle.run_turn() {}
+    let next = active_attempt().connection.expect("chosen");
+    let other = handle.with_core(|core, now| {
+        let PlatformCore { engine, state } = core;
+        let other = state.open_connection(machine, Eviction::Any);
+        let other = other.expect("there is room");
+        state.connection_established(now, engine, other);
+        other
+    });
+    let mut release = node::Message::new(node::MessageType::Close, TASK).with_cause(cause);
+    if let Some(note) = note {
+        let note = AttributeValue::Text(note.into());
+        release.attributes.insert("note".into(), note);
+    }
+    assert!(handle.handle_node_message(other, release));
+    handle.connection_established(next);
+    assert_eq!(handle.may_write_set_up(next, attempt(1)), is_forwarded);
+    let cause = [client::CAUSE_FAILED];
+    let failed = client::encode(MessageType::Release, TASK, &[(client::CAUSE, &cause)]);
+    let answers = queue.take_all();
+    assert_eq!(answers.contains(&failed.expect("short")), !is_forwarded);
+}
--- a/crates/scheduler/src/policy/outcomes.rs
+++ b/crates/scheduler/src/policy/outcomes.rs
@@ -61,6 +61,21 @@
         }
     }
 
+    /// Decides whether an unplaced allocation is over, since the machine of an attempt that has already
+    /// returned reports its end. A machine also reports as cancelled what it was asked to cancel.
+    pub fn is_over_after_late_end(
+        &self,
+        allocation: &Allocation,
+        machine: MachineId,
+        result: AttemptResult,
+        reason: Option<ReturnReason>,
+    ) -> bool {
+        let mut attempts = allocation.attempts.iter();
+        attempts.any(|attempt| attempt.machine == machine)
+            && result != AttemptResult::Cancelled
+            && shows_end_after_placement(result, reason)
+    }
+
     /// Records that the machine has placed the allocation.
     fn record_placed(
         &mut self,
