Let the nodes of the soak lose answers, and check attempts after an end

One answer of ten is lost while the faults last; an attempt that begins after its node has reported the end of the request is a violation, but for 50 ms and the pauses of the process.

--- a/crates/cli/tests/soak/nodes.rs
+++ b/crates/cli/tests/soak/nodes.rs
@@ -1,4 +1,4 @@
-//! Nodes that place every task, end it after a while, and reset connections.
+//! Nodes that place every task, end it after a while, lose answers and reset connections.
 
 use crate::draws::Draws;
 use crate::records::Records;
@@ -17,6 +17,8 @@
 const MAX_LIFE_MS: u64 = 1_500;
 /// One tick of so many resets a connection.
 const TICKS_PER_RESET: u64 = 60;
+/// One answer of so many is lost on its way.
+const ANSWERS_PER_LOST: u64 = 10;
 const CAUSE_NORMAL: u32 = 16;
 
 struct Task {
@@ -79,7 +81,9 @@
             };
             let mut answer = Message::new(MessageType::Ready, id);
             answer.text = Some("made".into());
-            self.send(task.connection, &answer);
+            if !has_faults || !draws.one_in(ANSWERS_PER_LOST) {
+                self.send(task.connection, &answer);
+            }
             let due_at = now + draws.milliseconds(MAX_LIFE_MS);
             self.running.insert(id, Task { due_at, ..task });
         }
@@ -93,7 +97,10 @@
             let Some(task) = self.running.remove(&id) else {
                 continue;
             };
-            records.update(id, |request| request.ended_at = Some(now));
+            records.update(id, |request| {
+                request.ended_at = Some(now);
+                request.completed_at = Some(now);
+            });
             self.send_end(id, task.connection);
         }
         if has_faults && draws.one_in(TICKS_PER_RESET) && !self.connections.is_empty() {
--- a/crates/cli/tests/soak/records.rs
+++ b/crates/cli/tests/soak/records.rs
@@ -43,6 +43,8 @@
     /// When its node released the task, or died.
     pub ended_at: Option<Instant>,
     pub released_at: Option<Instant>,
+    /// When its node reported its end, unless an attempt has followed.
+    pub completed_at: Option<Instant>,
 }
 
 /// All requests of a run, by id.
@@ -53,6 +55,8 @@
     violations: Mutex<Vec<String>>,
     /// The attempts that began while their client was there, with what they exceed.
     attempts: Mutex<Vec<(u64, Duration)>>,
+    /// The first attempts after the end of their task, with the time since then.
+    attempts_after_end: Mutex<Vec<(u64, Duration)>>,
 }
 
 impl Records {
@@ -73,6 +77,7 @@
             handed_over_at: None,
             ended_at: None,
             released_at: None,
+            completed_at: None,
         };
         self.lock().insert(task, request);
     }
@@ -96,10 +101,14 @@
 
     /// Records the arrival of a set-up at a node.
     pub fn attempt(&self, task: u64, left: Duration) {
-        let requests = self.lock();
-        let Some(request) = requests.get(&task) else {
+        let mut requests = self.lock();
+        let Some(request) = requests.get_mut(&task) else {
             return;
         };
+        if let Some(completed_at) = request.completed_at.take() {
+            let mut attempts = self.attempts_after_end.lock().expect("no panic");
+            attempts.push((task, completed_at.elapsed()));
+        }
         if let Some(late) = request.given_up_at.map(|at| at.elapsed())
             && late > DEPARTURE_SLACK
         {
@@ -165,10 +174,20 @@
     /// Returns the violations of a run in which the process was paused for this time.
     pub fn violations(&self, paused: Duration) -> Vec<String> {
         let mut violations = self.late_attempts(paused);
+        violations.extend(self.forwarded_after_end(paused));
         violations.extend(self.bad_answers(paused));
         violations
     }
 
+    #[allow(dead_code, reason = "used where nodes are not replaced")]
+    /// Returns the requests that were forwarded again although their node had reported their end.
+    fn forwarded_after_end(&self, paused: Duration) -> Vec<String> {
+        let attempts = self.attempts_after_end.lock().expect("no panic");
+        let late = attempts.iter().filter(|(_, late)| *late > TRANSIT + paused);
+        late.map(|(task, late)| format!("{task:016x}: an attempt began {late:?} after its end"))
+            .collect()
+    }
+
     #[allow(dead_code, reason = "used where nodes are not replaced")]
     /// Returns the attempts that began too late, or whose nodes were told too much time.
     fn late_attempts(&self, paused: Duration) -> Vec<String> {
