--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -268,12 +268,7 @@
         }) = matched
         else {
             let result = release_cause.task_result();
-            if let Some(id) = engine.find(&task_key(task))
-                && engine.is_over_after_late_end(id, machine, result, reason)
-            {
-                return self.fail_over_request(now, engine, id);
-            }
-            return self.remember_early_end(now, machine, TaskEnd::new(task, result));
+            return self.handle_unmatched_end(now, engine, origin, result, reason);
         };
         if stage != TaskStage::Pending {
             let result = release_cause.task_result();
@@ -306,17 +301,26 @@
 }
 
 impl PlatformState {
-    /// Answers a request that is over although its client has no answer, and withdraws its attempt.
-    fn fail_over_request(
+    /// Handles the end of a task that is unknown, or that its node has of an attempt that had returned.
+    fn handle_unmatched_end(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
-        id: AllocationId,
+        origin: MessageOrigin,
+        result: AttemptResult,
+        reason: Option<ReturnReason>,
     ) {
-        let Some((pending, _)) = engine.data_mut(id) else {
-            return;
+        let MessageOrigin { machine, task, .. } = origin;
+        let over = engine
+            .find(&task_key(task))
+            .filter(|&id| engine.is_over_after_late_end(id, machine, result, reason));
+        let Some(id) = over else {
+            return self.remember_early_end(now, machine, TaskEnd::new(task, result));
         };
-        self.send_release(pending.client, pending.task, client::CAUSE_FAILED);
+        if let Some((pending, _)) = engine.data_mut(id) {
+            let to = pending.client;
+            self.send_release(to, task, client::CAUSE_FAILED);
+        }
         self.cancel(now, engine, id);
     }
 }
