Do not take a node's message for one about an attempt that was never written

Clients were not told of an end in time. Cause: an attempt whose client had sent much else was taken back before its first byte, and its connection still counted as one that had carried it. The task was placed on a second connection to the same node, which idled out; its node then released it on the first one, as the protocol has it, and that was ignored as a message about the earlier attempt. An attempt that has ended unwritten does not mark its connection any more, and the next one may use it. It takes a start beside hand-overs: hence after a kill, and seconds later.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -37,6 +37,7 @@
         if !is_read {
             let (active, task) = (*active, pending.task);
             pending.active = None;
+            pending.forget_unwritten(active);
             self.withdraw(attempt.allocation, active, task);
             self.deferred.push_back(DeferredEvent::Returned(
                 attempt.allocation,
@@ -116,6 +117,7 @@
             return;
         };
         pending.active = None;
+        pending.forget_unwritten(active);
         let task = pending.task;
         self.withdraw(id, active, task);
         let result = if active.started {
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -61,8 +61,8 @@
     pub(super) unconfirmed: bool,
     pub(super) stage: TaskStage,
     pub(super) active: Option<ActiveAttempt>,
-    /// The connections on which attempts were sent. A node's messages name the task and not the
-    /// attempt, so no two attempts at a task may use the same connection.
+    /// The connections on which attempts were written, or may still be. A node's messages name the task
+    /// and not the attempt, so no two attempts at a task may use the same connection.
     pub(super) used_connections: Vec<ConnectionId>,
     /// The attempts that the node itself has ended, each on one of these connections.
     pub(super) ended_attempts: Vec<EndedAttempt>,
@@ -150,6 +150,15 @@
         }
     }
 
+    /// Records that an attempt has ended before anything of it was written. The node knows nothing of it, so
+    /// what it reports on that connection can't be about it.
+    pub(super) fn forget_unwritten(&mut self, attempt: ActiveAttempt) {
+        if !attempt.started {
+            self.used_connections
+                .retain(|&used| attempt.connection != Some(used));
+        }
+    }
+
     /// Records that the node itself has ended the active attempt.
     pub(super) fn end_attempt(&mut self, connection: ConnectionId, cause: u32) {
         self.active = None;
