Take a connection for silent until something arrives after a withdrawn attempt

Clients were not told of an end: a node's connection falls silent (an answer is lost, and nothing comes after it), the client of the unanswered set-up gives up before the attempt times out, and the connection counted as idle and in order. The next set-up went there as well, and no further connection was opened, on which the node would repeat the releases that it wrote on the silent one. A withdrawn attempt leaves its connection silent now until something arrives; no further set-up is sent on it, and after 3 s another connection is opened, as for an attempt that times out. Evidence: the new case of a_release_written_on_a_spoilt_connection_arrives_on_the_next failed before ('no further connection' within 8.05 s), passes now.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -73,9 +73,11 @@
         self.timers
             .remove(&(active.deadline, Timer::Attempt(id, active.number)));
         if let Some(connection) = active.connection {
-            self.connections.attempt_finished(connection, id, self.now);
             if active.started {
+                self.connections.attempt_withdrawn(connection, id, self.now);
                 self.send_close(connection, task);
+            } else {
+                self.connections.attempt_finished(connection, id, self.now);
             }
         }
     }
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -203,7 +203,7 @@
     }
 
     /// Returns an established connection without open attempts, so that no other attempt fails with
-    /// the next one if the connection breaks.
+    /// the next one if the connection breaks, and without an attempt that was never answered.
     pub fn find_idle(
         &self,
         machine: MachineId,
@@ -216,8 +216,8 @@
             .filter(|id| !except.contains(id));
         let connections = others.map(|id| (id, &self.connections[&id]));
         let free = connections.filter(|(_, connection)| {
-            connection.established
-                && connection.open_attempts.is_empty()
+            connection.is_of_use()
+                && connection.silent_since.is_none()
                 && connection.last_used_at + self.idle_timeout > now
         });
         free.max_by_key(|(_, connection)| connection.last_used_at)
@@ -246,12 +246,21 @@
         }
     }
 
-    /// Records that an attempt on a connection has returned.
+    /// Records that an attempt that was written on a connection has been withdrawn. Its node may not have
+    /// answered because the connection is of no more use, so it counts as silent until something arrives.
+    pub fn attempt_withdrawn(&mut self, id: ConnectionId, allocation: AllocationId, now: Ticks) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.open_attempts.remove(&allocation);
+            connection.last_used_at = now;
+        }
+    }
+
+    /// Records that a node has answered an attempt on a connection, or that it was never written.
     pub fn attempt_finished(&mut self, id: ConnectionId, allocation: AllocationId, now: Ticks) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.open_attempts.remove(&allocation);
             connection.last_used_at = now;
-            if connection.is_idle() && connection.draining_since.is_none() {
+            if connection.is_of_use() {
                 connection.silent_since = None;
             }
         }
@@ -317,7 +326,11 @@
                 .or_else(|| self.reading_out.get(&id).copied());
         };
         connection.last_used_at = now;
-        connection.silent_since = connection.silent_since.map(|_| now);
+        connection.silent_since = if connection.is_of_use() {
+            None
+        } else {
+            connection.silent_since.map(|_| now)
+        };
         self.last_message_at.insert(connection.machine, now);
         Some(connection.machine)
     }
--- a/crates/platform/src/node_connections/closing.rs
+++ b/crates/platform/src/node_connections/closing.rs
@@ -204,7 +204,8 @@
         Some(connection)
     }
 
-    /// Requests further connections to the machines of connections that may be of no more use.
+    /// Requests further connections to the machines of connections that may be of no more use. No further
+    /// set-up is sent on those whose set-ups were withdrawn.
     pub fn check_unanswered(&mut self, now: Ticks) {
         let mut silent = Vec::new();
         for connection in self.connections.values_mut() {
@@ -212,6 +213,9 @@
             if since.is_some_and(|since| since + UNANSWERED_TIMEOUT <= now) {
                 connection.silent_since = Some(now);
                 silent.push(connection.machine);
+                if connection.is_of_use() {
+                    connection.draining_since = Some(now);
+                }
             }
         }
         for machine in silent {
--- a/crates/platform/src/node_connections/connection.rs
+++ b/crates/platform/src/node_connections/connection.rs
@@ -11,8 +11,8 @@
     pub(super) established: bool,
     /// The time since when no further set-up may be sent on the connection.
     pub(super) draining_since: Option<Ticks>,
-    /// The time since when nothing has arrived, if a set-up is unanswered or the connection is
-    /// draining.
+    /// The time since when nothing has arrived, if a set-up is unanswered, also one that was withdrawn,
+    /// or the connection is draining.
     pub(super) silent_since: Option<Ticks>,
     /// Whether the connection was only opened to see whether its machine is alive, and has carried
     /// no set-up yet.
@@ -22,6 +22,11 @@
 }
 
 impl NodeConnection {
+    /// Returns whether the connection is idle, and further set-ups may be sent on it.
+    pub(super) fn is_of_use(&self) -> bool {
+        self.is_idle() && self.draining_since.is_none()
+    }
+
     /// Returns whether no message that the dispatcher waits for is pending on the connection.
     pub(super) fn is_idle(&self) -> bool {
         self.established && self.open_attempts.is_empty()
--- a/crates/platform/tests/releases/mod.rs
+++ b/crates/platform/tests/releases/mod.rs
@@ -2,7 +2,7 @@
 //! wrote it was of no more use. A node writes it again on the next connection that is opened to it.
 
 use crate::harness::*;
-use corkspan_platform_wire::client::{MessageType, TIME_LEFT};
+use corkspan_platform_wire::client::{self, MessageType, TIME_LEFT};
 use corkspan_platform_wire::node::{self, AttributeValue};
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -90,6 +90,8 @@
     StopsShort,
     /// The answer never arrives, and nothing else does.
     FallsSilent,
+    /// Nothing arrives, and the client gives the set-up up before the attempt times out.
+    FallsSilentAndClientGivesUp,
     /// The answer can't be read.
     Unreadable,
     /// The connection is reset.
@@ -102,15 +104,20 @@
 #[test_case(Spoilt::StopsShort, b"1000")]
 #[test_case(Spoilt::FallsSilent, b"1000")]
 #[test_case(Spoilt::FallsSilent, b"20000"; "long before the attempt's timeout")]
+#[test_case(Spoilt::FallsSilentAndClientGivesUp, b"20000")]
 #[test_case(Spoilt::Unreadable, b"6000")]
 #[test_case(Spoilt::Broken, b"6000")]
 fn a_release_written_on_a_spoilt_connection_arrives_on_the_next(spoilt: Spoilt, time_left: &[u8]) {
     let mut node = TwoConnections::new(time_left);
     let since = Instant::now();
-    let TwoConnections { first, .. } = &mut node;
+    let TwoConnections { first, client, .. } = &mut node;
     match spoilt {
         Spoilt::StopsShort => first.send_bytes(b"{\"msg\":\"ready\",\"sid\":\"00"),
         Spoilt::FallsSilent => {}
+        Spoilt::FallsSilentAndClientGivesUp => {
+            let cause = [(client::CAUSE, &[client::CAUSE_NORMAL][..])];
+            client.send(MessageType::Release, 9, &cause);
+        }
         Spoilt::Unreadable => first.send_bytes(b"{\"msg\":[\n"),
         Spoilt::Broken => first.shut_down(),
     }
