--- a/crates/cli/tests/churn/main.rs
+++ b/crates/cli/tests/churn/main.rs
@@ -29,7 +29,6 @@
 use program::{Limits, Program};
 use records::Records;
 use std::net::SocketAddr;
-use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -67,16 +66,10 @@
     }
 }
 
-fn signal(program: &Program, name: &str) {
-    let id = program.child.id().to_string();
-    let status = Command::new("kill").args([name, &id]).status();
-    assert!(status.expect("kill starts").success());
-}
-
 /// Returns whether the program ends by itself before it would be killed.
 fn stops_in_time(program: &mut Program) -> bool {
     let stopped_at = Instant::now();
-    signal(program, "-TERM");
+    program.signal("-TERM");
     while stopped_at.elapsed() < KILLED_AFTER {
         if let Some(status) = program.child.try_wait().expect("a child") {
             return status.success();
--- a/crates/cli/tests/hand_overs.rs
+++ b/crates/cli/tests/hand_overs.rs
@@ -14,7 +14,6 @@
 use program::{Limits, Program};
 use std::io::Write;
 use std::net::{Shutdown, TcpListener};
-use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use test_case::test_case;
@@ -82,12 +81,6 @@
     (program, nodes)
 }
 
-fn signal(program: &Program, name: &str) {
-    let id = program.child.id().to_string();
-    let status = Command::new("kill").args([name, &id]).status();
-    assert!(status.expect("kill starts").success());
-}
-
 fn release(task: u64, cause: u8) -> node::Message {
     node::Message::new(node::MessageType::Close, task).with_cause(u32::from(cause))
 }
@@ -95,13 +88,13 @@
 /// Hands tasks over, and closes the connection before the program has read them.
 fn hand_over_and_close(program: &Program, tasks: std::ops::RangeInclusive<u64>) {
     let mut client = Client::connect(program);
-    signal(program, "-STOP");
+    program.signal("-STOP");
     for task in tasks {
         let bytes = hand_over(task, NODE);
         client.stream.write_all(&bytes).expect("written");
     }
     client.stream.shutdown(Shutdown::Both).expect("closed");
-    signal(program, "-CONT");
+    program.signal("-CONT");
 }
 
 #[test_case(1)]
@@ -188,7 +181,7 @@
 fn a_task_whose_node_restarted_while_its_hand_over_was_unread_is_released_in_time() {
     let listed = Listed::start();
     let mut client = Client::connect(&listed.program);
-    signal(&listed.program, "-STOP");
+    listed.program.signal("-STOP");
     hand_over_to(&mut client, NODE);
     std::thread::sleep(Duration::from_secs(1));
     let address = listed.nodes.local_addr().expect("bound");
@@ -198,6 +191,6 @@
         .feed
         .publish(&[entry(NODE, address, "active", up_since_ms)]);
     std::thread::sleep(Duration::from_secs(1));
-    signal(&listed.program, "-CONT");
+    listed.program.signal("-CONT");
     assert!(client.receive(SILENT_END_LIMIT, is_release));
 }
--- a/crates/cli/tests/program/mod.rs
+++ b/crates/cli/tests/program/mod.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Sends a signal to the program, named as `kill` names it.
+    #[allow(dead_code, reason = "used by the tests that signal the program only")]
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &id]).status();
+        assert!(status.expect("kill starts").success());
+    }
+
     #[allow(dead_code, reason = "the soak's clients connect by themselves")]
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.address).expect("connected");
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -21,7 +21,6 @@
 use program::{Limits, Program};
 use records::Records;
 use std::net::TcpListener;
-use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -60,26 +59,20 @@
     ]
 }
 
-fn signal(program: &Program, name: &str) {
-    let id = program.child.id().to_string();
-    let status = Command::new("kill").args([name, &id]).status();
-    assert!(status.expect("kill starts").success());
-}
-
 /// Sends signals in series while the faults last. Returns the time for which the process was paused.
 fn send_signals(program: &Program, draws: &mut Draws) -> Duration {
     let (started_at, mut paused) = (Instant::now(), Duration::ZERO);
     while started_at.elapsed() < FAULTS_FOR {
         std::thread::sleep(draws.milliseconds(500));
         if draws.one_in(2) {
-            signal(program, "-HUP");
+            program.signal("-HUP");
         }
         if draws.one_in(3) && paused.is_zero() {
             // Starting `kill` takes its time beside a crowd, so the pause is measured.
             let paused_at = Instant::now();
-            signal(program, "-STOP");
+            program.signal("-STOP");
             std::thread::sleep(draws.milliseconds(MAX_PAUSE_MS));
-            signal(program, "-CONT");
+            program.signal("-CONT");
             paused += paused_at.elapsed();
         }
     }
@@ -89,7 +82,7 @@
 /// Stops the program, and returns whether it has ended by itself before it would be killed.
 fn stop(program: &mut Program) -> bool {
     let stopped_at = Instant::now();
-    signal(program, "-TERM");
+    program.signal("-TERM");
     while stopped_at.elapsed() < KILLED_AFTER {
         if let Some(status) = program.child.try_wait().expect("a child") {
             return status.success();
--- a/crates/cli/tests/unwritten_attempts.rs
+++ b/crates/cli/tests/unwritten_attempts.rs
@@ -10,7 +10,6 @@
 use program::{Limits, Program, TIMEOUT};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::Command;
 use std::time::{Duration, Instant};
 
 const LIMITS: Limits = Limits {
@@ -28,19 +27,13 @@
 const IDLE_CLOSE: Duration = Duration::from_millis(10_500);
 const READ_TIMEOUT: Duration = Duration::from_millis(10);
 
-fn signal(program: &Program, name: &str) {
-    let id = program.child.id().to_string();
-    let status = Command::new("kill").args([name, &id]).status();
-    assert!(status.expect("kill starts").success());
-}
-
 /// Sends a set-up whose first connection comes up when much else of its client is unread.
 fn set_up_beside_a_flood(program: &Program, client: &mut Client, nodes: &TcpListener) {
     rustix::net::listen(nodes, 0).expect("a backlog of one");
     let filler = TcpStream::connect(nodes.local_addr().expect("bound")).expect("connected");
     client.set_up(TASK);
     std::thread::sleep(CONNECTING_TIME);
-    signal(program, "-STOP");
+    program.signal("-STOP");
     let check = client::encode(MessageType::HealthCheck, 1, &[(client::CAUSE, &[0])]);
     let checks = check.expect("short").repeat(FLOOD);
     client.stream.write_all(&checks).expect("written");
@@ -48,7 +41,7 @@
     drop(filler);
     std::thread::sleep(CONNECT_RETRY);
     rustix::net::listen(nodes, 128).expect("a backlog");
-    signal(program, "-CONT");
+    program.signal("-CONT");
 }
 
 /// Returns whether a set-up arrives on a connection.
