Tell the end of a task that its node reports before the list names the node

An end, unless it is a rejection, now ends a task that waits, and one that came before the hand-over is told at once.

--- a/crates/cli/tests/hand_overs.rs
+++ b/crates/cli/tests/hand_overs.rs
@@ -194,3 +194,26 @@
     listed.program.signal("-CONT");
     assert!(client.receive(SILENT_END_LIMIT, is_release));
 }
+
+/// Guards against an end that is told to nobody: the node of a handed-over task has the address of one
+/// that is still listed, and reports the end before the list names it.
+#[test_case(true; "after the hand over")]
+#[test_case(false; "before the hand over")]
+fn the_end_of_a_task_on_a_node_that_is_not_listed_is_told(is_handed_over_first: bool) {
+    const LISTED_TASK: u64 = 8;
+    let listed = Listed::start();
+    let mut client = Client::connect(&listed.program);
+    let to_listed = hand_over(LISTED_TASK, NODE);
+    client.stream.write_all(&to_listed).expect("written");
+    let mut connection = NodeConnection::accept(&listed.nodes);
+    if is_handed_over_first {
+        hand_over_to(&mut client, OTHER_NODE);
+        std::thread::sleep(READING_TIME);
+        connection.send(release(TASK, client::CAUSE_NORMAL));
+    } else {
+        connection.send(release(TASK, client::CAUSE_NORMAL));
+        std::thread::sleep(READING_TIME);
+        hand_over_to(&mut client, OTHER_NODE);
+    }
+    assert!(client.receives_end(TASK));
+}
--- a/crates/platform/src/core/hand_overs.rs
+++ b/crates/platform/src/core/hand_overs.rs
@@ -124,6 +124,10 @@
         if is_gone {
             return self.send_task_end(from, TaskEnd::new(task, AttemptResult::Reset));
         }
+        // It may have the address of a listed one, under whose name it has reported the end.
+        if let Some(end) = self.early_end_of(task) {
+            return self.send_task_end(from, end);
+        }
         if let Some(dropped) = self.unlisted_tasks.add(hand_over) {
             self.end_unlisted_task(dropped);
         }
@@ -153,6 +157,18 @@
         }
     }
 
+    /// Handles the end of a task that waits for the list, which its node reports at the address of a
+    /// listed one. Returns false if the task does not wait.
+    pub(super) fn end_reported_while_unlisted(&mut self, end: TaskEnd) -> bool {
+        let Some(waiting) = self.unlisted_tasks.take(end.task) else {
+            return false;
+        };
+        if waiting.released.is_none() {
+            self.send_task_end(waiting.hand_over.from, end);
+        }
+        true
+    }
+
     fn end_unlisted_task(&mut self, waiting: UnlistedTask) {
         if waiting.released.is_none() {
             let task = waiting.hand_over.task();
--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -267,8 +267,7 @@
             id, active, stage, ..
         }) = matched
         else {
-            let result = release_cause.task_result();
-            return self.handle_unmatched_end(now, engine, origin, result, reason);
+            return self.handle_unmatched_end(now, engine, origin, release_cause, reason);
         };
         if stage != TaskStage::Pending {
             let result = release_cause.task_result();
@@ -307,15 +306,20 @@
         now: Ticks,
         engine: &mut Engine<PendingTask>,
         origin: MessageOrigin,
-        result: AttemptResult,
+        release_cause: ReleaseCause,
         reason: Option<ReturnReason>,
     ) {
         let MessageOrigin { machine, task, .. } = origin;
+        let result = release_cause.task_result();
+        let end = TaskEnd::new(task, result);
+        if !release_cause.is_rejection() && self.end_reported_while_unlisted(end) {
+            return;
+        }
         let over = engine
             .find(&task_key(task))
             .filter(|&id| engine.is_over_after_late_end(id, machine, result, reason));
         let Some(id) = over else {
-            return self.remember_early_end(now, machine, TaskEnd::new(task, result));
+            return self.remember_early_end(now, machine, end);
         };
         if let Some((pending, _)) = engine.data_mut(id) {
             let to = pending.client;
--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -204,6 +204,13 @@
         reported.map(|early| early.end)
     }
 
+    /// Returns the end of a task that any node has reported before the task was handed over.
+    pub(super) fn early_end_of(&self, task: u64) -> Option<TaskEnd> {
+        let mut ends = self.early_ends.iter();
+        let reported = ends.find(|early| early.end.task == task);
+        reported.map(|early| early.end)
+    }
+
     /// Records that a node has reported the end of an unknown task.
     pub(super) fn remember_early_end(&mut self, now: Ticks, machine: MachineId, end: TaskEnd) {
         while self.early_ends.front().is_some_and(|end| {
--- a/crates/platform/src/core/unlisted_tasks.rs
+++ b/crates/platform/src/core/unlisted_tasks.rs
@@ -61,6 +61,11 @@
         })
     }
 
+    /// Removes and returns a task.
+    pub(super) fn take(&mut self, task: u64) -> Option<UnlistedTask> {
+        self.tasks.remove(&task)
+    }
+
     /// Removes and returns the tasks whose node fits.
     pub(super) fn take_of_nodes(&mut self, fits: impl Fn(&str) -> bool) -> Vec<UnlistedTask> {
         let taken = self
