Count the silence of a draining node from its last message, not from a refusal

They count from the node's last message now, and end at the refusal at the earliest. Tasks that were handed over since keep their own 6 s.

--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -165,6 +165,11 @@
         if is_draining {
             self.timers
                 .insert((now + UNREACHABLE_TIMEOUT, Timer::Unreachable(machine)));
+            // It may have died right after its last message.
+            if let Some(heard_at) = self.connections.last_message_at(machine) {
+                let lost_at = (heard_at + 1 + UNREACHABLE_TIMEOUT).max(now);
+                self.timers.insert((lost_at, Timer::Unreachable(machine)));
+            }
         } else {
             // The process is dead, and its tasks died with it.
             self.machine_lost(now, engine, machine, Ticks::MAX);
--- a/crates/platform/src/node_connections.rs
+++ b/crates/platform/src/node_connections.rs
@@ -136,6 +136,11 @@
         Some((id, queue))
     }
 
+    /// Returns the time of the last message of a machine.
+    pub fn last_message_at(&self, machine: MachineId) -> Option<Ticks> {
+        self.last_message_at.get(&machine).copied()
+    }
+
     /// Returns the time within which a new connection must be established.
     pub fn connect_timeout(&self) -> Ticks {
         self.connect_timeout
--- a/crates/platform/tests/core/clients.rs
+++ b/crates/platform/tests/core/clients.rs
@@ -504,3 +504,35 @@
     let interrupted = encoded(MessageType::Release, OWNERS_TASK, client::CAUSE_INTERRUPTED);
     assert_eq!(queue.take_all().contains(&interrupted), is_ended);
 }
+
+/// Guards against an end that is told too late: a draining node has died without a word, its connection
+/// breaks only seconds later, and the list does not tell that it is gone.
+#[test]
+fn the_task_of_a_draining_node_that_died_seconds_before_its_connection_broke_ends_in_time() {
+    let handle = handle();
+    let (owner, owners_queue) = connect(&handle);
+    let connection = start_task(&handle, owner, OWNERS_TASK);
+    let event = format!(
+        r#"{{"n":2,"members":{{"members":[{}]}}}}"#,
+        node_json(1, "leaving")
+    );
+    handle.apply_event(serde_json::from_str(&event).expect("an event"));
+    let died_at = handle.now();
+    let set_time = |after: Ticks| {
+        let now = died_at + after;
+        handle
+            .time_override
+            .store(now, std::sync::atomic::Ordering::Relaxed);
+    };
+    set_time(5 * SECOND);
+    owners_queue.take_all();
+    handle.connection_ended(connection, ConnectionEnd::Broken);
+    let next = handle.lock().state.connections.newest();
+    handle.connection_ended(next, ConnectionEnd::Refused);
+    handle.timer_fired();
+    assert!(owners_queue.take_all().is_empty(), "it may still run");
+    set_time(END_REPORT_LIMIT);
+    handle.timer_fired();
+    let released = encoded(MessageType::Release, OWNERS_TASK, client::CAUSE_INTERRUPTED);
+    assert!(owners_queue.take_all().contains(&released));
+}
