Set log levels for single modules, and log what is dropped beyond a bound

`--level` of `platform` takes levels of modules beside a common one; a single level works as before. Ends of tasks and set-ups that are dropped or rejected beyond a bound are logged, and new connections that are closed with their peer's address. Checked: the program starts with both forms, and a malformed one ends it with a plain message.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing_subscriber::filter::Targets;
 
 /// A cluster scheduler that packs machines by expected usage instead of requests.
 #[derive(Parser)]
@@ -46,9 +47,10 @@
     /// Runs a dispatcher on the platform's protocol, with the file that NODE_CONFIG names, until
     /// SIGTERM.
     Platform {
-        /// The minimum level that is logged.
+        /// The minimum level that is logged, of all modules or of single ones, as in
+        /// `info,corkspan_platform::core=debug`.
         #[arg(long, default_value = "info")]
-        level: tracing::Level,
+        level: Targets,
     },
     /// Checks a deployment file and prints its errors.
     Check {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -6,9 +6,12 @@
 use corkspan_dispatcher::config_stream::ACTIVE_VERSION_NUMBER;
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use tracing_subscriber::filter::Targets;
 use tracing_subscriber::fmt::format::{Writer, format};
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::layer::SubscriberExt as _;
 use tracing_subscriber::registry::LookupSpan;
+use tracing_subscriber::util::SubscriberInitExt as _;
 
 /// The format of the log.
 #[derive(Clone, Copy, ValueEnum)]
@@ -51,12 +54,13 @@
 }
 
 /// Runs a dispatcher on the platform's protocol until SIGTERM.
-pub(crate) fn platform(level: tracing::Level) -> Result<(), Error> {
+pub(crate) fn platform(levels: Targets) -> Result<(), Error> {
     let subscriber = tracing_subscriber::fmt()
-        .with_max_level(level)
+        .with_max_level(tracing::Level::TRACE)
         .with_writer(std::io::stderr)
         .with_ansi(false);
-    subscriber.log_internal_errors(false).init();
+    let subscriber = subscriber.log_internal_errors(false);
+    subscriber.finish().with(levels).init();
     let file = std::env::var_os("NODE_CONFIG").ok_or(Error::NoNodeConfig)?;
     Ok(corkspan_platform::serve(Path::new(&file))?)
 }
--- a/crates/platform/src/core/running_tasks.rs
+++ b/crates/platform/src/core/running_tasks.rs
@@ -216,7 +216,15 @@
         while self.early_ends.front().is_some_and(|end| {
             self.early_ends.len() >= MAX_EARLY_ENDS || end.reported_at + EARLY_END_LIFETIME <= now
         }) {
-            self.early_ends.pop_front();
+            let oldest = self.early_ends.pop_front();
+            if let Some(dropped) =
+                oldest.filter(|oldest| oldest.reported_at + EARLY_END_LIFETIME > now)
+            {
+                debug!(
+                    task = task_key(dropped.end.task),
+                    "forgetting the end of an unknown task: there are too many"
+                );
+            }
         }
         self.early_ends.push_back(EarlyEnd {
             reported_at: now,
--- a/crates/platform/src/core/sent_ends.rs
+++ b/crates/platform/src/core/sent_ends.rs
@@ -6,9 +6,11 @@
 
 use super::client_connections::CloseReason;
 use super::limits::{END_REPORT_LIMIT, MAX_SENT_ENDS, ORDERLY_CLOSE_DOUBT};
+use super::pending_task::task_key;
 use crate::task_end::TaskEnd;
 use corkspan_scheduler::interface::Ticks;
 use std::collections::VecDeque;
+use tracing::debug;
 
 struct SentEnd {
     sent_at: Ticks,
@@ -26,7 +28,9 @@
     pub(super) fn record(&mut self, now: Ticks, end: TaskEnd) {
         self.expire(now);
         if self.ends.len() >= MAX_SENT_ENDS {
-            self.ends.pop_front();
+            let oldest = self.ends.pop_front();
+            let task = oldest.map(|oldest| task_key(oldest.end.task));
+            debug!(task, "forgetting an end that was sent: there are too many");
         }
         self.ends.push_back(SentEnd { sent_at: now, end });
     }
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -139,6 +139,13 @@
         let client = self.clients.get(&from);
         let open = client.map_or(0, |client| client.open_set_ups.len());
         if open >= MAX_SET_UPS_PER_CONNECTION || self.stopping {
+            debug!(
+                task = task_key(task),
+                ?from,
+                open,
+                stopping = self.stopping,
+                "rejecting a set-up: too many are open, or the process stops"
+            );
             self.send_release(from, task, client::CAUSE_REJECTED);
             return MessageValidity::Unusable;
         }
@@ -168,6 +175,11 @@
             return MessageValidity::Unusable;
         }
         let Ok(id) = engine.admit(now, &task_key(task), request, pending) else {
+            debug!(
+                task = task_key(task),
+                ?from,
+                "rejecting a set-up: too many are open in all"
+            );
             self.send_release(from, task, client::CAUSE_REJECTED);
             return MessageValidity::Unusable;
         };
--- a/crates/platform/src/core/undelivered_ends.rs
+++ b/crates/platform/src/core/undelivered_ends.rs
@@ -5,9 +5,11 @@
 //! connection that may be its client's: on all that are open, and on each that is opened while the
 //! client may still come back. Other clients ignore it, since they do not know the task.
 
+use super::pending_task::task_key;
 use crate::task_end::TaskEnd;
 use corkspan_scheduler::interface::Ticks;
 use std::collections::{BTreeSet, VecDeque};
+use tracing::debug;
 
 /// The position of an end among all that were ever recorded.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,6 +77,8 @@
 
     fn drop_oldest(&mut self) {
         if let Some(oldest) = self.ends.pop_front() {
+            let task = task_key(oldest.end.task);
+            debug!(task, "dropping an undelivered end: there are too many");
             self.tasks.remove(&oldest.end.task);
         }
     }
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -12,6 +12,7 @@
 use futures_lite::{FutureExt, future};
 use std::future::Future;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{debug, warn};
@@ -68,7 +69,7 @@
             None
         };
         match closing.or(accepting).await {
-            Some(Ok((stream, _))) => accepted(&handle, &tasks, stream, &budget).await,
+            Some(Ok((stream, peer))) => accepted(&handle, &tasks, stream, peer, &budget).await,
             Some(Err(error)) => accept_failed(&handle, &error).await,
             None => break,
         }
@@ -77,8 +78,8 @@
     }
     let last = async {
         while let Some(result) = future::poll_once(listener.accept()).await {
-            if let Ok((stream, _)) = result {
-                accepted(&handle, &tasks, stream, &budget).await;
+            if let Ok((stream, peer)) = result {
+                accepted(&handle, &tasks, stream, peer, &budget).await;
             }
             future::yield_now().await;
         }
@@ -91,10 +92,11 @@
     handle: &Arc<PlatformHandle>,
     tasks: &SharedExecutor,
     stream: TcpStream,
+    peer: SocketAddr,
     budget: &Arc<Semaphore>,
 ) {
     let Some((id, queue)) = handle.client_connected() else {
-        debug!("closing a new connection: all others have open set-ups");
+        debug!(%peer, "closing a new connection: all others have open set-ups");
         return;
     };
     match within(DESCRIPTOR_TIMEOUT, budget.acquire_arc()).await {
@@ -103,7 +105,7 @@
             tasks.spawn(serving).detach();
         }
         None => {
-            debug!(?id, "closing a new connection: no descriptor is free");
+            debug!(?id, %peer, "closing a new connection: no descriptor is free");
             handle.client_disconnected(id);
         }
     }
