--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -12,13 +12,21 @@
 pub const END_LIMIT: Duration = Duration::from_millis(1_050);
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+const TIME_LEFT: Duration = Duration::from_secs(6);
+
 /// Returns a set-up, whose requirements end with `more`.
 pub fn set_up(task: u64, more: &str) -> Vec<u8> {
+    set_up_within(task, TIME_LEFT, more)
+}
+
+/// Returns a set-up whose client waits so long for the answer.
+pub fn set_up_within(task: u64, left: Duration, more: &str) -> Vec<u8> {
+    let left = left.as_millis().to_string();
     let name = format!("{task:016x}");
     let requirements = format!("cores:0.01;memory:0.01;service:a{more}");
     let parameters: [(u8, &[u8]); 5] = [
         (client::CLASS, b"batch"),
-        (client::TIME_LEFT, b"6000"),
+        (client::TIME_LEFT, left.as_bytes()),
         (client::TASK_NAME, name.as_bytes()),
         (client::REQUIREMENTS, requirements.as_bytes()),
         (client::DESCRIPTION, b"what"),
@@ -41,10 +49,7 @@
 impl Client {
     /// Connects, and sends a health check, so that the program knows a client of use.
     pub fn connect(program: &Program) -> Client {
-        let mut client = Client {
-            stream: program.connect(),
-            reader: client::Reader::default(),
-        };
+        let mut client = Client::unconfirmed(program);
         client.send(MessageType::HealthCheck, 1, &[(client::CAUSE, &[0])]);
         client.receive(TIMEOUT, |message| {
             message.message_type == MessageType::HealthCheckReply
@@ -52,6 +57,14 @@
         client
     }
 
+    /// Connects, without waiting until the program serves the connection.
+    pub fn unconfirmed(program: &Program) -> Client {
+        Client {
+            stream: program.connect(),
+            reader: client::Reader::default(),
+        }
+    }
+
     pub fn send(&mut self, message_type: MessageType, task: u64, parameters: &[(u8, &[u8])]) {
         let bytes = client::encode(message_type, task, parameters).expect("a short message");
         self.stream.write_all(&bytes).expect("written");
@@ -124,6 +137,20 @@
         }
     }
 
+    /// Accepts connections until the set-up of a task arrives, which may have one of its own.
+    #[allow(dead_code, reason = "used by the tests of unread requests only")]
+    pub fn accept_set_up_of(listener: &TcpListener, task: u64) -> node::Message {
+        let mut earlier = Vec::new();
+        loop {
+            let mut connection = NodeConnection::accept(listener);
+            let open = connection.receive(node::MessageType::Open);
+            if open.task_id == Some(task) {
+                return open;
+            }
+            earlier.push(connection);
+        }
+    }
+
     pub fn send(&mut self, message: node::Message) {
         let line = message.to_line().expect("a short message");
         self.stream.write_all(&line).expect("written");
