--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -137,20 +137,6 @@
         }
     }
 
-    /// Accepts connections until the set-up of a task arrives, which may have one of its own.
-    #[allow(dead_code, reason = "used by the tests of unread requests only")]
-    pub fn accept_set_up_of(listener: &TcpListener, task: u64) -> node::Message {
-        let mut earlier = Vec::new();
-        loop {
-            let mut connection = NodeConnection::accept(listener);
-            let open = connection.receive(node::MessageType::Open);
-            if open.task_id == Some(task) {
-                return open;
-            }
-            earlier.push(connection);
-        }
-    }
-
     pub fn send(&mut self, message: node::Message) {
         let line = message.to_line().expect("a short message");
         self.stream.write_all(&line).expect("written");
--- a/crates/cli/tests/unread_requests.rs
+++ b/crates/cli/tests/unread_requests.rs
@@ -1,5 +1,6 @@
 //! Requests that wait to be read, because the program is paused or gets little processor time.
 
+#[allow(dead_code, reason = "only a part of it is used")]
 mod peers;
 mod program;
 
@@ -61,6 +62,19 @@
     (client, sent_at)
 }
 
+/// Accepts connections until the set-up of the task arrives, which may have one of its own.
+fn receive_set_up(nodes: &TcpListener) -> node::Message {
+    let mut earlier = Vec::new();
+    loop {
+        let mut connection = NodeConnection::accept(nodes);
+        let open = connection.receive(node::MessageType::Open);
+        if open.task_id == Some(TASK) {
+            return open;
+        }
+        earlier.push(connection);
+    }
+}
+
 fn time_left(open: &node::Message) -> Duration {
     let left = open.attribute("left").and_then(AttributeValue::number);
     Duration::from_millis(left.expect("a number") as u64)
@@ -74,7 +88,7 @@
     let nodes = listener();
     let program = start(&nodes);
     let (_client, sent_at) = send_while_paused(&program, waiting);
-    let open = NodeConnection::accept_set_up_of(&nodes, TASK);
+    let open = receive_set_up(&nodes);
     let remaining = LEFT.saturating_sub(sent_at.elapsed());
     let told = time_left(&open);
     assert!(told <= remaining + LEFT_SLACK, "{told:?} of {remaining:?}");
