Count the time of a request from when it may have arrived, not from when it is read

What callers saw: requests that arrived while the process was paused or short of processor time were answered later than half a second after their deadline, so they were lost, and nodes were told more time than was left. Cause: a set-up tells how long its client waits from when it sent it. The deadline was counted from when the message was handled, and a message waits in the backlog, in the system, and behind other messages of its connection. Why it works: a timer that waits its turn like the tasks that read records the polls for input. What is found now on a connection that was drained has arrived after the last but one of these polls was due; what is left behind other input counts from the same time as that. Waits of less than 0.1 s do not count, since polls can't tell them from none.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -11,6 +11,7 @@
 use crate::reader::{ConnectionInput, ReadOutcome, ReadProgress};
 use crate::task_end::{TaskEnd, TaskEndKind};
 use crate::writer::{MessageQueue, message_queue};
+use arrival_times::{ArrivalTimes, PollTimes, WaitingInput};
 use client_connections::ClientConnection;
 use client_memory::ClientMemory;
 use corkspan_engine::{Engine, RetryBatch, ReturnedAttempt};
@@ -37,6 +38,7 @@
 #[cfg(test)]
 #[path = "../tests/core/addresses.rs"]
 mod addresses;
+mod arrival_times;
 mod attempts;
 #[cfg(test)]
 #[path = "../tests/core/bounds.rs"]
@@ -162,6 +164,9 @@
 struct PlatformState {
     effects: Box<dyn Effects>,
     now: Ticks,
+    polls: PollTimes,
+    /// The connections that the system has accepted and that are not served yet.
+    backlog: WaitingInput,
     clients: BTreeMap<ClientId, ClientConnection>,
     client_memory: ClientMemory,
     max_clients: usize,
@@ -233,6 +238,8 @@
             state: PlatformState {
                 effects,
                 now,
+                polls: PollTimes::new(now),
+                backlog: WaitingInput::since(now),
                 clients: BTreeMap::new(),
                 client_memory: ClientMemory::new(options.memory.client_bytes, options.max_clients),
                 max_clients: options.max_clients,
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -1,5 +1,6 @@
 //! Reads and closes the connections of clients.
 
+use super::arrival_times::counted_from;
 use super::hand_overs::is_hand_over;
 use super::pending_task::task_key;
 use super::*;
@@ -17,6 +18,7 @@
     pub(super) reader: client::Reader,
     /// The time when all input that had arrived was last read.
     pub(super) input_read_at: Ticks,
+    pub(super) arrivals: ArrivalTimes,
     /// The set-ups without a final answer.
     pub(super) open_set_ups: BTreeSet<u64>,
     /// The ids of set-ups that were rejected because another connection has a task with that id. A
@@ -103,7 +105,10 @@
             }
             match client.reader.next_message() {
                 Ok(Some(message)) => {
-                    let keep_open = self.handle_client_message(now, engine, id, &message);
+                    let undecoded = client.reader.buffered_bytes();
+                    let arrived_after = client.arrivals.of_decoded(undecoded).unwrap_or(now);
+                    let sent_at = counted_from(arrived_after, now);
+                    let keep_open = self.handle_client_message(now, engine, id, &message, sent_at);
                     return if keep_open {
                         ReadProgress::Handled
                     } else {
@@ -139,10 +144,15 @@
         let max_buffered = (MAX_FRAME_BYTES + room).min(READ_AHEAD_BYTES);
         while client.reader.buffered_bytes() < max_buffered {
             let max_bytes = max_buffered - client.reader.buffered_bytes();
-            match input.read_up_to(max_bytes, |bytes| client.reader.push(bytes)) {
+            let push = |bytes: &[u8]| {
+                client.reader.push(bytes);
+                client.arrivals.record_read(bytes.len(), &self.polls);
+            };
+            match input.read_up_to(max_bytes, push) {
                 ReadOutcome::Data => {}
                 ReadOutcome::Empty => {
                     client.input_read_at = now;
+                    client.arrivals.drained(now);
                     return ReadOutcome::Empty;
                 }
                 ended @ (ReadOutcome::Closed | ReadOutcome::Failed(_)) => return ended,
@@ -208,27 +218,29 @@
                     self.handle_release(now, engine, id, &message);
                 }
                 MessageType::SetUp if is_hand_over(&message) => {
-                    self.handle_set_up(now, engine, id, &message);
+                    self.handle_set_up(now, engine, id, &message, now);
                 }
                 _ => {}
             }
         }
     }
 
-    /// Handles a message of a client. Returns false if its connection must be closed.
+    /// Handles a message of a client that counts as sent at the given time. Returns false if its
+    /// connection must be closed.
     pub(super) fn handle_client_message(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
         id: ClientId,
         message: &Message,
+        sent_at: Ticks,
     ) -> bool {
         let Some(client) = self.clients.get_mut(&id) else {
             return false;
         };
         client.partial_since = None;
         let validity = match message.message_type {
-            MessageType::SetUp => self.handle_set_up(now, engine, id, message),
+            MessageType::SetUp => self.handle_set_up(now, engine, id, message, sent_at),
             MessageType::Release if client.rejected_duplicates.remove(&message.task) => {
                 MessageValidity::Unusable
             }
--- a/crates/platform/src/core/hand_overs.rs
+++ b/crates/platform/src/core/hand_overs.rs
@@ -14,9 +14,30 @@
     pub(super) request: AllocationRequest,
     pub(super) node_name: String,
     pub(super) received_at: Ticks,
+    /// When it counts as sent, which is earlier if it has waited to be read.
+    pub(super) sent_at: Ticks,
 }
 
 impl HandOver {
+    /// Creates the hand-over of the set-up's task, which names its node.
+    pub(super) fn new(
+        from: ClientId,
+        mut set_up: SetUp,
+        request: AllocationRequest,
+        received_at: Ticks,
+        sent_at: Ticks,
+    ) -> HandOver {
+        let node_name = set_up.running_on.take().unwrap_or_default();
+        HandOver {
+            from,
+            set_up,
+            request,
+            node_name,
+            received_at,
+            sent_at,
+        }
+    }
+
     pub(super) fn task(&self) -> u64 {
         self.set_up.task
     }
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -73,12 +73,14 @@
                 return None;
             }
             state.clients_accepted += 1;
+            let waiting = WaitingInput::since(state.backlog.found(&state.polls));
             let id = ClientId(state.clients_accepted);
             let client = ClientConnection {
                 sender,
                 input: None,
                 reader: Reader::default(),
                 input_read_at: now,
+                arrivals: ArrivalTimes::new(waiting),
                 open_set_ups: BTreeSet::new(),
                 rejected_duplicates: BTreeSet::new(),
                 running: 0,
@@ -98,6 +100,16 @@
         })
     }
 
+    /// Records that the system holds no connection that is not served yet.
+    pub fn backlog_drained(&mut self, now: Ticks) {
+        self.state.backlog.drained(now);
+    }
+
+    /// Records a poll for input that was due at the given time.
+    pub fn record_poll(&mut self, due_at: Ticks) {
+        self.state.polls.record(due_at);
+    }
+
     /// Closes the least useful client's connection, because descriptors have run out.
     pub fn evict_client(&mut self, now: Ticks) {
         self.process_event(now, |engine, state| state.evict_client(now, engine));
@@ -130,7 +142,7 @@
     #[cfg(test)]
     pub fn handle_client_message(&mut self, now: Ticks, id: ClientId, message: &Message) -> bool {
         self.process_event(now, |engine, state| {
-            state.handle_client_message(now, engine, id, message)
+            state.handle_client_message(now, engine, id, message, now)
         })
     }
 
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -7,6 +7,9 @@
 /// Maximum age of the last read of a client's connection when an attempt starts. No attempt may
 /// start more than 0.1 s after its client is gone, and this is a tenth of that.
 pub(super) const MAX_INPUT_AGE: Ticks = 100;
+/// The longest wait of an unread message that does not count. Polls can't tell a shorter one from none,
+/// and the protocol lets a node be told 0.15 s more than is left.
+pub(super) const MAX_UNCOUNTED_WAIT: Ticks = SECOND / 10;
 /// Number of bytes that are read ahead on a client's connection. A client that sends more is
 /// flooding the dispatcher.
 pub(super) const READ_AHEAD_BYTES: usize = 2 * corkspan_platform_wire::MAX_MESSAGE_BYTES;
--- a/crates/platform/src/core/set_ups.rs
+++ b/crates/platform/src/core/set_ups.rs
@@ -32,13 +32,15 @@
 }
 
 impl PlatformState {
-    /// Handles a client's set-up, and sends the answer if it is invalid or rejected.
+    /// Handles a client's set-up that counts as sent at the given time, and sends the answer if it is
+    /// invalid or rejected.
     pub(super) fn handle_set_up(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
         from: ClientId,
         message: &Message,
+        sent_at: Ticks,
     ) -> MessageValidity {
         let task = message.task;
         let exists = engine.find(&task_key(task)).is_some();
@@ -46,7 +48,7 @@
         let is_open_here = client.is_some_and(|client| client.open_set_ups.contains(&task));
         let parsed = SetUp::try_from(message).map_err(RequestError::from);
         let (set_up, request) = match parsed.and_then(|set_up| {
-            let request = self.to_request(now, &set_up)?;
+            let request = self.to_request(sent_at, &set_up)?;
             Ok((set_up, request))
         }) {
             Ok(parsed) => parsed,
@@ -74,31 +76,13 @@
             return self.reject_set_up(from, task, client::CAUSE_FAILED, exists);
         }
         if set_up.running_on.is_some() {
-            return self.accept_hand_over(now, engine, from, set_up, request);
+            let hand_over = HandOver::new(from, set_up, request, now, sent_at);
+            self.take_over_running_task(now, engine, hand_over);
+            return MessageValidity::Valid;
         }
         self.accept_new_task(now, engine, from, set_up, request)
     }
 
-    /// Takes over the running task of a set-up that names its node.
-    fn accept_hand_over(
-        &mut self,
-        now: Ticks,
-        engine: &mut Engine<PendingTask>,
-        from: ClientId,
-        mut set_up: SetUp,
-        request: AllocationRequest,
-    ) -> MessageValidity {
-        let hand_over = HandOver {
-            from,
-            node_name: set_up.running_on.take().unwrap_or_default(),
-            set_up,
-            request,
-            received_at: now,
-        };
-        self.take_over_running_task(now, engine, hand_over);
-        MessageValidity::Valid
-    }
-
     /// Rejects a set-up. `exists` is true if another connection has a task with its id.
     fn reject_set_up(
         &mut self,
@@ -193,10 +177,11 @@
         MessageValidity::Valid
     }
 
-    /// Converts a set-up to a request to the engine, or returns why it is invalid.
+    /// Converts a set-up that was sent at the given time to a request to the engine, or returns why it
+    /// is invalid.
     pub(super) fn to_request(
         &self,
-        now: Ticks,
+        sent_at: Ticks,
         set_up: &SetUp,
     ) -> Result<AllocationRequest, RequestError> {
         let settings = &self.settings;
@@ -245,7 +230,7 @@
             service_class: ServiceClassId(class),
             tenant: TenantId(tenant.ok_or(RequestError::UnknownTenant)?),
             requested,
-            deadline: now + remaining - TRANSIT_ALLOWANCE.min(remaining / 2),
+            deadline: sent_at + remaining - TRANSIT_ALLOWANCE.min(remaining / 2),
         })
     }
 
--- a/crates/platform/src/core/unlisted_tasks.rs
+++ b/crates/platform/src/core/unlisted_tasks.rs
@@ -38,7 +38,7 @@
         let largest = self.largest_connection()?;
         let hand_overs = self.tasks.values().map(|waiting| &waiting.hand_over);
         let of_largest = hand_overs.filter(|hand_over| hand_over.from == largest);
-        let oldest = of_largest.min_by_key(|hand_over| hand_over.received_at)?;
+        let oldest = of_largest.min_by_key(|hand_over| hand_over.sent_at)?;
         let task = oldest.task();
         self.tasks.remove(&task)
     }
@@ -77,7 +77,7 @@
     /// Removes and returns the tasks whose node the list has not named in time.
     pub(super) fn take_expired(&mut self, now: Ticks) -> Vec<UnlistedTask> {
         let taken = self.tasks.extract_if(.., |_, waiting| {
-            waiting.hand_over.received_at + UNLISTED_NODE_TIMEOUT <= now
+            waiting.hand_over.sent_at + UNLISTED_NODE_TIMEOUT <= now
         });
         taken.map(|(_, task)| task).collect()
     }
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -102,6 +102,16 @@
         self.with_core(|core, now| core.client_connected(now))
     }
 
+    /// Records that the system holds no connection that is not served yet.
+    pub fn backlog_drained(&self) {
+        self.with_core(|core, now| core.backlog_drained(now))
+    }
+
+    /// Records a poll for input that was due at the given time.
+    pub fn record_poll(&self, due_at: Ticks) {
+        self.lock().record_poll(due_at);
+    }
+
     /// Closes the least useful client's connection, because descriptors have run out.
     pub fn evict_client(&self) {
         self.with_core(|core, now| core.evict_client(now))
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -28,7 +28,7 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use corkspan_platform_wire::node_config::NodeConfig;
-use corkspan_runtime::clock::Clock;
+use corkspan_runtime::clock::{Clock, ticks};
 use corkspan_runtime::{SharedExecutor, Signal, signals};
 use descriptor_budget::DescriptorBudget;
 pub use descriptor_budget::TooFewDescriptors;
@@ -49,6 +49,8 @@
 const LISTEN_BACKLOG: i32 = 1_024;
 /// The interval of [`PlatformHandle::sweep`].
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// The interval of the polls for input that are recorded: half of the wait that need not count.
+const POLL_RECORD_INTERVAL: Duration = Duration::from_millis(25);
 
 fn read_config(path: &Path) -> Result<NodeConfig, ServeError> {
     let text = std::fs::read(path).map_err(|source| ServeError::ReadFile {
@@ -149,6 +151,7 @@
             feed_address_receiver,
         )),
         tasks.spawn(run_sweeps(Arc::clone(handle))),
+        tasks.spawn(record_polls(Arc::clone(handle))),
     ]
 }
 
@@ -266,6 +269,15 @@
     }
 }
 
+/// Records when input has been polled for, so that it is known how long the process was paused or busy.
+async fn record_polls(handle: Arc<PlatformHandle>) {
+    loop {
+        let due_at = handle.now() + ticks(POLL_RECORD_INTERVAL);
+        Timer::after(POLL_RECORD_INTERVAL).await;
+        handle.record_poll(due_at);
+    }
+}
+
 async fn run_sweeps(handle: Arc<PlatformHandle>) {
     loop {
         Timer::after(SWEEP_INTERVAL).await;
--- a/crates/platform/src/listener.rs
+++ b/crates/platform/src/listener.rs
@@ -63,7 +63,7 @@
 ) {
     // Closing comes first: a crowd of clients always has another connection to accept.
     loop {
-        let accepting = async { Some(listener.accept().await) };
+        let accepting = async { Some(accept(&handle, &listener).await) };
         let closing = async {
             let _ = closed.recv().await;
             None
@@ -87,6 +87,19 @@
     within(LAST_ACCEPT_TIMEOUT, last).await;
 }
 
+/// Accepts the next connection. Records when the system holds none, so that the wait of later ones is
+/// known.
+async fn accept(
+    handle: &PlatformHandle,
+    listener: &TcpListener,
+) -> std::io::Result<(TcpStream, SocketAddr)> {
+    if let Some(accepted) = future::poll_once(listener.accept()).await {
+        return accepted;
+    }
+    handle.backlog_drained();
+    listener.accept().await
+}
+
 /// Serves an accepted connection. If there is no room, it is dropped, which closes it.
 async fn accepted(
     handle: &Arc<PlatformHandle>,
