Count the shutdown's schedule from when the stop signal may have been sent

The same mistake as with requests: the schedule began when the signal was noticed. A program that was stopped for 1 s while SIGTERM came answered its last requests 4.4 s after the signal, and SIGKILL may come after 3.7 s: they were lost.

--- a/crates/cli/tests/unread_requests.rs
+++ b/crates/cli/tests/unread_requests.rs
@@ -26,6 +26,9 @@
 /// How much more time than is left a node may be told.
 const LEFT_SLACK: Duration = Duration::from_millis(150);
 
+/// The earliest SIGKILL after SIGTERM: 3 s for the longest deadline, which is longer, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+
 /// Where a request waits while the program is paused.
 #[derive(Clone, Copy)]
 enum Waiting {
@@ -75,6 +78,11 @@
     }
 }
 
+/// Returns whether a message is the final answer to a request that no node has placed.
+fn is_answer(message: &client::Message) -> bool {
+    message.message_type == MessageType::Release && message.task == TASK
+}
+
 fn time_left(open: &node::Message) -> Duration {
     let left = open.attribute("left").and_then(AttributeValue::number);
     Duration::from_millis(left.expect("a number") as u64)
@@ -103,9 +111,6 @@
     let program = start(&nodes);
     let (mut client, sent_at) = send_while_paused(&program, waiting);
     let until = LEFT + ANSWER_SLACK;
-    let is_answer = |message: &client::Message| {
-        message.message_type == MessageType::Release && message.task == TASK
-    };
     let answered = client.receive(until.saturating_sub(sent_at.elapsed()), is_answer);
     assert!(
         answered,
@@ -113,3 +118,26 @@
         sent_at.elapsed()
     );
 }
+
+/// Guards against a request that is lost to SIGKILL: the stop signal was noticed late, and the time until
+/// then was counted from that.
+#[test]
+fn a_request_is_answered_before_the_earliest_kill_if_the_stop_signal_is_noticed_late() {
+    let nodes = listener();
+    let program = start(&nodes);
+    let mut client = Client::connect(&program);
+    client.set_up(TASK);
+    receive_set_up(&nodes);
+    program.signal("-STOP");
+    let signalled_at = Instant::now();
+    program.signal("-TERM");
+    std::thread::sleep(PAUSE);
+    program.signal("-CONT");
+    let left = EARLIEST_KILL.saturating_sub(signalled_at.elapsed());
+    let answered = client.receive(left, is_answer);
+    assert!(
+        answered,
+        "no answer {:?} after SIGTERM",
+        signalled_at.elapsed()
+    );
+}
--- a/crates/platform/src/core/inputs.rs
+++ b/crates/platform/src/core/inputs.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::errors::ReconfigureError;
+use arrival_times::counted_from;
 use client_connections::CloseReason;
 use corkspan_platform_wire::client::Reader;
 use tracing::debug;
@@ -110,6 +111,12 @@
         self.state.polls.record(due_at);
     }
 
+    /// Returns from when the time of something counts that is noticed now, and that the process was
+    /// told of by a signal.
+    pub fn noticed_from(&self, now: Ticks) -> Ticks {
+        counted_from(self.state.polls.nothing_waited_at(), now)
+    }
+
     /// Closes the least useful client's connection, because descriptors have run out.
     pub fn evict_client(&mut self, now: Ticks) {
         self.process_event(now, |engine, state| state.evict_client(now, engine));
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -112,6 +112,11 @@
         self.lock().record_poll(due_at);
     }
 
+    /// Returns how long ago a signal may have been sent that is noticed now.
+    pub fn noticing_delay(&self) -> Duration {
+        self.with_core(|core, now| duration(now - core.noticed_from(now)))
+    }
+
     /// Closes the least useful client's connection, because descriptors have run out.
     pub fn evict_client(&self) {
         self.with_core(|core, now| core.evict_client(now))
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -113,7 +113,8 @@
     handle.start();
     let mut signals = signals;
     wait_for_stop(&mut signals, || reload(&handle, path, &feed_address_sender)).await;
-    let stop = shutdown::stop(&handle, &budget, Instant::now(), close_listener);
+    let signalled_at = Instant::now() - handle.noticing_delay();
+    let stop = shutdown::stop(&handle, &budget, signalled_at, close_listener);
     // The feed's address may still change during the shutdown. Further stop signals are ignored.
     let reload_on_hangup = async {
         while let Some(signal) = signals.next().await {
