--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -127,6 +127,12 @@
         } else {
             AttemptResult::ConnectFailed
         };
+        debug!(
+            task = task_key(task),
+            number,
+            ?result,
+            "an attempt has failed at its deadline"
+        );
         engine.attempt_returned(
             now,
             id,
--- a/crates/platform/src/core/engine_effects.rs
+++ b/crates/platform/src/core/engine_effects.rs
@@ -48,10 +48,7 @@
             ?machine,
             connection = connection.0,
             number,
-            class = pending.class,
-            name = pending.name,
-            description = pending.description,
-            time_out = timeout,
+            timeout,
             "sent to a node"
         );
     }
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -1,6 +1,6 @@
 //! Selects or opens the connection for a message to a node, and handles the end of a connection.
 
-use super::pending_task::{ActiveAttempt, PendingTask};
+use super::pending_task::{ActiveAttempt, PendingTask, task_key};
 use super::*;
 use corkspan_engine::ReturnedAttempt;
 use tracing::debug;
@@ -201,6 +201,14 @@
             } else {
                 AttemptResult::ConnectFailed
             };
+            let task = task_key(pending.task);
+            debug!(
+                task,
+                number,
+                connection = connection.0,
+                ?result,
+                "an attempt has failed with its connection"
+            );
             engine.attempt_returned(
                 now,
                 allocation,
