--- a/crates/cli/tests/broken_connections.rs
+++ b/crates/cli/tests/broken_connections.rs
@@ -1,5 +1,6 @@
 //! Runs the program as a process, and breaks connections between it and its clients.
 
+#[allow(dead_code, reason = "only a part of it is used")]
 mod peers;
 mod program;
 
--- a/crates/cli/tests/hand_overs.rs
+++ b/crates/cli/tests/hand_overs.rs
@@ -4,6 +4,7 @@
 mod draws;
 #[path = "churn/feed.rs"]
 mod feed;
+#[allow(dead_code, reason = "only a part of it is used")]
 mod peers;
 mod program;
 
--- a/crates/cli/tests/lost_answers.rs
+++ b/crates/cli/tests/lost_answers.rs
@@ -1,5 +1,6 @@
 //! Nodes whose answers are lost on the way, and that report the ends of their tasks.
 
+#[allow(dead_code, reason = "only a part of it is used")]
 mod peers;
 mod program;
 
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -35,7 +35,6 @@
 }
 
 /// Returns the hand-over of a task that runs on a node.
-#[allow(dead_code, reason = "used by the tests of hand-overs only")]
 pub fn hand_over(task: u64, node: &str) -> Vec<u8> {
     set_up(task, &format!(";at:{node}"))
 }
@@ -70,7 +69,6 @@
         self.stream.write_all(&bytes).expect("written");
     }
 
-    #[allow(dead_code, reason = "used by the tests of broken connections only")]
     pub fn set_up(&mut self, task: u64) {
         self.stream.write_all(&set_up(task, "")).expect("written");
     }
@@ -110,7 +108,6 @@
 /// A node's connection.
 pub struct NodeConnection {
     pub stream: TcpStream,
-    #[allow(dead_code, reason = "used by the tests of broken connections only")]
     reader: node::Reader,
 }
 
@@ -128,13 +125,15 @@
             }
         };
         stream.set_nonblocking(false).expect("a socket option");
-        stream
-            .set_read_timeout(Some(TIMEOUT))
-            .expect("a socket option");
-        NodeConnection {
-            stream,
-            reader: node::Reader::default(),
-        }
+        NodeConnection::from(stream)
+    }
+
+    /// Returns whether something has arrived that is not read yet.
+    pub fn has_input(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("a socket option");
+        let has_input = matches!(self.stream.peek(&mut [0]), Ok(1));
+        self.stream.set_nonblocking(false).expect("a socket option");
+        has_input
     }
 
     pub fn send(&mut self, message: node::Message) {
@@ -142,7 +141,6 @@
         self.stream.write_all(&line).expect("written");
     }
 
-    #[allow(dead_code, reason = "used by the tests of broken connections only")]
     pub fn receive(&mut self, message_type: node::MessageType) -> node::Message {
         let mut bytes = vec![0; MAX_MESSAGE_BYTES];
         loop {
@@ -157,3 +155,15 @@
         }
     }
 }
+
+impl From<TcpStream> for NodeConnection {
+    fn from(stream: TcpStream) -> NodeConnection {
+        stream
+            .set_read_timeout(Some(TIMEOUT))
+            .expect("a socket option");
+        NodeConnection {
+            stream,
+            reader: node::Reader::default(),
+        }
+    }
+}
--- a/crates/cli/tests/unwritten_attempts.rs
+++ b/crates/cli/tests/unwritten_attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts that are withdrawn before anything of them was written, because their client has sent much
 //! else in the meantime.
 
+#[allow(dead_code, reason = "only a part of it is used")]
 mod peers;
 mod program;
 
