Tell the end of a task that the node of an earlier attempt reports

What callers saw: no end of a task within 8 s after a node had cut it, or an answer for a request that had ended. Cause: a node had answered, its answer was lost, and the request went on to another node. What the first one reports then was read by what is known here: nothing while another node runs the task, and a broken set-up while the client waits. But a node releases a set-up that breaks on its own connection, or gives it up with that; only a task that has stood is released on another one. Why it works: a release with cause 41 counts as an end if it comes on a connection that carried no set-up of the task and is no copy of a set-up's release; then the client is told, and the other node must end the task, whether the client waits or the task runs. A task is one to its client.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -137,22 +137,14 @@
         true
     }
 
-    /// Returns whether an allocation whose client waits for an answer is over, since a machine to which
+    /// Returns whether an allocation that its client waits for or uses is over, since a machine to which
     /// an earlier attempt was sent reports its end only now.
-    pub fn is_over_after_late_end(
-        &self,
-        id: AllocationId,
-        machine: MachineId,
-        result: AttemptResult,
-        reason: Option<ReturnReason>,
-    ) -> bool {
-        let waiting = self
-            .tracked
-            .get(&id)
-            .filter(|tracked| tracked.awaits_answer());
-        waiting.is_some_and(|tracked| {
+    pub fn is_over_after_late_end(&self, id: AllocationId, end: LateEnd) -> bool {
+        let tracked = self.tracked.get(&id);
+        let wanted = tracked.filter(|tracked| !tracked.finished);
+        wanted.is_some_and(|tracked| {
             self.scheduler
-                .is_over_after_late_end(&tracked.allocation, machine, result, reason)
+                .is_over_after_late_end(&tracked.allocation, end)
         })
     }
 
--- a/crates/platform/src/core/node_messages.rs
+++ b/crates/platform/src/core/node_messages.rs
@@ -85,6 +85,12 @@
 }
 
 impl MatchedAttempt {
+    /// Returns whether a release on this connection is about the attempt. Before the answer a node sends it
+    /// on the connection of the set-up.
+    fn is_about_attempt(&self, connection: ConnectionId) -> bool {
+        self.stage != TaskStage::Pending || self.active.connection == Some(connection)
+    }
+
     fn awaits_answer_on(&self, connection: ConnectionId) -> bool {
         self.stage == TaskStage::Pending && self.active.connection == Some(connection)
     }
@@ -265,9 +271,11 @@
         let (release_cause, reason) = (ReleaseCause::from(cause), parse_reason(message));
         let Some(MatchedAttempt {
             id, active, stage, ..
-        }) = matched
+        }) = matched.filter(|matched| {
+            release_cause.is_rejection() || matched.is_about_attempt(origin.connection)
+        })
         else {
-            return self.handle_unmatched_end(now, engine, origin, release_cause, reason);
+            return self.handle_unmatched_end(now, engine, origin, cause, reason);
         };
         if stage != TaskStage::Pending {
             let result = release_cause.task_result();
@@ -300,32 +308,69 @@
 }
 
 impl PlatformState {
-    /// Handles the end of a task that is unknown, or that its node has of an attempt that had returned.
+    /// Handles the end of a task that is unknown, or that its node reports of another attempt than the
+    /// active one.
     fn handle_unmatched_end(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
         origin: MessageOrigin,
-        release_cause: ReleaseCause,
+        cause: u32,
         reason: Option<ReturnReason>,
     ) {
-        let MessageOrigin { machine, task, .. } = origin;
+        let MessageOrigin {
+            connection,
+            machine,
+            task,
+        } = origin;
+        let release_cause = ReleaseCause::from(cause);
         let result = release_cause.task_result();
         let end = TaskEnd::new(task, result);
         if !release_cause.is_rejection() && self.end_reported_while_unlisted(end) {
             return;
         }
-        let over = engine
-            .find(&task_key(task))
-            .filter(|&id| engine.is_over_after_late_end(id, machine, result, reason));
-        let Some(id) = over else {
-            return self.remember_early_end(now, machine, end);
+        let over = engine.find(&task_key(task)).filter(|&id| {
+            let pending = engine.data_mut(id).map(|(pending, _)| pending);
+            let was_placed = pending.is_some_and(|pending| {
+                !release_cause.is_rejection() && pending.shows_placement(machine, connection, cause)
+            });
+            let end = LateEnd {
+                machine,
+                result,
+                reason,
+                was_placed,
+            };
+            engine.is_over_after_late_end(id, end)
+        });
+        match over {
+            Some(id) => self.end_on_all_nodes(now, engine, id, end),
+            None => self.remember_early_end(now, machine, end),
+        }
+    }
+
+    /// Handles the end of a request or a running task of which the node of an earlier attempt has told:
+    /// its client is told, and the node that has it now must end it too.
+    fn end_on_all_nodes(
+        &mut self,
+        now: Ticks,
+        engine: &mut Engine<PendingTask>,
+        id: AllocationId,
+        end: TaskEnd,
+    ) {
+        let Some((pending, _)) = engine.data_mut(id) else {
+            return;
         };
-        if let Some((pending, _)) = engine.data_mut(id) {
-            let to = pending.client;
+        let (to, task, active) = (pending.client, pending.task, pending.active);
+        debug!(task = task_key(task), stage = ?pending.stage, ?active, "over at the node of an earlier attempt");
+        if pending.stage == TaskStage::Pending {
             self.send_release(to, task, client::CAUSE_FAILED);
+            return self.cancel(now, engine, id);
+        }
+        if self.record_task_end(pending) {
+            self.send_task_end(to, end);
         }
-        self.cancel(now, engine, id);
+        self.stop_task(now, id, task, active, u32::from(client::CAUSE_NORMAL));
+        engine.finish(id);
     }
 }
 
--- a/crates/platform/src/core/pending_task.rs
+++ b/crates/platform/src/core/pending_task.rs
@@ -33,6 +33,7 @@
 /// An attempt that the node itself has ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EndedAttempt {
+    pub(super) machine: MachineId,
     pub(super) connection: ConnectionId,
     /// The cause of the node's release.
     pub(super) cause: u32,
@@ -161,8 +162,26 @@
 
     /// Records that the node itself has ended the active attempt.
     pub(super) fn end_attempt(&mut self, connection: ConnectionId, cause: u32) {
-        self.active = None;
-        self.ended_attempts.push(EndedAttempt { connection, cause });
+        if let Some(ended) = self.active.take() {
+            self.ended_attempts.push(EndedAttempt {
+                machine: ended.machine,
+                connection,
+                cause,
+            });
+        }
+    }
+
+    /// Returns whether a release shows that the task has stood at a machine: it does not arrive on the
+    /// connection of a set-up, and is no copy of the release of one.
+    pub(super) fn shows_placement(
+        &self,
+        machine: MachineId,
+        connection: ConnectionId,
+        cause: u32,
+    ) -> bool {
+        let mut ended_attempts = self.ended_attempts.iter();
+        let is_copy = ended_attempts.any(|ended| (ended.machine, ended.cause) == (machine, cause));
+        !is_copy && !self.used_connections.contains(&connection)
     }
 }
 
--- a/crates/scheduler/src/interface/outcomes.rs
+++ b/crates/scheduler/src/interface/outcomes.rs
@@ -1,6 +1,6 @@
 //! Reports from machines: outcomes of attempts, load reports and metrics.
 
-use crate::interface::{Resources, Ticks};
+use crate::interface::{MachineId, Resources, Ticks};
 
 /// The reason that a machine gives for rejecting or ending an allocation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +50,19 @@
     NotSent,
 }
 
+/// The end of an allocation that a machine reports after its attempt there has returned.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LateEnd {
+    /// The machine.
+    pub machine: MachineId,
+    /// How the allocation ended there.
+    pub result: AttemptResult,
+    /// The reason, if the machine gave one.
+    pub reason: Option<ReturnReason>,
+    /// Whether the way of the report shows that the machine had placed the allocation.
+    pub was_placed: bool,
+}
+
 /// Whether a machine has answered a request for a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionResult {
--- a/crates/scheduler/src/policy/outcomes.rs
+++ b/crates/scheduler/src/policy/outcomes.rs
@@ -61,19 +61,16 @@
         }
     }
 
-    /// Decides whether an unplaced allocation is over, since the machine of an attempt that has already
-    /// returned reports its end. A machine also reports as cancelled what it was asked to cancel.
-    pub fn is_over_after_late_end(
-        &self,
-        allocation: &Allocation,
-        machine: MachineId,
-        result: AttemptResult,
-        reason: Option<ReturnReason>,
-    ) -> bool {
+    /// Decides whether an allocation is over, since the machine of an attempt that has already returned
+    /// reports its end there, even if another machine has placed it meanwhile: it is one allocation to its
+    /// client. A machine also reports as cancelled what it was asked to cancel.
+    pub fn is_over_after_late_end(&self, allocation: &Allocation, end: LateEnd) -> bool {
         let mut attempts = allocation.attempts.iter();
-        attempts.any(|attempt| attempt.machine == machine)
-            && result != AttemptResult::Cancelled
-            && shows_end_after_placement(result, reason)
+        let was_tried = attempts.any(|attempt| attempt.machine == end.machine);
+        let was_reset = end.was_placed && end.result == AttemptResult::Reset;
+        was_tried
+            && end.result != AttemptResult::Cancelled
+            && (was_reset || shows_end_after_placement(end.result, end.reason))
     }
 
     /// Records that the machine has placed the allocation.
