Keep a connection to a node that may have answered an attempt

A node whose attempt broke or timed out after its first byte counts as one with tasks for connections, until its client has its final answer or the task has ended; not for losses, since it may have none.

--- a/crates/cli/tests/late_ends.rs
+++ b/crates/cli/tests/late_ends.rs
@@ -76,7 +76,14 @@
     }
 }
 
-/// Two nodes, each with another task that runs, and a client whose request both get.
+/// Whether the nodes have other tasks, because of which the program keeps connections to them.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum OtherTasks {
+    OneEach,
+    None,
+}
+
+/// Two nodes, and a client whose request both get.
 struct Scene {
     _program: Program,
     client: Client,
@@ -84,7 +91,7 @@
 }
 
 impl Scene {
-    fn start() -> Scene {
+    fn start(other_tasks: OtherTasks) -> Scene {
         let mut nodes = [Node::start(), Node::start()];
         let addresses = nodes
             .each_ref()
@@ -93,7 +100,10 @@
         let feed = feed.local_addr().expect("bound");
         let program = Program::start_nodes(LIMITS, feed, &addresses, &[]);
         let mut client = Client::connect(&program);
-        for (number, node) in (1..).zip(&mut nodes) {
+        let with_task = nodes
+            .iter_mut()
+            .filter(|_| other_tasks == OtherTasks::OneEach);
+        for (number, node) in (1..).zip(with_task) {
             let other = hand_over(OTHER_TASK + number, &format!("s-{number}"));
             client.stream.write_all(&other).expect("written");
             node.accept();
@@ -144,7 +154,7 @@
     cause: u8,
     note: Option<&str>,
 ) {
-    let mut scene = Scene::start();
+    let mut scene = Scene::start(OtherTasks::OneEach);
     let (first, _) = scene.next_set_up();
     let mut again = scene.nodes[first].reset_connections();
     let (second, connection) = scene.next_set_up();
@@ -161,6 +171,24 @@
     assert_eq!(stop.task_id, Some(TASK), "the other node ends it too");
 }
 
+/// Guards against an end that its node can't report: it has nothing else of ours, so that no connection to
+/// it is opened.
+#[test]
+fn a_node_whose_answer_was_lost_is_connected_to_while_another_node_runs_the_task() {
+    let mut scene = Scene::start(OtherTasks::None);
+    let (first, _) = scene.next_set_up();
+    let mut again = scene.nodes[first].reset_connections();
+    let (second, connection) = scene.next_set_up();
+    scene.nodes[second].connections[connection].send(ready());
+    let is_answer = |message: &client::Message| message.message_type == MessageType::Answer;
+    assert!(scene.client.receive(TIMEOUT, is_answer));
+    again.send(release(client::CAUSE_INTERRUPTED, None));
+    assert!(
+        scene.client.receives_end(TASK),
+        "its client is told nothing"
+    );
+}
+
 /// Guards against a request that is forwarded again, or answered as placed, after it has ended.
 #[test_case(client::CAUSE_INTERRUPTED, None)]
 #[test_case(client::CAUSE_NORMAL, None)]
@@ -168,7 +196,7 @@
     cause: u8,
     note: Option<&str>,
 ) {
-    let mut scene = Scene::start();
+    let mut scene = Scene::start(OtherTasks::OneEach);
     let (first, _) = scene.next_set_up();
     let mut again = scene.nodes[first].reset_connections();
     let (second, connection) = scene.next_set_up();
@@ -184,7 +212,7 @@
 /// Guards against ending a task for the copy of a release that its first node has sent before.
 #[test]
 fn a_copy_of_the_release_of_a_set_up_that_broke_ends_no_task() {
-    let mut scene = Scene::start();
+    let mut scene = Scene::start(OtherTasks::OneEach);
     let (first, connection) = scene.next_set_up();
     scene.nodes[first].connections[connection].send(release(client::CAUSE_INTERRUPTED, None));
     let (second, connection) = scene.next_set_up();
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -122,6 +122,9 @@
         pending.forget_unwritten(active);
         let task = pending.task;
         self.withdraw(id, active, task);
+        if active.started {
+            self.nodes.add_possible_task(active.machine, id);
+        }
         let result = if active.started {
             AttemptResult::TimedOut
         } else {
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -2,7 +2,7 @@
 
 use super::arrival_times::counted_from;
 use super::hand_overs::is_hand_over;
-use super::pending_task::task_key;
+use super::pending_task::{TaskStage, task_key};
 use super::*;
 use crate::memory_budget::MESSAGE_BYTES;
 use crate::writer::MessageSender;
@@ -307,6 +307,10 @@
         self.sweep_undelivered_ends(now);
         self.end_unlisted_tasks(now);
         self.spent_ids.expire(now);
+        self.nodes.retain_possible_tasks(|id| {
+            let pending = engine.data_mut(id).map(|(pending, _)| pending);
+            pending.is_some_and(|pending| pending.stage != TaskStage::Ended)
+        });
         self.sweep_node_connections(now);
         self.retry_stops(now);
     }
--- a/crates/platform/src/core/node_connections.rs
+++ b/crates/platform/src/core/node_connections.rs
@@ -140,7 +140,7 @@
             );
             self.connection_refused(now, engine, connection.machine);
         } else if self.connections.available_to(connection.machine).is_empty()
-            && self.nodes.has_tasks(connection.machine)
+            && self.nodes.needs_connection(connection.machine)
             && matches!(end, ConnectionEnd::Broken | ConnectionEnd::Closed)
         {
             // The node reports the ends of its tasks on the next connection.
@@ -201,6 +201,9 @@
             } else {
                 AttemptResult::ConnectFailed
             };
+            if active.started {
+                self.nodes.add_possible_task(active.machine, allocation);
+            }
             let task = task_key(pending.task);
             debug!(
                 task,
@@ -233,7 +236,8 @@
         }
         self.connections.check_unanswered(now);
         for (machine, since) in self.connections.due_reconnects(now) {
-            if !self.nodes.has_tasks(machine) || self.nodes.is_closed_to_connections(machine) {
+            if !self.nodes.needs_connection(machine) || self.nodes.is_closed_to_connections(machine)
+            {
                 self.connections.cancel_reconnect(machine);
                 continue;
             }
--- a/crates/platform/src/node_connections/closing.rs
+++ b/crates/platform/src/node_connections/closing.rs
@@ -50,7 +50,7 @@
             .filter(|(id, connection)| connection.is_idle() && !except.contains(id));
         let is_only_connection = |connection: &NodeConnection| {
             connection.draining_since.is_none()
-                && nodes.has_tasks(connection.machine)
+                && nodes.needs_connection(connection.machine)
                 && !self.has_several_available(connection.machine)
         };
         let ranked = idle.map(|(&id, connection)| {
@@ -264,7 +264,8 @@
         let connection = &self.connections[&id];
         let is_unused = connection.last_used_at + self.idle_timeout <= now;
         let machine = connection.machine;
-        if is_unused && (!nodes.has_tasks(machine) || self.has_ordinary_besides(id, machine)) {
+        if is_unused && (!nodes.needs_connection(machine) || self.has_ordinary_besides(id, machine))
+        {
             self.close(id, CloseReason::Unused, now);
         }
     }
@@ -278,11 +279,13 @@
         let machine = connection.machine;
         let last_message_at = self.last_message_at.get(&machine);
         let is_responsive = last_message_at.is_some_and(|at| *at > since);
-        if nodes.is_draining(machine) && nodes.has_tasks(machine) && self.all_to(machine).len() == 1
+        if nodes.is_draining(machine)
+            && nodes.needs_connection(machine)
+            && self.all_to(machine).len() == 1
         {
             return;
         }
-        if is_responsive || !nodes.has_tasks(machine) || since + self.idle_timeout <= now {
+        if is_responsive || !nodes.needs_connection(machine) || since + self.idle_timeout <= now {
             self.close(id, CloseReason::Unanswered, now);
         }
     }
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -27,6 +27,9 @@
     /// The time since when the node has had tasks and no connection.
     unreached_since: Option<Ticks>,
     tasks: BTreeSet<AllocationId>,
+    /// The tasks of which the node may have answered an attempt although no answer has arrived. It reports
+    /// their ends like those of others.
+    possible_tasks: BTreeSet<AllocationId>,
 }
 
 impl Node {
@@ -40,8 +43,14 @@
             closed_to_connections: false,
             unreached_since: None,
             tasks: BTreeSet::new(),
+            possible_tasks: BTreeSet::new(),
         }
     }
+
+    /// Returns whether a connection to the node must be kept.
+    fn needs_connection(&self) -> bool {
+        !self.tasks.is_empty() || !self.possible_tasks.is_empty()
+    }
 }
 
 /// The listed nodes.
@@ -149,11 +158,24 @@
             .collect()
     }
 
-    /// Returns whether tasks run on a node.
-    pub fn has_tasks(&self, machine: MachineId) -> bool {
-        self.nodes
-            .get(&machine)
-            .is_some_and(|node| !node.tasks.is_empty())
+    /// Records that a task may run on a node that has not answered the attempt.
+    pub fn add_possible_task(&mut self, machine: MachineId, id: AllocationId) {
+        if let Some(node) = self.nodes.get_mut(&machine) {
+            node.possible_tasks.insert(id);
+        }
+    }
+
+    /// Keeps only the possible tasks for which `is_wanted` returns true.
+    pub fn retain_possible_tasks(&mut self, mut is_wanted: impl FnMut(AllocationId) -> bool) {
+        for node in self.nodes.values_mut() {
+            node.possible_tasks.retain(|&id| is_wanted(id));
+        }
+    }
+
+    /// Returns whether a connection to a node must be kept: tasks run on it, or may run.
+    pub fn needs_connection(&self, machine: MachineId) -> bool {
+        let node = self.nodes.get(&machine);
+        node.is_some_and(Node::needs_connection)
     }
 
     /// Returns whether a node is draining, so that it accepts no new tasks.
@@ -185,7 +207,7 @@
     ) -> Vec<(Ticks, MachineId)> {
         let mut unreached = Vec::new();
         for (&id, node) in &mut self.nodes {
-            let reached = node.tasks.is_empty() || node.closed_to_connections || connected(id);
+            let reached = !node.needs_connection() || node.closed_to_connections || connected(id);
             node.unreached_since = if reached {
                 None
             } else {
@@ -326,7 +348,8 @@
 
     /// Returns the number of nodes and tasks, for tests of retained state.
     pub fn retained_items(&self) -> usize {
-        let nodes = self.nodes.values().map(|node| 1 + node.tasks.len());
+        let tasks_of = |node: &Node| node.tasks.len() + node.possible_tasks.len();
+        let nodes = self.nodes.values().map(|node| 1 + tasks_of(node));
         nodes.sum::<usize>() + self.replaced.len() + self.gone.len()
     }
 
