Go on accepting for long enough where a stop signal came at the end of a pause

After a pause of 1 s a program that got SIGTERM at its end stopped at once, and clients that connected 0.4 s later were refused.

--- a/crates/cli/tests/unread_requests.rs
+++ b/crates/cli/tests/unread_requests.rs
@@ -28,6 +28,9 @@
 
 /// The earliest SIGKILL after SIGTERM: 3 s for the longest deadline, which is longer, and 0.7 s.
 const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// Time after SIGTERM of the last new connection, and of the last request.
+const LAST_CONNECTION: Duration = Duration::from_millis(400);
+const LAST_REQUEST: Duration = Duration::from_millis(600);
 
 /// Where a request waits while the program is paused.
 #[derive(Clone, Copy)]
@@ -141,3 +144,20 @@
         signalled_at.elapsed()
     );
 }
+
+/// Guards against a stop that begins too early: the signal came at the end of a pause, and clients go on
+/// connecting for 0.4 s, and sending for 0.2 s more.
+#[test]
+fn requests_are_read_for_long_enough_after_a_stop_signal_that_came_at_the_end_of_a_pause() {
+    let nodes = listener();
+    let program = start(&nodes);
+    program.signal("-STOP");
+    std::thread::sleep(PAUSE);
+    program.signal("-TERM");
+    program.signal("-CONT");
+    std::thread::sleep(LAST_CONNECTION);
+    let mut client = Client::connect(&program);
+    std::thread::sleep(LAST_REQUEST - LAST_CONNECTION);
+    client.set_up(TASK);
+    receive_set_up(&nodes);
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -39,7 +39,7 @@
 use futures_lite::{FutureExt, Stream, StreamExt, future};
 use handle::PlatformHandle;
 use passing_errors::{RETRY_DELAY, is_passing};
-use shutdown::{SHUTDOWN_MARGIN, ShutdownSchedule};
+use shutdown::{SHUTDOWN_MARGIN, ShutdownSchedule, StopRequest};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -113,8 +113,8 @@
     handle.start();
     let mut signals = signals;
     wait_for_stop(&mut signals, || reload(&handle, path, &feed_address_sender)).await;
-    let signalled_at = Instant::now() - handle.noticing_delay();
-    let stop = shutdown::stop(&handle, &budget, signalled_at, close_listener);
+    let request = StopRequest::noticed_after(handle.noticing_delay());
+    let stop = shutdown::stop(&handle, &budget, request, close_listener);
     // The feed's address may still change during the shutdown. Further stop signals are ignored.
     let reload_on_hangup = async {
         while let Some(signal) = signals.next().await {
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -56,27 +56,48 @@
     }
 }
 
+/// When a stop was requested, as far as is known.
+#[derive(Clone, Copy, Debug)]
+pub struct StopRequest {
+    /// The earliest time at which the signal may have been sent.
+    pub sent_after: Instant,
+    pub noticed_at: Instant,
+}
+
+impl StopRequest {
+    /// Creates a request that is noticed now, up to `delay` after it was sent.
+    pub fn noticed_after(delay: Duration) -> StopRequest {
+        let noticed_at = Instant::now();
+        StopRequest {
+            sent_after: noticed_at.checked_sub(delay).unwrap_or(noticed_at),
+            noticed_at,
+        }
+    }
+}
+
 /// Continues to serve until every set-up is answered or its time is up, then closes all connections
 /// and waits until their last messages are written. `close_listener` serves the connections that the
 /// system has accepted, and then stops accepting.
 pub async fn stop(
     handle: &PlatformHandle,
     budget: &DescriptorBudget,
-    signalled_at: Instant,
+    request: StopRequest,
     close_listener: impl Future<Output = ()>,
 ) {
     let schedule = ShutdownSchedule::for_longest_deadline(handle.longest_deadline());
     info!(retained = handle.retained_items(), "stopping");
-    Timer::at(signalled_at + schedule.accept_for).await;
-    wait_until(signalled_at + schedule.answer_waiting_within, || {
+    let StopRequest {
+        sent_after,
+        noticed_at,
+    } = request;
+    let answer_all_by = sent_after + schedule.answer_all_within;
+    Timer::at(answer_all_by.min(noticed_at + schedule.accept_for)).await;
+    wait_until(sent_after + schedule.answer_waiting_within, || {
         handle.unanswered() == 0
     })
     .await;
     handle.stop();
-    wait_until(signalled_at + schedule.answer_all_within, || {
-        handle.unanswered() == 0
-    })
-    .await;
+    wait_until(answer_all_by, || handle.unanswered() == 0).await;
     close_listener.await;
     Timer::after(schedule.last_requests_for()).await;
     handle.abandon_all();
@@ -89,10 +110,8 @@
                 + budget.max_node_connections / descriptor_budget::CONNECTIONS_PER_HALF_CLOSED,
         ),
     );
-    let remaining = (signalled_at
-        + schedule.answer_all_within
-        + (schedule.killed_after - schedule.answer_all_within) / 2)
-        .saturating_duration_since(Instant::now());
+    let written_by = answer_all_by + (schedule.killed_after - schedule.answer_all_within) / 2;
+    let remaining = written_by.saturating_duration_since(Instant::now());
     if within(remaining, all_written).await.is_none() {
         warn!("some connections did not accept their last messages in time");
     }
