--- a/crates/cli/tests/late_ends.rs
+++ b/crates/cli/tests/late_ends.rs
@@ -88,6 +88,8 @@
     _program: Program,
     client: Client,
     nodes: [Node; 2],
+    /// The node whose answer was lost.
+    lost_at: Option<usize>,
 }
 
 impl Scene {
@@ -113,6 +115,7 @@
             _program: program,
             client,
             nodes,
+            lost_at: None,
         }
     }
 
@@ -129,6 +132,34 @@
         }
         panic!("no set-up");
     }
+
+    /// Answers the next set-up, and returns its node and connection once the client has the answer.
+    fn place(&mut self) -> (usize, usize) {
+        let (node, connection) = self.next_set_up();
+        assert_ne!(self.lost_at, Some(node), "no second attempt at a node");
+        self.nodes[node].connections[connection].send(ready());
+        let is_answer = |message: &client::Message| message.message_type == MessageType::Answer;
+        assert!(self.client.receive(TIMEOUT, is_answer));
+        (node, connection)
+    }
+
+    /// Loses the answer of the node that gets the set-up first. Returns its next connection.
+    fn lose_answer(&mut self) -> NodeConnection {
+        let (first, _) = self.next_set_up();
+        self.lost_at = Some(first);
+        self.nodes[first].reset_connections()
+    }
+
+    fn assert_end_is_told(&mut self) {
+        let is_told = self.client.receives_end(TASK);
+        assert!(is_told, "its client is told nothing");
+    }
+}
+
+/// Waits until a node is asked to end the task.
+fn assert_is_stopped(connection: &mut NodeConnection) {
+    let stop = connection.receive(NodeMessageType::Close);
+    assert_eq!(stop.task_id, Some(TASK));
 }
 
 fn release(cause: u8, note: Option<&str>) -> node::Message {
@@ -155,20 +186,11 @@
     note: Option<&str>,
 ) {
     let mut scene = Scene::start(OtherTasks::OneEach);
-    let (first, _) = scene.next_set_up();
-    let mut again = scene.nodes[first].reset_connections();
-    let (second, connection) = scene.next_set_up();
-    assert_ne!(first, second, "an attempt is not made twice at a node");
-    scene.nodes[second].connections[connection].send(ready());
-    let is_answer = |message: &client::Message| message.message_type == MessageType::Answer;
-    assert!(scene.client.receive(TIMEOUT, is_answer));
+    let mut again = scene.lose_answer();
+    let (second, connection) = scene.place();
     again.send(release(cause, note));
-    assert!(
-        scene.client.receives_end(TASK),
-        "its client is told nothing"
-    );
-    let stop = scene.nodes[second].connections[connection].receive(NodeMessageType::Close);
-    assert_eq!(stop.task_id, Some(TASK), "the other node ends it too");
+    scene.assert_end_is_told();
+    assert_is_stopped(&mut scene.nodes[second].connections[connection]);
 }
 
 /// Guards against an end that its node can't report: it has nothing else of ours, so that no connection to
@@ -176,17 +198,10 @@
 #[test]
 fn a_node_whose_answer_was_lost_is_connected_to_while_another_node_runs_the_task() {
     let mut scene = Scene::start(OtherTasks::None);
-    let (first, _) = scene.next_set_up();
-    let mut again = scene.nodes[first].reset_connections();
-    let (second, connection) = scene.next_set_up();
-    scene.nodes[second].connections[connection].send(ready());
-    let is_answer = |message: &client::Message| message.message_type == MessageType::Answer;
-    assert!(scene.client.receive(TIMEOUT, is_answer));
+    let mut again = scene.lose_answer();
+    scene.place();
     again.send(release(client::CAUSE_INTERRUPTED, None));
-    assert!(
-        scene.client.receives_end(TASK),
-        "its client is told nothing"
-    );
+    scene.assert_end_is_told();
 }
 
 /// Guards against a request that is forwarded again, or answered as placed, after it has ended.
@@ -197,16 +212,11 @@
     note: Option<&str>,
 ) {
     let mut scene = Scene::start(OtherTasks::OneEach);
-    let (first, _) = scene.next_set_up();
-    let mut again = scene.nodes[first].reset_connections();
+    let mut again = scene.lose_answer();
     let (second, connection) = scene.next_set_up();
     again.send(release(cause, note));
-    assert!(
-        scene.client.receives_end(TASK),
-        "its client is told nothing"
-    );
-    let stop = scene.nodes[second].connections[connection].receive(NodeMessageType::Close);
-    assert_eq!(stop.task_id, Some(TASK), "the other node ends it too");
+    scene.assert_end_is_told();
+    assert_is_stopped(&mut scene.nodes[second].connections[connection]);
 }
 
 /// Guards against ending a task for the copy of a release that its first node has sent before.
@@ -215,10 +225,7 @@
     let mut scene = Scene::start(OtherTasks::OneEach);
     let (first, connection) = scene.next_set_up();
     scene.nodes[first].connections[connection].send(release(client::CAUSE_INTERRUPTED, None));
-    let (second, connection) = scene.next_set_up();
-    scene.nodes[second].connections[connection].send(ready());
-    let is_answer = |message: &client::Message| message.message_type == MessageType::Answer;
-    assert!(scene.client.receive(TIMEOUT, is_answer));
+    scene.place();
     let mut again = scene.nodes[first].reset_connections();
     again.send(release(client::CAUSE_INTERRUPTED, None));
     let is_release = |message: &client::Message| message.message_type == MessageType::Release;
