End the tasks of a draining node that has been silent for 7 s and refuses connections

What callers saw: the ends of all tasks of a node that had stopped were told over 8 s later, once the list had come, several at once. Cause: a refused connection counts as a sign of life, and as long as one connection to a draining node is established nothing was concluded from it. So a node that stops without a word while its connection stays open was known only by the list; where the list falls silent for some 2 s at that time, the protocol's 8 s are over. Why it works: while a draining node refuses connections its tasks end 7 s after its last message, counted up to the time until which all that has arrived is read, so that no pause of the process counts as silence.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -67,6 +67,7 @@
 mod running_tasks;
 mod sent_ends;
 mod set_ups;
+mod silent_drains;
 mod spent_ids;
 mod timers;
 #[cfg(test)]
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -311,6 +311,7 @@
             let pending = engine.data_mut(id).map(|(pending, _)| pending);
             pending.is_some_and(|pending| pending.stage != TaskStage::Ended)
         });
+        self.end_tasks_of_silent_drains(now, engine);
         self.sweep_node_connections(now);
         self.retry_stops(now);
     }
--- a/crates/platform/src/core/limits.rs
+++ b/crates/platform/src/core/limits.rs
@@ -38,6 +38,9 @@
 pub(super) const STOP_TIMEOUT: Ticks = SECOND;
 /// Time within which a node must reply to a health check.
 pub(super) const HEALTH_CHECK_TIMEOUT: Ticks = SECOND;
+/// Time of silence after which the tasks of a draining node that refuses connections count as lost. Their
+/// ends must be reported within 8 s, and a sweep may come later.
+pub(super) const SILENT_DRAIN_TIMEOUT: Ticks = END_REPORT_LIMIT - SECOND;
 /// Time after a refused connection when the tasks of a draining node count as lost. Their ends must
 /// be reported within 8 s.
 pub(super) const UNREACHABLE_TIMEOUT: Ticks = SECOND * 6;
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -198,6 +198,13 @@
         node.is_some_and(|node| node.closed_to_connections)
     }
 
+    /// Returns the draining nodes that have refused a connection and on which tasks run.
+    pub fn closed_to_connections_with_tasks(&self) -> Vec<MachineId> {
+        let nodes = self.nodes.iter();
+        let closed = nodes.filter(|(_, node)| node.closed_to_connections && !node.tasks.is_empty());
+        closed.map(|(&id, _)| id).collect()
+    }
+
     /// Returns the nodes that have tasks and no connection, each with the time since when, ordered
     /// by that time.
     pub fn unreached(
