--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -53,6 +53,7 @@
 mod hand_overs;
 mod health_checks;
 mod inputs;
+mod late_ends;
 mod limits;
 mod node_connections;
 mod node_messages;
@@ -69,6 +70,7 @@
 mod set_ups;
 mod silent_drains;
 mod spent_ids;
+mod sweeps;
 mod timers;
 #[cfg(test)]
 #[path = "../tests/core/transcript.rs"]
--- a/crates/platform/src/core/arrival_times.rs
+++ b/crates/platform/src/core/arrival_times.rs
@@ -78,7 +78,7 @@
 pub(super) struct ArrivalTimes {
     waiting: WaitingInput,
     read: u64,
-    /// From the oldest to the newest.
+    /// From the oldest to the newest, each of at least a byte that the reader holds.
     undecoded: VecDeque<ReadBytes>,
 }
 
--- a/crates/platform/src/core/client_connections.rs
+++ b/crates/platform/src/core/client_connections.rs
@@ -2,7 +2,7 @@
 
 use super::arrival_times::counted_from;
 use super::hand_overs::is_hand_over;
-use super::pending_task::{TaskStage, task_key};
+use super::pending_task::task_key;
 use super::*;
 use crate::memory_budget::MESSAGE_BYTES;
 use crate::writer::MessageSender;
@@ -199,7 +199,7 @@
     /// Closes a connection whose peer has closed its side, or that makes room: cancels its open
     /// set-ups, and still handles the messages about running tasks that have arrived, since no
     /// connection owns such a task.
-    fn client_closed(
+    pub(super) fn client_closed(
         &mut self,
         now: Ticks,
         engine: &mut Engine<PendingTask>,
@@ -288,34 +288,6 @@
         }
     }
 
-    /// Closes silent and idle connections, and opens missing connections to nodes with tasks.
-    pub(super) fn sweep(&mut self, now: Ticks, engine: &mut Engine<PendingTask>) {
-        let useless = self
-            .clients
-            .iter()
-            .filter_map(|(&id, client)| Some((id, client.uselessness(now)?)));
-        let useless: Vec<(ClientId, CloseReason)> = useless.collect();
-        for (id, reason) in useless {
-            // After a pause of the process nothing that has arrived meanwhile is read yet.
-            if !self.has_unread_set_up(now, id) {
-                self.client_closed(now, engine, id, reason);
-            }
-        }
-        for client in self.clients.values_mut() {
-            client.sent_ends.expire(now);
-        }
-        self.sweep_undelivered_ends(now);
-        self.end_unlisted_tasks(now);
-        self.spent_ids.expire(now);
-        self.nodes.retain_possible_tasks(|id| {
-            let pending = engine.data_mut(id).map(|(pending, _)| pending);
-            pending.is_some_and(|pending| pending.stage != TaskStage::Ended)
-        });
-        self.end_tasks_of_silent_drains(now, engine);
-        self.sweep_node_connections(now);
-        self.retry_stops(now);
-    }
-
     /// Closes the least useful client's connection without open set-ups: silent ones first, then
     /// idle ones. One on which a set-up has arrived that is not handled yet is kept. Returns false if
     /// there is none.
@@ -341,7 +313,7 @@
     }
 
     /// Returns whether a set-up has arrived on a connection and is not handled yet.
-    fn has_unread_set_up(&mut self, now: Ticks, id: ClientId) -> bool {
+    pub(super) fn has_unread_set_up(&mut self, now: Ticks, id: ClientId) -> bool {
         let outcome = self.read_ahead(now, id);
         let is_open = matches!(outcome, ReadOutcome::Data | ReadOutcome::Empty);
         let client = self.clients.get(&id);
@@ -380,7 +352,7 @@
 
 impl ClientConnection {
     /// Returns why the connection is of no use, if that is so.
-    fn uselessness(&self, now: Ticks) -> Option<CloseReason> {
+    pub(super) fn uselessness(&self, now: Ticks) -> Option<CloseReason> {
         let is_partial = self
             .partial_since
             .is_some_and(|since| since + SILENCE_TIMEOUT <= now);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -49,7 +49,8 @@
 const LISTEN_BACKLOG: i32 = 1_024;
 /// The interval of [`PlatformHandle::sweep`].
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// The interval of the polls for input that are recorded: half of the wait that need not count.
+/// The interval of the polls for input that are recorded. Two must pass well within the wait that need not
+/// count.
 const POLL_RECORD_INTERVAL: Duration = Duration::from_millis(25);
 
 fn read_config(path: &Path) -> Result<NodeConfig, ServeError> {
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -1,5 +1,7 @@
 //! Records the nodes by name and address, and the tasks that run on them.
 
+mod list_change;
+
 use crate::gone_nodes::GoneNodes;
 use crate::start_times::{StartTime, StartTimes};
 use corkspan_platform_wire::discovery::{self, NodeEntry, NodeList, Phase};
@@ -11,6 +13,8 @@
 use std::net::SocketAddr;
 use tracing::warn;
 
+pub use list_change::{ListChange, Replacement};
+
 /// The maximum number of replaced nodes that are remembered until the list tells that they are gone.
 const MAX_REPLACED: usize = 4_096;
 
@@ -64,31 +68,6 @@
     start_times: StartTimes,
 }
 
-/// The effects of a change to the list.
-#[derive(Default)]
-pub struct ListChange {
-    pub endpoints: Vec<Endpoint>,
-    /// Whether the list is complete, so that a node that it does not name is gone. False if an
-    /// entry is unreadable.
-    pub complete: bool,
-    pub gone: Vec<MachineId>,
-    /// The restarted nodes, with the time of the new start by the dispatcher's clock.
-    pub restarted: Vec<(MachineId, StartTime)>,
-    /// The nodes whose address has changed.
-    pub moved: Vec<MachineId>,
-    /// The nodes whose address another one has taken.
-    pub replaced: Vec<Replacement>,
-}
-
-/// A node whose address another one has taken, so that it is gone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Replacement {
-    pub former: MachineId,
-    pub next: MachineId,
-    /// The time at which the next node started, or at which the list named it if that is unknown.
-    pub started_at: StartTime,
-}
-
 /// What the list told of a node before another one took its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ReplacedEntry {
