Let the test of a draining node that reports be refused first

Cause: a_task_on_a_draining_node_that_reports_on_it_is_kept could not fail. Change: the node is silent for 2 s first, in which connections are refused, and then reports for 8.05 s.

--- a/crates/cli/tests/silent_drain.rs
+++ b/crates/cli/tests/silent_drain.rs
@@ -25,6 +25,8 @@
 const NODE: &str = "s-1";
 /// Time within which a task must be released whose node can't release it.
 const SILENT_END_LIMIT: Duration = Duration::from_millis(8_050);
+/// Time in which the program tries further connections to a node that is silent, and is refused.
+const REFUSED_FOR: Duration = Duration::from_secs(2);
 /// Time between two notifications of a node that is in order.
 const NOTIFICATION_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -87,6 +89,8 @@
 #[test]
 fn a_task_on_a_draining_node_that_reports_on_it_is_kept() {
     let mut draining = Draining::start();
+    let is_released = draining.client.receive(REFUSED_FOR, is_release);
+    assert!(!is_released, "released after a short silence");
     let until = Instant::now() + SILENT_END_LIMIT;
     while Instant::now() < until {
         draining.connection.send(notification());
